Fix the interfaces that subsystems share

Cause: subsystems are built side by side and need agreed boundaries first. Change: errors with step and peer, platform interfaces with an in-memory platform, the peer bus with an in-memory network, membership view and rumours, table types, the protocols towards targets and platform, and the checks. Conclusion: packages can go on independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# make demo   runs the embedded demonstration
+# make check  formats, vets, lints, builds and tests
+.PHONY: demo check format lint build test
+
+demo:
+	go run ./cmd/hibiscuspost demo
+
+check: format lint build test
+
+format:
+	@unformatted=$$(cd tools && go tool gofumpt -l ../cmd ../internal); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+
+lint:
+	go vet ./...
+	cd tools && go build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+	bin/staticcheck ./...
+
+build:
+	go build -o bin/hibiscuspost ./cmd/hibiscuspost
+
+test:
+	go test -race -timeout 15m ./...
--- /dev/null
+++ b/cmd/hibiscuspost/main.go
@@ -0,0 +1,4 @@
+// Command hibiscuspost schedules requests over unlike engines.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,102 @@
+// Package fault gives every error the step and the peer at which it arose,
+// and gives callers a truthful statement of whether their request ran.
+package fault
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Step names the part of the system in which an error arose.
+type Step string
+
+// The steps of a request and of control work.
+const (
+	StepAccept   Step = "accept"
+	StepRoute    Step = "route"
+	StepWait     Step = "wait"
+	StepClaim    Step = "claim"
+	StepForward  Step = "forward"
+	StepDispatch Step = "dispatch"
+	StepStream   Step = "stream"
+	StepAnswer   Step = "answer"
+	StepApply    Step = "apply"
+	StepAdopt    Step = "adopt"
+	StepLoad     Step = "load"
+	StepAdvance  Step = "advance"
+	StepTakeBack Step = "take_back"
+	StepDrain    Step = "drain"
+	StepShutdown Step = "shutdown"
+	StepPlatform Step = "platform"
+	StepPeer     Step = "peer"
+)
+
+// Error is an error with its step and peer.
+type Error struct {
+	// Step is where the error arose.
+	Step Step
+	// Peer is the address or name of the other side; empty for local errors.
+	Peer string
+	// Cause is the underlying error.
+	Cause error
+}
+
+// Error returns the step, the peer and the cause in one line.
+func (e *Error) Error() string {
+	if e.Peer == "" {
+		return fmt.Sprintf("%s: %v", e.Step, e.Cause)
+	}
+	return fmt.Sprintf("%s at %s: %v", e.Step, e.Peer, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// At wraps cause with the step and peer; it returns nil for a nil cause.
+func At(step Step, peer string, cause error) error {
+	if cause == nil {
+		return nil
+	}
+	return errors.WithStackDepth(&Error{Step: step, Peer: peer, Cause: cause}, 1)
+}
+
+// Run states what is known about the execution of a refused request.
+type Run string
+
+// The values of Run.
+const (
+	// NotRun means that no byte of the request has reached a target.
+	NotRun Run = "not_run"
+	// RanInPart means that a target started the request and did not finish it.
+	RanInPart Run = "ran_in_part"
+	// Unknown means that neither of the others can be proved.
+	Unknown Run = "unknown"
+)
+
+// Refusal is the final answer to a request that gets no answer from a target.
+type Refusal struct {
+	// Run states whether the request ran.
+	Run Run
+	// Step is where the request was given up.
+	Step Step
+	// Status is the HTTP status code of the answer.
+	Status int
+	// RetryAfter tells the caller when to come back; zero means no advice.
+	RetryAfter time.Duration
+	// Reason is a short text for people.
+	Reason string
+}
+
+// Error returns the refusal in one line.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("refused at %s (%s): %s", r.Step, r.Run, r.Reason)
+}
+
+// AsRefusal finds a Refusal in the chain of err.
+func AsRefusal(err error) (*Refusal, bool) {
+	var r *Refusal
+	ok := errors.As(err, &r)
+	return r, ok
+}
--- /dev/null
+++ b/internal/peer/memory.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+)
+
+// ErrUnreachable is the cause of calls that the network did not carry.
+var ErrUnreachable = errors.New("peer: unreachable")
+
+// Network joins in-memory buses; it is the fake network of tests.
+type Network struct {
+	// Deliver, when set, decides whether a message passes; nil passes all.
+	// It is called for each direction of a call. Set it before use.
+	Deliver func(from, to string) bool
+
+	// mu guards buses.
+	mu    sync.RWMutex
+	buses map[string]*MemoryBus
+}
+
+// NewNetwork returns a network without members.
+func NewNetwork() *Network { return &Network{buses: make(map[string]*MemoryBus)} }
+
+// Bus returns a new bus at the address, in place of an older one there.
+func (n *Network) Bus(address string) *MemoryBus {
+	return &MemoryBus{
+		network: n, address: address,
+		calls: make(map[string]CallHandler), datagrams: make(map[Kind]DatagramHandler),
+	}
+}
+
+func (n *Network) find(from, to string) *MemoryBus {
+	if n.Deliver != nil && !n.Deliver(from, to) {
+		return nil
+	}
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.buses[to]
+}
+
+// MemoryBus is a Bus on a Network. Datagrams are handled synchronously.
+type MemoryBus struct {
+	network   *Network
+	address   string
+	calls     map[string]CallHandler
+	datagrams map[Kind]DatagramHandler
+}
+
+// Address implements Bus.
+func (b *MemoryBus) Address() string { return b.address }
+
+// Handle implements Bus.
+func (b *MemoryBus) Handle(method string, handler CallHandler) { b.calls[method] = handler }
+
+// HandleDatagram implements Bus.
+func (b *MemoryBus) HandleDatagram(kind Kind, handler DatagramHandler) { b.datagrams[kind] = handler }
+
+// Start implements Bus.
+func (b *MemoryBus) Start() error {
+	b.network.mu.Lock()
+	defer b.network.mu.Unlock()
+	b.network.buses[b.address] = b
+	return nil
+}
+
+// Close implements Bus.
+func (b *MemoryBus) Close() error {
+	b.network.mu.Lock()
+	defer b.network.mu.Unlock()
+	if b.network.buses[b.address] == b {
+		delete(b.network.buses, b.address)
+	}
+	return nil
+}
+
+// Send implements Bus.
+func (b *MemoryBus) Send(address string, kind Kind, body []byte) error {
+	to := b.network.find(b.address, address)
+	if to == nil {
+		return nil
+	}
+	if handler := to.datagrams[kind]; handler != nil {
+		handler(b.address, slices.Clone(body))
+	}
+	return nil
+}
+
+// Call implements Bus.
+func (b *MemoryBus) Call(ctx context.Context, address, method string, params, result any) error {
+	to := b.network.find(b.address, address)
+	if to == nil {
+		return fault.At(fault.StepPeer, address, ErrUnreachable)
+	}
+	handler := to.calls[method]
+	if handler == nil {
+		return fault.At(fault.StepPeer, address, errors.Newf("no method %s", method))
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return fault.At(fault.StepPeer, address, err)
+	}
+	answer, err := handler(ctx, b.address, raw)
+	if err != nil {
+		return fault.At(fault.StepPeer, address, err)
+	}
+	if b.network.find(address, b.address) == nil {
+		return fault.At(fault.StepPeer, address, ErrUnreachable)
+	}
+	if result == nil {
+		return nil
+	}
+	encoded, err := json.Marshal(answer)
+	if err != nil {
+		return fault.At(fault.StepPeer, address, err)
+	}
+	return fault.At(fault.StepPeer, address, json.Unmarshal(encoded, result))
+}
--- /dev/null
+++ b/internal/platform/memory.go
@@ -0,0 +1,198 @@
+package platform
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Memory is a Platform held in memory, the fake for tests and the state behind
+// the stand-in platform. It never fails by itself; set Fault to make it fail.
+type Memory struct {
+	// Fault, when set, is called before each operation with its name ("get",
+	// "scan", "commit", "put_object", "get_object", "delete_object",
+	// "instances"). An error that is ErrOutcomeUnknown is returned after the
+	// operation took effect; any other error in its place. Set it before use.
+	Fault func(ctx context.Context, operation string) error
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	rows    map[Key]Row
+	objects map[string][]byte
+	listed  []Listed
+	writes  int
+	reads   int
+}
+
+// NewMemory returns an empty platform.
+func NewMemory() *Memory {
+	return &Memory{rows: make(map[Key]Row), objects: make(map[string][]byte)}
+}
+
+// Counts returns how many writes (rows in commits) and reads took effect.
+func (m *Memory) Counts() (writes, reads int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes, m.reads
+}
+
+// SetInstances replaces the instance list.
+func (m *Memory) SetInstances(list []Listed) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = slices.Clone(list)
+}
+
+// Get implements TableService.
+func (m *Memory) Get(ctx context.Context, key Key) (Row, error) {
+	if err := m.fault(ctx, "get"); err != nil {
+		return Row{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	row, ok := m.rows[key]
+	if !ok {
+		return Row{}, ErrNotFound
+	}
+	return cloneRow(row), nil
+}
+
+// Scan implements TableService.
+func (m *Memory) Scan(ctx context.Context, table, prefix string, limit int) ([]Row, error) {
+	if err := m.fault(ctx, "scan"); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	var found []Row
+	for key, row := range m.rows {
+		if key.Table == table && strings.HasPrefix(key.ID, prefix) {
+			found = append(found, cloneRow(row))
+		}
+	}
+	slices.SortFunc(found, func(a, b Row) int { return strings.Compare(a.ID, b.ID) })
+	if len(found) > limit {
+		found = found[:limit]
+	}
+	return found, nil
+}
+
+// Commit implements TableService.
+func (m *Memory) Commit(ctx context.Context, writes []Write) error {
+	fault := m.fault(ctx, "commit")
+	if fault != nil && fault != ErrOutcomeUnknown {
+		return fault
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if conflict := m.conflicts(writes); conflict != nil {
+		if fault != nil {
+			return fault
+		}
+		return conflict
+	}
+	for _, w := range writes {
+		m.apply(w)
+	}
+	return fault
+}
+
+// conflicts checks all expectations; m.mu is held.
+func (m *Memory) conflicts(writes []Write) error {
+	var conflict ConflictError
+	for i, w := range writes {
+		row := m.rows[w.Key]
+		if w.Expect != AnyVersion && row.Version != w.Expect {
+			row.Key = w.Key
+			conflict.Indexes = append(conflict.Indexes, i)
+			conflict.Rows = append(conflict.Rows, cloneRow(row))
+		}
+	}
+	if len(conflict.Indexes) > 0 {
+		return &conflict
+	}
+	return nil
+}
+
+// apply carries out one write; m.mu is held.
+func (m *Memory) apply(w Write) {
+	if w.CheckOnly {
+		return
+	}
+	m.writes++
+	if w.Delete {
+		delete(m.rows, w.Key)
+		return
+	}
+	m.rows[w.Key] = Row{Key: w.Key, Version: m.rows[w.Key].Version + 1, Value: slices.Clone(w.Value)}
+}
+
+// PutObject implements ObjectStore.
+func (m *Memory) PutObject(ctx context.Context, name string, value []byte) error {
+	fault := m.fault(ctx, "put_object")
+	if fault != nil && fault != ErrOutcomeUnknown {
+		return fault
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes++
+	m.objects[name] = slices.Clone(value)
+	return fault
+}
+
+// GetObject implements ObjectStore.
+func (m *Memory) GetObject(ctx context.Context, name string) ([]byte, error) {
+	if err := m.fault(ctx, "get_object"); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	value, ok := m.objects[name]
+	if !ok {
+		return nil, ErrNotFound
+	}
+	return slices.Clone(value), nil
+}
+
+// DeleteObject implements ObjectStore.
+func (m *Memory) DeleteObject(ctx context.Context, name string) error {
+	fault := m.fault(ctx, "delete_object")
+	if fault != nil && fault != ErrOutcomeUnknown {
+		return fault
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes++
+	delete(m.objects, name)
+	return fault
+}
+
+// Instances implements InstanceList.
+func (m *Memory) Instances(ctx context.Context) ([]Listed, error) {
+	if err := m.fault(ctx, "instances"); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	return slices.Clone(m.listed), nil
+}
+
+func (m *Memory) fault(ctx context.Context, operation string) error {
+	if err := ctx.Err(); err != nil {
+		return ErrUnavailable
+	}
+	if m.Fault == nil {
+		return nil
+	}
+	return m.Fault(ctx, operation)
+}
+
+func cloneRow(row Row) Row {
+	row.Value = slices.Clone(row.Value)
+	return row
+}
