Place duties by rendezvous hashing, with fakes for views and rumours

Cause: homes, keepers and judges all need the same placement. Change: Owner and Ranked over a view; Static and LocalRumors as fakes. Conclusion: duties can be tested without a network.

--- /dev/null
+++ b/internal/membership/rendezvous.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owner returns the member that holds the duty for key: the one with the
+// highest rendezvous score among those not leaving. When all are leaving it is
+// chosen among all.
+func Owner(view *View, key string) Member {
+	return Ranked(view, key)[0]
+}
+
+// Ranked returns the members by falling rendezvous score for key. Members that
+// are leaving come last.
+func Ranked(view *View, key string) []Member {
+	type scored struct {
+		member Member
+		score  uint64
+	}
+	all := make([]scored, len(view.Members))
+	for i, m := range view.Members {
+		all[i] = scored{m, score(m.Name, key)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if a.member.Leaving != b.member.Leaving {
+			if a.member.Leaving {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
+	})
+	ranked := make([]Member, len(all))
+	for i, s := range all {
+		ranked[i] = s.member
+	}
+	return ranked
+}
+
+// score hashes a member's name with the key; both are separated by a zero byte.
+func score(name, key string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(name)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(key)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/membership/static.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// Static is a Viewer whose view is set by hand; it is the fake for tests and
+// serves single instances.
+type Static struct {
+	view atomic.Pointer[View]
+
+	// mu guards listeners and serialises changes.
+	mu        sync.Mutex
+	listeners []func(*View)
+}
+
+// NewStatic returns a Viewer that shows self and the others.
+func NewStatic(self Member, others ...Member) *Static {
+	s := &Static{}
+	s.view.Store(newView(1, self, others))
+	return s
+}
+
+// View implements Viewer.
+func (s *Static) View() *View { return s.view.Load() }
+
+// OnChange implements Viewer.
+func (s *Static) OnChange(listener func(*View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, listener)
+}
+
+// Set replaces the other members and calls the listeners.
+func (s *Static) Set(others ...Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.view.Load()
+	next := newView(old.Sequence+1, old.Self, others)
+	s.view.Store(next)
+	for _, listener := range s.listeners {
+		listener(next)
+	}
+}
+
+func newView(sequence uint64, self Member, others []Member) *View {
+	members := append([]Member{self}, others...)
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return &View{Sequence: sequence, Self: self, Members: members}
+}
+
+// LocalRumors keeps rumours and spreads them to the LocalRumors it is joined
+// with; it is the fake for tests and serves single instances.
+type LocalRumors struct {
+	// mu guards the fields below.
+	mu          sync.Mutex
+	known       map[RumorKind]map[string]Rumor
+	subscribers map[RumorKind][]func(Rumor)
+	peers       []*LocalRumors
+}
+
+// NewLocalRumors returns an empty set of rumours.
+func NewLocalRumors() *LocalRumors {
+	return &LocalRumors{
+		known:       make(map[RumorKind]map[string]Rumor),
+		subscribers: make(map[RumorKind][]func(Rumor)),
+	}
+}
+
+// Join makes each rumour published at one of the sets rise at all of them.
+func Join(sets ...*LocalRumors) {
+	for _, set := range sets {
+		set.mu.Lock()
+		set.peers = sets
+		set.mu.Unlock()
+	}
+}
+
+// Publish implements Rumors.
+func (l *LocalRumors) Publish(r Rumor) {
+	l.mu.Lock()
+	peers := l.peers
+	l.mu.Unlock()
+	l.merge(r)
+	for _, peer := range peers {
+		if peer != l {
+			peer.merge(r)
+		}
+	}
+}
+
+// Subscribe implements Rumors.
+func (l *LocalRumors) Subscribe(kind RumorKind, subscriber func(Rumor)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.subscribers[kind] = append(l.subscribers[kind], subscriber)
+}
+
+// Known implements Rumors.
+func (l *LocalRumors) Known(kind RumorKind) []Rumor {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Rumor
+	for _, r := range l.known[kind] {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b Rumor) int { return cmp.Compare(a.Subject, b.Subject) })
+	return all
+}
+
+func (l *LocalRumors) merge(r Rumor) {
+	l.mu.Lock()
+	of := l.known[r.Kind]
+	if of == nil {
+		of = make(map[string]Rumor)
+		l.known[r.Kind] = of
+	}
+	old, ok := of[r.Subject]
+	if ok && old.Rank >= r.Rank {
+		l.mu.Unlock()
+		return
+	}
+	of[r.Subject] = r
+	subscribers := slices.Clone(l.subscribers[r.Kind])
+	l.mu.Unlock()
+	for _, subscriber := range subscribers {
+		subscriber(r)
+	}
+}
