Serve callers over HTTP and send each request to a target once

Cause: there was no path from a caller to a target. Change: tables and settings are read with every fault named by file, line and field; the entry streams a target's answer to the caller part by part; the dispatcher gives each request a connection of its own, so that a failure before the first byte is provable; cut streams are resumed after the last event. Conclusion: the data path stands; choosing a target is still round robin.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/executor"
+	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
+	"github.com/hibiscuspost/hibiscuspost/internal/settings"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// patience bounds waits that only end early when the code is right.
+const patience = 30 * time.Second
+
+// startEntry serves an executor whose only target is the handler.
+func startEntry(t *testing.T, target http.Handler) string {
+	t.Helper()
+	backend := httptest.NewServer(target)
+	t.Cleanup(backend.Close)
+	configuration := &tables.Tables{
+		Version: 1,
+		Routes:  []tables.Route{{Name: "all", Pool: "p", Idempotent: true}},
+		Pools: []tables.Pool{{Name: "p", Kind: tables.KindEngine, Targets: []tables.Target{
+			{Name: "t", Address: backend.Listener.Addr().String(), Slots: 8},
+		}}},
+	}
+	server := New(Options{
+		Runner: executor.New(executor.Options{
+			Tables: func() *tables.Tables { return configuration }, Metrics: metrics.New(t.Name()),
+		}),
+		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100},
+		Logger: zap.NewNop(),
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		assert.NilError(t, server.Shutdown(ctx))
+		assert.NilError(t, <-served)
+	})
+	return "http://" + listener.Addr().String()
+}
+
+func client(t *testing.T) *http.Client {
+	c := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+const streamBody = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+
+func TestATokenReachesTheCallerBeforeTheNextIsMade(t *testing.T) {
+	next := make(chan struct{})
+	url := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; i <= 3; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: t%d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+			<-next
+		}
+		_, _ = fmt.Fprint(w, "id: 4\ndata: [DONE]\n\n")
+	}))
+
+	response, err := client(t).Post(url+"/v1/chat/completions", "application/json", strings.NewReader(streamBody))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Assert(t, response.Header.Get(HeaderRequest) != "")
+	lines := bufio.NewReader(response.Body)
+	for i := 1; i <= 3; i++ {
+		for _, want := range []string{fmt.Sprintf("id: %d\n", i), fmt.Sprintf("data: t%d\n", i), "\n"} {
+			line, err := lines.ReadString('\n')
+			assert.NilError(t, err)
+			assert.Equal(t, line, want)
+		}
+		next <- struct{}{}
+	}
+	rest, err := io.ReadAll(lines)
+	assert.NilError(t, err)
+	assert.Equal(t, string(rest), "id: 4\ndata: [DONE]\n\n")
+}
+
+func TestACutStreamIsResumedAndNotRepeated(t *testing.T) {
+	url := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if r.Method == http.MethodGet {
+			assert.Check(t, r.URL.Query().Get("after") == "2")
+			_, _ = fmt.Fprint(w, "id: 3\ndata: c\n\nid: 4\ndata: [DONE]\n\n")
+			return
+		}
+		_, _ = fmt.Fprint(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+
+	response, err := client(t).Post(url+"/v1/chat/completions", "application/json", strings.NewReader(streamBody))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: [DONE]\n\n")
+}
+
+func TestAStreamWithoutItsEndIsNotPassedAsComplete(t *testing.T) {
+	url := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprint(w, "id: 1\ndata: a\n\n")
+	}))
+
+	response, err := client(t).Post(url+"/v1/chat/completions", "application/json", strings.NewReader(streamBody))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestACallerThatGoesAwayCancelsItsRun(t *testing.T) {
+	cancelled := make(chan struct{})
+	url := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			close(cancelled)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; ; i++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: t\n\n", i); err != nil {
+				return
+			}
+			if http.NewResponseController(w).Flush() != nil || r.Context().Err() != nil {
+				return
+			}
+		}
+	}))
+
+	response, err := client(t).Post(url+"/v1/chat/completions", "application/json", strings.NewReader(streamBody))
+	assert.NilError(t, err)
+	_, err = response.Body.Read(make([]byte, 10))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	select {
+	case <-cancelled:
+	case <-time.After(patience):
+		t.Fatal("the run was not cancelled")
+	}
+}
+
+func TestAPlainCallKeepsMethodStatusHeaderAndBody(t *testing.T) {
+	url := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Seen", r.Method+" "+r.URL.String()+" "+r.Header.Get("X-One")+r.Header.Get("X-Hop"))
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write(body)
+	}))
+	request, err := http.NewRequest(http.MethodPut, url+"/billing/plan?x=1", strings.NewReader("body"))
+	assert.NilError(t, err)
+	request.Header.Set("X-One", "one")
+	request.Header.Set("X-Hop", "hop")
+	request.Header.Set("Connection", "X-Hop")
+
+	response, err := client(t).Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusAccepted)
+	assert.Equal(t, response.Header.Get("X-Seen"), "PUT /billing/plan?x=1 one")
+	assert.Equal(t, string(body), "body")
+}
+
+func TestRefusalsSayWhetherTheRequestRan(t *testing.T) {
+	url := startEntry(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	cases := map[string]struct{ path, body, run, step string }{
+		"no model request":  {"/v1/chat/completions", "{", "not_run", "accept"},
+		"target breaks off": {"/x", "", "unknown", "dispatch"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			response, err := client(t).Post(url+c.path, "application/json", strings.NewReader(c.body))
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			var problem Problem
+			assert.NilError(t, json.NewDecoder(response.Body).Decode(&problem))
+			assert.Equal(t, string(problem.Run), c.run)
+			assert.Equal(t, string(problem.Step), c.step)
+			assert.Equal(t, response.Header.Get("Content-Type"), problemType)
+		})
+	}
+}
+
+func TestABodyOverTheLimitIsRefusedBeforeItIsSent(t *testing.T) {
+	url := startEntry(t, http.NotFoundHandler())
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 2<<20)
+	assert.NilError(t, err)
+
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var problem Problem
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&problem))
+	assert.Equal(t, response.StatusCode, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, string(problem.Run), "not_run")
+}
--- /dev/null
+++ b/internal/executor/call.go
@@ -0,0 +1,95 @@
+package executor
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+)
+
+// Call is one caller's request, copied out of the HTTP library's buffers.
+type Call struct {
+	// Handle names the request towards the caller.
+	Handle string
+	// Account is the client account, set by the balancer.
+	Account string
+	// Key is the caller's idempotency key; empty when there is none.
+	Key    string
+	Method string
+	// Path is the URL path; Query the part after the question mark.
+	Path, Query string
+	Header      []dispatch.Field
+	Body        []byte
+	Received    time.Time
+	// Prompt is what the body says of itself; zero for plain services.
+	Prompt Prompt
+}
+
+// URI returns the path with the query.
+func (c *Call) URI() string {
+	if c.Query == "" {
+		return c.Path
+	}
+	return c.Path + "?" + c.Query
+}
+
+// bytesPerToken estimates a prompt's tokens from its bytes.
+const bytesPerToken = 4
+
+// Prompt is the part of a model request that scheduling needs.
+type Prompt struct {
+	Model     string
+	Stream    bool
+	MaxTokens int
+	// Text is the prompt, or the messages' contents one after the other.
+	Text string
+}
+
+// Tokens estimates the prompt's length in tokens.
+func (p *Prompt) Tokens() int { return (len(p.Text) + bytesPerToken - 1) / bytesPerToken }
+
+// IsModelPath tells whether a path belongs to the model API.
+func IsModelPath(path string) bool {
+	return path == "/v1/chat/completions" || path == "/v1/completions"
+}
+
+// modelBody is the part of the model API's body that is read.
+type modelBody struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []struct {
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+// ParsePrompt reads a model request's body.
+func ParsePrompt(body []byte) (Prompt, error) {
+	var parsed modelBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return Prompt{}, err
+	}
+	prompt := Prompt{
+		Model: parsed.Model, Stream: parsed.Stream,
+		MaxTokens: max(parsed.MaxTokens, parsed.MaxCompletionTokens),
+	}
+	var text strings.Builder
+	text.WriteString(textOf(parsed.Prompt))
+	for _, message := range parsed.Messages {
+		text.WriteString(textOf(message.Content))
+	}
+	prompt.Text = text.String()
+	return prompt, nil
+}
+
+// textOf returns a JSON string's text, or the JSON itself for other values.
+func textOf(raw json.RawMessage) string {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text
+	}
+	return string(raw)
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,93 @@
+// Package metrics counts what an instance does and keeps histograms by tier
+// and by client account, published through expvar.
+//
+// One process publishes one expvar map, in which each instance has an entry,
+// so that several instances can share a process.
+package metrics
+
+import (
+	"encoding/json"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// Counter names of one instance.
+const (
+	Accepted       = "requests_accepted"
+	Answered       = "requests_answered"
+	Refused        = "requests_refused_not_run"
+	RefusedPart    = "requests_refused_ran_in_part"
+	RefusedUnknown = "requests_refused_unknown"
+	Dispatched     = "requests_dispatched"
+	Joined         = "requests_joined"
+	Forwarded      = "requests_forwarded"
+	Resumed        = "streams_resumed"
+	Preempted      = "streams_preempted"
+	CallerGone     = "callers_gone"
+	Quarantined    = "requests_quarantined"
+	NotSent        = "dispatches_not_sent"
+	PassedOn       = "requests_passed_on_at_shutdown"
+)
+
+// published is the process's map of instances.
+var published = sync.OnceValue(func() *expvar.Map { return expvar.NewMap("hibiscuspost") })
+
+// Set holds the counters and histograms of one instance.
+type Set struct {
+	counters expvar.Map
+	tiers    [tables.TierCount]*latencies
+	accounts *accounts
+	instance string
+}
+
+// New returns an empty set for an instance, publishes it under the instance's
+// name and replaces an older one of that name.
+func New(instance string) *Set {
+	s := &Set{instance: instance, accounts: newAccounts(MaxAccounts)}
+	for i := range s.tiers {
+		s.tiers[i] = newLatencies()
+	}
+	published().Set(instance, expvar.Func(s.snapshot))
+	return s
+}
+
+// Close withdraws the set from the process's map.
+func (s *Set) Close() { published().Delete(s.instance) }
+
+// Add raises a counter.
+func (s *Set) Add(counter string, n int64) { s.counters.Add(counter, n) }
+
+// Count reads a counter.
+func (s *Set) Count(counter string) int64 {
+	if v, ok := s.counters.Get(counter).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
+// Observe records one answered request. FirstToken is zero where there is none.
+func (s *Set) Observe(tier tables.Tier, account string, firstToken, total time.Duration) {
+	s.tiers[tier].record(firstToken, total)
+	s.accounts.of(account).record(firstToken, total)
+}
+
+// Snapshot is the exported form of a set.
+type Snapshot struct {
+	Counters json.RawMessage           `json:"counters"`
+	Tiers    []LatencySummary          `json:"tiers"`
+	Accounts map[string]LatencySummary `json:"accounts"`
+}
+
+func (s *Set) snapshot() any {
+	snapshot := Snapshot{
+		Counters: json.RawMessage(s.counters.String()),
+		Accounts: s.accounts.summaries(),
+	}
+	for _, tier := range s.tiers {
+		snapshot.Tiers = append(snapshot.Tiers, tier.summary())
+	}
+	return snapshot
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,185 @@
+// Package settings reads the settings file of one instance.
+package settings
+
+import (
+	"cmp"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/strictjson"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// Defaults of the settings.
+const (
+	// DefaultBodyBytes bounds a caller's request body, in bytes.
+	DefaultBodyBytes = 8 << 20
+	// DefaultHeaderBytes bounds a caller's request header, in bytes.
+	DefaultHeaderBytes = 16 << 10
+	// DefaultConnections bounds the open connections of callers.
+	DefaultConnections = 20_000
+	// DefaultAnswerBytes bounds the answers kept for resends, in bytes.
+	DefaultAnswerBytes = 24 << 20
+	// DefaultGrace bounds a graceful shutdown.
+	DefaultGrace = 60 * time.Second
+)
+
+// Listen holds the addresses that an instance serves, each "ip:port".
+type Listen struct {
+	Callers string `json:"callers"`
+	Admin   string `json:"admin"`
+	Peers   string `json:"peers"`
+}
+
+// Log configures the log.
+type Log struct {
+	// Level is debug, info, warn or error; default info.
+	Level string `json:"level,omitempty"`
+}
+
+// Limits bounds what callers may use; zero values mean the defaults.
+type Limits struct {
+	// BodyBytes bounds a request body, in bytes; default 8 MiB.
+	BodyBytes int `json:"body_bytes,omitempty"`
+	// HeaderBytes bounds a request header, in bytes; default 16 KiB.
+	HeaderBytes int `json:"header_bytes,omitempty"`
+	// Connections bounds the open connections; default 20,000.
+	Connections int `json:"connections,omitempty"`
+	// AnswerBytes bounds the answers kept for resends, in bytes; default 24 MiB.
+	AnswerBytes int `json:"answer_bytes,omitempty"`
+	// Grace bounds a graceful shutdown; default 60 s.
+	Grace tables.Duration `json:"grace,omitempty"`
+}
+
+// Settings is the content of a settings file.
+type Settings struct {
+	// Name is unique among the live instances.
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Listen        Listen `json:"listen"`
+	// Platform is the URL of the platform's services.
+	Platform string `json:"platform"`
+	// Peers are peer addresses of other instances to begin with.
+	Peers []string `json:"peers,omitempty"`
+	// AdminTokenFile and PeerSecretFile are paths of files that hold one secret.
+	AdminTokenFile string `json:"admin_token_file"`
+	PeerSecretFile string `json:"peer_secret_file"`
+	Log            Log    `json:"log,omitzero"`
+	Limits         Limits `json:"limits,omitzero"`
+}
+
+// Secrets are the contents of the secret files.
+type Secrets struct {
+	AdminToken []byte
+	PeerSecret []byte
+}
+
+// Parse reads and checks a settings text. The error is strictjson.Faults.
+func Parse(name string, text []byte) (*Settings, error) {
+	var s Settings
+	doc := strictjson.Decode(name, text, &s)
+	s.check(doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	s.provision()
+	return &s, nil
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return Parse(path, text)
+}
+
+// LoadSecrets reads the secret files.
+func (s *Settings) LoadSecrets() (Secrets, error) {
+	token, err := readSecret(s.AdminTokenFile)
+	if err != nil {
+		return Secrets{}, err
+	}
+	secret, err := readSecret(s.PeerSecretFile)
+	if err != nil {
+		return Secrets{}, err
+	}
+	return Secrets{AdminToken: token, PeerSecret: secret}, nil
+}
+
+func readSecret(path string) ([]byte, error) {
+	const shortest = 16
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "secret file")
+	}
+	secret := strings.TrimSpace(string(text))
+	if len(secret) < shortest {
+		return nil, errors.Newf("secret file %s: shorter than %d bytes", path, shortest)
+	}
+	return []byte(secret), nil
+}
+
+func (s *Settings) check(doc *strictjson.Document) {
+	required(doc, "name", s.Name)
+	required(doc, "failure_domain", s.FailureDomain)
+	required(doc, "admin_token_file", s.AdminTokenFile)
+	required(doc, "peer_secret_file", s.PeerSecretFile)
+	address(doc, "listen.callers", s.Listen.Callers)
+	address(doc, "listen.admin", s.Listen.Admin)
+	address(doc, "listen.peers", s.Listen.Peers)
+	for _, seed := range s.Peers {
+		address(doc, "peers", seed)
+	}
+	if parsed, err := url.Parse(s.Platform); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+		doc.Fault("platform", "%q is no http URL", s.Platform)
+	}
+	switch s.Log.Level {
+	case "", "debug", "info", "warn", "error":
+	default:
+		doc.Fault("log.level", "must be debug, info, warn or error")
+	}
+	s.checkLimits(doc)
+}
+
+func (s *Settings) checkLimits(doc *strictjson.Document) {
+	positive(doc, "limits.body_bytes", s.Limits.BodyBytes)
+	positive(doc, "limits.header_bytes", s.Limits.HeaderBytes)
+	positive(doc, "limits.connections", s.Limits.Connections)
+	positive(doc, "limits.answer_bytes", s.Limits.AnswerBytes)
+	positive(doc, "limits.grace", int(s.Limits.Grace))
+}
+
+// provision fills the defaults in.
+func (s *Settings) provision() {
+	s.Log.Level = cmp.Or(s.Log.Level, "info")
+	s.Limits.BodyBytes = cmp.Or(s.Limits.BodyBytes, DefaultBodyBytes)
+	s.Limits.HeaderBytes = cmp.Or(s.Limits.HeaderBytes, DefaultHeaderBytes)
+	s.Limits.Connections = cmp.Or(s.Limits.Connections, DefaultConnections)
+	s.Limits.AnswerBytes = cmp.Or(s.Limits.AnswerBytes, DefaultAnswerBytes)
+	s.Limits.Grace = cmp.Or(s.Limits.Grace, tables.Duration(DefaultGrace))
+}
+
+func required(doc *strictjson.Document, field, value string) {
+	if value == "" {
+		doc.Fault(field, "is missing")
+	}
+}
+
+func positive(doc *strictjson.Document, field string, value int) {
+	if value < 0 {
+		doc.Fault(field, "must not be negative")
+	}
+}
+
+func address(doc *strictjson.Document, field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		doc.Fault(field, "%q is not an IP number and port", value)
+	}
+}
--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,38 @@
+package sse
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestReaderDropsACutEvent(t *testing.T) {
+	r := NewReader(strings.NewReader(": comment\n\nid: 1\r\ndata: a\r\n\r\nid: 2\ndata: b"))
+
+	event, err := r.Next()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, event, Event{ID: 1, Data: []byte("a")})
+	_, err = r.Next()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("data:\ndata: y\n\n:c\n\nid: z\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := NewReader(bytes.NewReader(text))
+		for {
+			event, err := r.Next()
+			if err != nil {
+				return
+			}
+			again, err := NewReader(bytes.NewReader(event.Encode(nil))).Next()
+			assert.NilError(t, err)
+			assert.Equal(t, again.ID, event.ID)
+			assert.Equal(t, string(bytes.TrimRight(again.Data, "\r")), string(bytes.TrimRight(event.Data, "\r")))
+		}
+	})
+}
--- /dev/null
+++ b/internal/tables/parse.go
@@ -0,0 +1,157 @@
+package tables
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/strictjson"
+)
+
+// File is one table's text with the name that faults give.
+type File struct {
+	Name string
+	Text []byte
+}
+
+// Parse reads and checks both tables. The error is strictjson.Faults with every
+// fault of both files.
+func Parse(routesFile, poolsFile File) (*Tables, error) {
+	var routes Routes
+	var pools Pools
+	routesDoc := strictjson.Decode(routesFile.Name, routesFile.Text, &routes)
+	poolsDoc := strictjson.Decode(poolsFile.Name, poolsFile.Text, &pools)
+	checkPools(poolsDoc, pools.Pools)
+	checkRoutes(routesDoc, routes.Routes, pools.Pools)
+	faults := append(routesDoc.Faults(), poolsDoc.Faults()...)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	t := &Tables{Routes: routes.Routes, Pools: pools.Pools}
+	t.Hash = t.ContentHash()
+	return t, nil
+}
+
+// ContentHash hashes the routes and pools, leaving the version aside.
+func (t *Tables) ContentHash() string {
+	text, err := json.Marshal(Tables{Routes: t.Routes, Pools: t.Pools})
+	if err != nil {
+		return ""
+	}
+	digest := xxhash.New()
+	_, _ = digest.Write(text)
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// Pool finds a pool by name; nil when there is none.
+func (t *Tables) Pool(name string) *Pool {
+	i := slices.IndexFunc(t.Pools, func(p Pool) bool { return p.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &t.Pools[i]
+}
+
+func checkPools(doc *strictjson.Document, pools []Pool) {
+	names := make(map[string]bool)
+	addresses := make(map[string]bool)
+	for i := range pools {
+		at := field("pools", i)
+		pool := &pools[i]
+		checkName(doc, at+".name", pool.Name, names)
+		if pool.Kind != KindEngine && pool.Kind != KindService {
+			doc.Fault(at+".kind", "must be %q or %q", KindEngine, KindService)
+		}
+		if !pool.Deadline.IsZero() && pool.Version == "" {
+			doc.Fault(at+".version", "a deadline needs a version")
+		}
+		checkTargets(doc, at, pool.Targets, addresses)
+	}
+}
+
+func checkTargets(doc *strictjson.Document, at string, targets []Target, addresses map[string]bool) {
+	names := make(map[string]bool)
+	for i := range targets {
+		inner := field(at+".targets", i)
+		target := &targets[i]
+		checkName(doc, inner+".name", target.Name, names)
+		if !isIPAndPort(target.Address) {
+			doc.Fault(inner+".address", "%q is not an IP number and port", target.Address)
+		}
+		if addresses[target.Address] {
+			doc.Fault(inner+".address", "%q stands twice", target.Address)
+		}
+		addresses[target.Address] = true
+		if target.Slots < 1 {
+			doc.Fault(inner+".slots", "must be at least 1")
+		}
+		if target.KVTokens < 0 {
+			doc.Fault(inner+".kv_tokens", "must not be negative")
+		}
+	}
+}
+
+func checkRoutes(doc *strictjson.Document, routes []Route, pools []Pool) {
+	names := make(map[string]bool)
+	for i := range routes {
+		at := field("routes", i)
+		route := &routes[i]
+		checkName(doc, at+".name", route.Name, names)
+		if !slices.ContainsFunc(pools, func(p Pool) bool { return p.Name == route.Pool }) {
+			doc.Fault(at+".pool", "no pool has the name %q", route.Pool)
+		}
+		if route.Tier < 0 || route.Tier >= TierCount {
+			doc.Fault(at+".tier", "must be 0 to %d", TierCount-1)
+		}
+		if route.Match.Path != "" && !strings.HasPrefix(route.Match.Path, "/") {
+			doc.Fault(at+".match.path", "must begin with /")
+		}
+		checkDurations(doc, at, route)
+		for j := range i {
+			if routes[j].Match.alike(&route.Match) {
+				doc.Fault(at+".match", "matches the same requests as route %q", routes[j].Name)
+			}
+		}
+	}
+}
+
+func checkDurations(doc *strictjson.Document, at string, route *Route) {
+	if route.Deadline < 0 {
+		doc.Fault(at+".deadline", "must not be negative")
+	}
+	if route.FirstToken < 0 {
+		doc.Fault(at+".first_token", "must not be negative")
+	}
+	if route.MaxWait < 0 {
+		doc.Fault(at+".max_wait", "must not be negative")
+	}
+	if route.FirstToken > route.EffectiveDeadline() {
+		doc.Fault(at+".first_token", "is later than the deadline")
+	}
+	if route.MaxWait > route.EffectiveDeadline() {
+		doc.Fault(at+".max_wait", "is longer than the deadline")
+	}
+}
+
+func checkName(doc *strictjson.Document, at, name string, names map[string]bool) {
+	if name == "" {
+		doc.Fault(at, "is missing")
+		return
+	}
+	if strings.ContainsAny(name, "/\x00 ") {
+		doc.Fault(at, "%q must hold no space or slash", name)
+	}
+	if names[name] {
+		doc.Fault(at, "%q stands twice", name)
+	}
+	names[name] = true
+}
+
+func isIPAndPort(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Port() != 0
+}
