--- /dev/null
+++ b/internal/standin/target/log.go
@@ -0,0 +1,125 @@
+package target
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// End tells how a run ended.
+type End string
+
+// The values of End.
+const (
+	// EndRunning marks a run that has not ended.
+	EndRunning End = "running"
+	// EndComplete marks a run that produced everything.
+	EndComplete End = "complete"
+	// EndCancelled marks a run that a caller cancelled.
+	EndCancelled End = "cancelled"
+	// EndFailed marks a run that was answered with an error.
+	EndFailed End = "failed"
+	// EndNoEnd marks a run whose stream lacks its explicit end.
+	EndNoEnd End = "no_end"
+	// EndCrashed marks a run that was lost with its target.
+	EndCrashed End = "crashed"
+)
+
+// Run is one execution of a request at a target.
+type Run struct {
+	// Target is the target's name.
+	Target string
+	// RequestID is the header X-Request-Id, Key Idempotency-Key, Account
+	// Hibiscus-Account.
+	RequestID, Key, Account string
+	// Path is the request's path, with its query at a service.
+	Path string
+	// Model, Version and User are set by engines.
+	Model, Version, User string
+	// Started and Ended are by the target's clock; Ended is zero while it runs.
+	Started, Ended time.Time
+	// PromptTokens is the prompt's length and CachedTokens the part found in
+	// the prefix cache.
+	PromptTokens, CachedTokens int
+	// OutputTokens is how many tokens were produced.
+	OutputTokens int
+	// End tells how the run ended.
+	End End
+}
+
+// Refused is a request that a target refused without running it.
+type Refused struct {
+	// At is when it arrived, by the target's clock.
+	At time.Time
+	// RequestID and Key are its headers.
+	RequestID, Key string
+	// Status is the HTTP status of the refusal.
+	Status int
+}
+
+// journal is the ground truth of one target.
+type journal struct {
+	// mu guards the fields below.
+	mu      sync.Mutex
+	runs    []Run
+	refused []Refused
+}
+
+// open adds a run and returns its index.
+func (j *journal) open(run Run) int {
+	run.End = EndRunning
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs = append(j.runs, run)
+	return len(j.runs) - 1
+}
+
+// end closes a run.
+func (j *journal) end(index int, how End, outputTokens int, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	run := &j.runs[index]
+	run.End = how
+	run.OutputTokens = outputTokens
+	run.Ended = at
+}
+
+func (j *journal) refuse(r Refused) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.refused = append(j.refused, r)
+}
+
+// Log returns a copy of all runs, in the order of their start.
+func (j *journal) Log() []Run {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.runs)
+}
+
+// Refusals returns a copy of all requests that were refused without a run.
+func (j *journal) Refusals() []Refused {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.refused)
+}
+
+// RunsByKey counts the runs of each Idempotency-Key within each account; runs
+// without a key are left out.
+func (j *journal) RunsByKey() map[AccountKey]int {
+	counts := make(map[AccountKey]int)
+	for _, run := range j.Log() {
+		if run.Key != "" {
+			counts[AccountKey{Account: run.Account, Key: run.Key}]++
+		}
+	}
+	return counts
+}
+
+// AccountKey is an idempotency key within its client account.
+type AccountKey struct {
+	// Account is the header Hibiscus-Account.
+	Account string
+	// Key is the header Idempotency-Key.
+	Key string
+}
