Show the thin whole path in one command

Cause: nothing joined the parts. Change: an instance wires entry, executor, administration and a configuration that is polled from the table service; serve, check, apply and the queries on the command line; demo runs three instances with stand-ins in one process.

--- a/cmd/hibiscuspost/main.go
+++ b/cmd/hibiscuspost/main.go
@@ -1,4 +1,46 @@
 // Command hibiscuspost schedules requests over unlike engines.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/command"
+	"github.com/hibiscuspost/hibiscuspost/internal/demo"
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+	"github.com/hibiscuspost/hibiscuspost/internal/query"
+)
+
+// cli is the command line.
+type cli struct {
+	Serve     command.Serve   `cmd:"" help:"Run one instance."`
+	Check     command.Check   `cmd:"" help:"Look at settings and tables and name every fault."`
+	Apply     command.Apply   `cmd:"" help:"Put new tables in force."`
+	Config    query.Config    `cmd:"" help:"Show the configuration in force."`
+	Moves     query.Moves     `cmd:"" help:"Show the moves to new versions."`
+	Targets   query.Targets   `cmd:"" help:"Show the targets."`
+	Instances query.Instances `cmd:"" help:"Show the live instances."`
+	Demo      demo.Command    `cmd:"" help:"Run three instances with stand-ins on loopback."`
+	Version   command.Version `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	var parsed cli
+	parser := kong.Must(&parsed, kong.Name("hibiscuspost"),
+		kong.Description("A request scheduler for unlike engines."), kong.UsageOnError())
+	chosen, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(int(exit.BadInput))
+	}
+	chosen.BindTo(context.Background(), (*context.Context)(nil))
+	chosen.BindTo(os.Stdout, (*io.Writer)(nil))
+	if err := chosen.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(int(exit.Of(err)))
+	}
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,208 @@
+// Package admin serves operators: tables in, reports out. Every call but the
+// health checks needs the bearer token.
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"expvar"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v2"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/configuration"
+	"github.com/hibiscuspost/hibiscuspost/internal/platform"
+	"github.com/hibiscuspost/hibiscuspost/internal/strictjson"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// Applier accepts configurations.
+type Applier interface {
+	// Apply makes the tables the configuration that follows base. Errors are
+	// those of configuration.Store.
+	Apply(ctx context.Context, base uint64, t tables.Tables) (uint64, error)
+}
+
+// Reports answers the operators' queries. Each method returns a value that is
+// sent as JSON.
+type Reports interface {
+	Config() any
+	Moves() any
+	Targets() any
+	Instances() any
+}
+
+// Options are what a server works with.
+type Options struct {
+	// Token is the bearer token.
+	Token   []byte
+	Applier Applier
+	Reports Reports
+	// Ready tells why the instance takes no new work, or nil.
+	Ready func() error
+}
+
+// Server serves operators.
+type Server struct {
+	Options
+	tokenHash [sha256.Size]byte
+	app       *fiber.App
+}
+
+// maxTablesBytes bounds both tables together, in bytes.
+const maxTablesBytes = 16 << 20
+
+// New returns a server; Serve starts it.
+func New(options Options) *Server {
+	s := &Server{Options: options, tokenHash: sha256.Sum256(options.Token)}
+	s.app = fiber.New(fiber.Config{DisableStartupMessage: true, Immutable: true, BodyLimit: maxTablesBytes})
+	s.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get("/readyz", s.ready)
+	s.app.Use(s.authenticate)
+	s.app.Put("/admin/v1/tables", s.putTables)
+	s.app.Get("/admin/v1/config", s.report(func() any { return s.Reports.Config() }))
+	s.app.Get("/admin/v1/moves", s.report(func() any { return s.Reports.Moves() }))
+	s.app.Get("/admin/v1/targets", s.report(func() any { return s.Reports.Targets() }))
+	s.app.Get("/admin/v1/instances", s.report(func() any { return s.Reports.Instances() }))
+	s.app.Get("/debug/vars", vars)
+	return s
+}
+
+// Serve serves operators on the listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error { return s.app.Listener(listener) }
+
+// Shutdown stops the server.
+func (s *Server) Shutdown(ctx context.Context) error { return s.app.ShutdownWithContext(ctx) }
+
+func (s *Server) ready(c *fiber.Ctx) error {
+	if err := s.Ready(); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error() + "\n")
+	}
+	return c.SendString("ready\n")
+}
+
+// authenticate compares hashes of the tokens in constant time, so that neither
+// the token nor its length shows.
+func (s *Server) authenticate(c *fiber.Ctx) error {
+	given, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	hash := sha256.Sum256([]byte(given))
+	if subtle.ConstantTimeCompare(hash[:], s.tokenHash[:]) != 1 {
+		return c.SendStatus(fiber.StatusUnauthorized)
+	}
+	return c.Next()
+}
+
+func (s *Server) report(query func() any) fiber.Handler {
+	return func(c *fiber.Ctx) error { return c.JSON(query()) }
+}
+
+// TableFile is one table as an operator wrote it.
+type TableFile struct {
+	// Name is the file's name, for faults.
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
+// ApplyRequest is the body of PUT /admin/v1/tables. The header If-Match gives
+// the version that the operator edited.
+type ApplyRequest struct {
+	Routes TableFile `json:"routes"`
+	Pools  TableFile `json:"pools"`
+}
+
+// ApplyAnswer is the answer to PUT /admin/v1/tables.
+type ApplyAnswer struct {
+	// Outcome tells what became of the configuration.
+	Outcome Outcome `json:"outcome"`
+	// Version is the accepted version, or the one in force after a conflict.
+	Version uint64 `json:"version,omitempty"`
+	// Faults are the faults of refused tables.
+	Faults strictjson.Faults `json:"faults,omitempty"`
+	// Detail is for people.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Outcome tells what became of a configuration.
+type Outcome string
+
+// The outcomes of PUT /admin/v1/tables.
+const (
+	OutcomeAccepted    Outcome = "accepted"
+	OutcomeInvalid     Outcome = "invalid"
+	OutcomeConflict    Outcome = "conflict"
+	OutcomeUnavailable Outcome = "unavailable"
+	OutcomeUnknown     Outcome = "unknown"
+)
+
+func (s *Server) putTables(c *fiber.Ctx) error {
+	var request ApplyRequest
+	if err := c.BodyParser(&request); err != nil {
+		return send(c, fiber.StatusBadRequest, ApplyAnswer{Outcome: OutcomeInvalid, Detail: err.Error()})
+	}
+	base, err := strconv.ParseUint(strings.Trim(c.Get(fiber.HeaderIfMatch), `"`), 10, 64)
+	if err != nil {
+		return send(c, fiber.StatusPreconditionRequired, ApplyAnswer{
+			Outcome: OutcomeInvalid, Detail: "If-Match must give the version that was edited",
+		})
+	}
+	parsed, err := tables.Parse(
+		tables.File{Name: request.Routes.Name, Text: []byte(request.Routes.Text)},
+		tables.File{Name: request.Pools.Name, Text: []byte(request.Pools.Text)},
+	)
+	if err != nil {
+		var faults strictjson.Faults
+		errors.As(err, &faults)
+		return send(c, fiber.StatusUnprocessableEntity, ApplyAnswer{
+			Outcome: OutcomeInvalid, Faults: faults, Detail: "nothing was changed",
+		})
+	}
+	version, err := s.Applier.Apply(c.UserContext(), base, *parsed)
+	status, answer := judge(version, err)
+	return send(c, status, answer)
+}
+
+// judge turns the result of Apply into an answer.
+func judge(version uint64, err error) (int, ApplyAnswer) {
+	var conflict *configuration.ConflictError
+	switch {
+	case err == nil:
+		return fiber.StatusOK, ApplyAnswer{Outcome: OutcomeAccepted, Version: version}
+	case errors.As(err, &conflict):
+		return fiber.StatusPreconditionFailed, ApplyAnswer{
+			Outcome: OutcomeConflict, Version: conflict.Present,
+			Detail: fmt.Sprintf("version %d is in force; edit that one", conflict.Present),
+		}
+	case errors.Is(err, configuration.ErrOutcomeUnknown):
+		return fiber.StatusGatewayTimeout, ApplyAnswer{
+			Outcome: OutcomeUnknown,
+			Detail:  "the configuration may have been accepted; `config` tells once the table service answers: " + err.Error(),
+		}
+	case errors.Is(err, platform.ErrUnavailable):
+		return fiber.StatusServiceUnavailable, ApplyAnswer{Outcome: OutcomeUnavailable, Detail: err.Error()}
+	default:
+		return fiber.StatusInternalServerError, ApplyAnswer{Outcome: OutcomeUnknown, Detail: err.Error()}
+	}
+}
+
+func send(c *fiber.Ctx, status int, answer ApplyAnswer) error {
+	return c.Status(status).JSON(answer)
+}
+
+// vars sends all expvar variables, in the form of the expvar package.
+func vars(c *fiber.Ctx) error {
+	var text strings.Builder
+	text.WriteString("{")
+	separator := "\n"
+	expvar.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(&text, "%s%q: %s", separator, kv.Key, kv.Value)
+		separator = ",\n"
+	})
+	text.WriteString("\n}\n")
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSONCharsetUTF8)
+	return c.SendString(text.String())
+}
--- /dev/null
+++ b/internal/adminclient/adminclient.go
@@ -0,0 +1,154 @@
+// Package adminclient calls the administration API of an instance.
+package adminclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/admin"
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+)
+
+// TokenVariable names the environment variable that holds the admin token when
+// no file is given.
+const TokenVariable = "HIBISCUSPOST_ADMIN_TOKEN"
+
+// Timeout bounds one call.
+const Timeout = 30 * time.Second
+
+// Flags are the command-line flags that every call to an instance shares.
+type Flags struct {
+	Admin     string `help:"URL of an instance's administration address." required:"" placeholder:"URL"`
+	TokenFile string `help:"File with the admin token; default: the environment variable HIBISCUSPOST_ADMIN_TOKEN." type:"existingfile"`
+}
+
+// Client calls one instance.
+type Client struct {
+	url   string
+	token string
+	http  *http.Client
+}
+
+// Client returns a client for the flags.
+func (f *Flags) Client() (*Client, error) {
+	token := os.Getenv(TokenVariable)
+	if f.TokenFile != "" {
+		text, err := os.ReadFile(f.TokenFile)
+		if err != nil {
+			return nil, exit.With(exit.BadInput, err)
+		}
+		token = strings.TrimSpace(string(text))
+	}
+	return New(f.Admin, token)
+}
+
+// New returns a client for an administration URL and token.
+func New(adminURL, token string) (*Client, error) {
+	parsed, err := url.Parse(adminURL)
+	if err != nil || parsed.Host == "" {
+		return nil, exit.With(exit.BadInput, errors.Newf("--admin: %q is no URL", adminURL))
+	}
+	return &Client{
+		url: strings.TrimSuffix(adminURL, "/"), token: token,
+		http: &http.Client{Timeout: Timeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}, nil
+}
+
+// Get reads a report into result.
+func (c *Client) Get(ctx context.Context, path string, result any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url+path, nil)
+	if err != nil {
+		return exit.With(exit.BadInput, err)
+	}
+	status, body, err := c.do(request)
+	if err != nil {
+		return exit.With(exit.Unavailable, err)
+	}
+	if status != http.StatusOK {
+		return refused(status, body)
+	}
+	return json.Unmarshal(body, result)
+}
+
+// Apply sends both tables. The error has the exit code of the outcome.
+func (c *Client) Apply(ctx context.Context, base uint64, tables admin.ApplyRequest) (admin.ApplyAnswer, error) {
+	var answer admin.ApplyAnswer
+	body, err := json.Marshal(tables)
+	if err != nil {
+		return answer, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, c.url+"/admin/v1/tables", bytes.NewReader(body))
+	if err != nil {
+		return answer, exit.With(exit.BadInput, err)
+	}
+	// A request without GetBody is never sent again by the HTTP library.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("If-Match", strconv.FormatUint(base, 10))
+	status, text, err := c.do(request)
+	if err != nil {
+		return answer, lost(err)
+	}
+	if err := json.Unmarshal(text, &answer); err != nil {
+		return answer, refused(status, text)
+	}
+	return answer, outcome(answer)
+}
+
+func (c *Client) do(request *http.Request) (int, []byte, error) {
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, body, err
+}
+
+// lost classifies a failed exchange: nothing was changed only when the
+// connection was refused.
+func lost(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return exit.With(exit.Unavailable, err)
+	}
+	return exit.With(exit.OutcomeUnknown, errors.Wrap(err, "outcome unknown; `config` tells the version in force"))
+}
+
+func refused(status int, body []byte) error {
+	err := errors.Newf("the instance answered %d: %s", status, strings.TrimSpace(string(body)))
+	if status == http.StatusServiceUnavailable {
+		return exit.With(exit.Unavailable, err)
+	}
+	return err
+}
+
+func outcome(answer admin.ApplyAnswer) error {
+	switch answer.Outcome {
+	case admin.OutcomeAccepted:
+		return nil
+	case admin.OutcomeInvalid:
+		if len(answer.Faults) > 0 {
+			return exit.With(exit.BadInput, answer.Faults)
+		}
+		return exit.With(exit.BadInput, errors.New(answer.Detail))
+	case admin.OutcomeConflict:
+		return exit.With(exit.Conflict, errors.Newf("conflict: %s", answer.Detail))
+	case admin.OutcomeUnavailable:
+		return exit.With(exit.Unavailable, errors.Newf("nothing changed: %s", answer.Detail))
+	default:
+		return exit.With(exit.OutcomeUnknown, errors.Newf("outcome unknown: %s", answer.Detail))
+	}
+}
--- /dev/null
+++ b/internal/command/apply.go
@@ -0,0 +1,67 @@
+// Package command holds the commands that change something.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/admin"
+	"github.com/hibiscuspost/hibiscuspost/internal/adminclient"
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+)
+
+// Apply sends both tables to an instance.
+type Apply struct {
+	adminclient.Flags
+	Routes string  `help:"The table of routes." required:"" type:"existingfile"`
+	Pools  string  `help:"The table of pools." required:"" type:"existingfile"`
+	Base   *uint64 `help:"The version that was edited; default: the one in force at the instance."`
+}
+
+// Run applies the tables and prints the accepted version.
+func (a *Apply) Run(ctx context.Context, out io.Writer) error {
+	client, err := a.Client()
+	if err != nil {
+		return err
+	}
+	routes, err := readTable(a.Routes)
+	if err != nil {
+		return err
+	}
+	pools, err := readTable(a.Pools)
+	if err != nil {
+		return err
+	}
+	base, err := a.base(ctx, client)
+	if err != nil {
+		return err
+	}
+	answer, err := client.Apply(ctx, base, admin.ApplyRequest{Routes: routes, Pools: pools})
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "accepted as version %d\n", answer.Version)
+	return err
+}
+
+// base returns the version that the new tables follow.
+func (a *Apply) base(ctx context.Context, client *adminclient.Client) (uint64, error) {
+	if a.Base != nil {
+		return *a.Base, nil
+	}
+	var present struct {
+		Version uint64 `json:"version"`
+	}
+	err := client.Get(ctx, "/admin/v1/config", &present)
+	return present.Version, err
+}
+
+func readTable(path string) (admin.TableFile, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return admin.TableFile{}, exit.With(exit.BadInput, err)
+	}
+	return admin.TableFile{Name: path, Text: string(text)}, nil
+}
--- /dev/null
+++ b/internal/command/check.go
@@ -0,0 +1,75 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+	"github.com/hibiscuspost/hibiscuspost/internal/settings"
+	"github.com/hibiscuspost/hibiscuspost/internal/strictjson"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// Check looks at files and names every fault in them.
+type Check struct {
+	Settings string `help:"A settings file." type:"existingfile"`
+	Routes   string `help:"A table of routes; needs --pools." type:"existingfile" and:"tables"`
+	Pools    string `help:"A table of pools; needs --routes." type:"existingfile" and:"tables"`
+}
+
+// Run checks the files and prints "ok", or fails with all faults.
+func (c *Check) Run(out io.Writer) error {
+	if c.Settings == "" && c.Routes == "" {
+		return exit.With(exit.BadInput, errors.New("nothing to check: give --settings or --routes with --pools"))
+	}
+	var all strictjson.Faults
+	if c.Settings != "" {
+		faults, err := faultsOf(c.checkSettings())
+		if err != nil {
+			return err
+		}
+		all = append(all, faults...)
+	}
+	if c.Routes != "" {
+		faults, err := faultsOf(c.checkTables())
+		if err != nil {
+			return err
+		}
+		all = append(all, faults...)
+	}
+	if len(all) > 0 {
+		return exit.With(exit.BadInput, all)
+	}
+	_, err := fmt.Fprintln(out, "ok")
+	return err
+}
+
+func (c *Check) checkSettings() error {
+	_, err := settings.Load(c.Settings)
+	return err
+}
+
+func (c *Check) checkTables() error {
+	routes, err := os.ReadFile(c.Routes)
+	if err != nil {
+		return err
+	}
+	pools, err := os.ReadFile(c.Pools)
+	if err != nil {
+		return err
+	}
+	_, err = tables.Parse(tables.File{Name: c.Routes, Text: routes}, tables.File{Name: c.Pools, Text: pools})
+	return err
+}
+
+// faultsOf separates faults of a document from other errors.
+func faultsOf(err error) (strictjson.Faults, error) {
+	var faults strictjson.Faults
+	if errors.As(err, &faults) {
+		return faults, nil
+	}
+	return nil, exit.With(exit.BadInput, err)
+}
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+	"github.com/hibiscuspost/hibiscuspost/internal/instance"
+	"github.com/hibiscuspost/hibiscuspost/internal/settings"
+	"github.com/hibiscuspost/hibiscuspost/internal/strictjson"
+)
+
+// Serve runs one instance until it is told to stop.
+type Serve struct {
+	Settings string `help:"The settings file." required:"" type:"existingfile"`
+}
+
+// Run serves until SIGTERM or SIGINT and then shuts down gracefully. A second
+// signal ends the grace time.
+func (s *Serve) Run(ctx context.Context) error {
+	config, err := settings.Load(s.Settings)
+	if err != nil {
+		return badSettings(err)
+	}
+	secrets, err := config.LoadSecrets()
+	if err != nil {
+		return exit.With(exit.BadInput, err)
+	}
+	logger, err := newLogger(config.Log.Level)
+	if err != nil {
+		return err
+	}
+	running, err := instance.Start(instance.Options{Settings: *config, Secrets: secrets, Logger: logger})
+	if err != nil {
+		return exit.With(exit.Unavailable, err)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+	return shutDown(running, time.Duration(config.Limits.Grace), signals)
+}
+
+// shutDown ends the instance within the grace time, or at a second signal.
+func shutDown(running *instance.Instance, grace time.Duration, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-done:
+		}
+	}()
+	return running.Shutdown(ctx)
+}
+
+func badSettings(err error) error {
+	var faults strictjson.Faults
+	if errors.As(err, &faults) || errors.Is(err, os.ErrNotExist) {
+		return exit.With(exit.BadInput, err)
+	}
+	return err
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, exit.With(exit.BadInput, err)
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(parsed)
+	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	return config.Build()
+}
--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,90 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/instance"
+	"github.com/hibiscuspost/hibiscuspost/internal/settings"
+	platformstandin "github.com/hibiscuspost/hibiscuspost/internal/standin/platform"
+	"github.com/hibiscuspost/hibiscuspost/internal/standin/target"
+)
+
+const (
+	adminToken = "demonstration-admin-token"
+	peerSecret = "demonstration-peer-secret"
+)
+
+// cluster is three instances, the stand-in platform and stand-in targets.
+type cluster struct {
+	platform  *platformstandin.Server
+	instances []*instance.Instance
+	// engines run version v1, but for the last, which runs v2.
+	engines []*target.Engine
+	service *target.Service
+}
+
+// startCluster starts everything on loopback ports that the system chooses.
+func startCluster() (*cluster, error) {
+	c := &cluster{}
+	var err error
+	if c.platform, err = platformstandin.New(platformstandin.Options{}); err != nil {
+		return nil, err
+	}
+	if err := c.platform.Start(); err != nil {
+		return nil, err
+	}
+	for i, version := range []string{"v1", "v1", "v2"} {
+		engine := target.NewEngine(target.EngineOptions{
+			Name: fmt.Sprintf("engine-%d", i+1), Version: version, Seed: uint64(i),
+		})
+		if err := engine.Start(); err != nil {
+			return nil, err
+		}
+		c.engines = append(c.engines, engine)
+	}
+	c.service = target.NewService(target.ServiceOptions{Name: "billing-1", Version: "v1"})
+	if err := c.service.Start(); err != nil {
+		return nil, err
+	}
+	return c, c.startInstances()
+}
+
+func (c *cluster) startInstances() error {
+	const any = "127.0.0.1:0"
+	var seeds []string
+	for i, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		started, err := instance.Start(instance.Options{
+			Settings: settings.Settings{
+				Name: name, FailureDomain: fmt.Sprintf("domain-%d", i+1),
+				Listen:   settings.Listen{Callers: any, Admin: any, Peers: any},
+				Platform: c.platform.URL(), Peers: seeds, Limits: settings.DefaultLimits(),
+			},
+			Secrets: settings.Secrets{AdminToken: []byte(adminToken), PeerSecret: []byte(peerSecret)},
+			Logger:  zap.NewNop(),
+		})
+		if err != nil {
+			return err
+		}
+		seeds = append(seeds, started.PeerAddress())
+		c.instances = append(c.instances, started)
+	}
+	return nil
+}
+
+// close stops everything.
+func (c *cluster) close(ctx context.Context) error {
+	var err error
+	for _, running := range c.instances {
+		err = errors.CombineErrors(err, running.Shutdown(ctx))
+	}
+	for _, engine := range c.engines {
+		engine.Close()
+	}
+	c.service.Close()
+	c.platform.Close()
+	return err
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -183,3 +183,10 @@
 		doc.Fault(field, "%q is not an IP number and port", value)
 	}
 }
+
+// DefaultLimits returns the limits that apply when a file gives none.
+func DefaultLimits() Limits {
+	var s Settings
+	s.provision()
+	return s.Limits
+}
