Carry calls over TCP and datagrams over UDP between instances

Cause: subsystems had only the in-memory network.

Change: peer.Listen opens TCP and UDP on one port. Both sides of a connection prove the shared secret over both nonces before the first message; the caller first, so that a stranger learns one random nonce. Calls to one peer share one jsonrpc2 connection; writes, handshakes, message sizes and calls served at once are bounded. Datagrams carry the sender's address and a 16-byte MAC.

Conclusion: ErrUnreachable from a call means that the peer did not get it; ErrAnswerLost and an ended context leave its effect open.

--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,235 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+)
+
+// Bounds of calls.
+const (
+	dialTimeout = 2 * time.Second
+	// writeTimeout ends a connection whose peer has stopped reading.
+	writeTimeout = 2 * time.Second
+	// callTimeout bounds calls whose context has no deadline.
+	callTimeout = 30 * time.Second
+	// silentLimit is how long a connection may be silent under a call that
+	// ran out of time before later calls use another.
+	silentLimit = 2 * time.Second
+	// maxMessage bounds one message in bytes.
+	maxMessage = 16 << 20
+	// maxServing bounds the calls served at once for one connection; more
+	// wait unread.
+	maxServing = 256
+)
+
+// ErrAnswerLost means that the call may have been carried out.
+var ErrAnswerLost = errors.New("peer: connection lost before the answer")
+
+// codec frames each JSON message with its length in four bytes.
+type codec struct{}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (codec) WriteObject(w io.Writer, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(body) > maxMessage {
+		return errors.Newf("peer: a message of %d bytes", len(body))
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(body)), uint32(len(body)))
+	_, err = w.Write(append(frame, body...))
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (codec) ReadObject(r *bufio.Reader, v any) error {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > maxMessage {
+		return errors.Newf("peer: a message of %d bytes", size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	return json.Unmarshal(body, v)
+}
+
+// timedConn bounds each write and notes when it last read something.
+type timedConn struct {
+	net.Conn
+	lastRead atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *timedConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *timedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.lastRead.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// link is the outgoing connection to one peer. It is dialled by the first call
+// that needs it; calls that come meanwhile wait for the same attempt.
+type link struct {
+	dialled  sync.Once
+	lastUsed atomic.Int64
+	// ready is closed once conn, rpc and err are set.
+	ready chan struct{}
+	conn  *timedConn
+	rpc   *jsonrpc2.Conn
+	err   error
+}
+
+func (l *link) idleFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, l.lastUsed.Load()))
+}
+
+func (l *link) close() {
+	select {
+	case <-l.ready:
+		if l.rpc != nil {
+			_ = l.rpc.Close()
+		}
+	default:
+	}
+}
+
+// broken tells whether the link can carry no further call.
+func (l *link) broken() bool {
+	select {
+	case <-l.ready:
+	default:
+		return false
+	}
+	if l.err != nil {
+		return true
+	}
+	select {
+	case <-l.rpc.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+// Call implements Bus. An error that is ErrUnreachable means that the peer did
+// not get the call; after any other the call may have been carried out, unless
+// the peer itself answered with an error.
+func (b *NetBus) Call(ctx context.Context, address, method string, params, result any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
+	l, err := b.linkTo(ctx, address)
+	if err != nil {
+		return fault.At(fault.StepPeer, address, errors.WithSecondaryError(ErrUnreachable, err))
+	}
+	started := time.Now()
+	err = l.rpc.Call(ctx, method, params, result)
+	l.lastUsed.Store(b.clock.Now().UnixNano())
+	if ctx.Err() != nil && time.Since(started) > silentLimit && l.conn.lastRead.Load() < started.UnixNano() {
+		b.forget(address, l)
+	}
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		err = ErrAnswerLost
+	}
+	return fault.At(fault.StepPeer, address, err)
+}
+
+// linkTo returns a usable link, dialling when there is none.
+func (b *NetBus) linkTo(ctx context.Context, address string) (*link, error) {
+	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return nil, net.ErrClosed
+	}
+	l := b.links[address]
+	if l == nil || l.broken() {
+		l = &link{ready: make(chan struct{})}
+		l.lastUsed.Store(b.clock.Now().UnixNano())
+		b.links[address] = l
+	}
+	b.mu.Unlock()
+	l.dialled.Do(func() {
+		if !b.spawn(func() { b.dial(l, address) }) {
+			l.err = net.ErrClosed
+			close(l.ready)
+		}
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-l.ready:
+		return l, l.err
+	}
+}
+
+func (b *NetBus) dial(l *link, address string) {
+	defer close(l.ready)
+	ctx, cancel := context.WithTimeout(b.ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		l.err = err
+		return
+	}
+	if err := greet(conn, b.secret, b.address); err != nil {
+		_ = conn.Close()
+		l.err = err
+		b.logger.Warn("peer handshake failed", zap.String("peer", address), zap.Error(err))
+		return
+	}
+	l.conn = &timedConn{Conn: conn}
+	l.rpc = jsonrpc2.NewConn(b.ctx, jsonrpc2.NewBufferedStream(l.conn, codec{}), refuseAll{}, jsonrpc2.SetLogger(quiet{}))
+}
+
+func (b *NetBus) forget(address string, l *link) {
+	b.mu.Lock()
+	if b.links[address] == l {
+		delete(b.links, address)
+	}
+	b.mu.Unlock()
+	l.close()
+}
+
+// refuseAll takes no calls: a listener never calls back on its caller's
+// connection.
+type refuseAll struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuseAll) Handle(_ context.Context, conn *jsonrpc2.Conn, _ *jsonrpc2.Request) {
+	_ = conn.Close()
+}
+
+// quiet discards the library's log lines; states are logged by the bus.
+type quiet struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/peer/net.go
@@ -0,0 +1,215 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// Bounds of a NetBus.
+const (
+	// portAttempts bounds the search for a port that is free for TCP and UDP.
+	portAttempts = 32
+	// udpBufferBytes is asked of the kernel for datagrams not yet read.
+	udpBufferBytes = 1 << 20
+	// minSecretBytes is the shortest shared secret accepted.
+	minSecretBytes = 16
+	// idleSweep is the time between looks for idle connections.
+	idleSweep = 15 * time.Second
+	// idleLimit is how long an unused outgoing connection is kept.
+	idleLimit = 60 * time.Second
+)
+
+// Options describe a NetBus.
+type Options struct {
+	// Address is "ip:port"; other instances reach this one there. Port 0 lets
+	// the system choose.
+	Address string
+	// Secret is shared by all instances of the deployment.
+	Secret []byte
+	// Logger takes changes of state; nil discards them.
+	Logger *zap.Logger
+	// Clock times idle connections; nil means the real one.
+	Clock clockwork.Clock
+}
+
+// NetBus is a Bus over TCP and UDP.
+//
+// Each side of a TCP connection proves that it knows the shared secret before
+// the first message; see handshake.go. Calls to one peer share one outgoing
+// connection, on which jsonrpc2 matches answers by id; an incoming connection
+// serves calls only. Datagrams carry a truncated MAC each; see datagram.go.
+// Whoever lacks the secret is told one nonce and nothing else.
+type NetBus struct {
+	address   string
+	secret    []byte
+	logger    *zap.Logger
+	clock     clockwork.Clock
+	listener  *net.TCPListener
+	packets   *net.UDPConn
+	sealer    *sealer
+	calls     map[string]CallHandler
+	datagrams map[Kind]DatagramHandler
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// wg holds the goroutines of Start; serving those of incoming calls.
+	wg      conc.WaitGroup
+	serving conc.WaitGroup
+	// handshakes bounds the connections that have not proved themselves.
+	handshakes chan struct{}
+
+	// mu guards links, incoming and closed.
+	mu       sync.Mutex
+	links    map[string]*link
+	incoming map[net.Conn]struct{}
+	closed   bool
+}
+
+// Listen binds the TCP and UDP sockets; nothing is received before Start.
+func Listen(options Options) (*NetBus, error) {
+	if len(options.Secret) < minSecretBytes {
+		return nil, errors.Newf("peer: the shared secret is shorter than %d bytes", minSecretBytes)
+	}
+	listener, packets, err := bind(options.Address)
+	if err != nil {
+		return nil, err
+	}
+	_ = packets.SetReadBuffer(udpBufferBytes)
+	b := &NetBus{
+		address:    listener.Addr().String(),
+		secret:     append([]byte(nil), options.Secret...),
+		logger:     options.Logger,
+		clock:      options.Clock,
+		listener:   listener,
+		packets:    packets,
+		sealer:     newSealer(options.Secret),
+		calls:      make(map[string]CallHandler),
+		datagrams:  make(map[Kind]DatagramHandler),
+		handshakes: make(chan struct{}, maxHandshakes),
+		links:      make(map[string]*link),
+		incoming:   make(map[net.Conn]struct{}),
+	}
+	if b.logger == nil {
+		b.logger = zap.NewNop()
+	}
+	if b.clock == nil {
+		b.clock = clockwork.NewRealClock()
+	}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	return b, nil
+}
+
+// bind opens both sockets on one port.
+func bind(address string) (*net.TCPListener, *net.UDPConn, error) {
+	want, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "peer: listen address %q", address)
+	}
+	for range portAttempts {
+		listener, err := net.ListenTCP("tcp", want)
+		if err != nil {
+			return nil, nil, errors.Wrapf(err, "peer: listen on %s", address)
+		}
+		got := listener.Addr().(*net.TCPAddr)
+		packets, err := net.ListenUDP("udp", &net.UDPAddr{IP: got.IP, Port: got.Port, Zone: got.Zone})
+		if err == nil {
+			return listener, packets, nil
+		}
+		_ = listener.Close()
+		if want.Port != 0 {
+			return nil, nil, errors.Wrapf(err, "peer: listen for datagrams on %s", address)
+		}
+	}
+	return nil, nil, errors.Newf("peer: no port of %s is free for TCP and UDP", address)
+}
+
+// Address implements Bus; it holds the port in use.
+func (b *NetBus) Address() string { return b.address }
+
+// Handle implements Bus.
+func (b *NetBus) Handle(method string, handler CallHandler) { b.calls[method] = handler }
+
+// HandleDatagram implements Bus.
+func (b *NetBus) HandleDatagram(kind Kind, handler DatagramHandler) { b.datagrams[kind] = handler }
+
+// Start implements Bus.
+func (b *NetBus) Start() error {
+	b.wg.Go(b.accept)
+	b.wg.Go(b.receive)
+	b.wg.Go(b.sweep)
+	return nil
+}
+
+// Close implements Bus. It waits for the handlers of calls under way, whose
+// contexts it cancels.
+func (b *NetBus) Close() error {
+	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return nil
+	}
+	b.closed = true
+	links := b.links
+	b.links = make(map[string]*link)
+	for conn := range b.incoming {
+		_ = conn.Close()
+	}
+	b.mu.Unlock()
+
+	b.cancel()
+	err := errors.CombineErrors(b.listener.Close(), b.packets.Close())
+	for _, l := range links {
+		l.close()
+	}
+	b.wg.Wait()
+	b.serving.Wait()
+	return err
+}
+
+// spawn runs f in a goroutine that Close waits for; it reports false, and does
+// not run f, once the bus is closed.
+func (b *NetBus) spawn(f func()) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return false
+	}
+	b.serving.Go(f)
+	return true
+}
+
+// sweep closes idle outgoing connections.
+func (b *NetBus) sweep() {
+	ticker := b.clock.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-ticker.Chan():
+			b.closeIdle()
+		}
+	}
+}
+
+func (b *NetBus) closeIdle() {
+	var idle []*link
+	b.mu.Lock()
+	for address, l := range b.links {
+		if l.idleFor(b.clock.Now()) > idleLimit {
+			idle = append(idle, l)
+			delete(b.links, address)
+		}
+	}
+	b.mu.Unlock()
+	for _, l := range idle {
+		l.close()
+	}
+}
--- /dev/null
+++ b/internal/peer/net_test.go
@@ -0,0 +1,162 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+var testSecret = []byte("a shared secret of tests")
+
+func listen(t *testing.T, secret []byte) *NetBus {
+	t.Helper()
+	bus, err := Listen(Options{Address: "127.0.0.1:0", Secret: secret})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, bus.Close()) })
+	return bus
+}
+
+func echo(_ context.Context, from string, params json.RawMessage) (any, error) {
+	return map[string]any{"from": from, "params": params}, nil
+}
+
+type echoed struct {
+	From   string `json:"from"`
+	Params int    `json:"params"`
+}
+
+func TestCallsShareOneConnectionAndKeepTheirAnswers(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := mustListen(t), mustListen(t)
+	b.Handle("echo", echo)
+	assert.NilError(t, a.Start())
+	assert.NilError(t, b.Start())
+	var wg conc.WaitGroup
+	for i := range 50 {
+		wg.Go(func() {
+			var got echoed
+			assert.Check(t, a.Call(context.Background(), b.Address(), "echo", i, &got))
+			assert.Check(t, got == echoed{From: a.Address(), Params: i}, "%v", got)
+		})
+	}
+	wg.Wait()
+	b.mu.Lock()
+	connections := len(b.incoming)
+	b.mu.Unlock()
+	assert.Equal(t, connections, 1)
+	assert.NilError(t, a.Close())
+	assert.NilError(t, b.Close())
+}
+
+func mustListen(t *testing.T) *NetBus {
+	t.Helper()
+	bus, err := Listen(Options{Address: "127.0.0.1:0", Secret: testSecret})
+	assert.NilError(t, err)
+	return bus
+}
+
+func TestWrongSecretIsToldNothingAndDoesNothing(t *testing.T) {
+	good, bad := listen(t, testSecret), listen(t, []byte("another shared secret"))
+	var ran atomic.Int64
+	good.Handle("do", func(context.Context, string, json.RawMessage) (any, error) {
+		ran.Add(1)
+		return nil, nil
+	})
+	good.HandleDatagram(KindProbe, func(string, []byte) { ran.Add(1) })
+	assert.NilError(t, good.Start())
+	assert.NilError(t, bad.Start())
+	err := bad.Call(context.Background(), good.Address(), "do", 1, nil)
+	assert.Check(t, errors.Is(err, ErrUnreachable), "%v", err)
+	_, _, _, ok := good.sealer.open(bad.sealer.seal(KindProbe, bad.Address(), []byte("x")))
+	assert.Check(t, !ok)
+	assert.Equal(t, ran.Load(), int64(0))
+
+	conn, err := net.Dial("tcp", good.Address())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write(make([]byte, 1+nonceBytes+proofBytes+1))
+	assert.NilError(t, err)
+	got, _ := io.ReadAll(conn)
+	assert.Equal(t, len(got), 0, "a wrong version gets no byte")
+}
+
+func TestReflectedProofIsRefused(t *testing.T) {
+	nonce := make([]byte, nonceBytes)
+	ours := proof(testSecret, labelCaller, nonce, nonce, "127.0.0.1:1")
+	theirs := proof(testSecret, labelListener, nonce, nonce, "127.0.0.1:1")
+	assert.Check(t, string(ours) != string(theirs))
+}
+
+func TestDatagramArrivesWithSenderAndBody(t *testing.T) {
+	a, b := listen(t, testSecret), listen(t, testSecret)
+	got := make(chan string, 1)
+	b.HandleDatagram(KindCredit, func(from string, body []byte) { got <- from + " " + string(body) })
+	assert.NilError(t, b.Start())
+	assert.NilError(t, a.Send(b.Address(), KindCredit, []byte("hello")))
+	assert.Equal(t, <-got, a.Address()+" hello")
+	assert.ErrorContains(t, a.Send(b.Address(), KindCredit, make([]byte, MaxDatagram+1)), "1201 bytes")
+}
+
+func TestChangedPacketIsRefused(t *testing.T) {
+	s := newSealer(testSecret)
+	packet := s.seal(KindProbe, "127.0.0.1:1", []byte("body"))
+	for i := range packet {
+		changed := append([]byte(nil), packet...)
+		changed[i] ^= 1
+		_, _, _, ok := s.open(changed)
+		assert.Check(t, !ok, "byte %d", i)
+	}
+}
+
+func TestCallToDeadPeerIsUnreachableAndRecovers(t *testing.T) {
+	a, b := listen(t, testSecret), mustListen(t)
+	b.Handle("echo", echo)
+	assert.NilError(t, b.Start())
+	assert.NilError(t, a.Call(context.Background(), b.Address(), "echo", 1, nil))
+	address := b.Address()
+	assert.NilError(t, b.Close())
+	err := a.Call(context.Background(), address, "echo", 1, nil)
+	assert.Check(t, errors.Is(err, ErrUnreachable) || errors.Is(err, ErrAnswerLost), "%v", err)
+
+	again, err := Listen(Options{Address: address, Secret: testSecret})
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, again.Close()) }()
+	again.Handle("echo", echo)
+	assert.NilError(t, again.Start())
+	for a.Call(context.Background(), address, "echo", 1, nil) != nil {
+		assert.Check(t, a.ctx.Err())
+	}
+}
+
+func TestHandlerErrorReachesCaller(t *testing.T) {
+	a, b := listen(t, testSecret), listen(t, testSecret)
+	b.Handle("fail", func(context.Context, string, json.RawMessage) (any, error) {
+		return nil, errors.New("no such thing")
+	})
+	assert.NilError(t, b.Start())
+	err := a.Call(context.Background(), b.Address(), "fail", nil, nil)
+	assert.ErrorContains(t, err, "no such thing")
+	assert.ErrorContains(t, a.Call(context.Background(), b.Address(), "other", nil, nil), "no method other")
+}
+
+func TestCallToSilentPeerEndsWithItsContext(t *testing.T) {
+	a, b := listen(t, testSecret), listen(t, testSecret)
+	b.Handle("hang", func(ctx context.Context, _ string, _ json.RawMessage) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	assert.NilError(t, b.Start())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	err := a.Call(ctx, b.Address(), "hang", nil, nil)
+	assert.Check(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+}
