Admit requests by credits, tiers and fair shares

Cause: targets know no priorities and admit whatever arrives, so that under pressure higher tiers wait behind lower ones and one large account delays all.

Change: package admission queues requests by tier and by start-time fair queueing over accounts; package credit lets a target's home lease slots and KV tokens to entries by absolute, sequenced state; package routing holds the policies, retry budget, outlier ejection and prefix index; package estimate learns output lengths and target speeds.

--- /dev/null
+++ b/internal/admission/cluster_test.go
@@ -0,0 +1,154 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+	"github.com/hibiscuspost/hibiscuspost/internal/membership"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// cluster is some controllers on one network, stepped by hand.
+type cluster struct {
+	clock   *clockwork.FakeClock
+	network *peer.Network
+	nodes   []*node
+	targets []tables.Target
+}
+
+type node struct {
+	*Controller
+	name   string
+	viewer *membership.Static
+	bus    *peer.MemoryBus
+	// paused nodes make no steps; their datagrams wait.
+	paused bool
+}
+
+func newCluster(t testing.TB, size int, targets ...tables.Target) *cluster {
+	t.Helper()
+	c := &cluster{clock: clockwork.NewFakeClock(), network: peer.NewNetwork(), targets: targets}
+	members := make([]membership.Member, size)
+	for i := range members {
+		name := fmt.Sprintf("entry-%d", i)
+		members[i] = membership.Member{Name: name, PeerAddress: name, Incarnation: 1}
+	}
+	for i, self := range members {
+		var others []membership.Member
+		others = append(others, members[:i]...)
+		others = append(others, members[i+1:]...)
+		c.add(self, others)
+	}
+	return c
+}
+
+func (c *cluster) add(self membership.Member, others []membership.Member) {
+	n := &node{name: self.Name, viewer: membership.NewStatic(self, others...), bus: c.network.Bus(self.PeerAddress)}
+	n.Controller = New(Options{
+		Viewer: n.viewer, Bus: n.bus, Clock: c.clock,
+		Pools:   func() []string { return []string{"pool"} },
+		Targets: func(string) []tables.Target { return c.targets },
+	})
+	_ = n.bus.Start()
+	c.nodes = append(c.nodes, n)
+}
+
+// advance lets time pass with steps of all nodes that are not paused.
+func (c *cluster) advance(d time.Duration) {
+	const pace = 5 * time.Millisecond
+	for ; d > 0; d -= pace {
+		c.clock.Advance(pace)
+		for _, n := range c.nodes {
+			if !n.paused {
+				n.step()
+			}
+		}
+	}
+}
+
+// kill removes a node from the network and from all views.
+func (c *cluster) kill(i int) {
+	dead := c.nodes[i]
+	_ = dead.bus.Close()
+	c.nodes = append(c.nodes[:i:i], c.nodes[i+1:]...)
+	for _, n := range c.nodes {
+		var others []membership.Member
+		for _, m := range n.viewer.View().Members {
+			if m.Name != n.name && m.Name != dead.name {
+				others = append(others, m)
+			}
+		}
+		n.viewer.Set(others...)
+	}
+}
+
+// home returns the position of a target's home.
+func (c *cluster) home(target string) int {
+	owner := membership.Owner(c.nodes[0].viewer.View(), homeKey(target))
+	for i, n := range c.nodes {
+		if n.name == owner.Name {
+			return i
+		}
+	}
+	return -1
+}
+
+// running sums what runs at a target for all nodes.
+func (c *cluster) running(target string) int {
+	sum := 0
+	for _, n := range c.nodes {
+		if t := n.target(target); t != nil {
+			sum += int(t.runningSlots.Load())
+		}
+	}
+	return sum
+}
+
+// pending is a submitted request.
+type pending struct {
+	grant   *Grant
+	ticket  *ticket
+	refusal *fault.Refusal
+	err     error
+}
+
+func (n *node) enter(r *Request) *pending {
+	p := &pending{}
+	p.grant, p.ticket, p.err = n.submit(r)
+	return p
+}
+
+// poll takes the result if it is there.
+func (p *pending) poll() *pending {
+	if p.grant != nil || p.err != nil || p.ticket == nil {
+		return p
+	}
+	select {
+	case r := <-p.ticket.result:
+		p.grant, p.err = r.grant, r.err
+		p.refusal, _ = fault.AsRefusal(r.err)
+	default:
+	}
+	return p
+}
+
+func (p *pending) preempted() bool {
+	if p.grant == nil {
+		return false
+	}
+	select {
+	case <-p.grant.Preempted():
+		return true
+	default:
+		return false
+	}
+}
+
+func slots(name string, n int) tables.Target {
+	return tables.Target{Name: name, Address: "127.0.0.1:1", Version: "v1", Slots: n}
+}
--- /dev/null
+++ b/internal/admission/counters.go
@@ -0,0 +1,83 @@
+package admission
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// counters count since the controller was made.
+type counters struct {
+	admits         [tables.TierCount]atomic.Uint64
+	refused        [tables.TierCount]atomic.Uint64
+	waitedNanos    [tables.TierCount]atomic.Int64
+	preempted      atomic.Uint64
+	wastedTokens   atomic.Int64
+	unproved       atomic.Uint64
+	retriesRefused atomic.Uint64
+	ejections      atomic.Uint64
+}
+
+// Stats is a picture of the counters and the present queues.
+type Stats struct {
+	// Admitted, Refused, Waiting and Running count requests by tier.
+	Admitted, Refused, Waiting, Running [tables.TierCount]uint64
+	// Waited sums the time in the queue by tier.
+	Waited [tables.TierCount]time.Duration
+	// Preempted counts cancelled requests; WastedTokens the prompt and output
+	// tokens that were computed for them.
+	Preempted    uint64
+	WastedTokens int64
+	// Unproved counts requests whose time ended in the queue while a lower
+	// tier was known to run.
+	Unproved uint64
+	// RetriesRefused counts retries beyond the budget.
+	RetriesRefused uint64
+	// Ejections counts targets put out for failures.
+	Ejections uint64
+}
+
+func (c *counters) admitted(tier tables.Tier, waited time.Duration) {
+	c.admits[tier].Add(1)
+	c.waitedNanos[tier].Add(int64(waited))
+}
+
+func (c *counters) finished(g *Grant, o Outcome) {
+	if o.Kind != Complete && g.stopped {
+		c.wastedTokens.Add(int64(g.ticket.request.PromptTokens) + g.output.Load())
+	}
+}
+
+// Stats returns the counters.
+func (c *Controller) Stats() Stats {
+	s := Stats{
+		Preempted: c.counters.preempted.Load(), WastedTokens: c.counters.wastedTokens.Load(),
+		Unproved: c.counters.unproved.Load(), RetriesRefused: c.counters.retriesRefused.Load(),
+		Ejections: c.counters.ejections.Load(),
+	}
+	for tier := range tables.TierCount {
+		s.Admitted[tier] = c.counters.admits[tier].Load()
+		s.Refused[tier] = c.counters.refused[tier].Load()
+		s.Waited[tier] = time.Duration(c.counters.waitedNanos[tier].Load())
+	}
+	for _, p := range *c.pools.Load() {
+		p.addTo(&s)
+	}
+	return s
+}
+
+func (p *pool) addTo(s *Stats) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for tier := range s.Waiting {
+		s.Waiting[tier] += uint64(p.queue.tiers[tier].waiting)
+	}
+	for _, t := range p.all {
+		t.mu.Lock()
+		for tier := range s.Running {
+			s.Running[tier] += uint64(t.running[tier].Slots)
+		}
+		t.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/admission/grant.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/credit"
+	"github.com/hibiscuspost/hibiscuspost/internal/estimate"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// shunFor is how long a target that said it leaves takes nothing, if it stays
+// in the table.
+const shunFor = 10 * time.Second
+
+// Grant is the right to run one request on one target. The holder must call
+// Finish exactly when the request no longer runs there; further calls have no
+// effect.
+type Grant struct {
+	controller *Controller
+	pool       *pool
+	target     *target
+	info       *tables.Target
+	ticket     *ticket
+	preempted  chan struct{}
+	output     atomic.Int64
+
+	// The fields below are guarded by the target's lock.
+
+	stopped     bool
+	held        credit.Tokens
+	outstanding int64
+}
+
+// Target returns the target as it was when the request was admitted.
+func (g *Grant) Target() tables.Target { return *g.info }
+
+// Preempted is closed when the request must be cancelled since a higher tier
+// needs its place.
+func (g *Grant) Preempted() <-chan struct{} { return g.preempted }
+
+// FirstToken tells that the first token came: the prompt has been computed.
+func (g *Grant) FirstToken() {
+	g.target.prefix.Dispatched(g.ticket.request.Prefix)
+	g.settle(int64(g.ticket.output))
+}
+
+// Progress tells how many output tokens came so far. An answer that outgrows
+// its estimate takes a larger reservation.
+func (g *Grant) Progress(outputTokens int) {
+	g.output.Store(int64(outputTokens))
+	expected := estimate.Correct(g.ticket.output, outputTokens)
+	g.settle(int64(expected - outputTokens))
+	need := credit.Tokens(g.ticket.request.PromptTokens + outputTokens)
+	if need > g.ticket.need {
+		g.grow(credit.Tokens(g.ticket.request.PromptTokens + expected))
+	}
+}
+
+// Finish ends the request and records what it showed.
+func (g *Grant) Finish(o Outcome) {
+	c := g.controller
+	now := c.clock.Now()
+	g.target.mu.Lock()
+	first := g.target.release(g)
+	if first {
+		g.learn(o)
+		g.judge(o, now)
+	}
+	g.target.mu.Unlock()
+	if !first {
+		return
+	}
+	if o.Kind == Complete {
+		c.lengths.Observe(g.ticket.request.Route, g.ticket.account, o.OutputTokens)
+		g.pool.finished.Add(int64(g.ticket.work))
+	}
+	c.counters.finished(g, o)
+	g.pool.refreshEjections(now)
+	g.pool.pumpIfWaiting(now)
+	if g.pool.waiting.Load() > 0 || g.target.openTier.Load() < tables.TierCount-1 {
+		c.wake()
+	}
+}
+
+// settle sets the number of tokens yet to be computed.
+func (g *Grant) settle(outstanding int64) {
+	g.target.mu.Lock()
+	defer g.target.mu.Unlock()
+	if _, ok := g.target.grants[g]; !ok {
+		return
+	}
+	g.target.outstanding.Add(outstanding - g.outstanding)
+	g.outstanding = outstanding
+}
+
+func (g *Grant) grow(held credit.Tokens) {
+	g.target.mu.Lock()
+	defer g.target.mu.Unlock()
+	if _, ok := g.target.grants[g]; !ok || held <= g.held {
+		return
+	}
+	extra := credit.Amount{Tokens: held - g.held}
+	g.target.add(g.ticket.tier, extra)
+	if g.stopped {
+		g.target.stopping[g.ticket.tier] = g.target.stopping[g.ticket.tier].Plus(extra)
+	}
+	g.held = held
+}
+
+// loss is the work that a cancellation would waste, in tokens.
+func (g *Grant) loss() int64 { return g.output.Load() }
+
+// learn takes the target's speed from a complete answer. The target's lock is
+// held.
+func (g *Grant) learn(o Outcome) {
+	if o.Kind != Complete {
+		return
+	}
+	g.target.decodeSeen = g.target.decodeSeen || o.OutputTokens > 0
+	g.target.speed.Observe(estimate.Observation{
+		Prefill: max(0, o.PromptTokens-o.CachedTokens), Output: o.OutputTokens,
+		FirstToken: o.FirstToken, Total: o.Duration,
+	})
+}
+
+// judge lets the outcome speak for or against the target. The target's lock is
+// held.
+func (g *Grant) judge(o Outcome, now time.Time) {
+	t := g.target
+	switch o.Kind {
+	case Complete:
+		t.ejector.Success()
+	case NotSent, Failed:
+		if t.ejector.Failure(now) {
+			g.controller.counters.ejections.Add(1)
+		}
+	case Overloaded:
+		t.overloads++
+	case Leaving:
+		t.shunned = now.Add(shunFor)
+	case Cancelled:
+	}
+	t.reentry.Store(int64(t.ejector.Allowed()))
+}
--- /dev/null
+++ b/internal/admission/step.go
@@ -0,0 +1,233 @@
+package admission
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/credit"
+	"github.com/hibiscuspost/hibiscuspost/internal/membership"
+)
+
+// heartbeat is how often an unchanged report is sent, so that its lease goes
+// on; quietReport is how soon a change that nobody waits for is sent.
+const (
+	heartbeat   = credit.Lease / 3
+	quietReport = 50 * time.Millisecond
+)
+
+// receive takes a datagram into the inbox.
+func (c *Controller) receive(_ string, body []byte) {
+	d, err := credit.Decode(body)
+	if err != nil {
+		c.log.Warn("credit datagram not understood", zap.Error(err))
+		return
+	}
+	c.inboxMu.Lock()
+	if len(c.inbox) < inboxBound {
+		c.inbox = append(c.inbox, d)
+	}
+	c.inboxMu.Unlock()
+	c.wake()
+}
+
+// round is one step in the making.
+type round struct {
+	c    *Controller
+	now  time.Time
+	view *membership.View
+	// out collects messages by member.
+	out map[string]*credit.Datagram
+}
+
+// step does all background work once.
+func (c *Controller) step() {
+	c.stepMu.Lock()
+	defer c.stepMu.Unlock()
+	r := &round{c: c, now: c.clock.Now(), view: c.options.Viewer.View(), out: make(map[string]*credit.Datagram)}
+	c.refreshPools(r.now)
+	r.takeInbox()
+	for _, p := range *c.pools.Load() {
+		r.entrySide(p)
+	}
+	for _, p := range *c.pools.Load() {
+		r.homeSide(p)
+	}
+	for _, p := range *c.pools.Load() {
+		p.pumpIfWaiting(r.now)
+	}
+	r.send()
+}
+
+func (c *Controller) refreshPools(now time.Time) {
+	if c.options.Pools != nil {
+		for _, name := range c.options.Pools() {
+			c.pool(name, now)
+		}
+	}
+	for _, p := range *c.pools.Load() {
+		p.refresh(now)
+		p.refreshEjections(now)
+	}
+}
+
+// takeInbox applies what other instances sent.
+func (r *round) takeInbox() {
+	r.c.inboxMu.Lock()
+	inbox := r.c.inbox
+	r.c.inbox = nil
+	r.c.inboxMu.Unlock()
+	for _, d := range inbox {
+		for _, report := range d.Reports {
+			r.hear(d.From, d.Incarnation, report)
+		}
+		for _, g := range d.Grants {
+			r.apply(d.From, d.Incarnation, g)
+		}
+	}
+}
+
+func (r *round) hear(from string, incarnation uint64, report credit.Report) {
+	if ledger := r.c.ledgers[report.Target]; ledger != nil {
+		ledger.Hear(from, incarnation, report, r.now)
+	}
+}
+
+func (r *round) apply(from string, incarnation uint64, g credit.Grant) {
+	t := r.c.target(g.Target)
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	t.holder.Apply(from, incarnation, g)
+	t.mu.Unlock()
+}
+
+// entrySide brings allowances up to date, starts and gives up requests, and
+// reports to the homes.
+func (r *round) entrySide(p *pool) {
+	for _, t := range *p.targets.Load() {
+		r.setHome(t)
+	}
+	p.mu.Lock()
+	p.pump(r.now)
+	p.sweep(r.now)
+	p.pump(r.now)
+	demand := p.demand()
+	p.mu.Unlock()
+	for _, t := range *p.targets.Load() {
+		r.report(t, demand)
+	}
+}
+
+// setHome tells the target's holder who its home is, and reads the allowance.
+func (r *round) setHome(t *target) {
+	ranked := membership.Ranked(r.view, homeKey(t.info.Load().Name))
+	t.mu.Lock()
+	t.holder.SetHome(ranked[0].Name, ranked[0].Incarnation, r.now)
+	t.mu.Unlock()
+	r.allow(t, ranked)
+	stopped := t.obeyKeep(r.now)
+	r.c.counters.preempted.Add(uint64(stopped))
+}
+
+func (r *round) allow(t *target, ranked []membership.Member) {
+	rank := len(ranked)
+	for i, m := range ranked {
+		if m.Name == r.view.Self.Name {
+			rank = i
+		}
+	}
+	t.setAllowance(r.now, rank, len(ranked))
+}
+
+func homeKey(target string) string { return "target/" + target }
+
+// report sends the entry's state at the target to its home if it is due.
+func (r *round) report(t *target, demand *demand) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := t.describe(demand)
+	if !t.due(&next, r.now) {
+		return
+	}
+	t.holder.Fill(&next, r.now)
+	t.reported, t.reportedAt = next, r.now
+	home := membership.Owner(r.view, homeKey(next.Target))
+	if home.Name == r.view.Self.Name {
+		r.c.ledger(t, r.now).Hear(home.Name, home.Incarnation, next, r.now)
+		return
+	}
+	to := r.to(home.Name)
+	to.Reports = append(to.Reports, next)
+}
+
+// homeSide grants credits for the targets whose home this instance is.
+func (r *round) homeSide(p *pool) {
+	for _, t := range *p.targets.Load() {
+		name := t.info.Load().Name
+		ranked := membership.Ranked(r.view, homeKey(name))
+		if ranked[0].Name != r.view.Self.Name {
+			delete(r.c.ledgers, name)
+			continue
+		}
+		ledger := r.c.ledger(t, r.now)
+		ledger.SetCapacity(capacity(t.info.Load()))
+		r.deliver(ledger.Allocate(r.now, names(ranked)))
+		r.allow(t, ranked)
+	}
+}
+
+func names(members []membership.Member) []string {
+	all := make([]string, len(members))
+	for i, m := range members {
+		all[i] = m.Name
+	}
+	return all
+}
+
+func (r *round) deliver(grants []credit.Addressed) {
+	for _, g := range grants {
+		if g.To == r.view.Self.Name {
+			r.apply(g.To, r.view.Self.Incarnation, g.Grant)
+			continue
+		}
+		to := r.to(g.To)
+		to.Grants = append(to.Grants, g.Grant)
+	}
+}
+
+// ledger returns the target's ledger, which is made when this instance becomes
+// its home.
+func (c *Controller) ledger(t *target, now time.Time) *credit.Ledger {
+	info := t.info.Load()
+	l := c.ledgers[info.Name]
+	if l == nil {
+		l = credit.NewLedger(capacity(info), now)
+		c.ledgers[info.Name] = l
+	}
+	return l
+}
+
+func (r *round) to(member string) *credit.Datagram {
+	d := r.out[member]
+	if d == nil {
+		d = &credit.Datagram{From: r.view.Self.Name, Incarnation: r.view.Self.Incarnation}
+		r.out[member] = d
+	}
+	return d
+}
+
+// send sends what the step collected; what is lost is repeated by later steps.
+func (r *round) send() {
+	if r.c.options.Bus == nil {
+		return
+	}
+	for _, m := range r.view.Members {
+		d := r.out[m.Name]
+		if d == nil {
+			continue
+		}
+		r.c.post(m.PeerAddress, d)
+	}
+}
--- /dev/null
+++ b/internal/credit/holder.go
@@ -0,0 +1,161 @@
+package credit
+
+import (
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// echoWindow is how many reports may be on the way at once.
+const echoWindow = 64
+
+// ProofAge is how old a home's statement on what runs may be when it is used
+// to justify shedding.
+const ProofAge = time.Second
+
+// Holder is an entry's side of the credits at one target. It needs the
+// caller's lock.
+type Holder struct {
+	home        string
+	incarnation uint64
+	// since is when the present home became home, or the holder was made.
+	since time.Time
+	seq   uint32
+	sent  [echoWindow]time.Time
+
+	grant   Grant
+	granted bool
+	// lowered is set when grant is smaller than the one before.
+	lowered bool
+	// expires ends the lease of grant; it stays after a change of homes.
+	expires time.Time
+	// stated is the earliest time that the statement of grant speaks for.
+	stated time.Time
+	limit  Slots
+}
+
+// NewHolder returns a holder without a lease.
+func NewHolder(now time.Time) *Holder { return &Holder{since: now, expires: now} }
+
+// SetHome tells which member is the target's home now.
+func (h *Holder) SetHome(name string, incarnation uint64, now time.Time) {
+	if h.home == name && h.incarnation == incarnation {
+		return
+	}
+	h.home, h.incarnation = name, incarnation
+	h.since = now
+	h.sent = [echoWindow]time.Time{}
+	h.grant.Seq = 0
+	h.grant.Complete = false
+}
+
+// Fill gives a report its sequence number and the holder's part.
+func (h *Holder) Fill(r *Report, now time.Time) {
+	h.seq++
+	h.sent[h.seq%echoWindow] = now
+	r.Seq = h.seq
+	r.Ack = h.grant.Seq
+	r.Limit = h.limit
+	if h.granted && now.Before(h.expires) {
+		r.Held = h.grant.Amount
+	}
+}
+
+// Apply takes a grant; it reports false for one that is old, repeated or from
+// another than the present home.
+func (h *Holder) Apply(from string, incarnation uint64, g Grant) bool {
+	if from != h.home || incarnation != h.incarnation || g.Seq <= h.grant.Seq {
+		return false
+	}
+	if g.Echo > h.seq || h.seq-g.Echo >= echoWindow {
+		return false
+	}
+	sent := h.sent[g.Echo%echoWindow]
+	if sent.IsZero() {
+		return false
+	}
+	h.lowered = !g.Amount.Holds(h.grant.Amount) || (h.lowered && g.Seq > h.grant.Seq+1)
+	h.grant = g
+	h.granted = true
+	h.expires = sent.Add(Lease)
+	h.stated = sent.Add(-g.Age)
+	h.limit = g.Limit.Slots
+	return true
+}
+
+// Unacknowledged reports whether a grant newer than ack takes something back,
+// which the home cannot give to others before it is acknowledged.
+func (h *Holder) Unacknowledged(ack uint32) bool { return h.lowered && h.grant.Seq > ack }
+
+// Leased reports whether a lease is valid.
+func (h *Holder) Leased(now time.Time) bool { return h.granted && now.Before(h.expires) }
+
+// Fallback reports whether the static share is to be used.
+func (h *Holder) Fallback(now time.Time) bool {
+	from := h.expires
+	if h.since.After(from) && !h.granted {
+		from = h.since
+	}
+	return !now.Before(from.Add(FallbackAfter))
+}
+
+// Until returns when the present allowance ends or may grow by itself.
+func (h *Holder) Until(now time.Time) time.Time {
+	if h.Leased(now) {
+		return h.expires
+	}
+	return now.Add(Lease)
+}
+
+// Allowed returns what the entry may run at the target now. Capacity is the
+// table's; rank and members place the entry among the live ones.
+func (h *Holder) Allowed(now time.Time, capacity Amount, rank, members int) Amount {
+	if h.Leased(now) {
+		return h.grant.Amount
+	}
+	if h.Fallback(now) {
+		return StaticShare(h.believed(capacity), rank, members)
+	}
+	return Amount{}
+}
+
+// believed is the table's capacity, lowered to the last limit heard.
+func (h *Holder) believed(capacity Amount) Amount {
+	if h.limit > 0 && h.limit < capacity.Slots {
+		capacity.Slots = h.limit
+	}
+	return capacity
+}
+
+// Open returns the lowest tier that may be started.
+func (h *Holder) Open(now time.Time) tables.Tier {
+	if h.Leased(now) {
+		return h.grant.Open
+	}
+	return tables.TierCount - 1
+}
+
+// Keep returns how many requests of a tier may go on; negative: all.
+func (h *Holder) Keep(now time.Time, tier tables.Tier) Slots {
+	if h.Leased(now) {
+		return h.grant.Keep[tier]
+	}
+	return -1
+}
+
+// Running returns the last known number of requests of all entries by tier.
+func (h *Holder) Running() [tables.TierCount]Slots { return h.grant.Running }
+
+// Proves reports whether the home has said, within ProofAge, that nothing
+// below the tier runs at the target.
+func (h *Holder) Proves(now time.Time, tier tables.Tier) bool {
+	if !h.grant.Complete || now.Sub(h.stated) > ProofAge {
+		return false
+	}
+	for lower := tier + 1; lower < tables.TierCount; lower++ {
+		if h.grant.Running[lower] > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/credit/message.go
@@ -0,0 +1,145 @@
+package credit
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// Lease is how long a grant is good for. An entry counts it from the sending
+// of the report that the grant answers, the home from the sending of the
+// grant, so that it ends at the entry first, whatever the clocks show.
+const Lease = time.Second
+
+// FallbackAfter is how long an entry without a valid lease waits before it
+// uses its static share: by then the home has missed its reports, and leases
+// granted to others out of that share have run out.
+const FallbackAfter = 2 * Lease
+
+// PerTier holds one amount for each tier.
+type PerTier [tables.TierCount]Amount
+
+// Total returns the sum over all tiers.
+func (p *PerTier) Total() Amount {
+	var sum Amount
+	for _, a := range p {
+		sum = sum.Plus(a)
+	}
+	return sum
+}
+
+// Report is an entry's whole state at one target, told to the target's home.
+// A later one replaces an earlier one, so that losses and repeats do no harm.
+type Report struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	// Target is the target's name.
+	Target string
+	// Seq rises with each report of this entry on the target.
+	Seq uint32
+	// Ack is the last grant seen from this home, 0 for none.
+	Ack uint32
+	// Held is what the entry may use now by leases of earlier homes.
+	Held Amount
+	// Running is what runs there for the entry, by tier.
+	Running PerTier
+	// Stopping is the part of Running that is being cancelled.
+	Stopping Amount
+	// Demand is what the entry would start there now, by tier.
+	Demand PerTier
+	// Urgent is the part of Demand whose deadline cannot wait for lower tiers
+	// to end.
+	Urgent PerTier
+	// Overloads counts answers by which the target refused for overload.
+	Overloads uint32
+	// Decode is the entry's observed time per output token there; 0: unknown.
+	Decode time.Duration
+	// Limit is the last limit heard for the target; 0: unknown.
+	Limit Slots
+}
+
+// Grant is a home's answer to an entry: what the entry may run at the target.
+type Grant struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	// Target is the target's name.
+	Target string
+	// Seq rises with each grant of this home to the entry on the target.
+	Seq uint32
+	// Echo is the newest report that the home had when it sent the grant.
+	Echo uint32
+	// Amount bounds all that the entry runs there; Lease bounds its time.
+	Amount Amount
+	// Limit is what the home believes the target takes from all entries.
+	Limit Amount
+	// Open is the lowest tier (highest number) that may be started there.
+	Open tables.Tier
+	// Keep bounds the requests of each tier that may go on; the entry cancels
+	// those above it. Negative means no bound.
+	Keep [tables.TierCount]Slots
+	// Running counts the requests of all entries by tier.
+	Running [tables.TierCount]Slots
+	// Age is the age of the oldest report that Running rests on.
+	Age time.Duration
+	// Complete is set when Running rests on reports of all members.
+	Complete bool
+}
+
+// Datagram is what instances send each other under peer.KindCredit.
+type Datagram struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	// From and Incarnation name the sender.
+	From        string
+	Incarnation uint64
+	Reports     []Report
+	Grants      []Grant
+}
+
+// Decode reads a datagram.
+func Decode(body []byte) (*Datagram, error) {
+	d := &Datagram{}
+	if err := msgpack.Unmarshal(body, d); err != nil {
+		return nil, errors.Wrap(err, "credit: datagram")
+	}
+	return d, nil
+}
+
+// Encode writes the messages into as many datagrams as needed.
+func Encode(d *Datagram) ([][]byte, error) {
+	body, err := msgpack.Marshal(d)
+	if err != nil {
+		return nil, errors.Wrap(err, "credit: datagram")
+	}
+	if len(body) <= peer.MaxDatagram {
+		return [][]byte{body}, nil
+	}
+	first, second, ok := d.split()
+	if !ok {
+		return nil, errors.Newf("credit: one message takes %d bytes", len(body))
+	}
+	head, err := Encode(first)
+	if err != nil {
+		return nil, err
+	}
+	tail, err := Encode(second)
+	return append(head, tail...), err
+}
+
+func (d *Datagram) split() (first, second *Datagram, ok bool) {
+	if len(d.Reports)+len(d.Grants) < 2 {
+		return nil, nil, false
+	}
+	a, b := *d, *d
+	r, g := len(d.Reports)/2, len(d.Grants)/2
+	if r+g == 0 {
+		r = len(d.Reports)
+	}
+	a.Reports, b.Reports = d.Reports[:r], d.Reports[r:]
+	a.Grants, b.Grants = d.Grants[:g], d.Grants[g:]
+	return &a, &b, true
+}
--- /dev/null
+++ b/internal/estimate/length.go
@@ -0,0 +1,168 @@
+package estimate
+
+import (
+	"container/list"
+	"math"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Length is an estimate of a request's output in tokens.
+type Length struct {
+	// Mean is used for fair shares and service times.
+	Mean int
+	// High is used to reserve KV tokens; it covers most requests.
+	High int
+}
+
+// DefaultLength is the estimate for a route that was never seen.
+const DefaultLength = 256
+
+const (
+	shardCount = 16
+	// gain is the weight of one observation in the moving averages.
+	gain = 0.1
+	// highDeviations is how many mean deviations High lies above Mean.
+	highDeviations = 1.5
+	// growth is by how much a running request's output is expected to exceed
+	// what it has produced, once it has outgrown its estimate.
+	growth = 1.25
+)
+
+// Lengths learns output lengths by route and account. It holds a bounded
+// number of averages; the least recently used give way. An account not held
+// is estimated by its route, a route not held by DefaultLength.
+//
+// The averages are spread over shards, each with a lock of its own, so that no
+// lock is shared by all requests.
+type Lengths struct {
+	shards [shardCount]lengthShard
+}
+
+type lengthKey struct{ route, account string }
+
+type lengthShard struct {
+	// mu guards the fields below.
+	mu      sync.Mutex
+	bound   int
+	entries map[lengthKey]*list.Element
+	recent  *list.List
+}
+
+type lengthEntry struct {
+	key       lengthKey
+	count     int
+	mean      float64
+	deviation float64
+}
+
+// NewLengths returns an empty estimator that holds at most bound averages.
+func NewLengths(bound int) *Lengths {
+	l := &Lengths{}
+	for i := range l.shards {
+		l.shards[i].bound = max(1, bound/shardCount)
+		l.shards[i].entries = make(map[lengthKey]*list.Element)
+		l.shards[i].recent = list.New()
+	}
+	return l
+}
+
+// Estimate returns the expected output of a request. Stated is the caller's
+// bound on the output; 0 means none.
+func (l *Lengths) Estimate(route, account string, stated int) Length {
+	length, ok := l.lookup(lengthKey{route, account})
+	if !ok {
+		length, ok = l.lookup(lengthKey{route: route})
+	}
+	if !ok {
+		length = Length{DefaultLength, DefaultLength}
+	}
+	if stated > 0 {
+		length.Mean = min(length.Mean, stated)
+		length.High = min(length.High, stated)
+	}
+	return length
+}
+
+// Observe records the output of a complete answer.
+func (l *Lengths) Observe(route, account string, output int) {
+	l.observe(lengthKey{route, account}, float64(output))
+	if account != "" {
+		l.observe(lengthKey{route: route}, float64(output))
+	}
+}
+
+// Size returns how many averages are held.
+func (l *Lengths) Size() int {
+	total := 0
+	for i := range l.shards {
+		shard := &l.shards[i]
+		shard.mu.Lock()
+		total += len(shard.entries)
+		shard.mu.Unlock()
+	}
+	return total
+}
+
+// Correct returns the estimate of a running request that has produced output
+// tokens so far.
+func Correct(estimate, output int) int {
+	if output < estimate {
+		return estimate
+	}
+	return int(math.Ceil(float64(output+1) * growth))
+}
+
+func (l *Lengths) shard(key lengthKey) *lengthShard {
+	hash := xxhash.Sum64String(key.route)*31 + xxhash.Sum64String(key.account)
+	return &l.shards[hash%shardCount]
+}
+
+func (l *Lengths) lookup(key lengthKey) (Length, bool) {
+	shard := l.shard(key)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	element, ok := shard.entries[key]
+	if !ok {
+		return Length{}, false
+	}
+	shard.recent.MoveToFront(element)
+	entry := element.Value.(*lengthEntry)
+	mean := max(1, int(math.Round(entry.mean)))
+	return Length{Mean: mean, High: mean + int(math.Ceil(highDeviations*entry.deviation))}, true
+}
+
+func (l *Lengths) observe(key lengthKey, output float64) {
+	shard := l.shard(key)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	element, ok := shard.entries[key]
+	if !ok {
+		element = shard.recent.PushFront(&lengthEntry{key: key})
+		shard.entries[key] = element
+		shard.evict()
+	}
+	shard.recent.MoveToFront(element)
+	element.Value.(*lengthEntry).add(output)
+}
+
+func (s *lengthShard) evict() {
+	for len(s.entries) > s.bound {
+		oldest := s.recent.Back()
+		s.recent.Remove(oldest)
+		delete(s.entries, oldest.Value.(*lengthEntry).key)
+	}
+}
+
+// add weighs the first observations equally, later ones exponentially.
+func (e *lengthEntry) add(output float64) {
+	e.count++
+	weight := max(gain, 1/float64(e.count))
+	if e.count == 1 {
+		e.mean = output
+		return
+	}
+	e.deviation += weight * (math.Abs(output-e.mean) - e.deviation)
+	e.mean += weight * (output - e.mean)
+}
--- /dev/null
+++ b/internal/routing/budget.go
@@ -0,0 +1,47 @@
+package routing
+
+import "sync/atomic"
+
+const (
+	// retryShare is the number of retries that each first attempt pays for.
+	retryShare = 0.1
+	// retryBurst is the most retries saved up.
+	retryBurst = 10
+	// budgetUnit is the fixed-point scale of a Budget.
+	budgetUnit = 1000
+)
+
+// Budget bounds retries to a share of first attempts, so that an outage does
+// not multiply load. It is safe for concurrent use, without locks.
+type Budget struct{ saved atomic.Int64 }
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget {
+	b := &Budget{}
+	b.saved.Store(retryBurst * budgetUnit)
+	return b
+}
+
+// Earn records a first attempt.
+func (b *Budget) Earn() {
+	for {
+		old := b.saved.Load()
+		next := min(old+retryShare*budgetUnit, retryBurst*budgetUnit)
+		if old == next || b.saved.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Spend takes one retry; it reports false when none is left.
+func (b *Budget) Spend() bool {
+	for {
+		old := b.saved.Load()
+		if old < budgetUnit {
+			return false
+		}
+		if b.saved.CompareAndSwap(old, old-budgetUnit) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/policies.go
@@ -0,0 +1,136 @@
+package routing
+
+// RoundRobin takes the candidates in turn.
+type RoundRobin struct{}
+
+// Name implements Policy.
+func (RoundRobin) Name() string { return "round_robin" }
+
+// Pick implements Policy.
+func (RoundRobin) Pick(ask Ask, candidates []Candidate) int {
+	return int(ask.Turn % uint64(len(candidates)))
+}
+
+// LeastTokens takes the candidate with the fewest outstanding tokens.
+type LeastTokens struct{}
+
+// Name implements Policy.
+func (LeastTokens) Name() string { return "least_tokens" }
+
+// Pick implements Policy.
+func (LeastTokens) Pick(ask Ask, candidates []Candidate) int {
+	return least(ask, candidates, func(c *Candidate) float64 { return float64(c.Outstanding) })
+}
+
+// TwoChoices takes the one with fewer outstanding tokens of two at random.
+type TwoChoices struct{}
+
+// Name implements Policy.
+func (TwoChoices) Name() string { return "two_choices" }
+
+// Pick implements Policy.
+func (TwoChoices) Pick(ask Ask, candidates []Candidate) int {
+	n := uint64(len(candidates))
+	first := int(mix(ask.Random, 0) % n)
+	second := int(mix(ask.Random, 1) % n)
+	if candidates[second].Outstanding < candidates[first].Outstanding {
+		return second
+	}
+	return first
+}
+
+// ExpectedWait takes the candidate on which the request is expected to end
+// first. Reused prefixes shorten the prefill, but only while the candidate's
+// load is within Bound times the mean load, so that affinity cannot pile work
+// on one target.
+type ExpectedWait struct {
+	// Bound is the load, relative to the mean, up to which reuse counts;
+	// 0 ignores reuse.
+	Bound float64
+}
+
+// DefaultBound is the usual Bound of ExpectedWait.
+const DefaultBound = 1.5
+
+// Name implements Policy.
+func (p ExpectedWait) Name() string {
+	if p.Bound == 0 {
+		return "expected_wait"
+	}
+	return "expected_wait_prefix"
+}
+
+// Pick implements Policy.
+func (p ExpectedWait) Pick(ask Ask, candidates []Candidate) int {
+	limit := p.Bound * (meanLoad(candidates) + loadOfOne(candidates))
+	return least(ask, candidates, func(c *Candidate) float64 {
+		prefill := float64(c.FirstToken)
+		if p.Bound > 0 && load(c) <= limit {
+			prefill *= 1 - c.Reuse
+		}
+		return prefill + float64(c.Decode)*float64(ask.Output) + backlog(c)
+	})
+}
+
+// PreferDomain restricts another policy to the caller's failure domain while a
+// candidate there is no busier than Bound times the mean.
+type PreferDomain struct {
+	Inner Policy
+	// Bound is the load, relative to the mean, up to which a candidate of the
+	// caller's domain is preferred.
+	Bound float64
+}
+
+// Name implements Policy.
+func (p PreferDomain) Name() string { return p.Inner.Name() + "_domain" }
+
+// Pick implements Policy.
+func (p PreferDomain) Pick(ask Ask, candidates []Candidate) int {
+	if ask.FailureDomain == "" {
+		return p.Inner.Pick(ask, candidates)
+	}
+	limit := p.Bound * (meanLoad(candidates) + loadOfOne(candidates))
+	near := make([]Candidate, 0, len(candidates))
+	index := make([]int, 0, len(candidates))
+	for i := range candidates {
+		if candidates[i].FailureDomain == ask.FailureDomain && load(&candidates[i]) <= limit {
+			near = append(near, candidates[i])
+			index = append(index, i)
+		}
+	}
+	if len(near) == 0 {
+		return p.Inner.Pick(ask, candidates)
+	}
+	return index[p.Inner.Pick(ask, near)]
+}
+
+// Default returns the policy that measurement chose; see
+// docs/design/pressure.md.
+func Default() Policy { return ExpectedWait{Bound: DefaultBound} }
+
+// backlog is the delay in nanoseconds that the work already on a candidate
+// adds: its outstanding tokens are computed side by side in its slots.
+func backlog(c *Candidate) float64 {
+	return float64(c.Outstanding) * float64(c.Decode) / float64(max(1, c.Slots))
+}
+
+func load(c *Candidate) float64 {
+	return float64(c.Running) / float64(max(1, c.Slots))
+}
+
+func meanLoad(candidates []Candidate) float64 {
+	total := 0.0
+	for i := range candidates {
+		total += load(&candidates[i])
+	}
+	return total / float64(len(candidates))
+}
+
+// loadOfOne is the mean load that one request adds.
+func loadOfOne(candidates []Candidate) float64 {
+	total := 0.0
+	for i := range candidates {
+		total += 1 / float64(max(1, candidates[i].Slots))
+	}
+	return total / float64(len(candidates))
+}
--- /dev/null
+++ b/internal/routing/prefix.go
@@ -0,0 +1,110 @@
+package routing
+
+import (
+	"container/list"
+	"sync"
+)
+
+// PrefixIndex estimates which prompt prefixes a target has cached. It learns
+// from own dispatches, at once, and from the target's cache events, which are
+// late and have gaps; it holds a bounded number of block hashes and forgets
+// the least recently used, as the target does. It is safe for concurrent use.
+type PrefixIndex struct {
+	// mu guards the fields below.
+	mu     sync.Mutex
+	bound  int
+	blocks map[uint64]*list.Element
+	recent *list.List
+}
+
+// CacheOp tells the cache events apart.
+type CacheOp uint8
+
+// The cache events.
+const (
+	// CacheStored says that the target has cached a block.
+	CacheStored CacheOp = iota + 1
+	// CacheEvicted says that the target has dropped a block.
+	CacheEvicted
+	// CacheGap stands for an unknown number of lost events.
+	CacheGap
+)
+
+// CacheEvent is one event of a target's prefix cache.
+type CacheEvent struct {
+	Op CacheOp
+	// Block is the hash of the prefix that ends with the block.
+	Block uint64
+}
+
+// gapKeep is the share of the blocks still believed in after a gap.
+const gapKeep = 0.5
+
+// NewPrefixIndex returns an index of at most bound blocks.
+func NewPrefixIndex(bound int) *PrefixIndex {
+	return &PrefixIndex{bound: bound, blocks: make(map[uint64]*list.Element), recent: list.New()}
+}
+
+// Match returns how many leading blocks of a prompt are probably cached. Since
+// each hash covers all text before it, it is found by bisection.
+func (p *PrefixIndex) Match(prefix []uint64) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	low, high := 0, len(prefix)
+	for low < high {
+		middle := (low + high + 1) / 2
+		if _, ok := p.blocks[prefix[middle-1]]; ok {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	return low
+}
+
+// Dispatched records that a prompt was sent to the target.
+func (p *PrefixIndex) Dispatched(prefix []uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(prefix) - 1; i >= 0; i-- {
+		p.store(prefix[i])
+	}
+}
+
+// Apply records the target's cache events.
+func (p *PrefixIndex) Apply(events []CacheEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, event := range events {
+		switch event.Op {
+		case CacheStored:
+			p.store(event.Block)
+		case CacheEvicted:
+			p.remove(event.Block)
+		case CacheGap:
+			p.shrink(int(float64(len(p.blocks)) * gapKeep))
+		}
+	}
+}
+
+func (p *PrefixIndex) store(block uint64) {
+	if element, ok := p.blocks[block]; ok {
+		p.recent.MoveToFront(element)
+		return
+	}
+	p.blocks[block] = p.recent.PushFront(block)
+	p.shrink(p.bound)
+}
+
+func (p *PrefixIndex) remove(block uint64) {
+	if element, ok := p.blocks[block]; ok {
+		p.recent.Remove(element)
+		delete(p.blocks, block)
+	}
+}
+
+func (p *PrefixIndex) shrink(size int) {
+	for len(p.blocks) > size {
+		p.remove(p.recent.Back().Value.(uint64))
+	}
+}
