Move versions by staged shares and concurrent evidence

Cause: a pool's new version must replace the old one by a deadline, or be taken back, while the platform's store and instances come and go.

--- /dev/null
+++ b/internal/evidence/ledger.go
@@ -0,0 +1,170 @@
+package evidence
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Key names one set of counters of an entry.
+type Key struct {
+	Version       string `msgpack:"v"`
+	Route         string `msgpack:"r"`
+	Target        string `msgpack:"t"`
+	FailureDomain string `msgpack:"d"`
+	Generation    string `msgpack:"g,omitempty"`
+	// Load is the class of concurrency at the target.
+	Load uint8 `msgpack:"l"`
+}
+
+// Histogram holds counts of consecutive buckets; the first element is the
+// index of the first bucket that follows.
+type Histogram []uint32
+
+// Counts are cumulative since the entry began to count the pool's move.
+type Counts struct {
+	Requests uint32 `msgpack:"n"`
+	// Failures are failed requests but for broken and unreachable ones.
+	Failures uint32 `msgpack:"f,omitempty"`
+	// Broken counts crashes seen at the target.
+	Broken uint32 `msgpack:"b,omitempty"`
+	// Busy is the sum of the requests' durations in milliseconds.
+	Busy uint64 `msgpack:"m"`
+	// First is the first-token time by class of uncached prompt size.
+	First [sizeBands]Histogram `msgpack:"p,omitempty"`
+	// Token is the time per output token.
+	Token Histogram `msgpack:"o,omitempty"`
+}
+
+// Record is the counters of one key.
+type Record struct {
+	Key    Key    `msgpack:"k"`
+	Counts Counts `msgpack:"c"`
+}
+
+// cell holds one key's counters; all fields are atomic.
+type cell struct {
+	requests atomic.Uint32
+	failures atomic.Uint32
+	broken   atomic.Uint32
+	// brokenAt is the time of the last counted crash in Unix nanoseconds.
+	brokenAt atomic.Int64
+	busy     atomic.Uint64
+	first    [sizeBands][Buckets]atomic.Uint32
+	token    [Buckets]atomic.Uint32
+}
+
+// crashSpacing is the least time between two crashes of one target.
+const crashSpacing = 10 * time.Second
+
+// maxCells bounds the memory of a ledger; further keys are not counted.
+const maxCells = 2048
+
+// Ledger counts one entry's requests to one pool. Add is called on the request
+// path by any number of goroutines and takes no lock for known keys.
+type Ledger struct {
+	cells sync.Map // Key to *cell
+	count atomic.Int32
+}
+
+// Add counts one observation made at now.
+func (l *Ledger) Add(o *Observation, now time.Time) {
+	c := l.cell(Key{o.Version, o.Route, o.Target, o.FailureDomain, o.Generation, loadBand(o.Running)})
+	if c == nil {
+		return
+	}
+	if o.Failed {
+		c.fail(o.Kind, now)
+		return
+	}
+	c.requests.Add(1)
+	c.busy.Add(uint64(o.Total / time.Millisecond))
+	if d, ok := o.firstPerToken(); ok {
+		c.first[sizeBand(o.uncached())][bucket(d)].Add(1)
+	}
+	if d, ok := o.perToken(); ok {
+		c.token[bucket(d)].Add(1)
+	}
+}
+
+func (c *cell) fail(kind FailureKind, now time.Time) {
+	switch kind {
+	case FailureUnreachable:
+	case FailureBroken:
+		last := c.brokenAt.Load()
+		if now.UnixNano()-last >= int64(crashSpacing) && c.brokenAt.CompareAndSwap(last, now.UnixNano()) {
+			c.broken.Add(1)
+		}
+	default:
+		c.requests.Add(1)
+		c.failures.Add(1)
+	}
+}
+
+func (l *Ledger) cell(key Key) *cell {
+	if found, ok := l.cells.Load(key); ok {
+		return found.(*cell)
+	}
+	if l.count.Add(1) > maxCells {
+		l.count.Add(-1)
+		return nil
+	}
+	found, loaded := l.cells.LoadOrStore(key, &cell{})
+	if loaded {
+		l.count.Add(-1)
+	}
+	return found.(*cell)
+}
+
+// Snapshot returns all counters, in no order.
+func (l *Ledger) Snapshot() []Record {
+	var records []Record
+	l.cells.Range(func(key, value any) bool {
+		records = append(records, Record{key.(Key), value.(*cell).counts()})
+		return true
+	})
+	return records
+}
+
+func (c *cell) counts() Counts {
+	counts := Counts{
+		Requests: c.requests.Load(), Failures: c.failures.Load(),
+		Broken: c.broken.Load(), Busy: c.busy.Load(), Token: pack(&c.token),
+	}
+	for band := range c.first {
+		counts.First[band] = pack(&c.first[band])
+	}
+	return counts
+}
+
+// pack keeps the range between the first and the last bucket in use.
+func pack(buckets *[Buckets]atomic.Uint32) Histogram {
+	var counts [Buckets]uint32
+	first, last := -1, -1
+	for i := range buckets {
+		counts[i] = buckets[i].Load()
+		if counts[i] == 0 {
+			continue
+		}
+		if first < 0 {
+			first = i
+		}
+		last = i
+	}
+	if first < 0 {
+		return nil
+	}
+	return append(Histogram{uint32(first)}, counts[first:last+1]...)
+}
+
+// unpack adds the histogram's counts, times sign, to dense.
+func (h Histogram) unpack(dense *[Buckets]int, sign int) {
+	if len(h) == 0 {
+		return
+	}
+	for i, count := range h[1:] {
+		if at := int(h[0]) + i; at < Buckets {
+			dense[at] += sign * int(count)
+		}
+	}
+}
--- /dev/null
+++ b/internal/evidence/verdict.go
@@ -0,0 +1,225 @@
+package evidence
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Finding is what the evidence says at the moment.
+type Finding int
+
+// The findings, by rising concern.
+const (
+	// Sound means that nothing speaks against the version.
+	Sound Finding = iota
+	// Doubtful means that the share must not rise.
+	Doubtful
+	// Bad means that the version is worse than the old one.
+	Bad
+)
+
+const (
+	// crashWeight is the part of the error rate given to crashes, loneWeight
+	// that given to comparisons with the old version's past.
+	crashWeight = 0.25
+	loneWeight  = 0.15
+	// doubt is the logarithm of the evidence from which the share is held.
+	doubt = 4
+	// confirm is the logarithm of the evidence that a second target must show.
+	confirm = 3
+	// lonePersist is how long evidence without a control must last.
+	lonePersist = 3 * time.Minute
+	// servedEnough is the number of requests that makes a target count.
+	servedEnough = 5
+	// servingFor is how long a target counts as serving after a request.
+	servingFor = time.Minute
+)
+
+// Verdict is the judge's answer.
+type Verdict struct {
+	Finding Finding
+	// Reason is a short text for people; empty when sound.
+	Reason string
+	// LogEvidence is the natural logarithm of the evidence against the
+	// version; at -ln(alpha) it is found bad.
+	LogEvidence float64
+	// Degraded is set while the old version does worse than usual.
+	Degraded bool
+	Totals   Totals
+	// Excluded are targets found to fail alone.
+	Excluded []string
+}
+
+// Verdict returns the present finding.
+func (j *Judge) Verdict(now time.Time) Verdict {
+	v := Verdict{
+		LogEvidence: j.log(), Totals: j.totals,
+		Degraded: now.Sub(j.oldWorse) < soundFor,
+	}
+	v.Totals.NewCrashes = j.crashes.events
+	for name := range j.excluded {
+		v.Excluded = append(v.Excluded, name)
+	}
+	slices.Sort(v.Excluded)
+	limit := -math.Log(j.options.Alpha)
+	lone := j.lone.log() + math.Log(loneWeight)
+	switch {
+	case j.crashLog() >= limit:
+		v.Finding, v.Reason = Bad, fmt.Sprintf("targets crash: %d crashes", j.crashes.events)
+	case v.LogEvidence >= limit && j.confirmed(now):
+		v.Finding, v.Reason = Bad, j.describe()
+	case !j.loneSince.IsZero() && now.Sub(j.loneSince) >= lonePersist:
+		v.Finding, v.Reason = Bad, "worse than the old version's past: "+metricNames[j.lone.worst()]
+	case v.LogEvidence >= doubt:
+		v.Finding, v.Reason = Doubtful, "in doubt: "+j.describe()
+	case lone >= limit:
+		v.Finding, v.Reason = Doubtful, "worse than the old version's past, without a control"
+	}
+	return v
+}
+
+func (j *Judge) crashLog() float64 { return j.crashes.log() + math.Log(crashWeight) }
+
+// log averages the pooled tests, those of the routes and that of crashes.
+func (j *Judge) log() float64 {
+	byRoute := math.Inf(-1)
+	for _, r := range j.routes {
+		byRoute = logAdd(byRoute, r.tests.log()+math.Log(r.weight))
+	}
+	rest := 1 - crashWeight - loneWeight
+	both := logAdd(j.pooled.log(), byRoute) + math.Log(rest/2)
+	return logAdd(both, j.crashLog())
+}
+
+// describe names the test with the strongest evidence.
+func (j *Judge) describe() string {
+	worst, route, strongest := j.pooled.worst(), "", j.pooled.log()
+	for name, r := range j.routes {
+		if l := r.tests.log() + math.Log(r.weight); l > strongest {
+			worst, route, strongest = r.tests.worst(), name, l
+		}
+	}
+	t := j.totals
+	text := fmt.Sprintf("%s; failed %d of %d, old %d of %d",
+		metricNames[worst], t.NewFailures, t.NewRequests, t.OldFailures, t.OldRequests)
+	if route != "" {
+		return "route " + route + ": " + text
+	}
+	return text
+}
+
+// serving returns how many targets of the new version served lately.
+func (j *Judge) serving(now time.Time) int {
+	count := 0
+	for _, t := range j.targets {
+		if now.Sub(t.lastSeen) < servingFor {
+			count++
+		}
+	}
+	return count
+}
+
+// confirmed tells whether a second target shows the badness, or whether there
+// is no second one to ask.
+func (j *Judge) confirmed(now time.Time) bool {
+	asked, agree := 0, 0
+	for name, t := range j.targets {
+		if j.excluded[name] || t.served < servedEnough || now.Sub(t.lastSeen) >= servingFor {
+			continue
+		}
+		asked++
+		if t.tests.log() >= confirm {
+			agree++
+		}
+	}
+	return asked < 2 || agree >= 2
+}
+
+// exclude sets aside a target that fails alone and starts the tests again,
+// with half of their weight, since they now choose what to look at.
+func (j *Judge) exclude(now time.Time) {
+	if j.log() < -math.Log(j.options.Alpha) || j.confirmed(now) {
+		return
+	}
+	if len(j.excluded) >= max(len(j.targets)/excludeShare, 1) {
+		return
+	}
+	worst, strongest := "", doubt+0.0
+	for name, t := range j.targets {
+		if l := t.tests.log(); l > strongest {
+			worst, strongest = name, l
+		}
+	}
+	if worst == "" || j.othersServed(worst) < excludeServed {
+		return
+	}
+	j.excluded[worst] = true
+	j.handicap += math.Ln2
+	j.reset()
+	j.Flush()
+}
+
+const (
+	// excludeShare bounds the excluded targets to one in so many.
+	excludeShare = 4
+	// excludeServed is how many requests the other targets must have served.
+	excludeServed = 20
+)
+
+func (j *Judge) othersServed(name string) int {
+	sum := 0
+	for other, t := range j.targets {
+		if other != name {
+			sum += t.served
+		}
+	}
+	return sum
+}
+
+// watchLone notes since when the evidence without a control is strong.
+func (j *Judge) watchLone(now time.Time) {
+	if j.lone.log()+math.Log(loneWeight) < -math.Log(j.options.Alpha) {
+		j.loneSince = time.Time{}
+		return
+	}
+	if j.loneSince.IsZero() {
+		j.loneSince = now
+	}
+}
+
+// Concurrency returns the mean number of requests running in the pool, at the
+// busiest of the last ticks.
+func (j *Judge) Concurrency() float64 { return j.busy.peak }
+
+// meter turns busy milliseconds into a concurrency.
+type meter struct {
+	sum  uint64
+	last time.Time
+	rate float64
+	peak float64
+}
+
+func (m *meter) add(ms uint64) { m.sum += ms }
+
+const (
+	meterPeriod = 5 * time.Second
+	meterKeep   = 0.7
+	meterFade   = 0.98
+)
+
+func (m *meter) tick(now time.Time) {
+	if m.last.IsZero() {
+		m.last, m.sum = now, 0
+		return
+	}
+	passed := now.Sub(m.last)
+	if passed < meterPeriod {
+		return
+	}
+	rate := float64(m.sum) / float64(passed.Milliseconds())
+	m.rate = m.rate*meterKeep + rate*(1-meterKeep)
+	m.peak = max(m.peak*meterFade, m.rate)
+	m.last, m.sum = now, 0
+}
--- /dev/null
+++ b/internal/move/message.go
@@ -0,0 +1,54 @@
+package move
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
+)
+
+// The first byte of a datagram of peer.KindCounter tells what follows.
+const (
+	tagReport = 'r'
+	tagStage  = 's'
+)
+
+// stageMessage is the judge's answer to a report: the newest row it knows and
+// a summary of its evidence.
+type stageMessage struct {
+	Kept    kept    `msgpack:"k"`
+	Summary Summary `msgpack:"s"`
+}
+
+// Summary is the evidence of a move in numbers.
+type Summary struct {
+	evidence.Totals `msgpack:"t"`
+	// LogEvidence is the natural logarithm of the evidence against the new
+	// version; the version is taken back at TakeBackAt.
+	LogEvidence float64 `json:"log_evidence" msgpack:"l"`
+	TakeBackAt  float64 `json:"take_back_at" msgpack:"a"`
+	// Excluded are targets that fail alone.
+	Excluded []string `json:"excluded_targets,omitempty" msgpack:"x,omitempty"`
+	// Degraded is set while the old version does worse than usual.
+	Degraded bool `json:"old_degraded,omitempty" msgpack:"d,omitempty"`
+	// Hold is why the share does not rise at the moment.
+	Hold string `json:"hold,omitempty" msgpack:"h,omitempty"`
+}
+
+func tagged(tag byte, body []byte) []byte { return append([]byte{tag}, body...) }
+
+func encodeStage(m *stageMessage) ([]byte, error) {
+	body, err := msgpack.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return tagged(tagStage, body), nil
+}
+
+// rumorBody is the body of a taken-back rumour.
+type rumorBody struct {
+	Deadline int64  `msgpack:"d"`
+	Reason   string `msgpack:"r"`
+}
+
+// maxReason bounds the reason in a rumour, in bytes.
+const maxReason = 200
--- /dev/null
+++ b/internal/move/row.go
@@ -0,0 +1,120 @@
+package move
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/platform"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// State is the state of a move.
+type State string
+
+// The states of a move, in their order. Done and TakenBack are final.
+const (
+	// Pending waits for a target that runs the new version.
+	Pending State = "pending"
+	// Loading waits for enough targets of the new version.
+	Loading State = "loading"
+	// Stages raises the share step by step.
+	Stages State = "stages"
+	// Watch has nearly all requests on the new version and keeps the old one
+	// warm with the rest, which is also the control group.
+	Watch State = "watch"
+	// Done has all requests on the new version.
+	Done State = "done"
+	// TakenBack has all requests on the old version.
+	TakenBack State = "taken_back"
+)
+
+// final tells whether the state has no successor within the same move.
+func (s State) final() bool { return s == Done || s == TakenBack }
+
+// Mark records that a version of a pool was taken back. It holds until the
+// version is named again, in a higher configuration and with another deadline.
+type Mark struct {
+	Version string `json:"version" msgpack:"v"`
+	// Rank is the configuration version in force when it was taken back.
+	Rank uint64 `json:"rank" msgpack:"k"`
+	// Deadline is that of the move, in Unix milliseconds.
+	Deadline int64  `json:"deadline_ms" msgpack:"d"`
+	Reason   string `json:"reason" msgpack:"r"`
+}
+
+// lifted tells whether the configuration names the version again.
+func (m *Mark) lifted(config uint64, pool *tables.Pool) bool {
+	return config > m.Rank && pool.Version == m.Version &&
+		!pool.Deadline.IsZero() && pool.Deadline.UnixMilli() != m.Deadline
+}
+
+// Row is the agreed state of a pool's move: the value of the row ("moves",
+// pool) of the table service.
+type Row struct {
+	Pool string `json:"pool" msgpack:"p"`
+	// Old is the version to return to; empty when the pool never moved.
+	Old string `json:"old" msgpack:"o"`
+	New string `json:"new" msgpack:"n"`
+	// Rank is the configuration version that named New.
+	Rank     uint64    `json:"rank" msgpack:"k"`
+	Deadline time.Time `json:"deadline,omitzero" msgpack:"d"`
+	State    State     `json:"state" msgpack:"s"`
+	// Stage counts the steps of the share, from 0.
+	Stage int `json:"stage" msgpack:"g"`
+	// Share is the part of the requests that may go to New.
+	Share float64 `json:"share" msgpack:"h"`
+	// Started is when the move began, Since when the stage did.
+	Started time.Time `json:"started,omitzero" msgpack:"b"`
+	Since   time.Time `json:"since,omitzero" msgpack:"c"`
+	// Until is when the stage should end, Latest when it ends even though few
+	// requests came or the whole pool is slow.
+	Until  time.Time `json:"until,omitzero" msgpack:"u"`
+	Latest time.Time `json:"latest,omitzero" msgpack:"l"`
+	Reason string    `json:"reason,omitempty" msgpack:"r,omitempty"`
+	// Marks are the versions taken back lately, the newest first.
+	Marks []Mark `json:"marks,omitempty" msgpack:"m,omitempty"`
+}
+
+// maxMarks bounds the marks kept in a row.
+const maxMarks = 6
+
+// mark returns the row's mark for a version.
+func (r *Row) mark(version string) (Mark, bool) {
+	for _, m := range r.Marks {
+		if m.Version == version {
+			return m, true
+		}
+	}
+	return Mark{}, false
+}
+
+// withMark returns the marks with m in front.
+func (r *Row) withMark(m Mark) []Mark {
+	marks := []Mark{m}
+	for _, other := range r.Marks {
+		if other.Version != m.Version && len(marks) < maxMarks {
+			marks = append(marks, other)
+		}
+	}
+	return marks
+}
+
+// table is the table of moves.
+const table = "moves"
+
+func rowKey(pool string) platform.Key { return platform.Key{Table: table, ID: pool} }
+
+// kept is a row with its version in the table service; Version 0 means that
+// there is no row.
+type kept struct {
+	Row     Row              `msgpack:"r"`
+	Version platform.Version `msgpack:"v"`
+}
+
+func decodeRow(row platform.Row) (kept, error) {
+	var value Row
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return kept{}, err
+	}
+	return kept{value, row.Version}, nil
+}
--- /dev/null
+++ b/internal/move/status.go
@@ -0,0 +1,123 @@
+package move
+
+import (
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// Status is what operators read about the move of one pool.
+type Status struct {
+	Pool string `json:"pool"`
+	// State is "under way", "done" or "taken back".
+	State string `json:"state"`
+	// Phase is the state in detail.
+	Phase      State  `json:"phase"`
+	OldVersion string `json:"old_version,omitempty"`
+	NewVersion string `json:"new_version"`
+	// Stage counts from 1 of Stages while the share rises.
+	Stage  int `json:"stage,omitempty"`
+	Stages int `json:"stages,omitempty"`
+	// Share is the part of the requests that may go to the new version.
+	Share    float64   `json:"share"`
+	Deadline time.Time `json:"deadline,omitzero"`
+	// TimeLeft is the time to the deadline; negative after it.
+	TimeLeft tables.Duration `json:"time_left,omitempty"`
+	OnTrack  bool            `json:"on_track"`
+	Reason   string          `json:"reason,omitempty"`
+	Evidence *Summary        `json:"evidence,omitempty"`
+}
+
+// The values of Status.State.
+const (
+	UnderWay     = "under way"
+	StatusDone   = "done"
+	StatusReturn = "taken back"
+)
+
+// Status returns the state of all pools, in the order of the configuration.
+func (m *Manager) Status() []Status {
+	config := m.options.Tables()
+	if config == nil {
+		return nil
+	}
+	now := m.options.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]Status, 0, len(config.Pools))
+	for i := range config.Pools {
+		named := &config.Pools[i]
+		all = append(all, m.status(m.pool(named.Name), named, config.Version, now))
+	}
+	return all
+}
+
+func (m *Manager) status(p *pool, named *tables.Pool, config uint64, now time.Time) Status {
+	row := p.kept.Row
+	if p.kept.Version == 0 || row.New != named.Version && config > row.Rank {
+		return unjudgedStatus(named, now)
+	}
+	if mark := p.standing(row.New, named, config); mark != nil {
+		row = takenBack(row, *mark)
+	}
+	s := Status{
+		Pool: p.name, State: UnderWay, Phase: row.State, OldVersion: row.Old, NewVersion: row.New,
+		Share: row.Share, Deadline: row.Deadline, Reason: row.Reason,
+	}
+	switch row.State {
+	case Done:
+		s.State = StatusDone
+	case TakenBack:
+		s.State = StatusReturn
+	case Stages, Watch:
+		s.Stage, s.Stages = row.Stage+1, len(steps)
+	}
+	if row.Old != "" {
+		s.Evidence = p.summary()
+	}
+	if row.State.final() {
+		s.OnTrack = row.State == Done
+		return s
+	}
+	s.TimeLeft = tables.Duration(row.Deadline.Sub(now).Round(time.Second))
+	s.OnTrack, s.Reason = m.outlook(&row, p.heard.Hold, now)
+	return s
+}
+
+// summary returns the judge's evidence, nil when none was heard.
+func (p *pool) summary() *Summary {
+	if p.heard.TakeBackAt == 0 {
+		return nil
+	}
+	heard := p.heard
+	return &heard
+}
+
+// outlook returns whether the deadline can be met, and the reason of the row
+// or of the delay.
+func (m *Manager) outlook(row *Row, hold string, now time.Time) (bool, string) {
+	capped := (row.State == Stages || row.State == Watch) && row.Share < steps[row.Stage].share
+	ok, late := onTrack(row, now, capped)
+	switch {
+	case m.outage:
+		return ok, "held: the table service does not answer"
+	case !ok:
+		return ok, late
+	case hold != "":
+		return ok, hold
+	default:
+		return ok, row.Reason
+	}
+}
+
+func unjudgedStatus(named *tables.Pool, now time.Time) Status {
+	s := Status{Pool: named.Name, Phase: Done, State: StatusDone, NewVersion: named.Version, Share: 1, OnTrack: true}
+	if named.Deadline.IsZero() {
+		return s
+	}
+	s.State, s.Phase, s.Share, s.Deadline = UnderWay, Pending, 0, named.Deadline
+	s.TimeLeft = tables.Duration(named.Deadline.Sub(now).Round(time.Second))
+	s.OnTrack = named.Deadline.After(now)
+	s.Reason = "no judge has taken up the move"
+	return s
+}
