Add answers, handles, claims and the ledger of keyed requests

Cause: requests must be dispatched at most once and answered truthfully, also after the death or pause of any instance and with the table service down.

Change: internal/answer records answers for many readers; internal/handle signs self-describing handles; internal/once holds claims (non-idempotent requests), leased shards, the keeper's ledger and the forwarders' records.

Conclusion: the core is ready to be wired; shards and ledger still need their failure tests.

--- /dev/null
+++ b/internal/answer/store.go
@@ -0,0 +1,179 @@
+package answer
+
+import (
+	"container/list"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+)
+
+// storePartCount is the number of independently locked parts of a Store.
+const storePartCount = 64
+
+// StoreOptions set the bounds of a Store.
+type StoreOptions struct {
+	// Clock ages answers; nil means the real clock.
+	Clock clockwork.Clock
+	// Bytes bounds the body bytes kept of ended answers; 0 means
+	// DefaultStoreBytes.
+	Bytes int64
+	// Keep is how long an ended answer is kept; 0 means DefaultKeep.
+	Keep time.Duration
+	// Limit and Stall are the options of its answers.
+	Limit int
+	Stall time.Duration
+}
+
+// Defaults of StoreOptions.
+const (
+	// DefaultStoreBytes bounds the bytes of a store.
+	DefaultStoreBytes = 16 << 20
+	// DefaultKeep is how long an ended answer is kept.
+	DefaultKeep = 2 * time.Minute
+)
+
+// Store keeps answers under one or more names (handles, idempotency keys) for
+// a while. It is bounded in bytes and in time. Open answers are always kept.
+type Store struct {
+	options StoreOptions
+	bytes   atomic.Int64
+	parts   [storePartCount]storePart
+}
+
+// storePart holds the names that hash to it.
+type storePart struct {
+	// mu guards the fields below.
+	mu      sync.Mutex
+	entries map[string]*list.Element
+	// order holds *storeEntry, oldest first.
+	order list.List
+}
+
+type storeEntry struct {
+	name   string
+	answer *Answer
+}
+
+// NewStore returns an empty store.
+func NewStore(options StoreOptions) *Store {
+	if options.Clock == nil {
+		options.Clock = clockwork.NewRealClock()
+	}
+	if options.Bytes == 0 {
+		options.Bytes = DefaultStoreBytes
+	}
+	if options.Keep == 0 {
+		options.Keep = DefaultKeep
+	}
+	s := &Store{options: options}
+	for i := range s.parts {
+		s.parts[i].entries = make(map[string]*list.Element)
+	}
+	return s
+}
+
+// New returns an open answer whose bytes count against the store. Put it under
+// its names.
+func (s *Store) New(after uint64) *Answer {
+	return New(Options{
+		Clock: s.options.Clock, Limit: s.options.Limit, Stall: s.options.Stall,
+		After: after, Meter: &s.bytes,
+	})
+}
+
+// Put keeps the answer under a name, in place of an older one.
+func (s *Store) Put(name string, answer *Answer) {
+	part := s.part(name)
+	part.mu.Lock()
+	if old, ok := part.entries[name]; ok {
+		part.order.Remove(old)
+	}
+	part.entries[name] = part.order.PushBack(&storeEntry{name, answer})
+	part.mu.Unlock()
+	s.trim(name)
+}
+
+// Get returns the answer under a name, or nil.
+func (s *Store) Get(name string) *Answer {
+	part := s.part(name)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	element, ok := part.entries[name]
+	if !ok {
+		return nil
+	}
+	entry := element.Value.(*storeEntry)
+	if s.tooOld(entry.answer) {
+		part.remove(element)
+		entry.answer.Forget()
+		return nil
+	}
+	return entry.answer
+}
+
+// Remove forgets a name.
+func (s *Store) Remove(name string) {
+	part := s.part(name)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	if element, ok := part.entries[name]; ok {
+		part.remove(element)
+	}
+}
+
+// Bytes returns the body bytes held by the store's answers.
+func (s *Store) Bytes() int64 { return s.bytes.Load() }
+
+// Age drops all answers past their time. Call it every few seconds.
+func (s *Store) Age() {
+	for i := range s.parts {
+		s.parts[i].drop(func(a *Answer) bool { return s.tooOld(a) })
+	}
+}
+
+// trim frees ended answers while the store is over its bound, first in the
+// part of the name.
+func (s *Store) trim(name string) {
+	start := xxhash.Sum64String(name)
+	for i := uint64(0); i < storePartCount && s.over(); i++ {
+		s.parts[(start+i)%storePartCount].drop(func(a *Answer) bool {
+			_, ended := a.Ended()
+			return ended && s.over()
+		})
+	}
+}
+
+func (s *Store) over() bool { return s.bytes.Load() > s.options.Bytes }
+
+func (s *Store) tooOld(a *Answer) bool {
+	ended, ok := a.Ended()
+	return ok && s.options.Clock.Since(ended) > s.options.Keep
+}
+
+func (s *Store) part(name string) *storePart {
+	return &s.parts[xxhash.Sum64String(name)%storePartCount]
+}
+
+// drop forgets the answers that meet the condition, oldest first.
+func (p *storePart) drop(condition func(*Answer) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for element := p.order.Front(); element != nil; {
+		next := element.Next()
+		entry := element.Value.(*storeEntry)
+		if condition(entry.answer) {
+			p.remove(element)
+			entry.answer.Forget()
+		}
+		element = next
+	}
+}
+
+// remove takes an entry out; p.mu is held.
+func (p *storePart) remove(element *list.Element) {
+	p.order.Remove(element)
+	delete(p.entries, element.Value.(*storeEntry).name)
+}
--- /dev/null
+++ b/internal/once/batch.go
@@ -0,0 +1,161 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/platform"
+)
+
+const (
+	// maxBatchWrites bounds the writes of one transaction.
+	maxBatchWrites = 64
+	// commitTimeout bounds one transaction.
+	commitTimeout = 5 * time.Second
+)
+
+// batcher puts the writes of concurrent requests into shared transactions: all
+// that arrive while a transaction is under way go into the next. A write that
+// conflicts does not hold up the others.
+type batcher struct {
+	table platform.TableService
+	clock clockwork.Clock
+	wake  chan struct{}
+
+	// mu guards queue.
+	mu    sync.Mutex
+	queue []*queuedWrite
+}
+
+// queuedWrite is one write and its result.
+type queuedWrite struct {
+	write platform.Write
+	// done gets exactly one result; its buffer holds it.
+	done chan error
+	// taken is set once the write is part of a transaction; batcher.mu guards it.
+	taken bool
+}
+
+func newBatcher(table platform.TableService, clock clockwork.Clock) *batcher {
+	return &batcher{table: table, clock: clock, wake: make(chan struct{}, 1)}
+}
+
+// commit carries out one write. A conflict gives a *platform.ConflictError with
+// one row. When ctx ends first the result is ErrUnavailable if the write was
+// withdrawn in time, and ErrOutcomeUnknown otherwise.
+func (b *batcher) commit(ctx context.Context, write platform.Write) error {
+	queued := &queuedWrite{write: write, done: make(chan error, 1)}
+	b.mu.Lock()
+	b.queue = append(b.queue, queued)
+	b.mu.Unlock()
+	b.signal()
+	select {
+	case err := <-queued.done:
+		return err
+	case <-ctx.Done():
+		return b.withdraw(queued)
+	}
+}
+
+func (b *batcher) signal() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *batcher) withdraw(queued *queuedWrite) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if queued.taken {
+		return platform.ErrOutcomeUnknown
+	}
+	for i, q := range b.queue {
+		if q == queued {
+			b.queue = append(b.queue[:i], b.queue[i+1:]...)
+			break
+		}
+	}
+	return platform.ErrUnavailable
+}
+
+// run carries out transactions until ctx ends.
+func (b *batcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.wake:
+		}
+		for batch := b.take(); len(batch) > 0; batch = b.take() {
+			b.execute(ctx, batch)
+		}
+	}
+}
+
+// take removes the next batch from the queue. It holds one write for each row,
+// since two insertions of one row in one transaction would both succeed.
+func (b *batcher) take() []*queuedWrite {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var batch, rest []*queuedWrite
+	rows := make(map[platform.Key]bool)
+	for _, q := range b.queue {
+		if len(batch) == maxBatchWrites || rows[q.write.Key] {
+			rest = append(rest, q)
+			continue
+		}
+		rows[q.write.Key] = true
+		q.taken = true
+		batch = append(batch, q)
+	}
+	b.queue = rest
+	return batch
+}
+
+// execute commits a batch, drops the writes that conflict and tries the rest
+// again until they succeed or fail together.
+func (b *batcher) execute(ctx context.Context, batch []*queuedWrite) {
+	for len(batch) > 0 {
+		err := b.transact(ctx, batch)
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) || len(conflict.Indexes) == 0 {
+			for _, q := range batch {
+				q.done <- err
+			}
+			return
+		}
+		batch = dropConflicting(batch, conflict)
+	}
+}
+
+func (b *batcher) transact(ctx context.Context, batch []*queuedWrite) error {
+	writes := make([]platform.Write, len(batch))
+	for i, q := range batch {
+		writes[i] = q.write
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, b.clock, commitTimeout)
+	defer cancel()
+	return b.table.Commit(ctx, writes)
+}
+
+func dropConflicting(batch []*queuedWrite, conflict *platform.ConflictError) []*queuedWrite {
+	found := make(map[int]platform.Row, len(conflict.Indexes))
+	for i, index := range conflict.Indexes {
+		found[index] = conflict.Rows[i]
+	}
+	var rest []*queuedWrite
+	for i, q := range batch {
+		row, conflicts := found[i]
+		if !conflicts {
+			rest = append(rest, q)
+			continue
+		}
+		q.done <- &platform.ConflictError{Indexes: []int{0}, Rows: []platform.Row{row}}
+	}
+	return rest
+}
--- /dev/null
+++ b/internal/once/forwards.go
@@ -0,0 +1,205 @@
+package once
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// DefaultResendWindow is how long after its end a keyed request is
+	// remembered.
+	DefaultResendWindow = 2 * time.Minute
+	// maxForwards bounds the records of one instance.
+	maxForwards = 1 << 16
+)
+
+// Dispatched tells where a keyed request runs, so that it can be resumed.
+type Dispatched struct {
+	// Instance is the name of the keeper that dispatched it.
+	Instance string `json:"instance"`
+	// Handle is the request's handle at that keeper.
+	Handle string `json:"handle,omitempty"`
+	// Target is the target's "ip:port"; empty when it is not known.
+	Target string `json:"target,omitempty"`
+	// RequestID is the run's id at the target.
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// Record is what an instance other than the keeper knows of a keyed request.
+// It says that the request may have been dispatched.
+type Record struct {
+	Key        Key        `json:"key"`
+	Hash       BodyHash   `json:"hash"`
+	Dispatched Dispatched `json:"dispatched"`
+}
+
+// forwardParts is the number of independently locked parts of Forwards.
+const forwardParts = 64
+
+// Forwards remembers the keyed requests that this instance has forwarded to
+// their keepers, and those of which it was asked to keep a copy. After a
+// keeper's death its successor collects them.
+type Forwards struct {
+	clock  clockwork.Clock
+	window time.Duration
+	count  atomic.Int64
+	parts  [forwardParts]forwardPart
+}
+
+// forwardPart holds the keys whose shard falls to it.
+type forwardPart struct {
+	// mu guards records.
+	mu      sync.Mutex
+	records map[Key]*forward
+}
+
+// forward is one record with its use.
+type forward struct {
+	record Record
+	// open is the number of callers still served.
+	open int
+	// maybe is set once an attempt has ended without proof that it was not
+	// dispatched.
+	maybe bool
+	// ended is when the last of them was.
+	ended time.Time
+}
+
+// NewForwards returns an empty memory; zero window means DefaultResendWindow.
+func NewForwards(clock clockwork.Clock, window time.Duration) *Forwards {
+	if clock == nil {
+		clock = clockwork.NewRealClock()
+	}
+	if window == 0 {
+		window = DefaultResendWindow
+	}
+	f := &Forwards{clock: clock, window: window}
+	for i := range f.parts {
+		f.parts[i].records = make(map[Key]*forward)
+	}
+	return f
+}
+
+// Note must be called before a request is forwarded to its keeper, and Done
+// once its caller has been answered. Note fails with a not_run refusal when too
+// many requests are remembered.
+func (f *Forwards) Note(key Key, hash BodyHash, keeper string) error {
+	part := f.part(key)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	known := part.records[key]
+	if known == nil {
+		if f.count.Load() >= maxForwards {
+			return refuseNotRun("too many keyed requests are remembered here")
+		}
+		known = f.add(part, key)
+		known.record = Record{Key: key, Hash: hash, Dispatched: Dispatched{Instance: keeper}}
+	}
+	known.open++
+	return nil
+}
+
+// Dispatched notes the keeper's word that the request goes to a target.
+func (f *Forwards) Dispatched(key Key, at Dispatched) {
+	part := f.part(key)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	if known := part.records[key]; known != nil {
+		known.record.Dispatched = at
+	}
+}
+
+// Done ends what Note began. NotRun tells that the keeper, or the failure to
+// reach it, proved that the request was not dispatched.
+func (f *Forwards) Done(key Key, notRun bool) {
+	part := f.part(key)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	known := part.records[key]
+	if known == nil {
+		return
+	}
+	known.open--
+	known.ended = f.clock.Now()
+	known.maybe = known.maybe || !notRun
+	if known.open <= 0 && !known.maybe {
+		f.remove(part, key)
+	}
+}
+
+// keep stores copies of other instances' records.
+func (f *Forwards) keep(records []Record) bool {
+	if f.count.Load()+int64(len(records)) > maxForwards {
+		return false
+	}
+	for _, r := range records {
+		f.keepOne(r)
+	}
+	return true
+}
+
+func (f *Forwards) keepOne(r Record) {
+	part := f.part(r.Key)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	known := part.records[r.Key]
+	if known == nil {
+		known = f.add(part, r.Key)
+	}
+	known.record = r
+	known.maybe = true
+	known.ended = f.clock.Now()
+}
+
+// collect returns the records that meet the condition.
+func (f *Forwards) collect(wanted func(Key) bool) []Record {
+	var found []Record
+	for i := range f.parts {
+		part := &f.parts[i]
+		part.mu.Lock()
+		for key, known := range part.records {
+			if wanted(key) {
+				found = append(found, known.record)
+			}
+		}
+		part.mu.Unlock()
+	}
+	return found
+}
+
+// Age forgets the records past their time. Ledger.Run calls it.
+func (f *Forwards) Age() {
+	now := f.clock.Now()
+	for i := range f.parts {
+		part := &f.parts[i]
+		part.mu.Lock()
+		for key, known := range part.records {
+			if known.open <= 0 && now.Sub(known.ended) > f.window {
+				f.remove(part, key)
+			}
+		}
+		part.mu.Unlock()
+	}
+}
+
+// Count returns the number of records.
+func (f *Forwards) Count() int { return int(f.count.Load()) }
+
+func (f *Forwards) part(key Key) *forwardPart { return &f.parts[key.Shard()%forwardParts] }
+
+// add makes an empty record; part.mu is held.
+func (f *Forwards) add(part *forwardPart, key Key) *forward {
+	added := &forward{}
+	part.records[key] = added
+	f.count.Add(1)
+	return added
+}
+
+// remove forgets a record; part.mu is held.
+func (f *Forwards) remove(part *forwardPart, key Key) {
+	delete(part.records, key)
+	f.count.Add(-1)
+}
--- /dev/null
+++ b/internal/once/lease.go
@@ -0,0 +1,151 @@
+package once
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/membership"
+	"github.com/hibiscuspost/hibiscuspost/internal/platform"
+)
+
+const (
+	// leaseTable holds one row for each live lease, by lease id. A lease id is
+	// never used twice, so that a row's version never starts again.
+	leaseTable = "leases"
+	// shardTable holds one row for each shard that was ever held. Rows are
+	// never deleted, so that their versions only rise.
+	shardTable = "shards"
+)
+
+// Times of leases. They are the same at all instances.
+const (
+	// LeaseTTL is how long a lease lives after its last renewal.
+	LeaseTTL = 8 * time.Second
+	// RenewEvery is the pause between renewals.
+	RenewEvery = 4 * time.Second
+	// LeaseMargin is how much earlier a holder stops; it allows for clocks that
+	// run at different speeds.
+	LeaseMargin = time.Second
+	// VouchTTL is how long the word of all witnesses extends a lease.
+	VouchTTL = time.Second
+	// VouchMargin is how much earlier a holder stops on witnesses' words.
+	VouchMargin = 200 * time.Millisecond
+	// VouchEvery is the pause between questions to the witnesses.
+	VouchEvery = 250 * time.Millisecond
+	// vouchAfter is the age of the last renewal from which on the witnesses are
+	// asked.
+	vouchAfter = RenewEvery + time.Second
+	// OutageLimit bounds for how long a holder goes on without the table
+	// service, and so how long a successor waits when no witness answers.
+	OutageLimit = 30 * time.Minute
+	// witnessCount is the number of witnesses of a lease.
+	witnessCount = 2
+)
+
+// witness is an instance that can extend a lease while the table service is
+// down, and can end that for a successor.
+type witness struct {
+	Name        string `msgpack:"n"`
+	PeerAddress string `msgpack:"p"`
+	Incarnation uint64 `msgpack:"i"`
+}
+
+// leaseRow is the content of a lease's row.
+type leaseRow struct {
+	Witnesses []witness `msgpack:"w"`
+	// Solo is set when the holder saw no other instance, so that its records
+	// exist nowhere else.
+	Solo bool `msgpack:"s,omitempty"`
+	// EndedMillis is the wall clock of the successor that ended the lease, in
+	// ms since 1970; 0 for a live lease. A lease does not come back.
+	EndedMillis int64 `msgpack:"e,omitempty"`
+}
+
+// shardRow is the content of a shard's row.
+type shardRow struct {
+	// Lease is the holder's lease id; empty for a released shard.
+	Lease string `msgpack:"l"`
+	// Holder is the instance that holds, or last held, the shard.
+	Holder membership.Member `msgpack:"h"`
+	// Heir is the "name/incarnation" of the instance that was given all records
+	// of a released shard.
+	Heir string `msgpack:"n,omitempty"`
+	// Origin is what the holder found when it took the shard, for the case that
+	// the answer to that write is lost.
+	Origin Acquired `msgpack:"o"`
+}
+
+func encodeRow(value any) []byte {
+	raw, err := msgpack.Marshal(value)
+	if err != nil {
+		panic(errors.Wrap(err, "encode row")) // row types have no field that can fail
+	}
+	return raw
+}
+
+func leaseKey(id string) platform.Key { return platform.Key{Table: leaseTable, ID: id} }
+
+func shardKey(shard Shard) platform.Key {
+	return platform.Key{Table: shardTable, ID: strconv.Itoa(int(shard))}
+}
+
+// duty is the rendezvous key of a shard.
+func (s Shard) duty() string { return "shard/" + strconv.Itoa(int(s)) }
+
+// identity tells processes with one name apart.
+func identity(m membership.Member) string {
+	return m.Name + "/" + strconv.FormatUint(m.Incarnation, 16)
+}
+
+// present tells whether the very process is in the view.
+func present(view *membership.View, name string, incarnation uint64) bool {
+	for _, m := range view.Members {
+		if m.Name == name && m.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// placement is the owner of every shard in one view.
+type placement struct {
+	view   *membership.View
+	owners [ShardCount]membership.Member
+}
+
+func newPlacement(view *membership.View) *placement {
+	p := &placement{view: view}
+	for shard := range p.owners {
+		p.owners[shard] = membership.Owner(view, Shard(shard).duty())
+	}
+	return p
+}
+
+// chooseWitnesses picks witnesses in failure domains other than the holder's
+// and each other's, as far as there are any.
+func chooseWitnesses(view *membership.View) []witness {
+	ranked := membership.Ranked(view, "witness/"+view.Self.Name)
+	used := map[string]bool{view.Self.FailureDomain: true}
+	var first, rest []membership.Member
+	for _, m := range ranked {
+		switch {
+		case m.Name == view.Self.Name || m.Leaving:
+		case used[m.FailureDomain]:
+			rest = append(rest, m)
+		default:
+			used[m.FailureDomain] = true
+			first = append(first, m)
+		}
+	}
+	var chosen []witness
+	for _, m := range append(first, rest...) {
+		if len(chosen) == witnessCount {
+			break
+		}
+		chosen = append(chosen, witness{m.Name, m.PeerAddress, m.Incarnation})
+	}
+	return chosen
+}
