Carry requests out by grade: plain, kept by key, claimed

Cause: requests were sent round robin and a cancellation with one key ran twice in the demonstration. Change: the executor waits for a target by credits, takes the right to dispatch from the key's keeper or the table service just before the first byte, records the answer for all who follow it, and resumes it at any instance by its handle. An instance wires membership, moves, admission and the keepers together, and hands its duties over before it ends.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -45,7 +45,7 @@
 		err = errors.CombineErrors(err, c.close(stopCtx))
 	}()
 	steps := []func(context.Context, io.Writer, *cluster) error{
-		applyTables, showStream, showPlainCall,
+		applyTables, showStream, showPlainCall, showOnce,
 	}
 	for _, step := range steps {
 		if err := step(ctx, out, c); err != nil {
@@ -229,6 +229,24 @@
 	return err
 }
 
+func showOnce(ctx context.Context, out io.Writer, c *cluster) error {
+	const path, key, body = "/billing/cancel", "cancel-4711", `{"subscription":"seat-pack"}`
+	first, err := echoed(ctx, c.instances[0].CallersURL()+path, key, body)
+	if err != nil {
+		return err
+	}
+	second, err := echoed(ctx, c.instances[2].CallersURL()+path, key, body)
+	if err != nil {
+		return err
+	}
+	runs := c.service.RunsByKey()[target.AccountKey{Account: "franchise-7", Key: key}]
+	if runs != 1 || first != second {
+		return errors.Newf("the cancellation ran %d times, answers %+v and %+v", runs, first, second)
+	}
+	_, err = fmt.Fprintln(out, "cancellation sent twice with one key, through entry-1 and entry-3: ran once, both got its answer")
+	return err
+}
+
 func short(handle string) string {
 	const shown = 8
 	return handle[:min(shown, len(handle))]
--- a/internal/demo/tables.go
+++ b/internal/demo/tables.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/handle"
 )
 
 // routes is the sample table of routes.
@@ -42,10 +44,14 @@
 }
 
 // ranAt names the engine that ran a request, by the engines' own logs.
-func (c *cluster) ranAt(handle string) string {
+func (c *cluster) ranAt(text string) string {
+	named, err := handle.Decode([]byte(peerSecret), text)
+	if err != nil {
+		return "no engine"
+	}
 	for i, engine := range c.engines {
 		for _, run := range engine.Log() {
-			if run.RequestID == handle {
+			if run.RequestID == named.RequestID {
 				return fmt.Sprintf("engine-%d", i+1)
 			}
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,18 +1,19 @@
 // Package entry serves callers over HTTP: it turns a request into an executor
-// call and the answer's parts into a response as they arrive.
+// call and the recorded answer into a response, part by part as it comes.
 package entry
 
 import (
 	"context"
 	"net"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/google/uuid"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/answer"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/executor"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
@@ -22,14 +23,15 @@
 // Header fields of the contract with callers.
 const (
 	HeaderAccount = "Hibiscus-Account"
-	HeaderRequest = "Hibiscus-Request"
+	HeaderRequest = executor.HeaderRequest
 	HeaderKey     = "Idempotency-Key"
 )
 
-// Runner carries calls out.
+// Runner carries calls out; see executor.Executor.
 type Runner interface {
-	// Execute carries out one call; see executor.Executor.
-	Execute(ctx context.Context, call *executor.Call, sink executor.Sink) error
+	Execute(ctx context.Context, call *executor.Call) (*executor.Execution, error)
+	Resume(ctx context.Context, account, handle string, after uint64) (*executor.Execution, error)
+	ResumeLocal(account, handle string) (*executor.Execution, error)
 }
 
 // Options are what a server works with.
@@ -37,8 +39,8 @@
 	Runner Runner
 	Limits settings.Limits
 	Logger *zap.Logger
-	// NewHandle names a request; nil means random handles.
-	NewHandle func(account string) string
+	// Secret proves that a request comes from another instance.
+	Secret []byte
 	// Ready tells why the instance takes no new work, or nil.
 	Ready func() error
 }
@@ -47,18 +49,13 @@
 type Server struct {
 	Options
 	app *fiber.App
-	// base ends all requests when it is cancelled.
+	// base ends all responses when it is cancelled.
 	base context.Context
 	stop context.CancelFunc
-	// running holds the executions.
-	running conc.WaitGroup
 }
 
 // New returns a server; Serve starts it.
 func New(options Options) *Server {
-	if options.NewHandle == nil {
-		options.NewHandle = func(string) string { return uuid.NewString() }
-	}
 	s := &Server{Options: options}
 	s.base, s.stop = context.WithCancel(context.Background())
 	s.app = fiber.New(fiber.Config{
@@ -71,6 +68,7 @@
 	})
 	s.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.ready)
+	s.app.Get(executor.PathRequests+":handle", s.resume)
 	s.app.All("/*", s.handle)
 	return s
 }
@@ -78,37 +76,62 @@
 // Serve serves callers on the listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error { return s.app.Listener(listener) }
 
-// Shutdown stops accepting connections and waits for the running requests,
-// until the context ends; then it cancels them.
+// Shutdown stops accepting connections and waits for the open responses; when
+// the context ends first it cuts them.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.app.ShutdownWithContext(ctx)
+	defer context.AfterFunc(ctx, s.stop)()
+	return s.app.ShutdownWithContext(ctx)
+}
+
+// Kill cuts all responses at once.
+func (s *Server) Kill() {
 	s.stop()
-	s.running.Wait()
-	return err
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = s.app.ShutdownWithContext(ctx)
 }
 
 func (s *Server) ready(c *fiber.Ctx) error {
-	if s.Ready != nil {
-		if err := s.Ready(); err != nil {
-			return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error() + "\n")
-		}
+	if err := s.Ready(); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error() + "\n")
 	}
 	return c.SendString("ready\n")
 }
 
+// handle takes a new request.
 func (s *Server) handle(c *fiber.Ctx) error {
 	call, refusal := s.call(c)
 	if refusal != nil {
-		return sendRefusal(c, "", refusal)
+		return sendRefusal(c, refusal)
 	}
-	return s.run(c, call)
+	return s.respond(c, 0, func(ctx context.Context) (*executor.Execution, error) {
+		return s.Runner.Execute(ctx, call)
+	})
+}
+
+// resume gives the rest of an earlier request's answer.
+func (s *Server) resume(c *fiber.Ctx) error {
+	account := c.Get(HeaderAccount)
+	name, err := url.PathUnescape(c.Params("handle"))
+	if err != nil {
+		return fiber.ErrBadRequest
+	}
+	after, err := strconv.ParseUint(c.Get(executor.HeaderLastEvent, "0"), 10, 64)
+	if err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, "Last-Event-ID must be a number")
+	}
+	return s.respond(c, after, func(ctx context.Context) (*executor.Execution, error) {
+		if c.Get(executor.HeaderLocalOnly) != "" {
+			return s.Runner.ResumeLocal(account, name)
+		}
+		return s.Runner.Resume(ctx, account, name, after)
+	})
 }
 
 // call copies the request out of the HTTP library's buffers.
 func (s *Server) call(c *fiber.Ctx) (*executor.Call, *fault.Refusal) {
-	account := c.Get(HeaderAccount)
 	call := &executor.Call{
-		Handle: s.NewHandle(account), Account: account, Key: c.Get(HeaderKey),
+		Account: c.Get(HeaderAccount), Key: c.Get(HeaderKey),
 		Method: c.Method(), Path: c.Path(),
 		Query: string(c.Request().URI().QueryString()), Received: time.Now(),
 		Body: append([]byte(nil), c.Body()...),
@@ -116,66 +139,97 @@
 	for name, value := range c.Request().Header.All() {
 		call.Header = append(call.Header, dispatch.Field{Name: string(name), Value: string(value)})
 	}
+	get := func(name string) string { return c.Get(name) }
+	if !executor.AcceptForward(s.Secret, call, get) {
+		return nil, badRequest(fiber.StatusForbidden, "the forwarding fields carry no valid proof")
+	}
 	if !executor.IsModelPath(call.Path) {
 		return call, nil
 	}
 	prompt, err := executor.ParsePrompt(call.Body)
 	if err != nil {
-		return nil, &fault.Refusal{
-			Run: fault.NotRun, Step: fault.StepAccept, Status: fiber.StatusBadRequest,
-			Reason: "the body is no model request: " + err.Error(),
-		}
+		return nil, badRequest(fiber.StatusBadRequest, "the body is no model request: "+err.Error())
 	}
 	call.Prompt = prompt
 	return call, nil
 }
 
-// run starts the call and answers once its first part or refusal is there.
-func (s *Server) run(c *fiber.Ctx, call *executor.Call) error {
+func badRequest(status int, reason string) *fault.Refusal {
+	return &fault.Refusal{Run: fault.NotRun, Step: fault.StepAccept, Status: status, Reason: reason}
+}
+
+// respond starts an execution and answers once its head or refusal is there.
+func (s *Server) respond(c *fiber.Ctx, after uint64, start func(context.Context) (*executor.Execution, error)) error {
 	ctx, cancel := context.WithCancel(s.base)
 	watch := watchHangUp(c.Context().Conn(), cancel)
-	pipe := newPipe(cancel)
-	s.running.Go(func() {
-		defer cancel()
-		pipe.refuse(s.Runner.Execute(ctx, call, pipe))
-	})
-	err := pipe.wait()
+	execution, head, reader, err := begin(ctx, after, start)
 	watch.stop()
 	if err != nil {
-		return sendRefusal(c, call.Handle, asRefusal(err))
+		cancel()
+		return sendRefusal(c, toRefusal(err))
 	}
-	s.answer(c, call, pipe)
-	return nil
+	b := &body{
+		reader: reader, ctx: ctx, cancel: cancel, abandon: execution.Abandon,
+		events: isEventStream(head),
+	}
+	return send(c, head, b)
 }
 
-// answer sets the response up from the pipe.
-func (s *Server) answer(c *fiber.Ctx, call *executor.Call, pipe *pipe) {
+// begin starts an execution and waits for the head of its answer.
+func begin(
+	ctx context.Context, after uint64, start func(context.Context) (*executor.Execution, error),
+) (*executor.Execution, answer.Head, *answer.Reader, error) {
+	execution, err := start(ctx)
+	if err != nil {
+		return nil, answer.Head{}, nil, err
+	}
+	reader := execution.Answer.Follow(after)
+	head, err := reader.Head(ctx)
+	if err != nil {
+		reader.Close()
+		execution.Abandon()
+		return nil, answer.Head{}, nil, err
+	}
+	return execution, head, reader, nil
+}
+
+func isEventStream(head answer.Head) bool {
+	for _, field := range head.Fields {
+		if strings.EqualFold(field.Name, fiber.HeaderContentType) {
+			return strings.HasPrefix(field.Value, "text/event-stream")
+		}
+	}
+	return false
+}
+
+// send sets the response up; the HTTP library then reads the body.
+func send(c *fiber.Ctx, head answer.Head, b *body) error {
 	response := c.Response()
-	response.SetStatusCode(pipe.status)
-	length := -1
-	for _, field := range pipe.header {
+	response.SetStatusCode(head.Status)
+	for _, field := range head.Fields {
 		if strings.EqualFold(field.Name, fiber.HeaderContentType) {
 			response.Header.SetContentType(field.Value)
 			continue
 		}
 		response.Header.Add(field.Name, field.Value)
 	}
-	response.Header.Set(HeaderRequest, call.Handle)
-	if call.Method == fiber.MethodHead {
+	if c.Method() == fiber.MethodHead {
 		response.SkipBody = true
-		pipe.abandon()
-		return
+		return b.Close()
 	}
-	response.SetBodyStream(pipe, length)
+	const unknownLength = -1
+	response.SetBodyStream(b, unknownLength)
 	response.ImmediateHeaderFlush = true
+	return nil
 }
 
-func asRefusal(err error) *fault.Refusal {
+// toRefusal turns an error into a refusal. An error that is none arises only
+// when the caller has gone, and nobody reads it.
+func toRefusal(err error) *fault.Refusal {
 	if refusal, ok := fault.AsRefusal(err); ok {
 		return refusal
 	}
 	return &fault.Refusal{
-		Run: fault.Unknown, Step: fault.StepAccept,
-		Status: fiber.StatusInternalServerError, Reason: err.Error(),
+		Run: fault.Unknown, Step: fault.StepAccept, Status: fiber.StatusServiceUnavailable, Reason: err.Error(),
 	}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,11 +13,18 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/admission"
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
 	"github.com/hibiscuspost/hibiscuspost/internal/executor"
+	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
+	"github.com/hibiscuspost/hibiscuspost/internal/once"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/platform"
 	"github.com/hibiscuspost/hibiscuspost/internal/settings"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
@@ -25,22 +32,61 @@
 // patience bounds waits that only end early when the code is right.
 const patience = 30 * time.Second
 
+// quarantineNothing lets every request pass.
+type quarantineNothing struct{}
+
+func (quarantineNothing) Quarantined(string) bool { return false }
+func (quarantineNothing) Running(string, string)  {}
+func (quarantineNothing) Done(string, string)     {}
+func (quarantineNothing) Crashed(string)          {}
+
+var secret = []byte("a secret of the instances")
+
+// newExecutor returns an executor of one instance over in-memory parts.
+func newExecutor(t *testing.T, configuration *tables.Tables) *executor.Executor {
+	t.Helper()
+	viewer := membership.NewStatic(membership.Member{Name: t.Name()})
+	bus := peer.NewNetwork().Bus("127.0.0.1:1")
+	memory := platform.NewMemory()
+	current := func() *tables.Tables { return configuration }
+	shards := once.NewShards(once.ShardOptions{Table: memory, Bus: bus, Viewer: viewer})
+	forwards := once.NewForwards(nil, 0)
+	controller := admission.New(admission.Options{
+		Viewer: viewer, Bus: bus,
+		Targets: func(pool string) []tables.Target { return configuration.Pool(pool).Targets },
+	})
+	assert.NilError(t, bus.Start())
+	ctx, cancel := context.WithCancel(context.Background())
+	var background conc.WaitGroup
+	background.Go(func() { controller.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		background.Wait()
+	})
+	return executor.New(executor.Options{
+		Viewer: viewer, Tables: current, Ready: func() error { return nil }, Admission: controller,
+		Observe: func(evidence.Observation) {}, MarkLeaving: func(string) {}, Quarantine: quarantineNothing{},
+		Shards: shards, Forwards: forwards,
+		Ledger: once.NewLedger(once.LedgerOptions{Shards: shards, Forwards: forwards, Bus: bus, Viewer: viewer}),
+		Claims: once.NewClaims(once.ClaimOptions{Platform: memory, Bus: bus, Viewer: viewer}),
+		Secret: secret, Metrics: metrics.New(t.Name()),
+	})
+}
+
 // startEntry serves an executor whose only target is the handler.
 func startEntry(t *testing.T, target http.Handler) string {
 	t.Helper()
 	backend := httptest.NewServer(target)
 	t.Cleanup(backend.Close)
-	configuration := &tables.Tables{
+	runner := newExecutor(t, &tables.Tables{
 		Version: 1,
 		Routes:  []tables.Route{{Name: "all", Pool: "p", Idempotent: true}},
 		Pools: []tables.Pool{{Name: "p", Kind: tables.KindEngine, Targets: []tables.Target{
 			{Name: "t", Address: backend.Listener.Addr().String(), Slots: 8},
 		}}},
-	}
+	})
 	server := New(Options{
-		Runner: executor.New(executor.Options{
-			Tables: func() *tables.Tables { return configuration }, Metrics: metrics.New(t.Name()),
-		}),
+		Runner: runner, Secret: secret, Ready: func() error { return nil },
 		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100},
 		Logger: zap.NewNop(),
 	})
@@ -53,6 +99,7 @@
 		defer cancel()
 		assert.NilError(t, server.Shutdown(ctx))
 		assert.NilError(t, <-served)
+		runner.Shutdown(ctx)
 	})
 	return "http://" + listener.Addr().String()
 }
@@ -129,8 +176,10 @@
 	response, err := client(t).Post(url+"/v1/chat/completions", "application/json", strings.NewReader(streamBody))
 	assert.NilError(t, err)
 	defer response.Body.Close()
-	_, err = io.ReadAll(response.Body)
+	body, err := io.ReadAll(response.Body)
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Assert(t, strings.Contains(string(body), "event: refusal"))
+	assert.Assert(t, strings.Contains(string(body), `"run":"ran_in_part"`))
 }
 
 func TestACallerThatGoesAwayCancelsItsRun(t *testing.T) {
@@ -197,11 +246,11 @@
 			response, err := client(t).Post(url+c.path, "application/json", strings.NewReader(c.body))
 			assert.NilError(t, err)
 			defer response.Body.Close()
-			var problem Problem
+			var problem executor.Refusal
 			assert.NilError(t, json.NewDecoder(response.Body).Decode(&problem))
 			assert.Equal(t, string(problem.Run), c.run)
 			assert.Equal(t, string(problem.Step), c.step)
-			assert.Equal(t, response.Header.Get("Content-Type"), problemType)
+			assert.Equal(t, response.Header.Get("Content-Type"), contentTypeProblem)
 		})
 	}
 }
@@ -217,7 +266,7 @@
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	assert.NilError(t, err)
 	defer response.Body.Close()
-	var problem Problem
+	var problem executor.Refusal
 	assert.NilError(t, json.NewDecoder(response.Body).Decode(&problem))
 	assert.Equal(t, response.StatusCode, http.StatusRequestEntityTooLarge)
 	assert.Equal(t, string(problem.Run), "not_run")
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -5,13 +5,13 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 )
 
 // Call is one caller's request, copied out of the HTTP library's buffers.
 type Call struct {
-	// Handle names the request towards the caller.
-	Handle string
 	// Account is the client account, set by the balancer.
 	Account string
 	// Key is the caller's idempotency key; empty when there is none.
@@ -22,6 +22,12 @@
 	Header      []dispatch.Field
 	Body        []byte
 	Received    time.Time
+	// Deadline, when set, is earlier than the route's; it comes with requests
+	// that another instance has passed on.
+	Deadline time.Time
+	// Forwarder is the name of the instance that has passed a keyed request on
+	// to its keeper; empty for requests from callers.
+	Forwarder string
 	// Prompt is what the body says of itself; zero for plain services.
 	Prompt Prompt
 }
@@ -93,3 +99,18 @@
 	}
 	return string(raw)
 }
+
+// prefixBlockBytes is the size of a prefix block, in bytes of prompt text; see
+// docs/design/engine-protocol.md.
+const prefixBlockBytes = 256
+
+// Prefix returns the hashes of the prompt's prefixes that end at a block.
+func (p *Prompt) Prefix() []uint64 {
+	digest := xxhash.New()
+	var hashes []uint64
+	for start := 0; start+prefixBlockBytes <= len(p.Text); start += prefixBlockBytes {
+		_, _ = digest.WriteString(p.Text[start : start+prefixBlockBytes])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
--- /dev/null
+++ b/internal/executor/keyed.go
@@ -0,0 +1,111 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
+	"github.com/hibiscuspost/hibiscuspost/internal/once"
+)
+
+// keyedPause is the least wait before a key is asked for again.
+const keyedPause = 100 * time.Millisecond
+
+// nobody is the Abandon of answers that go on without this caller.
+func nobody() {}
+
+// keyed runs a request at the keeper of its key, or joins it there. The keeper
+// may change meanwhile, so the question is asked again until the deadline. Once
+// a keeper may have dispatched it, it can no longer be called not run here.
+func (e *Executor) keyed(ctx context.Context, j *job) (*Execution, error) {
+	key := once.Key{Account: j.call.Account, Key: j.call.Key}
+	hash := once.HashBody(j.call.Method, j.call.URI(), j.call.Body)
+	j.id = key.ID()
+	maybe := false
+	for {
+		execution, refusal := e.decide(ctx, j, key, hash)
+		if refusal == nil {
+			return execution, nil
+		}
+		if !isPassing(refusal) {
+			e.count(refusal)
+			return nil, refusal
+		}
+		maybe = maybe || refusal.Run != fault.NotRun
+		select {
+		case <-ctx.Done():
+			if maybe {
+				refusal.Run = fault.Unknown
+			}
+			e.count(refusal)
+			return nil, refusal
+		case <-time.After(keyedPause):
+		}
+	}
+}
+
+// isPassing tells whether a refusal may pass while the caller waits, since the
+// key's keeper changes.
+func isPassing(refusal *fault.Refusal) bool { return refusal.Status == statusMisdirected }
+
+// decide asks the ledger once and acts on its decision.
+func (e *Executor) decide(ctx context.Context, j *job, key once.Key, hash once.BodyHash) (*Execution, *fault.Refusal) {
+	decision := e.Ledger.Begin(key, hash, j.call.Forwarder)
+	switch decision.Kind {
+	case once.DecideRun:
+		return e.keep(j, decision.Ticket), nil
+	case once.DecideJoin:
+		e.Metrics.Add(metrics.Joined, 1)
+		return &Execution{Answer: decision.Answer, Abandon: nobody}, nil
+	case once.DecideResume:
+		execution, err := e.follow(ctx, decision.Dispatched, 0)
+		if err != nil {
+			return nil, decision.Refusal
+		}
+		return execution, nil
+	case once.DecideForward:
+		if j.call.Forwarder != "" {
+			return nil, misdirected(decision.Keeper.Name)
+		}
+		return e.forwardKeyed(ctx, j, key, hash, decision.Keeper)
+	case once.DecideWait:
+		return nil, misdirected("")
+	default:
+		return nil, decision.Refusal
+	}
+}
+
+// misdirected refuses a request that another instance, or nobody yet, keeps.
+func misdirected(keeper string) *fault.Refusal {
+	reason := "no instance keeps this key now"
+	if keeper != "" {
+		reason = "the key is kept by " + keeper
+	}
+	return &fault.Refusal{
+		Run: fault.NotRun, Step: fault.StepForward, Status: statusMisdirected, RetryAfter: retryAfter, Reason: reason,
+	}
+}
+
+// keep runs a request at its keeper. The run goes on without its caller, since
+// others may join it and the caller may send it again.
+func (e *Executor) keep(j *job, ticket *once.Ticket) *Execution {
+	ctx, cancel := context.WithDeadline(e.base, j.deadline)
+	e.running.Go(func() {
+		defer cancel()
+		e.carryOut(ctx, j, ticket.Answer(), keyedPermit{ticket})
+		if refusal := ticket.Answer().Refusal(); refusal != nil && refusal.Run == fault.NotRun {
+			ticket.NotRun(refusal)
+			return
+		}
+		ticket.Finish()
+	})
+	return &Execution{Answer: ticket.Answer(), Abandon: nobody}
+}
+
+// keyedPermit is the right to dispatch of a keeper.
+type keyedPermit struct{ ticket *once.Ticket }
+
+func (p keyedPermit) dispatch(ctx context.Context, at once.Dispatched) error {
+	return p.ticket.Dispatch(ctx, at)
+}
--- /dev/null
+++ b/internal/executor/refuse.go
@@ -0,0 +1,87 @@
+package executor
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
+)
+
+const (
+	statusOK            = http.StatusOK
+	statusBadRequest    = http.StatusBadRequest
+	statusNotFound      = http.StatusNotFound
+	statusUnprocessable = http.StatusUnprocessableEntity
+	statusMisdirected   = http.StatusMisdirectedRequest
+	statusTooMany       = http.StatusTooManyRequests
+	statusServerError   = http.StatusInternalServerError
+	statusBadGateway    = http.StatusBadGateway
+	statusUnavailable   = http.StatusServiceUnavailable
+	statusTimeout       = http.StatusGatewayTimeout
+)
+
+// retryAfter is the advice where a later try may fare better.
+const retryAfter = time.Second
+
+// refuse returns a refusal of a request that has not run.
+func refuse(step fault.Step, status int, reason string) *fault.Refusal {
+	refusal := &fault.Refusal{Run: fault.NotRun, Step: step, Status: status, Reason: reason}
+	if status >= statusServerError || status == statusTooMany {
+		refusal.RetryAfter = retryAfter
+	}
+	return refusal
+}
+
+// refuseSend turns an error of dispatch.Send into a refusal.
+func refuseSend(ctx context.Context, err error) *fault.Refusal {
+	refusal := &fault.Refusal{
+		Run: fault.Unknown, Step: fault.StepDispatch, Status: statusBadGateway, Reason: err.Error(),
+	}
+	if dispatch.IsNotSent(err) {
+		refusal.Run = fault.NotRun
+		refusal.RetryAfter = retryAfter
+	}
+	if ctx.Err() != nil {
+		refusal.Status = statusTimeout
+	}
+	return refusal
+}
+
+// asRefusal turns any error of a request that has not run into a refusal.
+func asRefusal(step fault.Step, err error) *fault.Refusal {
+	if refusal, ok := fault.AsRefusal(err); ok {
+		return refusal
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return refuse(step, statusTimeout, "the deadline passed before the request was sent")
+	}
+	return refuse(step, statusUnavailable, err.Error())
+}
+
+// count raises the counter of a refusal.
+func (e *Executor) count(refusal *fault.Refusal) {
+	switch refusal.Run {
+	case fault.NotRun:
+		e.Metrics.Add(metrics.Refused, 1)
+	case fault.RanInPart:
+		e.Metrics.Add(metrics.RefusedPart, 1)
+	default:
+		e.Metrics.Add(metrics.RefusedUnknown, 1)
+	}
+}
+
+// fingerprint identifies what a request asks for, whoever sends it again.
+func fingerprint(call *Call) string {
+	digest := sha256.New()
+	digest.Write([]byte(call.Account + "\x00" + call.Method + "\x00" + call.Path + "\x00"))
+	digest.Write(call.Body)
+	const size = 12
+	return hex.EncodeToString(digest.Sum(nil)[:size])
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -3,43 +3,75 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/admin"
+	"github.com/hibiscuspost/hibiscuspost/internal/admission"
 	"github.com/hibiscuspost/hibiscuspost/internal/configuration"
 	"github.com/hibiscuspost/hibiscuspost/internal/entry"
 	"github.com/hibiscuspost/hibiscuspost/internal/executor"
+	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
+	"github.com/hibiscuspost/hibiscuspost/internal/move"
+	"github.com/hibiscuspost/hibiscuspost/internal/once"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/platform/client"
 	"github.com/hibiscuspost/hibiscuspost/internal/settings"
 )
 
-// platformTimeout bounds one call to the platform.
-const platformTimeout = 2 * time.Second
+const (
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 2 * time.Second
+	// drainNotice is how long an instance that shuts down goes on accepting
+	// connections, so that the balancer can see that it is not ready.
+	drainNotice = time.Second
+)
 
 // Options are what an instance starts from.
 type Options struct {
 	Settings settings.Settings
 	Secrets  settings.Secrets
 	Logger   *zap.Logger
+	// Seed drives random choices; 0 means a seed of the runtime's.
+	Seed uint64
+	// DrainNotice replaces the default time between readiness and listeners
+	// going away, where there is no balancer.
+	DrainNotice time.Duration
 }
 
 // Instance is one running instance.
 type Instance struct {
-	options  Options
-	platform *client.Client
-	config   *configuration.Poller
-	metrics  *metrics.Set
-	entry    *entry.Server
-	admin    *admin.Server
-	callers  net.Listener
-	admins   net.Listener
+	options Options
+	logger  *zap.Logger
+	clock   clockwork.Clock
+
+	callers net.Listener
+	admins  net.Listener
+	bus     *peer.NetBus
+
+	platform  *client.Client
+	members   *membership.Membership
+	config    *configuration.Poller
+	moves     *move.Manager
+	admission *admission.Controller
+	shards    *once.Shards
+	ledger    *once.Ledger
+	claims    *once.Claims
+	executor  *executor.Executor
+	entry     *entry.Server
+	admin     *admin.Server
+	metrics   *metrics.Set
 
+	// draining is set while the instance shuts down.
+	draining atomic.Bool
 	// cancel ends the background work; background waits for its end.
 	cancel     context.CancelFunc
 	background conc.WaitGroup
@@ -47,75 +79,156 @@
 
 // Start listens on the addresses of the settings and begins to serve.
 func Start(options Options) (*Instance, error) {
-	i := &Instance{options: options}
+	i := &Instance{options: options, logger: options.Logger, clock: clockwork.NewRealClock()}
 	if err := i.listen(); err != nil {
+		i.closeListeners()
 		return nil, err
 	}
 	i.provision()
-	ctx, cancel := context.WithCancel(context.Background())
-	i.cancel = cancel
-	i.background.Go(func() { i.config.Run(ctx) })
-	i.background.Go(func() { _ = i.entry.Serve(i.callers) })
-	i.background.Go(func() { _ = i.admin.Serve(i.admins) })
+	if err := i.bus.Start(); err != nil {
+		i.closeListeners()
+		return nil, errors.Wrap(err, "listen for instances")
+	}
+	i.run()
+	i.logger.Info("serving", zap.String("instance", options.Settings.Name),
+		zap.String("callers", i.callers.Addr().String()), zap.String("admin", i.admins.Addr().String()),
+		zap.String("peers", i.bus.Address()))
 	return i, nil
 }
 
 func (i *Instance) listen() error {
 	var err error
-	i.callers, err = net.Listen("tcp", i.options.Settings.Listen.Callers)
-	if err != nil {
+	listen := &i.options.Settings.Listen
+	if i.callers, err = net.Listen("tcp", listen.Callers); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	i.admins, err = net.Listen("tcp", i.options.Settings.Listen.Admin)
-	if err != nil {
-		_ = i.callers.Close()
+	if i.admins, err = net.Listen("tcp", listen.Admin); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	return nil
+	i.bus, err = peer.Listen(peer.Options{
+		Address: listen.Peers, Secret: i.options.Secrets.PeerSecret, Logger: i.logger,
+	})
+	return errors.Wrap(err, "listen for instances")
+}
+
+func (i *Instance) closeListeners() {
+	for _, listener := range []net.Listener{i.callers, i.admins} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	if i.bus != nil {
+		_ = i.bus.Close()
+	}
 }
 
 // provision builds the parts; none of them works yet.
 func (i *Instance) provision() {
 	s := &i.options.Settings
+	i.metrics = metrics.New(s.Name)
 	i.platform = client.New(s.Platform, platformTimeout)
+	i.members = membership.New(membership.Options{
+		Self: membership.Member{
+			Name: s.Name, PeerAddress: i.bus.Address(), CallerAddress: i.callers.Addr().String(),
+			FailureDomain: s.FailureDomain,
+		},
+		Bus: i.bus, Seeds: s.Peers, List: i.platform, Clock: i.clock, Rand: i.random(), Logger: i.logger,
+	})
 	i.config = configuration.NewPoller(i.platform)
-	i.metrics = metrics.New(s.Name)
+	i.provisionScheduling()
+	i.provisionOnce()
+	i.provisionServers()
+}
+
+// provisionScheduling builds what chooses targets and versions.
+func (i *Instance) provisionScheduling() {
+	i.moves = move.New(move.Options{
+		Viewer: i.members, Bus: i.bus, Rumors: i.members, Table: i.platform, Tables: i.config.Current,
+		Targets: i.targets, Clock: i.clock, Rand: i.random(), Logger: i.logger,
+	})
+	i.admission = admission.New(admission.Options{
+		Viewer: i.members, Bus: i.bus, Pools: i.pools, Targets: i.targets, Versions: i.moves,
+		Clock: i.clock, Rand: i.random(), Logger: i.logger,
+	})
+}
+
+// provisionOnce builds what makes each request run at most once.
+func (i *Instance) provisionOnce() {
+	i.shards = once.NewShards(once.ShardOptions{Table: i.platform, Bus: i.bus, Viewer: i.members})
+	forwards := once.NewForwards(i.clock, 0)
+	i.ledger = once.NewLedger(once.LedgerOptions{
+		Shards: i.shards, Forwards: forwards, Bus: i.bus, Viewer: i.members,
+		AnswerBytes: int64(i.options.Settings.Limits.AnswerBytes),
+	})
+	i.claims = once.NewClaims(once.ClaimOptions{Platform: i.platform, Bus: i.bus, Viewer: i.members})
+	i.executor = executor.New(executor.Options{
+		Viewer: i.members, Tables: i.config.Current, Ready: i.admitting, Admission: i.admission,
+		Observe: i.moves.Observe, MarkLeaving: func(string) {}, Quarantine: noQuarantine{},
+		Shards: i.shards, Ledger: i.ledger, Forwards: forwards, Claims: i.claims,
+		Secret: i.options.Secrets.PeerSecret, Metrics: i.metrics,
+	})
+}
+
+func (i *Instance) provisionServers() {
 	i.entry = entry.New(entry.Options{
-		Runner: executor.New(executor.Options{Tables: i.config.Current, Metrics: i.metrics}),
-		Limits: s.Limits,
-		Logger: i.options.Logger,
-		Ready:  i.ready,
+		Runner: i.executor, Limits: i.options.Settings.Limits, Logger: i.logger,
+		Secret: i.options.Secrets.PeerSecret, Ready: i.ready,
 	})
 	i.admin = admin.New(admin.Options{
 		Token: i.options.Secrets.AdminToken, Applier: i.config, Reports: reports{i}, Ready: i.ready,
 	})
 }
 
-// ready tells why the instance takes no new work, or nil.
-func (i *Instance) ready() error {
+// run starts the background work.
+func (i *Instance) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.background.Go(func() { _ = i.members.Run(ctx) })
+	i.background.Go(func() { i.config.Run(ctx) })
+	i.background.Go(func() { i.moves.Run(ctx) })
+	i.background.Go(func() { i.admission.Run(ctx) })
+	i.background.Go(func() { i.shards.Run(ctx) })
+	i.background.Go(func() { i.ledger.Run(ctx) })
+	i.background.Go(func() { i.claims.Run(ctx) })
+	i.background.Go(func() { i.executor.Run(ctx) })
+	i.background.Go(func() { _ = i.entry.Serve(i.callers) })
+	i.background.Go(func() { _ = i.admin.Serve(i.admins) })
+}
+
+// random returns a source for one part.
+func (i *Instance) random() *rand.Rand {
+	seed := i.options.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	const stream = 0x9e3779b97f4a7c15
+	return rand.New(rand.NewPCG(seed, stream))
+}
+
+// admitting tells why the instance takes no new work, or nil.
+func (i *Instance) admitting() error {
 	if i.config.Current().Version == 0 {
 		return errors.New("no configuration is in force")
 	}
 	return nil
 }
 
+// ready tells the balancer why it should send no requests, or nil.
+func (i *Instance) ready() error {
+	if i.draining.Load() {
+		return errors.New("shutting down")
+	}
+	return i.admitting()
+}
+
 // CallersURL is the base URL for callers.
 func (i *Instance) CallersURL() string { return "http://" + i.callers.Addr().String() }
 
 // AdminURL is the base URL for operators.
 func (i *Instance) AdminURL() string { return "http://" + i.admins.Addr().String() }
 
-// Shutdown finishes what runs and stops; when the context ends first, what is
-// left is cut.
-func (i *Instance) Shutdown(ctx context.Context) error {
-	err := i.entry.Shutdown(ctx)
-	err = errors.CombineErrors(err, i.admin.Shutdown(ctx))
-	i.cancel()
-	i.background.Wait()
-	i.platform.Close()
-	i.metrics.Close()
-	return err
-}
-
 // PeerAddress is the "ip:port" for other instances.
-func (i *Instance) PeerAddress() string { return i.options.Settings.Listen.Peers }
+func (i *Instance) PeerAddress() string { return i.bus.Address() }
+
+// Metrics returns the instance's counters.
+func (i *Instance) Metrics() *metrics.Set { return i.metrics }
--- /dev/null
+++ b/internal/instance/shutdown.go
@@ -0,0 +1,84 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// handoverTimeout bounds each part of the handover of duties.
+const handoverTimeout = 5 * time.Second
+
+// Shutdown ends the instance without cutting a request: it reports not ready,
+// hands its duties over, passes waiting requests to others, finishes what runs
+// and leaves. When the context ends first, what is left is cut, each request
+// with a true answer.
+func (i *Instance) Shutdown(ctx context.Context) error {
+	if i.draining.Swap(true) {
+		return errors.New("already shutting down")
+	}
+	i.logger.Info("shutting down", zap.String("instance", i.options.Settings.Name))
+	i.members.MarkLeaving()
+	i.handOver(ctx)
+	i.waitNotice(ctx)
+	err := i.entry.Shutdown(ctx)
+	i.executor.Shutdown(ctx)
+	i.leave(ctx)
+	err = errors.CombineErrors(err, i.admin.Shutdown(ctx))
+	i.stop()
+	return err
+}
+
+// handOver gives the shards back and passes the waiting requests on.
+func (i *Instance) handOver(ctx context.Context) {
+	handover, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	if err := i.shards.Release(handover); err != nil {
+		i.logger.Warn("shards were not handed over; they wait for the lease to end", zap.Error(err))
+	}
+	i.admission.Drain()
+}
+
+// waitNotice lets the balancer see that the instance is not ready.
+func (i *Instance) waitNotice(ctx context.Context) {
+	notice := i.options.DrainNotice
+	if notice == 0 {
+		notice = drainNotice
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(notice):
+	}
+}
+
+func (i *Instance) leave(ctx context.Context) {
+	farewell, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	if err := i.members.Leave(farewell); err != nil {
+		i.logger.Warn("other instances were not told of the leave", zap.Error(err))
+	}
+}
+
+// Kill ends the instance as a crash would: nothing is handed over or answered.
+func (i *Instance) Kill() {
+	i.draining.Store(true)
+	_ = i.bus.Close()
+	i.cancel()
+	i.entry.Kill()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	i.executor.Shutdown(ended)
+	_ = i.admin.Shutdown(ended)
+	i.stop()
+}
+
+// stop ends the background work.
+func (i *Instance) stop() {
+	i.cancel()
+	i.background.Wait()
+	_ = i.bus.Close()
+	i.platform.Close()
+	i.metrics.Close()
+}
--- a/internal/query/moves.go
+++ b/internal/query/moves.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/report"
 )
@@ -17,8 +18,13 @@
 	return fetch(ctx, &q.flags, out, "/admin/v1/moves", printMoves)
 }
 
-func printMoves(table *tabwriter.Writer, moves report.Moves[json.RawMessage]) {
-	for _, move := range moves.Moves {
-		row(table, string(move))
+func printMoves(table *tabwriter.Writer, moves report.Moves) {
+	row(table, "POOL", "STATE", "PHASE", "OLD", "NEW", "STAGE", "SHARE", "TIME LEFT", "ON TRACK", "REASON")
+	const percent = 100
+	for _, m := range moves.Moves {
+		stage := fmt.Sprintf("%d/%d", m.Stage, m.Stages)
+		share := fmt.Sprintf("%.1f%%", m.Share*percent)
+		row(table, m.Pool, m.State, m.Phase, m.OldVersion, m.NewVersion, stage, share,
+			time.Duration(m.TimeLeft), m.OnTrack, m.Reason)
 	}
 }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/move"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
@@ -71,8 +72,8 @@
 }
 
 // Moves lists the moves of all pools.
-type Moves[Status any] struct {
-	Moves []Status `json:"moves"`
+type Moves struct {
+	Moves []move.Status `json:"moves"`
 }
 
 // Millis returns a duration in whole milliseconds.
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -24,6 +24,8 @@
 type Event struct {
 	// ID is the event's number; 0 when the sender gave none.
 	ID uint64
+	// Name is the event's type; empty for ordinary events.
+	Name string
 	// Data holds the data lines, joined by newlines.
 	Data []byte
 }
@@ -38,6 +40,11 @@
 		buffer = strconv.AppendUint(buffer, e.ID, 10)
 		buffer = append(buffer, '\n')
 	}
+	if e.Name != "" {
+		buffer = append(buffer, "event: "...)
+		buffer = append(buffer, e.Name...)
+		buffer = append(buffer, '\n')
+	}
 	for line := range bytes.SplitSeq(e.Data, []byte{'\n'}) {
 		buffer = append(buffer, "data: "...)
 		buffer = append(buffer, line...)
@@ -90,6 +97,8 @@
 		}
 		e.Data = append(e.Data, value...)
 		return true
+	case "event":
+		e.Name = string(value)
 	case "id":
 		if id, err := strconv.ParseUint(string(value), 10, 64); err == nil {
 			e.ID = id
