--- /dev/null
+++ b/internal/backoff/backoff.go
@@ -0,0 +1,137 @@
+// Package backoff spaces out repeated attempts so that many instances that
+// lost the same service at the same moment do not come back to it as a herd.
+//
+// A Backoff gives each caller jittered, growing waits. A Budget is a token
+// bucket that bounds how many writes an instance sends a second, whatever has
+// piled up while the service was down.
+package backoff
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+// growth is the factor by which the bound of a wait grows.
+const growth = 3
+
+// Policy bounds the waits of a Backoff.
+type Policy struct {
+	// Base is the shortest wait.
+	Base time.Duration
+	// Max is the longest one.
+	Max time.Duration
+}
+
+// Backoff is a sequence of waits, each drawn between Base and three times the
+// wait before (decorrelated jitter). It is used by one goroutine at a time.
+type Backoff struct {
+	policy Policy
+	rand   *rand.Rand
+	last   time.Duration
+}
+
+// New returns a sequence that starts at the shortest wait.
+func New(policy Policy, random *rand.Rand) *Backoff {
+	return &Backoff{policy: policy, rand: random}
+}
+
+// Next returns the next wait.
+func (b *Backoff) Next() time.Duration {
+	bound := max(growth*b.last, growth*b.policy.Base)
+	wait := b.policy.Base + time.Duration(b.rand.Int64N(int64(bound-b.policy.Base)+1))
+	b.last = min(wait, b.policy.Max)
+	return b.last
+}
+
+// Reset starts over after a success.
+func (b *Backoff) Reset() { b.last = 0 }
+
+// Wait waits on the clock until d has passed or ctx ends.
+func Wait(ctx context.Context, clock clockwork.Clock, d time.Duration) error {
+	timer := clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.Chan():
+		return nil
+	}
+}
+
+// ErrExhausted means that a Budget has nothing left at present.
+var ErrExhausted = errors.New("backoff: the budget is used up")
+
+// Budget is a token bucket.
+type Budget struct {
+	clock clockwork.Clock
+	burst float64
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	rate   float64
+	tokens float64
+	filled time.Time
+}
+
+// NewBudget returns a full bucket of burst tokens that gains rate a second.
+func NewBudget(clock clockwork.Clock, rate, burst float64) *Budget {
+	return &Budget{clock: clock, burst: burst, rate: rate, tokens: burst, filled: clock.Now()}
+}
+
+// SetRate changes the tokens gained a second, as when the number of instances
+// that share a service changes.
+func (b *Budget) SetRate(rate float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill()
+	b.rate = rate
+}
+
+// fill adds the tokens gained since the last time; b.mu is held.
+func (b *Budget) fill() {
+	now := b.clock.Now()
+	b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.filled).Seconds())
+	b.filled = now
+}
+
+// Take uses n tokens, or returns ErrExhausted and uses none.
+func (b *Budget) Take(n int) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill()
+	if b.tokens < float64(n) {
+		return ErrExhausted
+	}
+	b.tokens -= float64(n)
+	return nil
+}
+
+// Wait uses n tokens as soon as it has them, or returns when ctx ends. A
+// request for more than the burst is let through once the bucket is full.
+func (b *Budget) Wait(ctx context.Context, n int) error {
+	n = min(n, int(b.burst))
+	for {
+		if b.Take(n) == nil {
+			return nil
+		}
+		if err := Wait(ctx, b.clock, b.until(n)); err != nil {
+			return err
+		}
+	}
+}
+
+// until estimates when n tokens will be there.
+func (b *Budget) until(n int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.rate <= 0 {
+		return time.Second
+	}
+	missing := float64(n) - b.tokens
+	return max(time.Millisecond, time.Duration(missing/b.rate*float64(time.Second)))
+}
