--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -62,14 +62,13 @@
 // Applying the content that is already in force on top of base confirms it.
 func (s *Store) Apply(ctx context.Context, base uint64, t tables.Tables) (uint64, error) {
 	if !s.adopter.inContact() {
-		err := errors.WithMessage(ErrUnavailable, "this instance hears from no majority of the instances known")
-		return 0, fault.At(fault.StepApply, "", err)
+		return 0, unavailable(errors.New("this instance hears from no majority of the instances known"))
 	}
 	t.Version = base + 1
 	t.Hash = contentHash(&t)
 	h, rowVersion, err := readHead(ctx, s.table)
 	if err != nil {
-		return 0, fault.At(fault.StepApply, "", errors.WithSecondaryError(ErrUnavailable, err))
+		return 0, unavailable(err)
 	}
 	if h.Version == t.Version && h.Hash == t.Hash {
 		return s.confirm(ctx, &t)
@@ -87,6 +86,13 @@
 	return s.confirm(ctx, &t)
 }
 
+// unavailable returns ErrUnavailable with its reason; it is the platform's
+// ErrUnavailable too.
+func unavailable(reason error) error {
+	err := errors.WithMessage(errors.WithSecondaryError(ErrUnavailable, reason), reason.Error())
+	return fault.At(fault.StepApply, "", errors.Mark(err, platform.ErrUnavailable))
+}
+
 func conflict(base, present uint64) error {
 	return fault.At(fault.StepApply, "", &ConflictError{Base: base, Present: present})
 }
@@ -120,7 +126,7 @@
 	case errors.As(err, &clash):
 		return s.settleConflict(ctx, a)
 	case errors.Is(err, platform.ErrUnavailable):
-		return fault.At(fault.StepApply, "", errors.WithSecondaryError(ErrUnavailable, err))
+		return unavailable(err)
 	default:
 		return s.settle(ctx, a)
 	}
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -207,6 +207,7 @@
 	f.members[0].inContact(2, 5)
 	_, err := NewStore(f.all[0]).Apply(context.Background(), 0, sample("first"))
 	assert.Check(t, errors.Is(err, ErrUnavailable), "%v", err)
+	assert.Check(t, errors.Is(err, platform.ErrUnavailable), "%v", err)
 	writes, _ := f.memory.Counts()
 	assert.Equal(t, writes, 0)
 }
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -34,13 +34,17 @@
 
 func (m *Membership) alone() bool { return len(m.View().Members) == 1 }
 
-// listWait keeps the reads of all instances together within listReads.
+// listWait keeps the reads of all instances together within listReads, and the
+// bytes that each reads within a small part of its budget.
 func (m *Membership) listWait() time.Duration {
 	if m.alone() {
 		return listIntervalAlone
 	}
+	m.mu.Lock()
+	entries := m.listEntries
+	m.mu.Unlock()
 	shared := time.Duration(len(m.View().Members)) * time.Second / listReads
-	return max(listInterval, shared)
+	return max(listInterval, shared, time.Duration(entries)*listPerEntry)
 }
 
 // readList takes the addresses of entry instances; while the list cannot be
@@ -59,7 +63,7 @@
 		}
 	}
 	m.change(func(now time.Time) {
-		m.listed = addresses
+		m.listed, m.listEntries = addresses, len(list)
 		m.noteGone(now)
 	})
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -92,7 +92,10 @@
 	// resyncUntil.
 	resync      bool
 	resyncUntil time.Time
+	// listed are the entry instances of the instance list, and listEntries
+	// the length of the whole list.
 	listed      []string
+	listEntries int
 	// quiet keeps the members learned by joining from being spread back.
 	quiet     bool
 	dirty     bool
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -34,6 +34,9 @@
 	listInterval      = 10 * time.Second
 	listIntervalAlone = 2 * time.Second
 	listReads         = 10
+	// listPerEntry, times the entries of the list, is the least time between
+	// reads of it, which are always whole.
+	listPerEntry = 300 * time.Millisecond
 	// listLag is how long the instance list may lag behind a replacement.
 	listLag = 30 * time.Second
 	// deadRetention is how long dead and departed members are remembered.
