Give rare duties leases with fencing numbers and run orders under them

Cause: orders to targets need a single holder, and targets that do not check fencing need late orders repaired.

HTTPTarget speaks the engines' protocol without the client's own retries.

Conclusion: a drain cannot be read back, so its answer is all that is known.

--- /dev/null
+++ b/internal/lease/httptarget.go
@@ -0,0 +1,80 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+)
+
+// HTTPTarget is a Target that speaks the engines' protocol.
+type HTTPTarget struct {
+	address string
+	client  *fasthttp.Client
+}
+
+// NewHTTPTarget returns the target at "ip:port".
+func NewHTTPTarget(address string) *HTTPTarget {
+	return &HTTPTarget{address: address, client: &fasthttp.Client{
+		// Nothing is sent again by the client; see Runner.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       1 << 20,
+	}}
+}
+
+// Order implements Target.
+func (t *HTTPTarget) Order(ctx context.Context, order Order) (State, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return State{}, fault.At(fault.StepLoad, t.address, err)
+	}
+	return t.do(ctx, fasthttp.MethodPost, "/orders", body)
+}
+
+// State implements Target.
+func (t *HTTPTarget) State(ctx context.Context) (State, error) {
+	return t.do(ctx, fasthttp.MethodGet, "/state", nil)
+}
+
+func (t *HTTPTarget) do(ctx context.Context, method, path string, body []byte) (State, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + t.address + path)
+	if body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBody(body)
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(OrderTimeout)
+	}
+	if err := t.client.DoDeadline(request, response, deadline); err != nil {
+		return State{}, fault.At(fault.StepLoad, t.address, err)
+	}
+	state, err := parseState(response)
+	return state, fault.At(fault.StepLoad, t.address, err)
+}
+
+// parseState reads the state from an answer with success; a conflict is a
+// FencedError.
+func parseState(response *fasthttp.Response) (State, error) {
+	var state State
+	switch status := response.StatusCode(); status {
+	case fasthttp.StatusOK, fasthttp.StatusAccepted:
+		return state, json.Unmarshal(response.Body(), &state)
+	case fasthttp.StatusConflict:
+		if err := json.Unmarshal(response.Body(), &state); err != nil {
+			return state, err
+		}
+		return state, &FencedError{Fence: state.Fence}
+	default:
+		return state, errors.Newf("answered with status %d", status)
+	}
+}
--- /dev/null
+++ b/internal/lease/order.go
@@ -0,0 +1,88 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind tells the orders apart.
+type Kind string
+
+// The kinds of order.
+const (
+	KindLoad   Kind = "load"
+	KindUnload Kind = "unload"
+	KindDrain  Kind = "drain"
+	KindRole   Kind = "role"
+)
+
+// Order is an instruction to a target. One with an id that the target knows
+// has no second effect.
+type Order struct {
+	ID      string `json:"id"`
+	Fence   uint64 `json:"fence"`
+	Kind    Kind   `json:"kind"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// State is what a target tells of itself.
+type State struct {
+	// Versions are those loaded; the last one serves.
+	Versions []string `json:"versions"`
+	// Loading is the version being loaded, or empty.
+	Loading string `json:"loading"`
+	Role    string `json:"role"`
+	// Fence is the highest fencing number seen.
+	Fence uint64 `json:"fence"`
+}
+
+// Want is the state that an order shall bring about.
+type Want struct {
+	Kind    Kind
+	Version string
+	Role    string
+}
+
+// met tells whether a target is in the wanted state. A drain cannot be seen.
+func (w Want) met(s State) bool {
+	switch w.Kind {
+	case KindLoad:
+		return s.Loading == "" && len(s.Versions) > 0 && s.Versions[len(s.Versions)-1] == w.Version
+	case KindUnload:
+		return s.Loading != w.Version && !slices.Contains(s.Versions, w.Version)
+	case KindRole:
+		return s.Role == w.Role
+	default:
+		return false
+	}
+}
+
+// underWay tells whether a target is about to reach the wanted state.
+func (w Want) underWay(s State) bool { return w.Kind == KindLoad && s.Loading == w.Version }
+
+// Target takes orders. An error other than a FencedError leaves open whether
+// the order had an effect.
+type Target interface {
+	// Order gives an order and returns the state after it.
+	Order(ctx context.Context, order Order) (State, error)
+	// State reads the state back.
+	State(ctx context.Context) (State, error)
+}
+
+// ErrFenced means that a target has had orders from a later holder.
+var ErrFenced = errors.New("lease: refused for an old fencing number")
+
+// FencedError carries the number that the target has seen.
+type FencedError struct{ Fence uint64 }
+
+// Error names the number.
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("lease: the target has seen fencing number %d", e.Fence)
+}
+
+// Is makes the error match ErrFenced.
+func (e *FencedError) Is(target error) bool { return target == ErrFenced }
