Survey versions on demand and count the missed by the list's word only

Cause: at many instances the versions carried on probes are minutes old; an instance list that named members otherwise made all dead ones count as replaced; starting instances asked peers for the version four times a second.

Change: Survey asks all instances, 32 at once. A dead member counts as replaced only if a list that shows this instance shows neither its name nor its address. Peers are asked at most once in 1 to 2 s. Nonces are 8 bytes and the head remembers 8 versions, since each poll reads them.

--- a/internal/configuration/admit.go
+++ b/internal/configuration/admit.go
@@ -23,6 +23,8 @@
 	// verifySample is how many peers a starting instance asks at most.
 	verifySample  = 15
 	verifyTimeout = time.Second
+	// verifyInterval is the longest time between such questions.
+	verifyInterval = 2 * time.Second
 )
 
 // Mode tells on what ground an instance takes new work, or why not.
@@ -168,9 +170,10 @@
 		a.verified.Store(true)
 		return
 	}
-	if !a.verified.Load() {
+	if !a.verified.Load() && !now.Before(a.verifyAt) {
 		a.verified.Store(a.verify(ctx))
 		now = a.clock.Now()
+		a.verifyAt = now.Add(a.between(verifyInterval/2, verifyInterval))
 	}
 	d := &decision{at: now, mode: ModeTableDown}
 	switch {
--- a/internal/configuration/adopter.go
+++ b/internal/configuration/adopter.go
@@ -63,6 +63,8 @@
 	// verified is set once enough peers have confirmed the version while the
 	// table could not be read; a pause clears it.
 	verified atomic.Bool
+	// verifyAt is the earliest time to ask peers again; only decide uses it.
+	verifyAt time.Time
 	// wanted is the highest version heard of.
 	wanted atomic.Uint64
 
@@ -130,7 +132,7 @@
 	a.listeners = append(a.listeners, listener)
 }
 
-// Run polls, pulls and passes on until ctx ends.
+// Run polls, pulls and passes on until ctx ends, and returns why it ended.
 func (a *Adopter) Run(ctx context.Context) error {
 	var wg conc.WaitGroup
 	wg.Go(func() { a.runPolls(ctx) })
--- a/internal/configuration/adopter_test.go
+++ b/internal/configuration/adopter_test.go
@@ -227,3 +227,26 @@
 		assert.Check(t, 2*most < InForceBound, "%s", most)
 	}
 }
+
+func TestSurveyAsksAllAndFallsBackToWhatWasHeard(t *testing.T) {
+	f := newFleet(t, 3)
+	f.poll(0)
+	f.poll(1)
+	f.silence(2)
+	f.members[0].statuses = []membership.LastStatus{
+		{Member: instance(0), Age: 0},
+		{Member: instance(1), Age: -1},
+		{Member: instance(2), Status: membership.Status{Version: 7}, Age: time.Minute},
+	}
+	f.clock.Advance(time.Second)
+	all := f.all[0].Survey(context.Background())
+	assert.Equal(t, len(all), 3)
+	for _, v := range all[:2] {
+		assert.Equal(t, v.Mode, ModeFresh)
+		assert.Equal(t, v.TableAge, time.Second)
+		assert.Equal(t, v.HeardAge, time.Duration(0))
+	}
+	assert.Equal(t, all[2].Version, uint64(7))
+	assert.Equal(t, all[2].HeardAge, time.Minute)
+	assert.Equal(t, all[2].Mode, Mode(""))
+}
--- a/internal/configuration/row.go
+++ b/internal/configuration/row.go
@@ -19,6 +19,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"slices"
 
@@ -40,7 +42,7 @@
 // historyLength is how many past versions the head remembers, so that an
 // operator whose answer was lost can be told the outcome although others have
 // applied since.
-const historyLength = 16
+const historyLength = 8
 
 // pastVersion tells which attempt wrote a version.
 type pastVersion struct {
@@ -62,6 +64,15 @@
 	Tables tables.Tables `json:"tables"`
 }
 
+// nonceBytes is the length of a nonce; it is read with each poll.
+const nonceBytes = 8
+
+func newNonce() string {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce)
+	return hex.EncodeToString(nonce)
+}
+
 // successor returns the head that follows h.
 func (h head) successor(t *tables.Tables, nonce string) head {
 	history := slices.Clone(h.History)
--- a/internal/configuration/spread.go
+++ b/internal/configuration/spread.go
@@ -54,6 +54,10 @@
 	// Certain is set if the instance knows that no higher version was in force
 	// at some time since it started; see Adopter.Admitting.
 	Certain bool `json:"certain"`
+	// TableAgeMillis is the age of its freshness stamp; negative for none.
+	TableAgeMillis int64 `json:"table_age_ms"`
+	// Mode is the ground on which it takes or refuses new work.
+	Mode Mode `json:"mode"`
 }
 
 // relayJob passes a configuration on; held, when set, is called with each peer
@@ -89,8 +93,14 @@
 }
 
 func (a *Adopter) versionAnswer() versionAnswer {
-	certain := a.stamp.Load() != nil || a.verified.Load()
-	return versionAnswer{Version: a.Current().Version, Certain: certain}
+	f := a.Freshness()
+	answer := versionAnswer{
+		Version: f.Version, Certain: f.Known || a.verified.Load(), TableAgeMillis: -1, Mode: f.Mode,
+	}
+	if f.Known {
+		answer.TableAgeMillis = f.Age.Milliseconds()
+	}
+	return answer
 }
 
 // enqueue hands a job to Run; it reports false when too many wait.
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/backoff"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
@@ -98,7 +97,7 @@
 }
 
 func newAttempt(base uint64, t *tables.Tables, h head, rowVersion platform.Version) (*attempt, error) {
-	nonce := uuid.NewString()
+	nonce := newNonce()
 	headValue, err := json.Marshal(h.successor(t, nonce))
 	if err != nil {
 		return nil, err
--- a/internal/configuration/versions.go
+++ b/internal/configuration/versions.go
@@ -5,11 +5,18 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 )
 
+// Bounds of asking instances for their versions.
+const (
+	// surveyParallel is how many are asked at once.
+	surveyParallel = 32
+	surveyTimeout  = 3 * time.Second
+)
+
 // InstanceVersion is what is known here of one instance's configuration.
 type InstanceVersion struct {
 	Name          string
@@ -22,6 +29,11 @@
 	TableKnown bool
 	// HeardAge is how long ago the instance told so; negative if never.
 	HeardAge time.Duration
+	// Mode is the ground on which it takes or refuses new work; empty if the
+	// instance was not asked or did not answer.
+	Mode Mode
+
+	address string
 }
 
 // InstanceVersions returns what the live instances told on their last probes,
@@ -36,26 +48,54 @@
 			TableAge:      last.Status.TableAge + max(0, last.Age),
 			TableKnown:    last.Status.TableKnown,
 			HeardAge:      last.Age,
+			address:       last.Member.PeerAddress,
 		})
 	}
 	return all
 }
 
+// Survey asks all live instances for their versions now, for operators: its
+// cost grows with the instances, unlike that of InstanceVersions, which stands
+// in for those that do not answer.
+func (a *Adopter) Survey(ctx context.Context) []InstanceVersion {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	all := a.InstanceVersions()
+	byAddress := make(map[string]versionAnswer)
+	for _, answer := range a.askVersions(ctx, a.shuffled()) {
+		byAddress[answer.address] = answer.versionAnswer
+	}
+	byAddress[a.members.View().Self.PeerAddress] = a.versionAnswer()
+	for i := range all {
+		if answer, ok := byAddress[all[i].address]; ok {
+			all[i].take(answer)
+		}
+	}
+	return all
+}
+
+// take replaces what was heard by an answer just given.
+func (v *InstanceVersion) take(answer versionAnswer) {
+	v.Version, v.Mode, v.HeardAge = answer.Version, answer.Mode, 0
+	v.TableKnown = answer.TableAgeMillis >= 0
+	v.TableAge = time.Duration(max(0, answer.TableAgeMillis)) * time.Millisecond
+}
+
 // peerVersion is a versionAnswer with the address that gave it.
 type peerVersion struct {
 	versionAnswer
 	address string
 }
 
-// askVersions asks each of the members at once and returns the answers.
+// askVersions asks the members, surveyParallel at once, and returns the answers.
 func (a *Adopter) askVersions(ctx context.Context, members []membership.Member) []peerVersion {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
 	var mu sync.Mutex
 	var answers []peerVersion
-	var wg conc.WaitGroup
+	asking := pool.New().WithMaxGoroutines(surveyParallel)
 	for _, m := range members {
-		wg.Go(func() {
+		asking.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+			defer cancel()
 			var answer versionAnswer
 			if a.bus.Call(ctx, m.PeerAddress, methodVersion, nil, &answer) != nil {
 				return
@@ -65,6 +105,6 @@
 			answers = append(answers, peerVersion{answer, m.PeerAddress})
 		})
 	}
-	wg.Wait()
+	asking.Wait()
 	return answers
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -197,7 +197,7 @@
 	return targets
 }
 
-// Run reads the list now and then until ctx ends.
+// Run reads the list now and then until ctx ends, and returns why it ended.
 func (d *Directory) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		up := d.read(ctx) == nil
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -57,26 +57,28 @@
 		return
 	}
 	var addresses []string
+	shown := make(map[string]bool)
 	for _, l := range list {
 		if l.Role == platform.RoleEntry && !l.Leaving {
 			addresses = append(addresses, l.Address)
+			shown[l.Name], shown[l.Address] = true, true
 		}
 	}
 	m.change(func(now time.Time) {
 		m.listed, m.listEntries = addresses, len(list)
-		m.noteGone(now)
+		m.noteGone(shown, now)
 	})
 }
 
-// noteGone stops counting dead members that the list no longer shows. An empty
-// list says nothing. m.mu is held.
-func (m *Membership) noteGone(now time.Time) {
-	if len(m.listed) == 0 {
+// noteGone stops counting dead members that the list no longer shows, by name
+// or address. A list that lacks this instance itself says nothing. m.mu is held.
+func (m *Membership) noteGone(shown map[string]bool, now time.Time) {
+	if !shown[m.self.Name] && !shown[m.self.PeerAddress] {
 		return
 	}
 	for _, r := range m.records {
 		if r.state == stateDead && now.Sub(r.changed) > listLag {
-			r.replaced = !slices.Contains(m.listed, r.member.PeerAddress)
+			r.replaced = !shown[r.member.Name] && !shown[r.member.PeerAddress]
 		}
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -166,7 +166,8 @@
 	m.heard = heard
 }
 
-// Run keeps the membership until ctx ends. The bus must have been started.
+// Run keeps the membership until ctx ends, and returns why it ended. The bus
+// must have been started.
 func (m *Membership) Run(ctx context.Context) error {
 	var wg conc.WaitGroup
 	wg.Go(func() { m.runTicks(ctx) })
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -160,6 +160,32 @@
 	assert.Check(t, members[0].Reach().Majority())
 }
 
+func TestDeadMemberThatTheListDropsIsNotMissed(t *testing.T) {
+	cases := []struct {
+		name  string
+		list  []platform.Listed
+		known int
+	}{
+		{"dropped", []platform.Listed{{Name: "m000", Role: platform.RoleEntry}}, 3},
+		{"still shown", []platform.Listed{{Name: "m000", Role: platform.RoleEntry}, {Name: "m003", Role: platform.RoleEntry}}, 4},
+		{"empty", nil, 4},
+	}
+	for _, listed := range cases {
+		t.Run(listed.name, func(t *testing.T) {
+			c := newCluster(t)
+			members := c.startMany(4)
+			c.run(3 * time.Second)
+			c.crash(members[3])
+			c.run(10*time.Second + listLag)
+			memory := platform.NewMemory()
+			memory.SetInstances(listed.list)
+			members[0].list = memory
+			members[0].readList(context.Background())
+			assert.Equal(t, members[0].Reach().Known, listed.known)
+		})
+	}
+}
+
 func TestLeavingMemberIsShownAndThenGoneAtOnce(t *testing.T) {
 	c := newCluster(t)
 	members := c.startMany(4)
