Compare states sooner after joining

Cause: of 80 instances started at once by one seed, some learned of all others only at the first comparison, 5 to 15 s after they joined.

Change: the first three comparisons after joining come 1 to 3 s apart.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -97,11 +97,15 @@
 	listed      []string
 	listEntries int
 	// quiet keeps the members learned by joining from being spread back.
-	quiet     bool
-	dirty     bool
-	out       []outgoing
-	events    []func()
-	notifying bool
+	quiet bool
+	// nextSync is when to compare again; eagerSyncs counts the comparisons
+	// left that follow joining closely.
+	nextSync   time.Time
+	eagerSyncs int
+	dirty      bool
+	out        []outgoing
+	events     []func()
+	notifying  bool
 }
 
 // outgoing is a datagram to be sent once the lock is free.
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -42,33 +42,47 @@
 // runSyncs compares with a random member now and then, and at once after a
 // pause.
 func (m *Membership) runSyncs(ctx context.Context) {
-	last := m.clock.Now()
-	wait := m.jitter(syncInterval)
+	m.change(m.planSync)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.clock.After(tickInterval):
 		}
-		now := m.clock.Now()
-		if now.Sub(last) < wait && !m.wantsResync() {
-			continue
+		if m.syncDue() {
+			m.syncOnce(ctx)
+			m.change(m.planSync)
 		}
-		last, wait = now, m.jitter(syncInterval)
-		m.syncOnce(ctx)
 	}
 }
 
-func (m *Membership) wantsResync() bool {
+func (m *Membership) syncDue() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.resync
+	return m.resync || !m.clock.Now().Before(m.nextSync)
+}
+
+// planSync sets the time of the next comparison. The first ones after joining
+// follow each other faster: when many start at once, the member joined by did
+// not know all the others yet. m.mu is held.
+func (m *Membership) planSync(now time.Time) {
+	mean := syncInterval
+	if m.eagerSyncs > 0 {
+		m.eagerSyncs--
+		mean = eagerSyncInterval
+	}
+	m.nextSync = now.Add(m.jittered(mean))
 }
 
 // jitter returns a time between half and one and a half of mean.
 func (m *Membership) jitter(mean time.Duration) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.jittered(mean)
+}
+
+// jittered is jitter for callers that hold m.mu.
+func (m *Membership) jittered(mean time.Duration) time.Duration {
 	return mean/2 + time.Duration(m.rand.Int64N(int64(mean)))
 }
 
@@ -105,6 +119,10 @@
 		closing.Updates = m.missing(answer)
 		closing.News = m.missingRumors(answer, now)
 		m.quiet = len(m.records) == 0
+		if m.quiet {
+			m.eagerSyncs = eagerSyncs
+			m.planSync(now)
+		}
 		m.merge(update{Member: answer.Self, State: stateAlive}, now)
 		for _, u := range answer.Updates {
 			m.merge(u, now)
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -24,6 +24,8 @@
 	// syncInterval is the mean time between comparisons with another member.
 	syncInterval = 10 * time.Second
 	syncTimeout  = 2 * time.Second
+	// eagerSyncInterval is the mean time between the first eagerSyncs ones.
+	eagerSyncInterval = 2 * time.Second
 	// joinInterval is the mean time between attempts at addresses that no
 	// live member has; joinIntervalAlone applies while there is no other.
 	joinInterval      = 5 * time.Second
@@ -50,6 +52,7 @@
 const (
 	helpers      = 3
 	gossipFanout = 3
+	eagerSyncs   = 3
 	leaveFanout  = 8
 	leaveRounds  = 2
 	// joinsAlone is how many addresses are tried at once while alone.
