--- a/internal/configuration/admit.go
+++ b/internal/configuration/admit.go
@@ -15,7 +15,7 @@
 	InForceBound = 8 * time.Second
 	// contactLimit is how old the last answered probe may be for an instance
 	// that counts itself in contact with others.
-	contactLimit = 3 * time.Second
+	contactLimit = 5 * time.Second
 	// decisionInterval is the time between decisions for an outage, and
 	// decisionLifetime how long one holds; a paused process has none.
 	decisionInterval = 250 * time.Millisecond
--- a/internal/configuration/adopter.go
+++ b/internal/configuration/adopter.go
@@ -73,7 +73,9 @@
 	// relays are pushes to be passed on.
 	relays chan relayJob
 
-	// mu guards the fields below and serialises adoption.
+	// adopting serialises adoption and the calls of listeners.
+	adopting sync.Mutex
+	// mu guards the fields below.
 	mu        sync.Mutex
 	rand      *rand.Rand
 	listeners []func(*tables.Tables)
@@ -124,8 +126,8 @@
 func (a *Adopter) Current() *tables.Tables { return a.current.Load() }
 
 // OnAdopt registers a function that is called with each configuration that
-// comes into force here, one call at a time and in the order of versions. Of
-// the adopter it may call Current only. Register before Run.
+// comes into force here, one call at a time and in the order of versions. It
+// must return soon. Register before Run.
 func (a *Adopter) OnAdopt(listener func(*tables.Tables)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -155,13 +157,16 @@
 }
 
 func (a *Adopter) replace(t *tables.Tables) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	a.adopting.Lock()
+	defer a.adopting.Unlock()
 	if t.Version <= a.current.Load().Version {
 		return false
 	}
 	a.current.Store(t)
-	for _, listener := range a.listeners {
+	a.mu.Lock()
+	listeners := a.listeners
+	a.mu.Unlock()
+	for _, listener := range listeners {
 		listener(t)
 	}
 	return true
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -71,10 +71,12 @@
 
 	// mu guards the fields below. Nothing is sent, and no listener called,
 	// while it is held: see change.
-	mu        sync.Mutex
-	rand      *rand.Rand
-	self      Member
-	left      bool
+	mu   sync.Mutex
+	rand *rand.Rand
+	self Member
+	left bool
+	// rival is the address of another process with the same name.
+	rival     string
 	records   map[string]*record
 	byAddress map[string]string
 	queue     queue
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -125,9 +125,21 @@
 	if u.Member.Incarnation < m.self.Incarnation || (same && u.State == stateAlive) {
 		return
 	}
+	m.noteRival(u)
 	m.renew(u.Member.Incarnation + 1)
 }
 
+// noteRival warns of another process with this instance's name: both would
+// raise their incarnations without end. m.mu is held.
+func (m *Membership) noteRival(u update) {
+	rival := u.Member.PeerAddress
+	if u.State != stateAlive || rival == m.self.PeerAddress || rival == m.rival {
+		return
+	}
+	m.rival = rival
+	m.logger.Error("another process uses this instance's name", zap.String("address", rival))
+}
+
 // renew raises the own incarnation and spreads it; m.mu is held.
 func (m *Membership) renew(incarnation uint64) {
 	m.self.Incarnation = incarnation
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -77,6 +78,9 @@
 	if len(options.Secret) < minSecretBytes {
 		return nil, errors.Newf("peer: the shared secret is shorter than %d bytes", minSecretBytes)
 	}
+	if err := checkAddress(options.Address); err != nil {
+		return nil, err
+	}
 	listener, packets, err := bind(options.Address)
 	if err != nil {
 		return nil, err
@@ -106,6 +110,18 @@
 	return b, nil
 }
 
+// checkAddress refuses addresses by which others cannot reach this instance.
+func checkAddress(address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Wrapf(err, "peer: listen address %q", address)
+	}
+	if parsed.Addr().IsUnspecified() {
+		return errors.Newf("peer: listen address %q: others need an address that they can reach", address)
+	}
+	return nil
+}
+
 // bind opens both sockets on one port.
 func bind(address string) (*net.TCPListener, *net.UDPConn, error) {
 	want, err := net.ResolveTCPAddr("tcp", address)
--- a/internal/peer/net_test.go
+++ b/internal/peer/net_test.go
@@ -160,3 +160,15 @@
 	err := a.Call(ctx, b.Address(), "hang", nil, nil)
 	assert.Check(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 }
+
+func TestListenRefusesUnusableOptions(t *testing.T) {
+	for _, options := range []Options{
+		{Address: "0.0.0.0:0", Secret: testSecret},
+		{Address: "[::]:0", Secret: testSecret},
+		{Address: "localhost:0", Secret: testSecret},
+		{Address: "127.0.0.1:0", Secret: []byte("short")},
+	} {
+		_, err := Listen(options)
+		assert.Check(t, err != nil, "%s", options.Address)
+	}
+}
