Settle lost lease writes by reading back, and test the holders of shards

Cause: with every answer of a commit lost a holder never learnt that its lease was renewed, and stopped once a witness had died. A returning instance waited for ever on cached rows of shards that their live holders had freed since.

Change: the lease row numbers the holder's writes, so that the row shows which one took effect. Rows held by live instances are read again.

--- a/internal/once/lease.go
+++ b/internal/once/lease.go
@@ -55,6 +55,8 @@
 
 // leaseRow is the content of a lease's row.
 type leaseRow struct {
+	// Attempt numbers the holder's writes, to settle a lost answer.
+	Attempt   uint64    `msgpack:"a"`
 	Witnesses []witness `msgpack:"w"`
 	// Solo is set when the holder saw no other instance, so that its records
 	// exist nowhere else.
--- a/internal/once/shards.go
+++ b/internal/once/shards.go
@@ -7,10 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
@@ -76,6 +74,9 @@
 	// stepMu serialises steps; the fields below belong to the present step.
 	stepMu  sync.Mutex
 	watched map[string]*watchedLease
+	// unknown holds the attempts to write the lease whose answers were lost.
+	unknown map[uint64]leaseAttempt
+	// unfreed holds the writes that free shards already dropped.
 	unfreed map[Shard]platform.Write
 	// rows caches the rows of wanted shards that others hold. A transaction
 	// that builds on an old one conflicts.
@@ -110,9 +111,10 @@
 	}
 	s := &Shards{
 		options: options, ceded: newCessions(),
-		watched: make(map[string]*watchedLease), unfreed: make(map[Shard]platform.Write),
-		rows:  make(map[Shard]platform.Row),
-		swept: options.Clock.Now(),
+		watched: make(map[string]*watchedLease), unknown: make(map[uint64]leaseAttempt),
+		unfreed: make(map[Shard]platform.Write),
+		rows:    make(map[Shard]platform.Row),
+		swept:   options.Clock.Now(),
 	}
 	s.place(options.Viewer.View())
 	options.Viewer.OnChange(s.place)
@@ -210,13 +212,6 @@
 	s.grip.Store(&next)
 }
 
-// lose drops all shards and begins a new lease.
-func (s *Shards) lose() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.grip.Store(s.newGrip())
-}
-
 // Step does one round: renew when due, pass on shards that belong elsewhere,
 // take those that belong here. Run calls it.
 func (s *Shards) Step(ctx context.Context) {
@@ -225,6 +220,7 @@
 	if s.released {
 		return
 	}
+	s.dropOldAttempts()
 	if err := s.step(ctx); err != nil {
 		// After an outage every holder gets a full LeaseTTL to renew.
 		clear(s.watched)
@@ -232,6 +228,15 @@
 	}
 }
 
+// dropOldAttempts forgets writes that could not extend the lease any more.
+func (s *Shards) dropOldAttempts() {
+	for id, attempt := range s.unknown {
+		if s.options.Clock.Since(attempt.started) > LeaseTTL {
+			delete(s.unknown, id)
+		}
+	}
+}
+
 func (s *Shards) step(ctx context.Context) error {
 	g := s.grip.Load()
 	if g.version != 0 && s.options.Clock.Since(g.renewed) >= RenewEvery {
@@ -248,98 +253,3 @@
 	}
 	return s.sweep(ctx)
 }
-
-// renew extends the lease.
-func (s *Shards) renew(ctx context.Context) error {
-	_, err := s.commit(ctx, nil, nil)
-	return err
-}
-
-// commit writes the lease row and the given shard rows in one transaction, and
-// holds the shards afterwards. A conflict is no error: nothing is done then,
-// and the next step reads the rows again.
-func (s *Shards) commit(
-	ctx context.Context, writes []platform.Write, taken []takenShard,
-) (done bool, err error) {
-	started := s.options.Clock.Now()
-	g := s.grip.Load()
-	view := s.options.Viewer.View()
-	row := leaseRow{Witnesses: chooseWitnesses(view), Solo: len(peers(view)) == 0}
-	s.update(func(next *grip) {
-		next.witnesses = unite(g.witnesses, row.Witnesses)
-		next.solo = g.solo && row.Solo
-	})
-
-	lease := platform.Write{Key: leaseKey(g.lease), Expect: g.version, Value: encodeRow(&row)}
-	err = s.transact(ctx, append([]platform.Write{lease}, writes...))
-	var conflict *platform.ConflictError
-	switch {
-	case err == nil:
-		s.succeed(started, row, taken)
-		clear(s.rows)
-		return true, nil
-	case errors.As(err, &conflict):
-		s.update(func(next *grip) { next.witnesses, next.solo = g.witnesses, g.solo })
-		s.settleConflict(conflict)
-		clear(s.rows)
-		return false, nil
-	case errors.Is(err, platform.ErrUnavailable):
-		s.update(func(next *grip) { next.witnesses, next.solo = g.witnesses, g.solo })
-	}
-	return false, err
-}
-
-func (s *Shards) succeed(started time.Time, row leaseRow, taken []takenShard) {
-	if len(taken) > 0 && s.listener != nil {
-		s.listener.acquired(describe(taken))
-	}
-	s.update(func(g *grip) {
-		g.version++
-		g.renewed, g.until = started, started.Add(LeaseTTL-LeaseMargin)
-		g.witnesses, g.solo = row.Witnesses, row.Solo
-		rows := make(map[Shard]platform.Version, len(g.rows)+len(taken))
-		for shard, version := range g.rows {
-			rows[shard] = version
-		}
-		for _, t := range taken {
-			rows[t.Shard] = t.version + 1
-		}
-		g.rows = rows
-	})
-}
-
-// settleConflict tells a lost lease from an earlier write of the own lease
-// whose answer was lost.
-func (s *Shards) settleConflict(conflict *platform.ConflictError) {
-	if conflict.Indexes[0] != 0 {
-		return // only rows of others
-	}
-	var row leaseRow
-	found := conflict.Rows[0]
-	if found.Version == 0 || msgpack.Unmarshal(found.Value, &row) != nil || row.EndedMillis != 0 {
-		s.lose()
-		return
-	}
-	s.update(func(g *grip) { g.version = found.Version })
-}
-
-func (s *Shards) transact(ctx context.Context, writes []platform.Write) error {
-	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, RenewEvery)
-	defer cancel()
-	return s.options.Table.Commit(ctx, writes)
-}
-
-// unite returns the witnesses of both lists.
-func unite(a, b []witness) []witness {
-	all := append([]witness(nil), a...)
-	for _, w := range b {
-		known := false
-		for _, have := range a {
-			known = known || have == w
-		}
-		if !known {
-			all = append(all, w)
-		}
-	}
-	return all
-}
--- a/internal/once/takeover.go
+++ b/internal/once/takeover.go
@@ -166,7 +166,7 @@
 	}
 	verdict, err := t.leaseEnded(ctx, found.Lease)
 	if err != nil || !verdict.ended {
-		t.shards.hint(shard, found.Holder)
+		t.shards.heldBy(shard, found.Holder)
 		return err
 	}
 	taken.Alone = verdict.solo
@@ -174,6 +174,15 @@
 	return nil
 }
 
+// heldBy notes a shard's holder. One that lives is about to free the shard, so
+// its row is read again; for a dead one the lease alone is watched.
+func (s *Shards) heldBy(shard Shard, holder membership.Member) {
+	s.hint(shard, holder)
+	if present(s.options.Viewer.View(), holder.Name, holder.Incarnation) {
+		delete(s.rows, shard)
+	}
+}
+
 func (s *Shards) hint(shard Shard, holder membership.Member) { s.hints[shard].Store(&holder) }
 
 // leaseEnded tells whether a lease has ended, and adds the write that ends it.
