Void tickets of earlier terms, and test resends under faults at each step

Cause: a keeper that was paused with a queued request, lost its shard and took it back could dispatch a key that the keeper in between had run already.

Change: each taking of a shard begins a term; tickets of earlier terms are void, and records from elsewhere replace what is only queued.

--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -58,6 +58,9 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	entries map[Key]*ledgerEntry
+	// term counts how often the shard was taken. Tickets of an earlier term are
+	// void, since another keeper may have run their keys in between.
+	term uint64
 	// settlement is set while, and after, records are collected for the shard.
 	settlement *settlement
 }
@@ -196,7 +199,7 @@
 	l.answers.Put(key.ID(), entry.answer)
 	self := l.options.Viewer.View().Self.Name
 	ticket := &Ticket{
-		ledger: l, key: key, entry: entry, needsCopy: forwarder == "" || forwarder == self,
+		ledger: l, key: key, entry: entry, term: part.term, needsCopy: forwarder == "" || forwarder == self,
 	}
 	return Decision{Kind: DecideRun, Ticket: ticket}
 }
--- /dev/null
+++ b/internal/once/ledger_test.go
@@ -0,0 +1,333 @@
+package once
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/answer"
+	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+)
+
+// progress is how far a keyed request has come when a fault strikes.
+type progress int
+
+const (
+	beforeBegin progress = iota
+	queued
+	dispatched
+	targetKnown
+	ended
+	progressCount
+)
+
+func (p progress) String() string {
+	return [...]string{"before begin", "queued", "dispatched", "target known", "ended"}[p]
+}
+
+// keyedRequest is one request on its way from a forwarder over its keeper to a
+// target.
+type keyedRequest struct {
+	world             *world
+	forwarder, keeper *node
+	key               Key
+	ticket            *Ticket
+	// sends counts how often it has been sent to a target.
+	sends int
+}
+
+var targetSite = Dispatched{Instance: "keeper", Target: "10.0.0.9:80", RequestID: "r1"}
+
+// newKeyedRequest picks a key of node 0 that comes in at the given node.
+func newKeyedRequest(t *testing.T, w *world, forwarder int) *keyedRequest {
+	t.Helper()
+	return &keyedRequest{
+		world: w, forwarder: w.nodes[forwarder], keeper: w.nodes[0], key: w.nodes[0].keyOf(t),
+	}
+}
+
+// advance takes the request to the given progress.
+func (r *keyedRequest) advance(t *testing.T, to progress) {
+	t.Helper()
+	if to >= queued {
+		from := ""
+		if r.forwarder != r.keeper {
+			from = r.forwarder.member.Name
+			assert.NilError(t, r.forwarder.forwards.Note(r.key, testHash, r.keeper.member.Name))
+		}
+		decision := r.keeper.ledger.Begin(r.key, testHash, from)
+		assert.Equal(t, decision.Kind, DecideRun)
+		r.ticket = decision.Ticket
+	}
+	if to >= dispatched {
+		assert.NilError(t, r.send())
+	}
+	if to >= targetKnown {
+		r.forwarder.forwards.Dispatched(r.key, targetSite)
+	}
+	if to >= ended {
+		r.ticket.Answer().End(answer.Complete)
+		r.ticket.Finish()
+	}
+}
+
+// send dispatches the ticket if it may.
+func (r *keyedRequest) send() error {
+	ctx, cancel := context.WithTimeout(r.world.t.Context(), time.Minute)
+	defer cancel()
+	err := r.ticket.Dispatch(ctx, targetSite)
+	if err == nil {
+		r.sends++
+	}
+	return err
+}
+
+// resend asks again at a node until the decision is final, as an entry does,
+// and sends if it may.
+func (r *keyedRequest) resend(at *node) Decision {
+	var decision Decision
+	for range 300 {
+		decision = r.ask(at)
+		if decision.Kind != DecideWait {
+			break
+		}
+		time.Sleep(settleRetry)
+	}
+	if decision.Kind == DecideRun {
+		r.ticket = decision.Ticket
+		_ = r.send()
+	}
+	return decision
+}
+
+// ask follows the request to its keeper once.
+func (r *keyedRequest) ask(at *node) Decision {
+	wait := Decision{Kind: DecideWait, Refusal: refuseNoKeeper()}
+	for range 3 {
+		keeper, ok := at.shards.KeeperOf(r.key)
+		node := r.world.find(keeper.Name)
+		if !ok || !r.world.network.Deliver(at.member.PeerAddress, node.member.PeerAddress) {
+			return wait
+		}
+		_ = at.forwards.Note(r.key, testHash, keeper.Name)
+		decision := node.ledger.Begin(r.key, testHash, at.member.Name)
+		if decision.Kind != DecideForward {
+			return decision
+		}
+		at.shards.Learn(r.key, decision.Keeper)
+	}
+	return wait
+}
+
+func (w *world) find(name string) *node {
+	for _, n := range w.nodes {
+		if n.member.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// ledgerFault is something that strikes while a request is under way.
+type ledgerFault struct {
+	name   string
+	strike func(*keyedRequest)
+	// want is what a resend at a third instance gets, by progress.
+	want [progressCount]DecisionKind
+}
+
+func ledgerFaults() []ledgerFault {
+	return []ledgerFault{
+		{
+			name: "none", strike: func(*keyedRequest) {},
+			want: [...]DecisionKind{DecideRun, DecideJoin, DecideJoin, DecideJoin, DecideJoin},
+		},
+		{
+			name: "keeper dies", strike: func(r *keyedRequest) { r.world.die(r.keeper) },
+			want: [...]DecisionKind{DecideRun, DecideRefuse, DecideRefuse, DecideResume, DecideResume},
+		},
+		{
+			name: "forwarder dies", strike: func(r *keyedRequest) { r.world.die(r.forwarder) },
+			want: [...]DecisionKind{DecideRun, DecideJoin, DecideJoin, DecideJoin, DecideJoin},
+		},
+		{
+			name: "both die",
+			strike: func(r *keyedRequest) {
+				r.world.isolate(r.forwarder)
+				r.world.isolate(r.keeper)
+				r.world.see(func(n *node) bool { return n != r.forwarder && n != r.keeper })
+				r.forwarder.stop()
+				r.keeper.stop()
+			},
+			want: [...]DecisionKind{DecideRefuse, DecideRefuse, DecideRefuse, DecideRefuse, DecideRefuse},
+		},
+		{
+			name: "keeper paused past its lease", strike: pauseKeeper,
+			want: [...]DecisionKind{DecideRun, DecideRefuse, DecideJoin, DecideJoin, DecideJoin},
+		},
+		{
+			name: "keeper leaves", strike: func(r *keyedRequest) {
+				_ = r.keeper.shards.Release(r.world.t.Context())
+				r.world.die(r.keeper)
+			},
+			want: [...]DecisionKind{DecideRun, DecideRun, DecideResume, DecideResume, DecideResume},
+		},
+		{
+			name: "table service down", strike: func(r *keyedRequest) {
+				r.world.setFault(down)
+				time.Sleep(time.Minute)
+			},
+			want: [...]DecisionKind{DecideRun, DecideJoin, DecideJoin, DecideJoin, DecideJoin},
+		},
+		{
+			name: "table service down and keeper dead", strike: func(r *keyedRequest) {
+				r.world.setFault(down)
+				r.world.die(r.keeper)
+			},
+			want: [...]DecisionKind{DecideWait, DecideWait, DecideWait, DecideWait, DecideWait},
+		},
+		{
+			name: "answers of commits lost and keeper dead", strike: func(r *keyedRequest) {
+				r.world.setFault(lostCommits)
+				r.world.die(r.keeper)
+			},
+			want: [...]DecisionKind{DecideRun, DecideRefuse, DecideRefuse, DecideResume, DecideResume},
+		},
+	}
+}
+
+// pauseKeeper stops the keeper's loops until the others have taken its shards,
+// and lets it take them again.
+func pauseKeeper(r *keyedRequest) {
+	r.world.isolate(r.keeper)
+	r.keeper.stop()
+	r.world.see(func(n *node) bool { return n != r.keeper })
+	time.Sleep(LeaseTTL + 4*VouchTTL)
+	r.world.rejoin(r.keeper)
+	r.world.see(func(*node) bool { return true })
+	r.keeper.start()
+	time.Sleep(4 * shardTick)
+}
+
+func TestResendUnderEachFaultAtEachStep(t *testing.T) {
+	for _, f := range ledgerFaults() {
+		for at := range progressCount {
+			t.Run(f.name+"/"+at.String(), func(t *testing.T) {
+				inWorld(t, 4, func(t *testing.T, w *world) {
+					r := newKeyedRequest(t, w, 1)
+					r.advance(t, at)
+					first := r.ticket
+					f.strike(r)
+
+					decision := r.resend(w.nodes[2])
+
+					assert.Equal(t, decision.Kind, f.want[at], "%+v", decision.Refusal)
+					r.wakeFirst(first)
+					assert.Assert(t, r.sends <= 1, "sent %d times", r.sends)
+				})
+			})
+		}
+	}
+}
+
+// wakeFirst lets the first keeper go on with its ticket, if it was not sent.
+func (r *keyedRequest) wakeFirst(first *Ticket) {
+	if first == nil || first.entry.stage != entryQueued {
+		return
+	}
+	r.ticket = first
+	_ = r.send()
+}
+
+func TestEntryThatIsKeeperLeavesACopy(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		r := newKeyedRequest(t, w, 0)
+		r.advance(t, dispatched)
+		w.die(r.keeper)
+		assert.Equal(t, r.resend(w.nodes[2]).Kind, DecideResume)
+		assert.Equal(t, r.sends, 1)
+	})
+}
+
+func TestTicketOfAnEarlierTermIsVoid(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		r := newKeyedRequest(t, w, 0)
+		r.advance(t, queued)
+		first, keeper := r.ticket, r.keeper
+		w.isolate(keeper)
+		keeper.stop()
+		w.see(func(n *node) bool { return n != keeper })
+		assert.Equal(t, r.resend(w.nodes[2]).Kind, DecideRun, "nobody knew of it")
+		assert.Equal(t, r.sends, 1)
+		w.rejoin(keeper)
+		w.see(func(*node) bool { return true })
+		keeper.start()
+		time.Sleep(LeaseTTL)
+		assert.Assert(t, keeper.shards.Holds(r.key.Shard()))
+
+		r.ticket = first
+		refusedAs(t, r.send(), fault.NotRun)
+		assert.Equal(t, r.sends, 1)
+	})
+}
+
+func TestNoCopyMeansNotSent(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		r := newKeyedRequest(t, w, 0)
+		r.advance(t, queued)
+		w.isolate(r.keeper)
+		refusedAs(t, r.send(), fault.NotRun)
+	})
+}
+
+func TestLoneInstanceRunsWithoutCopy(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		r := newKeyedRequest(t, w, 0)
+		r.advance(t, dispatched)
+		assert.Equal(t, r.sends, 1)
+		w.nodes[0].stop()
+		again := w.nodes[0].member
+		again.Incarnation = 9
+		successor := w.newNode(again, nil)
+		w.nodes = append(w.nodes[:0], successor)
+		successor.start()
+		time.Sleep(LeaseTTL + LeaseMargin)
+
+		decision := r.resend(successor)
+
+		assert.Equal(t, decision.Kind, DecideRefuse)
+		assert.Equal(t, decision.Refusal.Run, fault.Unknown)
+	})
+}
+
+func TestKeyIsFreeAfterProvedNotRun(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		r := newKeyedRequest(t, w, 1)
+		r.advance(t, queued)
+		joined := r.ask(w.nodes[2])
+		r.ticket.NotRun(refuseNotRun("connection refused"))
+		_, err := joined.Answer.Follow(0).Next(t.Context())
+		refusedAs(t, err, fault.NotRun)
+		assert.Equal(t, r.resend(w.nodes[2]).Kind, DecideRun)
+		assert.Equal(t, r.keeper.ledger.Begin(r.key, BodyHash{}, "b").Kind, DecideRefuse)
+	})
+}
+
+func TestRecordsAgeAndAreBounded(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		r := newKeyedRequest(t, w, 1)
+		r.advance(t, ended)
+		r.forwarder.forwards.Done(r.key, false)
+		time.Sleep(DefaultResendWindow + 2*ageEvery)
+		assert.Equal(t, r.keeper.ledger.Count(), 0)
+		assert.Equal(t, r.forwarder.forwards.Count(), 0)
+		forwards := r.forwarder.forwards
+		for i := range maxForwards {
+			assert.NilError(t, forwards.Note(Key{Key: strconv.Itoa(i)}, testHash, "a"))
+		}
+		refusedAs(t, forwards.Note(Key{Key: "one too many"}, testHash, "a"), fault.NotRun)
+	})
+}
--- a/internal/once/settle.go
+++ b/internal/once/settle.go
@@ -108,9 +108,7 @@
 			s.shards = append(s.shards, a.Shard)
 			s.alone = s.alone || a.Alone
 		}
-		part.mu.Lock()
-		part.settlement = s
-		part.mu.Unlock()
+		l.beginTerm(part, s)
 	}
 	l.mu.Lock()
 	for _, s := range byHolder {
@@ -123,6 +121,19 @@
 	}
 }
 
+// beginTerm drops the keys that were queued in an earlier term.
+func (l *Ledger) beginTerm(part *ledgerPart, s *settlement) {
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	part.settlement = s
+	part.term++
+	for key, entry := range part.entries {
+		if entry.stage == entryQueued {
+			l.remove(part, key, entry)
+		}
+	}
+}
+
 // settleAll carries out settlements until ctx ends.
 func (l *Ledger) settleAll(ctx context.Context) {
 	work := pool.New().WithMaxGoroutines(settleCalls)
@@ -201,26 +212,37 @@
 	return true
 }
 
-// merge adds records of requests that earlier keepers may have dispatched.
+// merge adds records of requests that earlier keepers may have dispatched. They
+// void what is only queued here.
 func (l *Ledger) merge(records []Record) {
-	now := l.options.Clock.Now()
 	for _, r := range records {
 		part := &l.parts[r.Key.Shard()]
 		part.mu.Lock()
-		entry := part.entries[r.Key]
-		switch {
-		case entry == nil:
-			part.entries[r.Key] = &ledgerEntry{
-				hash: r.Hash, stage: entryForeign, dispatched: r.Dispatched, changed: now,
-			}
-			l.count.Add(1)
-		case entry.stage == entryForeign && entry.dispatched.Target == "":
-			entry.dispatched = r.Dispatched
-		}
+		l.mergeOne(part, r)
 		part.mu.Unlock()
 	}
 }
 
+// mergeOne adds one record; part.mu is held.
+func (l *Ledger) mergeOne(part *ledgerPart, r Record) {
+	entry := part.entries[r.Key]
+	switch {
+	case entry == nil:
+		l.count.Add(1)
+	case entry.stage == entryQueued:
+		l.answers.Remove(r.Key.ID())
+	case entry.stage == entryForeign && entry.dispatched.Target == "":
+		entry.dispatched = r.Dispatched
+		return
+	default:
+		return
+	}
+	part.entries[r.Key] = &ledgerEntry{
+		hash: r.Hash, stage: entryForeign, dispatched: r.Dispatched,
+		changed: l.options.Clock.Now(),
+	}
+}
+
 // handleRegister gives a new keeper what this instance knows of its shards, as
 // a forwarder and as an earlier keeper.
 func (l *Ledger) handleRegister(_ context.Context, _ string, raw json.RawMessage) (any, error) {
--- a/internal/once/ticket.go
+++ b/internal/once/ticket.go
@@ -18,6 +18,7 @@
 	ledger *Ledger
 	key    Key
 	entry  *ledgerEntry
+	term   uint64
 	// needsCopy is set while no other instance knows of the request.
 	needsCopy bool
 }
@@ -54,8 +55,8 @@
 	clock := t.ledger.options.Clock
 	deadline, bounded := ctx.Deadline()
 	switch {
-	case part.entries[t.key] != t.entry:
-		return "the request was given up"
+	case part.entries[t.key] != t.entry || part.term != t.term:
+		return "another instance has been the keeper of the key since"
 	case ctx.Err() != nil || bounded && !clock.Now().Before(deadline):
 		return "the deadline passed before the request was sent"
 	case !t.ledger.options.Shards.Holds(t.key.Shard()):
