--- a/internal/answer/store.go
+++ b/internal/answer/store.go
@@ -40,7 +40,9 @@
 type Store struct {
 	options StoreOptions
 	bytes   atomic.Int64
-	parts   [storePartCount]storePart
+	// sequence counts calls of Put.
+	sequence atomic.Uint64
+	parts    [storePartCount]storePart
 }
 
 // storePart holds the names that hash to it.
@@ -55,6 +57,8 @@
 type storeEntry struct {
 	name   string
 	answer *Answer
+	// sequence is the order of Put.
+	sequence uint64
 }
 
 // NewStore returns an empty store.
@@ -91,9 +95,9 @@
 	if old, ok := part.entries[name]; ok {
 		part.order.Remove(old)
 	}
-	part.entries[name] = part.order.PushBack(&storeEntry{name, answer})
+	part.entries[name] = part.order.PushBack(&storeEntry{name, answer, s.sequence.Add(1)})
 	part.mu.Unlock()
-	s.trim(name)
+	s.trim()
 }
 
 // Get returns the answer under a name, or nil.
@@ -134,16 +138,28 @@
 	}
 }
 
-// trim frees ended answers while the store is over its bound, first in the
-// part of the name.
-func (s *Store) trim(name string) {
-	start := xxhash.Sum64String(name)
-	for i := uint64(0); i < storePartCount && s.over(); i++ {
-		s.parts[(start+i)%storePartCount].drop(func(a *Answer) bool {
-			_, ended := a.Ended()
-			return ended && s.over()
-		})
+// trim frees the ended answers that were put first while the store is over its
+// bound.
+func (s *Store) trim() {
+	for s.over() {
+		part, element := s.oldest()
+		if element == nil {
+			return
+		}
+		part.forget(element)
+	}
+}
+
+// oldest returns the ended answer that was put first, or nil.
+func (s *Store) oldest() (part *storePart, oldest *list.Element) {
+	var first uint64
+	for i := range s.parts {
+		element, sequence := s.parts[i].oldest()
+		if element != nil && (oldest == nil || sequence < first) {
+			part, oldest, first = &s.parts[i], element, sequence
+		}
 	}
+	return part, oldest
 }
 
 func (s *Store) over() bool { return s.bytes.Load() > s.options.Bytes }
@@ -172,6 +188,30 @@
 	}
 }
 
+// oldest returns the first ended answer in the order of Put, or nil.
+func (p *storePart) oldest() (*list.Element, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for element := p.order.Front(); element != nil; element = element.Next() {
+		entry := element.Value.(*storeEntry)
+		if _, ended := entry.answer.Ended(); ended {
+			return element, entry.sequence
+		}
+	}
+	return nil, 0
+}
+
+// forget drops an answer unless its name holds another one by now.
+func (p *storePart) forget(element *list.Element) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entry := element.Value.(*storeEntry)
+	entry.answer.Forget()
+	if p.entries[entry.name] == element {
+		p.remove(element)
+	}
+}
+
 // remove takes an entry out; p.mu is held.
 func (p *storePart) remove(element *list.Element) {
 	p.order.Remove(element)
--- /dev/null
+++ b/internal/handle/handle_test.go
@@ -0,0 +1,59 @@
+package handle
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var (
+	secret = []byte("a peer secret")
+	sample = Handle{
+		Instance: "entry-1", RequestID: "0123456789abcdef", Account: "acme",
+		Pool: "assistants", Target: "10.0.0.1:8000", CreatedMillis: 1700000000000,
+	}
+)
+
+func TestHandleRoundTrip(t *testing.T) {
+	text, err := sample.Encode(secret)
+	assert.NilError(t, err)
+	decoded, err := Decode(secret, text)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, sample)
+	assert.Equal(t, decoded.Created().UnixMilli(), sample.CreatedMillis)
+}
+
+func TestForeignHandlesAreInvalid(t *testing.T) {
+	text, err := sample.Encode(secret)
+	assert.NilError(t, err)
+	for name, bad := range map[string]string{
+		"empty": "", "too short": text[:10], "no base64": "!" + text[1:],
+		"too long": strings.Repeat("A", MaxSize+1), "cut": text[:len(text)-4],
+	} {
+		_, err := Decode(secret, bad)
+		assert.ErrorIs(t, err, ErrInvalid, "%s", name)
+	}
+	_, err = Decode([]byte("another secret"), text)
+	assert.ErrorIs(t, err, ErrInvalid)
+}
+
+func TestChangedHandlesAreInvalid(t *testing.T) {
+	text, err := sample.Encode(secret)
+	assert.NilError(t, err)
+	rapid.Check(t, func(t *rapid.T) {
+		i := rapid.IntRange(0, len(text)-1).Draw(t, "position")
+		differs := func(c byte) bool { return c != text[i] }
+		c := rapid.SampledFrom([]byte("ABCxyz019-_")).Filter(differs).Draw(t, "character")
+		_, err := Decode(secret, text[:i]+string(c)+text[i+1:])
+		assert.ErrorIs(t, err, ErrInvalid)
+	})
+}
+
+func TestOverlongHandleIsRefused(t *testing.T) {
+	long := sample
+	long.Pool = strings.Repeat("p", MaxSize)
+	_, err := long.Encode(secret)
+	assert.ErrorContains(t, err, "too long")
+}
