Tell processes apart by their start

Cause: the membership raises a live process's incarnation when it refutes its death or has been paused. By the incarnation such a process looked like a new one: its claims were answered unknown, its word as a witness was refused, and it counted as a crash that puts keys in doubt.

Conclusion: a pause or a false suspicion alone no longer costs an answer.

--- a/internal/once/claimrow.go
+++ b/internal/once/claimrow.go
@@ -34,11 +34,11 @@
 	Claim string `msgpack:"c"`
 	// Hash is the digest of the request.
 	Hash BodyHash `msgpack:"h"`
-	// Holder and Incarnation name the process that made the claim.
-	Holder      string     `msgpack:"n"`
-	Incarnation uint64     `msgpack:"i"`
-	Handle      string     `msgpack:"r"`
-	State       claimState `msgpack:"s"`
+	// Holder and Process name the process that made the claim.
+	Holder  string     `msgpack:"n"`
+	Process uint64     `msgpack:"i"`
+	Handle  string     `msgpack:"r"`
+	State   claimState `msgpack:"s"`
 	// CreatedMillis is the holder's wall clock, for ageing.
 	CreatedMillis int64 `msgpack:"t"`
 	// Answer is the encoded answer.Stored of a small answer.
--- a/internal/once/crashes.go
+++ b/internal/once/crashes.go
@@ -15,7 +15,7 @@
 
 // crash is the disappearance of an instance that had not announced it.
 type crash struct {
-	// Identity is "name/incarnation".
+	// Identity names the process.
 	Identity string `json:"identity"`
 	// AgeMillis is how long ago it was seen, when the message was made.
 	AgeMillis int64 `json:"age_ms"`
@@ -49,7 +49,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	for _, m := range c.view.Members {
-		if present(view, m.Name, m.Incarnation) {
+		if present(view, m.Name, m.Process()) {
 			continue
 		}
 		if m.Leaving {
--- a/internal/once/lease.go
+++ b/internal/once/lease.go
@@ -50,7 +50,7 @@
 type witness struct {
 	Name        string `msgpack:"n"`
 	PeerAddress string `msgpack:"p"`
-	Incarnation uint64 `msgpack:"i"`
+	Process     uint64 `msgpack:"i"`
 }
 
 // leaseRow is the content of a lease's row.
@@ -72,7 +72,7 @@
 	Lease string `msgpack:"l"`
 	// Holder is the instance that holds, or last held, the shard.
 	Holder membership.Member `msgpack:"h"`
-	// Heir is the "name/incarnation" of the instance that was given all records
+	// Heir is the identity of the instance that was given all records
 	// of a released shard.
 	Heir string `msgpack:"n,omitempty"`
 	// Origin is what the holder found when it took the shard, for the case that
@@ -99,13 +99,13 @@
 
 // identity tells processes with one name apart.
 func identity(m membership.Member) string {
-	return m.Name + "/" + strconv.FormatUint(m.Incarnation, 16)
+	return m.Name + "/" + strconv.FormatUint(m.Process(), 16)
 }
 
 // present tells whether the very process is in the view.
-func present(view *membership.View, name string, incarnation uint64) bool {
+func present(view *membership.View, name string, process uint64) bool {
 	for _, m := range view.Members {
-		if m.Name == name && m.Incarnation == incarnation {
+		if m.Name == name && m.Process() == process {
 			return true
 		}
 	}
@@ -147,7 +147,7 @@
 		if len(chosen) == witnessCount {
 			break
 		}
-		chosen = append(chosen, witness{m.Name, m.PeerAddress, m.Incarnation})
+		chosen = append(chosen, witness{m.Name, m.PeerAddress, m.Process()})
 	}
 	return chosen
 }
--- a/internal/once/shards.go
+++ b/internal/once/shards.go
@@ -134,7 +134,7 @@
 
 func (s *Shards) newGrip() *grip {
 	self := s.options.Viewer.View().Self
-	id := fmt.Sprintf("%s/%x/%x", self.Name, self.Incarnation, s.sequence.Add(1))
+	id := fmt.Sprintf("%s/%x/%x", self.Name, self.Process(), s.sequence.Add(1))
 	return &grip{lease: id, rows: map[Shard]platform.Version{}}
 }
 
@@ -184,7 +184,7 @@
 	if s.Holds(shard) {
 		return view.Self, true
 	}
-	if hint := s.hints[shard].Load(); hint != nil && present(view, hint.Name, hint.Incarnation) {
+	if hint := s.hints[shard].Load(); hint != nil && present(view, hint.Name, hint.Process()) {
 		return *hint, hint.Name != view.Self.Name
 	}
 	owner := placed.owners[shard]
--- a/internal/once/witness.go
+++ b/internal/once/witness.go
@@ -26,13 +26,13 @@
 
 // errNotWitness refuses a question meant for an earlier process of this name,
 // whose memory is gone.
-var errNotWitness = errors.New("not the witness: another incarnation")
+var errNotWitness = errors.New("not the witness: another process of its name")
 
 // leaseParams names a lease at a version, and the witness that is meant.
 type leaseParams struct {
-	Lease       string           `json:"lease"`
-	Version     platform.Version `json:"version"`
-	Incarnation uint64           `json:"incarnation"`
+	Lease   string           `json:"lease"`
+	Version platform.Version `json:"version"`
+	Process uint64           `json:"process"`
 }
 
 type vouchResult struct {
@@ -90,7 +90,7 @@
 	if err := json.Unmarshal(raw, &params); err != nil {
 		return params, fault.At(fault.StepPeer, "", err)
 	}
-	if params.Incarnation != s.options.Viewer.View().Self.Incarnation {
+	if params.Process != s.options.Viewer.View().Self.Process() {
 		return params, errNotWitness
 	}
 	return params, nil
@@ -122,7 +122,7 @@
 
 func (s *Shards) askOne(ctx context.Context, g *grip, w witness) error {
 	var result vouchResult
-	params := leaseParams{Lease: g.lease, Version: g.version, Incarnation: w.Incarnation}
+	params := leaseParams{Lease: g.lease, Version: g.version, Process: w.Process}
 	if err := s.options.Bus.Call(ctx, w.PeerAddress, vouchMethod, params, &result); err != nil {
 		return err
 	}
@@ -146,7 +146,7 @@
 func (s *Shards) askOneToCede(ctx context.Context, lease string, version platform.Version, w witness) error {
 	self := s.options.Viewer.View().Self
 	if w.Name == self.Name {
-		if w.Incarnation != self.Incarnation {
+		if w.Process != self.Process() {
 			return errNotWitness
 		}
 		s.ceded.add(lease, version)
@@ -154,6 +154,6 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, time.Second)
 	defer cancel()
-	params := leaseParams{Lease: lease, Version: version, Incarnation: w.Incarnation}
+	params := leaseParams{Lease: lease, Version: version, Process: w.Process}
 	return s.options.Bus.Call(ctx, w.PeerAddress, cedeMethod, params, nil)
 }
