Delay messages in the histories, and run the tables in parallel

Cause: with calls that take no time the settling after a takeover has no window in which a mistake could show.

--- a/internal/once/ledger_test.go
+++ b/internal/once/ledger_test.go
@@ -216,6 +216,7 @@
 	for _, f := range ledgerFaults() {
 		for at := range progressCount {
 			t.Run(f.name+"/"+at.String(), func(t *testing.T) {
+				t.Parallel()
 				inWorld(t, 4, func(t *testing.T, w *world) {
 					r := newKeyedRequest(t, w, 1)
 					r.advance(t, at)
--- a/internal/once/shards_test.go
+++ b/internal/once/shards_test.go
@@ -139,6 +139,7 @@
 func TestAtMostOneHolderUnderFaults(t *testing.T) {
 	for _, f := range holderFaults() {
 		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
 			inWorld(t, 4, func(t *testing.T, w *world) {
 				key := w.nodes[0].keyOf(t)
 				f.begin(w)
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -25,6 +25,8 @@
 	network *peer.Network
 	cut     sync.Map // address or "from>to" -> true
 	nodes   []*node
+	// delay, when set, is called for each message.
+	delay atomic.Pointer[func()]
 	// fault is asked by the platform for each operation.
 	fault atomic.Pointer[func(operation string) error]
 }
@@ -65,6 +67,9 @@
 		return nil
 	}
 	w.network.Deliver = func(from, to string) bool {
+		if delay := w.delay.Load(); delay != nil {
+			(*delay)()
+		}
 		_, a := w.cut.Load(from)
 		_, b := w.cut.Load(to)
 		_, c := w.cut.Load(from + ">" + to)
