Learn speeds while requests run, and try unknown targets

Cause: a target never tried was taken for slow by a fixed default and so was never tried; a target's slowdown was seen only when a whole answer had ended.

Change: speeds are sampled every 16 tokens; a target without fresh observations counts as fast as the fastest known one. Ejections are recomputed after failures only.

--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -30,8 +30,16 @@
 	stopped     bool
 	held        credit.Tokens
 	outstanding int64
+	started     time.Time
+	// sampled and sampledAt are the output and time up to which the target's
+	// speed was observed; sampledAt is zero before the first token.
+	sampled   int
+	sampledAt time.Time
 }
 
+// sampleTokens is how many tokens make one observation of a target's speed.
+const sampleTokens = 16
+
 // Target returns the target as it was when the request was admitted.
 func (g *Grant) Target() tables.Target { return *g.info }
 
@@ -41,20 +49,28 @@
 
 // FirstToken tells that the first token came: the prompt has been computed.
 func (g *Grant) FirstToken() {
+	now := g.controller.clock.Now()
 	g.target.prefix.Dispatched(g.ticket.request.Prefix)
-	g.settle(int64(g.ticket.output))
+	g.whileRunning(func() {
+		g.settle(int64(g.ticket.output))
+		g.sampledAt = now
+	})
 }
 
 // Progress tells how many output tokens came so far. An answer that outgrows
 // its estimate takes a larger reservation.
 func (g *Grant) Progress(outputTokens int) {
+	now := g.controller.clock.Now()
 	g.output.Store(int64(outputTokens))
 	expected := estimate.Correct(g.ticket.output, outputTokens)
-	g.settle(int64(expected - outputTokens))
-	need := credit.Tokens(g.ticket.request.PromptTokens + outputTokens)
-	if need > g.ticket.need {
-		g.grow(credit.Tokens(g.ticket.request.PromptTokens + expected))
-	}
+	prompt := g.ticket.request.PromptTokens
+	g.whileRunning(func() {
+		g.settle(int64(expected - outputTokens))
+		g.sample(outputTokens, now)
+		if credit.Tokens(prompt+outputTokens) > g.ticket.need {
+			g.grow(credit.Tokens(prompt + expected))
+		}
+	})
 }
 
 // Finish ends the request and records what it showed.
@@ -64,7 +80,7 @@
 	g.target.mu.Lock()
 	first := g.target.release(g)
 	if first {
-		g.learn(o)
+		g.learn(o, now)
 		g.judge(o, now)
 	}
 	g.target.mu.Unlock()
@@ -76,31 +92,49 @@
 		g.pool.finished.Add(int64(g.ticket.work))
 	}
 	c.counters.finished(g, o)
-	g.pool.refreshEjections(now)
+	if o.Kind != Complete && o.Kind != Cancelled {
+		g.pool.refreshEjections(now)
+	}
 	g.pool.pumpIfWaiting(now)
 	if g.pool.waiting.Load() > 0 || g.target.openTier.Load() < tables.TierCount-1 {
 		c.wake()
 	}
 }
 
-// settle sets the number of tokens yet to be computed.
-func (g *Grant) settle(outstanding int64) {
+// whileRunning calls f under the target's lock, unless the request has ended.
+func (g *Grant) whileRunning(f func()) {
 	g.target.mu.Lock()
 	defer g.target.mu.Unlock()
-	if _, ok := g.target.grants[g]; !ok {
-		return
+	if _, ok := g.target.grants[g]; ok {
+		f()
 	}
+}
+
+// settle sets the number of tokens yet to be computed. The target's lock is
+// held.
+func (g *Grant) settle(outstanding int64) {
 	g.target.outstanding.Add(outstanding - g.outstanding)
 	g.outstanding = outstanding
 }
 
-func (g *Grant) grow(held credit.Tokens) {
-	g.target.mu.Lock()
-	defer g.target.mu.Unlock()
-	if _, ok := g.target.grants[g]; !ok || held <= g.held {
+// sample observes the target's speed from the tokens since the last sample. The
+// target's lock is held.
+func (g *Grant) sample(output int, now time.Time) {
+	if g.sampledAt.IsZero() || output-g.sampled < sampleTokens {
 		return
 	}
+	g.target.speed.ObserveDecode(output-g.sampled, now.Sub(g.sampledAt))
+	g.target.observed(now)
+	g.target.decodeSeen = true
+	g.sampled, g.sampledAt = output, now
+}
+
+// grow enlarges the reservation. The target's lock is held.
+func (g *Grant) grow(held credit.Tokens) {
 	extra := credit.Amount{Tokens: held - g.held}
+	if extra.Tokens <= 0 {
+		return
+	}
 	g.target.add(g.ticket.tier, extra)
 	if g.stopped {
 		g.target.stopping[g.ticket.tier] = g.target.stopping[g.ticket.tier].Plus(extra)
@@ -113,15 +147,20 @@
 
 // learn takes the target's speed from a complete answer. The target's lock is
 // held.
-func (g *Grant) learn(o Outcome) {
+func (g *Grant) learn(o Outcome, now time.Time) {
 	if o.Kind != Complete {
 		return
 	}
-	g.target.decodeSeen = g.target.decodeSeen || o.OutputTokens > 0
-	g.target.speed.Observe(estimate.Observation{
-		Prefill: max(0, o.PromptTokens-o.CachedTokens), Output: o.OutputTokens,
-		FirstToken: o.FirstToken, Total: o.Duration,
-	})
+	g.target.observed(now)
+	if o.OutputTokens == 0 {
+		g.target.speed.ObserveWhole(o.Duration)
+		return
+	}
+	g.target.speed.ObserveFirst(max(0, o.PromptTokens-o.CachedTokens), o.FirstToken)
+	if g.sampled == 0 {
+		g.target.speed.ObserveDecode(o.OutputTokens, o.Duration-o.FirstToken)
+		g.target.decodeSeen = true
+	}
 }
 
 // judge lets the outcome speak for or against the target. The target's lock is
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/estimate"
 	"github.com/hibiscuspost/hibiscuspost/internal/routing"
 )
 
@@ -23,6 +24,8 @@
 	targets atomic.Pointer[[]*target]
 	// waiting mirrors the length of queue.
 	waiting atomic.Int64
+	// best is the speed of the fastest target whose speed is known.
+	best atomic.Pointer[estimate.Speed]
 	// finished sums the work of complete answers.
 	finished atomic.Int64
 
@@ -37,6 +40,7 @@
 func newPool(c *Controller, name string) *pool {
 	p := &pool{controller: c, name: name, budget: routing.NewBudget(), all: make(map[string]*target)}
 	p.targets.Store(&[]*target{})
+	p.best.Store(&estimate.Speed{})
 	return p
 }
 
@@ -64,6 +68,28 @@
 	}
 }
 
+// refreshBest finds the fastest target.
+func (p *pool) refreshBest(now time.Time) {
+	var best *estimate.Speed
+	for _, t := range *p.targets.Load() {
+		if t.known(now) && (best == nil || t.speed.Decode() < best.Decode()) {
+			best = &t.speed
+		}
+	}
+	if best != nil {
+		p.best.Store(best)
+	}
+}
+
+// speed returns the target's speed. One not known is taken to be as fast as
+// the fastest, so that it is tried.
+func (p *pool) speed(t *target, now time.Time) *estimate.Speed {
+	if t.known(now) {
+		return &t.speed
+	}
+	return p.best.Load()
+}
+
 // usable reports whether requests may be sent to the target's version.
 func (p *pool) usable(t *target) bool {
 	versions := p.controller.options.Versions
@@ -79,7 +105,7 @@
 	scratch.reset()
 	for _, t := range *p.targets.Load() {
 		if p.eligible(t, ticket, wanted, skip) && t.roomFor(ticket) == fits {
-			scratch.add(t, t.candidate(ticket, now))
+			scratch.add(t, t.candidate(ticket, now, p.speed(t, now)))
 		}
 	}
 	ask := routing.Ask{
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -108,13 +108,7 @@
 
 // fastest returns the shortest expected service time over the usable targets.
 func (p *pool) fastest(prefill, output int) time.Duration {
-	var best time.Duration
-	for i, t := range *p.targets.Load() {
-		if d := t.speed.Service(prefill, output); i == 0 || d < best {
-			best = d
-		}
-	}
-	return best
+	return p.best.Load().Service(prefill, output)
 }
 
 // proves reports whether it is known that no lower tier runs in the pool.
--- a/internal/admission/step.go
+++ b/internal/admission/step.go
@@ -68,6 +68,7 @@
 	for _, p := range *c.pools.Load() {
 		p.refresh(now)
 		p.refreshEjections(now)
+		p.refreshBest(now)
 	}
 }
 
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -16,6 +16,9 @@
 	prefixBlocks = 16384
 	// loadAge is the age at which a load report says nothing any more.
 	loadAge = 2 * time.Second
+	// speedAge is the age at which the observed speed of an idle target is no
+	// longer believed.
+	speedAge = 5 * time.Second
 	// queuedTokens is the work of a request in a target's own queue.
 	queuedTokens = estimate.DefaultLength
 )
@@ -38,6 +41,8 @@
 	// reentry bounds requests at once after an ejection; negative: no bound.
 	reentry atomic.Int64
 	ejected atomic.Bool
+	// observedAt is when speed was last observed, in Unix nanoseconds; 0: never.
+	observedAt atomic.Int64
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -225,15 +230,15 @@
 }
 
 // candidate describes the target to a policy.
-func (t *target) candidate(ticket *ticket, now time.Time) routing.Candidate {
+func (t *target) candidate(ticket *ticket, now time.Time, speed *estimate.Speed) routing.Candidate {
 	info := t.info.Load()
 	c := routing.Candidate{
 		FailureDomain: info.FailureDomain,
 		Slots:         max(1, info.Slots),
 		Running:       int(t.runningSlots.Load()),
 		Outstanding:   int(t.outstanding.Load()) + t.reportedBacklog(now),
-		FirstToken:    t.speed.FirstToken(ticket.request.PromptTokens),
-		Decode:        t.speed.Decode(),
+		FirstToken:    speed.FirstToken(ticket.request.PromptTokens),
+		Decode:        speed.Decode(),
 	}
 	if n := len(ticket.request.Prefix); n > 0 {
 		c.Reuse = float64(t.prefix.Match(ticket.request.Prefix)) / float64(n)
@@ -241,6 +246,19 @@
 	return c
 }
 
+// observed notes that the speed was observed.
+func (t *target) observed(now time.Time) { t.observedAt.Store(now.UnixNano()) }
+
+// known reports whether the observed speed is to be believed. What runs there
+// keeps it fresh.
+func (t *target) known(now time.Time) bool {
+	at := t.observedAt.Load()
+	if at == 0 {
+		return false
+	}
+	return t.runningSlots.Load() > 0 || now.UnixNano()-at < int64(speedAge)
+}
+
 // reportedBacklog returns the tokens queued at the target itself by its last
 // report, which counts for less as it ages.
 func (t *target) reportedBacklog(now time.Time) int {
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -18,42 +18,34 @@
 	defaultDecode   = 10 * time.Millisecond
 	// speedGain is the weight of one observation of a target's speed.
 	speedGain = 0.2
-	// fewTokens is the output below which a time per token is too noisy.
-	fewTokens = 4
 )
 
-// Speed is a target's observed speed. It may be read without locks; Observe
-// must be called by one goroutine at a time. The zero value holds defaults.
+// Speed is a target's observed speed. It may be read without locks; the Observe
+// methods must be called by one goroutine at a time. The zero value holds defaults.
 type Speed struct {
 	overhead average
 	prefill  average
 	decode   average
 }
 
-// Observation is what one complete answer showed.
-type Observation struct {
-	// Prefill is the number of prompt tokens computed, without cached ones.
-	Prefill int
-	// Output is the number of output tokens.
-	Output int
-	// FirstToken is the time from dispatch to the first token.
-	FirstToken time.Duration
-	// Total is the time from dispatch to the end.
-	Total time.Duration
+// ObserveFirst records the time to the first token after prefill prompt tokens
+// were computed.
+func (s *Speed) ObserveFirst(prefill int, first time.Duration) {
+	if prefill > 0 && first > 0 {
+		s.prefill.add(first.Seconds() / float64(prefill))
+	}
 }
 
-// Observe records one answer.
-func (s *Speed) Observe(o Observation) {
-	if o.Output < fewTokens {
-		s.overhead.add(o.Total.Seconds())
-		return
-	}
-	s.decode.add((o.Total - o.FirstToken).Seconds() / float64(o.Output))
-	if o.Prefill > 0 && o.FirstToken > 0 {
-		s.prefill.add(o.FirstToken.Seconds() / float64(o.Prefill))
+// ObserveDecode records that output tokens came in the given time.
+func (s *Speed) ObserveDecode(output int, took time.Duration) {
+	if output > 0 && took > 0 {
+		s.decode.add(took.Seconds() / float64(output))
 	}
 }
 
+// ObserveWhole records the time of a request without tokens.
+func (s *Speed) ObserveWhole(took time.Duration) { s.overhead.add(took.Seconds()) }
+
 // Decode returns the time per output token.
 func (s *Speed) Decode() time.Duration { return s.decode.or(defaultDecode) }
 
