Weigh prefills by what they cost others, and learn cache sizes

Cause: a prefill was counted as the delay of its own request only, so that prompts moved to a slightly less busy target and displaced prefixes there; the prefix index believed in blocks that the target had long dropped.

Change: ExpectedWait weighs prefills fivefold; the index lowers its bound when answers report less cached than expected.

--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -24,13 +24,14 @@
 	ticket     *ticket
 	preempted  chan struct{}
 	output     atomic.Int64
+	// reuse is the number of prefix blocks expected to be cached.
+	reuse int
 
 	// The fields below are guarded by the target's lock.
 
 	stopped     bool
 	held        credit.Tokens
 	outstanding int64
-	started     time.Time
 	// sampled and sampledAt are the output and time up to which the target's
 	// speed was observed; sampledAt is zero before the first token.
 	sampled   int
@@ -50,7 +51,6 @@
 // FirstToken tells that the first token came: the prompt has been computed.
 func (g *Grant) FirstToken() {
 	now := g.controller.clock.Now()
-	g.target.prefix.Dispatched(g.ticket.request.Prefix)
 	g.whileRunning(func() {
 		g.settle(int64(g.ticket.output))
 		g.sampledAt = now
@@ -152,6 +152,9 @@
 		return
 	}
 	g.target.observed(now)
+	if o.PromptTokens > 0 {
+		g.target.prefix.Learn(g.reuse, len(g.ticket.request.Prefix)*o.CachedTokens/o.PromptTokens)
+	}
 	if o.OutputTokens == 0 {
 		g.target.speed.ObserveWhole(o.Duration)
 		return
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -148,7 +148,10 @@
 	if !t.start(g, now) {
 		return nil
 	}
-	t.prefix.Dispatched(ticket.request.Prefix)
+	if prefix := ticket.request.Prefix; len(prefix) > 0 {
+		g.reuse = t.prefix.Match(prefix)
+		t.prefix.Dispatched(prefix)
+	}
 	return g
 }
 
--- a/internal/routing/policies.go
+++ b/internal/routing/policies.go
@@ -47,10 +47,18 @@
 	// Bound is the load, relative to the mean, up to which reuse counts;
 	// 0 ignores reuse.
 	Bound float64
+	// PrefillWeight multiplies the cost of a prefill, since it delays the other
+	// requests on the target and displaces prefixes that they would reuse; 0
+	// means 1.
+	PrefillWeight float64
 }
 
-// DefaultBound is the usual Bound of ExpectedWait.
-const DefaultBound = 1.5
+// DefaultBound and DefaultPrefillWeight are the usual parameters of
+// ExpectedWait.
+const (
+	DefaultBound         = 1.5
+	DefaultPrefillWeight = 5
+)
 
 // Name implements Policy.
 func (p ExpectedWait) Name() string {
@@ -64,7 +72,7 @@
 func (p ExpectedWait) Pick(ask Ask, candidates []Candidate) int {
 	limit := p.Bound * (meanLoad(candidates) + loadOfOne(candidates))
 	return least(ask, candidates, func(c *Candidate) float64 {
-		prefill := float64(c.FirstToken)
+		prefill := float64(c.FirstToken) * max(1, p.PrefillWeight)
 		if p.Bound > 0 && load(c) <= limit {
 			prefill *= 1 - c.Reuse
 		}
@@ -106,7 +114,9 @@
 
 // Default returns the policy that measurement chose; see
 // docs/design/pressure.md.
-func Default() Policy { return ExpectedWait{Bound: DefaultBound} }
+func Default() Policy {
+	return ExpectedWait{Bound: DefaultBound, PrefillWeight: DefaultPrefillWeight}
+}
 
 // backlog is the delay in nanoseconds that the work already on a candidate
 // adds: its outstanding tokens are computed side by side in its slots.
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -8,10 +8,14 @@
 // PrefixIndex estimates which prompt prefixes a target has cached. It learns
 // from own dispatches, at once, and from the target's cache events, which are
 // late and have gaps; it holds a bounded number of block hashes and forgets
-// the least recently used, as the target does. It is safe for concurrent use.
+// the least recently used, as the target does. Since the size of the target's
+// cache is unknown and others fill it too, the bound follows what answers say:
+// it falls when less of a prompt was cached than expected, and rises slowly
+// when as much was. It is safe for concurrent use.
 type PrefixIndex struct {
 	// mu guards the fields below.
 	mu     sync.Mutex
+	most   int
 	bound  int
 	blocks map[uint64]*list.Element
 	recent *list.List
@@ -42,7 +46,7 @@
 
 // NewPrefixIndex returns an index of at most bound blocks.
 func NewPrefixIndex(bound int) *PrefixIndex {
-	return &PrefixIndex{bound: bound, blocks: make(map[uint64]*list.Element), recent: list.New()}
+	return &PrefixIndex{most: bound, bound: bound, blocks: make(map[uint64]*list.Element), recent: list.New()}
 }
 
 // Match returns how many leading blocks of a prompt are probably cached. Since
@@ -87,6 +91,30 @@
 	}
 }
 
+const (
+	// missKeep is the factor on the bound after an overestimate.
+	missKeep = 0.9
+	// hitGrowth is the factor on the bound after a right estimate.
+	hitGrowth = 1.01
+	// leastBound is the lowest bound in blocks.
+	leastBound = 64
+)
+
+// Learn compares the blocks expected to be cached with those that were.
+func (p *PrefixIndex) Learn(expected, cached int) {
+	if expected == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cached < expected {
+		p.bound = max(leastBound, int(missKeep*float64(len(p.blocks))))
+		p.shrink(p.bound)
+		return
+	}
+	p.bound = min(p.most, int(hitGrowth*float64(p.bound))+1)
+}
+
 func (p *PrefixIndex) store(block uint64) {
 	if element, ok := p.blocks[block]; ok {
 		p.recent.MoveToFront(element)
