Compare versions at like or higher concurrency

Cause: at a small share the new version runs at a lower concurrency than the old one, so strata by concurrency had no control and badness showed late. Conclusion: a version that does worse with less to do is worse.

--- a/internal/evidence/judge.go
+++ b/internal/evidence/judge.go
@@ -34,8 +34,8 @@
 	last    map[EntryID]map[Key]Counts
 	windows map[stratum]*window
 	// recent and long are pictures of the old version, fading fast and slowly.
-	recent map[stratum]*reference
-	long   map[stratum]*reference
+	recent map[place]*reference
+	long   map[place]*reference
 
 	pooled  tests
 	routes  map[string]*routeTests
@@ -56,6 +56,12 @@
 	busy      meter
 }
 
+// place is a stratum at one class of concurrency.
+type place struct {
+	stratum
+	load int
+}
+
 type routeTests struct {
 	tests  tests
 	weight float64
@@ -82,8 +88,8 @@
 		options: options, started: now,
 		last:     make(map[EntryID]map[Key]Counts),
 		windows:  make(map[stratum]*window),
-		recent:   make(map[stratum]*reference),
-		long:     make(map[stratum]*reference),
+		recent:   make(map[place]*reference),
+		long:     make(map[place]*reference),
 		excluded: make(map[string]bool),
 	}
 	j.reset()
@@ -144,14 +150,10 @@
 	if after.Requests == before.Requests {
 		return
 	}
-	w := j.window(stratumOf(key), now)
-	into := &w.old
+	j.window(stratumOf(key), now).add(key, isNew, before, after)
 	if isNew {
-		into = w.target(key.Target)
 		j.seen(key.Target, int(after.Requests-before.Requests), now)
 	}
-	into.add(after, 1)
-	into.add(before, -1)
 	j.tally(isNew, before, after)
 }
 
@@ -202,16 +204,12 @@
 	j.restart(now)
 	for s, w := range j.windows {
 		switch {
-		case w.ready(now):
+		case w.ready(now), w.oneSided(now):
 			j.close(s, w, now)
-		case w.lonely(now):
-			j.closeLonely(s, w, now)
-		case w.freshRequests() == 0 && now.Sub(w.opened) >= windowAge:
-			j.learn(s, &w.old, now)
-		case now.Sub(w.opened) < windowLimit:
-			continue
+			delete(j.windows, s)
+		case now.Sub(w.opened) >= windowLimit:
+			delete(j.windows, s)
 		}
-		delete(j.windows, s)
 	}
 	j.crashes.tick(j.serving(now), now)
 	j.busy.tick(now)
@@ -219,20 +217,38 @@
 	j.watchLone(now)
 }
 
+// close compares the groups of a window and learns from the old version.
 func (j *Judge) close(s stratum, w *window, now time.Time) {
-	fresh := w.fresh()
-	if j.options.NoControl {
-		j.step(s.route, compare(fresh, sampleOf(j.reference(j.long, s)), j.reference(j.long, s)))
-		j.learn(s, &w.old, now)
-		return
+	for _, g := range w.groups() {
+		switch {
+		case j.options.NoControl:
+			ref := j.past(s, g.load)
+			if ref != nil {
+				j.step(s.route, compare(&g.fresh, sampleOf(ref), ref))
+			}
+		case g.old.requests > 0:
+			j.compareGroup(s, g)
+		default:
+			j.compareAlone(s, g, now)
+		}
 	}
-	ref := j.reference(j.recent, s)
-	j.step(s.route, compare(fresh, &w.old, ref))
-	for name, own := range w.targets {
-		inc := compare(own, &w.old, ref)
+	for load := range w.old {
+		if w.old[load].requests > 0 {
+			j.learn(place{s, load}, &w.old[load], now)
+		}
+	}
+}
+
+func (j *Judge) compareGroup(s stratum, g *group) {
+	var ref reference
+	for _, load := range g.loads {
+		ref.add(j.reference(j.recent, place{s, load}))
+	}
+	j.step(s.route, compare(&g.fresh, &g.old, &ref))
+	for name, own := range g.targets {
+		inc := compare(own, &g.old, &ref)
 		j.targets[name].tests.step(&inc)
 	}
-	j.learn(s, &w.old, now)
 }
 
 func (j *Judge) step(route string, inc increment) {
@@ -247,29 +263,27 @@
 	r.tests.step(&inc)
 }
 
-// closeLonely compares the new version with the old one's past, when the old
+// compareAlone compares the new version with the old one's past, when the old
 // version is known to do well elsewhere at the moment.
-func (j *Judge) closeLonely(s stratum, w *window, now time.Time) {
+func (j *Judge) compareAlone(s stratum, g *group, now time.Time) {
 	if now.Sub(j.oldSound) > soundFor || now.Sub(j.oldWorse) < soundFor {
 		return
 	}
-	ref := j.past(s)
-	if ref == nil {
-		return
+	if ref := j.past(s, g.load); ref != nil {
+		inc := compare(&g.fresh, sampleOf(ref), ref)
+		j.lone.step(&inc)
 	}
-	inc := compare(w.fresh(), sampleOf(ref), ref)
-	j.lone.step(&inc)
 }
 
-// past returns the old version's long picture of a stratum, or of the same
-// route and load in another failure domain.
-func (j *Judge) past(s stratum) *reference {
-	if ref := j.long[s]; ref != nil && ref.requests >= windowRequests {
+// past returns the old version's long picture at a concurrency, there or in
+// another failure domain.
+func (j *Judge) past(s stratum, load int) *reference {
+	if ref := j.long[place{s, load}]; ref != nil && ref.requests >= windowRequests {
 		return ref
 	}
 	var best *reference
 	for other, ref := range j.long {
-		same := other.route == s.route && other.load == s.load && other.generation == s.generation
+		same := other.route == s.route && other.load == load && other.generation == s.generation
 		if same && ref.requests >= windowRequests && (best == nil || ref.requests > best.requests) {
 			best = ref
 		}
@@ -281,22 +295,22 @@
 const soundFor = 30 * time.Second
 
 // learn adds the old version's requests to the pictures of its past.
-func (j *Judge) learn(s stratum, old *sample, now time.Time) {
-	long := j.reference(j.long, s)
+func (j *Judge) learn(at place, old *sample, now time.Time) {
+	long := j.reference(j.long, at)
 	if degraded(old, long) {
 		j.oldWorse = now
 	} else if old.requests > 0 {
 		j.oldSound = now
 	}
-	j.reference(j.recent, s).fold(old, recentKeep)
+	j.reference(j.recent, at).fold(old, recentKeep)
 	long.fold(old, longKeep)
 }
 
-func (j *Judge) reference(of map[stratum]*reference, s stratum) *reference {
-	r := of[s]
+func (j *Judge) reference(of map[place]*reference, at place) *reference {
+	r := of[at]
 	if r == nil {
 		r = &reference{}
-		of[s] = r
+		of[at] = r
 	}
 	return r
 }
--- a/internal/evidence/window.go
+++ b/internal/evidence/window.go
@@ -2,17 +2,18 @@
 
 import "time"
 
-// stratum is a group of requests that may be compared with each other.
+// stratum is a group of requests that may be compared with each other, as far
+// as their concurrency allows.
 type stratum struct {
 	route      string
 	domain     string
 	generation string
-	load       uint8
 }
 
-func stratumOf(k *Key) stratum {
-	return stratum{k.Route, k.FailureDomain, k.Generation, k.Load}
-}
+func stratumOf(k *Key) stratum { return stratum{k.Route, k.FailureDomain, k.Generation} }
+
+// loadBands is the number of classes of concurrency.
+const loadBands = maxLoadBand + 1
 
 // sample is what one version did in one stratum.
 type sample struct {
@@ -51,39 +52,92 @@
 // on outcomes.
 type window struct {
 	opened time.Time
-	old    sample
-	// targets holds the new version's requests by target.
-	targets map[string]*sample
-}
-
-func newWindow(now time.Time) *window {
-	return &window{opened: now, targets: make(map[string]*sample)}
+	// old holds the old version's requests by concurrency.
+	old [loadBands]sample
+	// fresh holds the new version's requests by concurrency and target.
+	fresh                [loadBands]map[string]*sample
+	oldCount, freshCount int
+}
+
+func newWindow(now time.Time) *window { return &window{opened: now} }
+
+// add adds a difference of counters.
+func (w *window) add(key *Key, isNew bool, before, after *Counts) {
+	load := min(int(key.Load), maxLoadBand)
+	into := &w.old[load]
+	requests := int(after.Requests - before.Requests)
+	if isNew {
+		into = w.target(load, key.Target)
+		w.freshCount += requests
+	} else {
+		w.oldCount += requests
+	}
+	into.add(after, 1)
+	into.add(before, -1)
 }
 
-func (w *window) target(name string) *sample {
-	s := w.targets[name]
+func (w *window) target(load int, name string) *sample {
+	if w.fresh[load] == nil {
+		w.fresh[load] = make(map[string]*sample)
+	}
+	s := w.fresh[load][name]
 	if s == nil {
 		s = &sample{}
-		w.targets[name] = s
+		w.fresh[load][name] = s
 	}
 	return s
 }
 
-// fresh returns the sum over the new version's targets.
-func (w *window) fresh() *sample {
-	var sum sample
-	for _, s := range w.targets {
-		sum.merge(s)
+// group is one comparison within a window: requests of the new version against
+// requests of the old one at the same or higher concurrency. A version that
+// does worse with less to do is worse.
+type group struct {
+	// old is the control, empty when no request of the old version ran at such
+	// a concurrency.
+	old sample
+	// loads are the classes of concurrency of the control.
+	loads []int
+	// load is the highest class of the new version's requests.
+	load    int
+	fresh   sample
+	targets map[string]*sample
+}
+
+// groups splits the window from high to low concurrency; each request of
+// either version is in at most one group.
+func (w *window) groups() []*group {
+	var all []*group
+	current := &group{targets: make(map[string]*sample)}
+	for load := maxLoadBand; load >= 0; load-- {
+		if w.old[load].requests > 0 {
+			if current.fresh.requests > 0 {
+				all = append(all, current)
+				current = &group{targets: make(map[string]*sample)}
+			}
+			current.old.merge(&w.old[load])
+			current.loads = append(current.loads, load)
+		}
+		for name, s := range w.fresh[load] {
+			current.take(load, name, s)
+		}
 	}
-	return &sum
+	if current.fresh.requests > 0 {
+		all = append(all, current)
+	}
+	return all
 }
 
-func (w *window) freshRequests() int {
-	sum := 0
-	for _, s := range w.targets {
-		sum += s.requests
+func (g *group) take(load int, name string, s *sample) {
+	if g.fresh.requests == 0 {
+		g.load = load
+	}
+	g.fresh.merge(s)
+	own := g.targets[name]
+	if own == nil {
+		own = &sample{}
+		g.targets[name] = own
 	}
-	return sum
+	own.merge(s)
 }
 
 const (
@@ -97,16 +151,19 @@
 
 // ready tells whether the window can be compared.
 func (w *window) ready(now time.Time) bool {
-	fresh := w.freshRequests()
-	if fresh == 0 || w.old.requests == 0 {
+	if w.freshCount == 0 || w.oldCount == 0 {
 		return false
 	}
-	return fresh+w.old.requests >= windowRequests || now.Sub(w.opened) >= windowAge
+	return w.freshCount+w.oldCount >= windowRequests || now.Sub(w.opened) >= windowAge
 }
 
-// lonely tells whether the new version has requests and the old has none.
-func (w *window) lonely(now time.Time) bool {
-	return w.old.requests == 0 && w.freshRequests() >= windowRequests && now.Sub(w.opened) >= windowAge
+// oneSided tells whether the window has waited in vain for the other version.
+func (w *window) oneSided(now time.Time) bool {
+	age := now.Sub(w.opened)
+	if w.freshCount == 0 {
+		return age >= windowAge
+	}
+	return w.oldCount == 0 && w.freshCount >= windowRequests && age >= windowAge
 }
 
 // reference is a fading picture of the old version in one stratum.
@@ -155,6 +212,22 @@
 // minReference is the least weight of a usable reference, in requests.
 const minReference = 3
 
+// add adds the other picture.
+func (r *reference) add(other *reference) {
+	r.requests += other.requests
+	r.failures += other.failures
+	for band := range other.first {
+		addBuckets(&r.first[band], &other.first[band])
+	}
+	addBuckets(&r.token, &other.token)
+}
+
+func addBuckets(into, from *[Buckets]float64) {
+	for i, count := range from {
+		into[i] += count
+	}
+}
+
 // above returns how many are in buckets over limit, and how many in all.
 func above(buckets *[Buckets]int, limit int) (over, all int) {
 	for i, count := range buckets {
--- a/internal/move/exchange.go
+++ b/internal/move/exchange.go
@@ -164,6 +164,7 @@
 	p.seat = &seat{
 		judge: evidence.NewJudge(evidence.Options{
 			Old: row.Old, New: row.New, Alpha: judgeAlpha, Planned: row.Deadline.Sub(now),
+			NoControl: m.noControl,
 		}, now),
 		entries:   make(map[evidence.EntryID]*evidence.Assembler),
 		addresses: make(map[string]time.Time),
--- a/internal/move/manager.go
+++ b/internal/move/manager.go
@@ -69,6 +69,8 @@
 	plans atomic.Pointer[map[string]*plan]
 	// kick asks for an early look at the local evidence.
 	kick chan struct{}
+	// noControl is set by measurements only; see evidence.Options.
+	noControl bool
 
 	// mu guards pools and what they hold; it is not taken on the request path.
 	mu    sync.Mutex
--- a/internal/move/tick.go
+++ b/internal/move/tick.go
@@ -67,10 +67,11 @@
 		return
 	}
 	p.move, p.ledger = id, &evidence.Ledger{}
-	p.seat = nil
+	p.seat, p.heard = nil, Summary{}
 	members := float64(len(m.options.Viewer.View().Members))
 	p.local = evidence.NewJudge(evidence.Options{
 		Old: row.Old, New: row.New, Alpha: localAlpha / members, Planned: row.Deadline.Sub(now),
+		NoControl: m.noControl,
 	}, now)
 	p.local.Begin(m.self())
 }
