Judge by the evidence that remains without one target

Cause: a single slow target of the new version must not condemn it, but asking each target for evidence of its own made badness show late; a slow failure domain late in a move condemned a good version by its past. Change: confirm with the tests of all other targets together; set aside a target that alone carries the evidence; compare with the past only where the old version is seen to do well; hold the share while the old version is slow; close windows in a fixed order.

--- a/internal/evidence/judge.go
+++ b/internal/evidence/judge.go
@@ -1,7 +1,9 @@
 package evidence
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -38,22 +40,23 @@
 	long   map[place]*reference
 
 	pooled  tests
-	routes  map[string]*routeTests
+	routes  []*routeTests
 	targets map[string]*targetTests
-	// lone is evidence without a control in the same window.
-	lone    tests
-	crashes *crashTest
+	// here and elsewhere are evidence without a control in the same window:
+	// against the old version's past in the same failure domain or in another.
+	here, elsewhere lonely
+	domains         map[string]*domainHealth
+	crashes         *crashTest
 	// excluded are targets found to fail alone.
 	excluded map[string]bool
-
-	started   time.Time
-	epoch     int
-	handicap  float64
-	oldSound  time.Time
-	oldWorse  time.Time
-	loneSince time.Time
-	totals    Totals
-	busy      meter
+	// alone is since when one target alone has carried the evidence.
+	alone time.Time
+
+	started  time.Time
+	epoch    int
+	handicap float64
+	totals   Totals
+	busy     meter
 }
 
 // place is a stratum at one class of concurrency.
@@ -62,13 +65,18 @@
 	load int
 }
 
+// routeTests are the tests of one route; the weights of all routes sum to less
+// than one.
 type routeTests struct {
+	name   string
 	tests  tests
 	weight float64
 }
 
+// targetTests is about one target of the new version.
 type targetTests struct {
-	tests    tests
+	// rest are the tests of all other targets together.
+	rest     tests
 	served   int
 	lastSeen time.Time
 }
@@ -91,6 +99,7 @@
 		recent:   make(map[place]*reference),
 		long:     make(map[place]*reference),
 		excluded: make(map[string]bool),
+		domains:  make(map[string]*domainHealth),
 	}
 	j.reset()
 	return j
@@ -98,12 +107,12 @@
 
 // reset starts all tests again.
 func (j *Judge) reset() {
-	j.pooled, j.lone = tests{}, tests{}
-	j.routes = make(map[string]*routeTests)
+	j.pooled = tests{}
+	j.forgetLonely()
+	j.routes = nil
 	j.targets = make(map[string]*targetTests)
 	j.crashes = newCrashTest()
 	j.pooled.start(j.weightSoFar())
-	j.lone.start(j.weightSoFar())
 }
 
 // Take counts what an entry did since its last report. The first report of an
@@ -181,7 +190,7 @@
 	t := j.targets[target]
 	if t == nil {
 		t = &targetTests{}
-		t.tests.start(j.weightSoFar())
+		t.rest.start(j.weightSoFar())
 		j.targets[target] = t
 	}
 	t.served += requests
@@ -202,7 +211,8 @@
 // Tick closes windows and updates the tests.
 func (j *Judge) Tick(now time.Time) {
 	j.restart(now)
-	for s, w := range j.windows {
+	for _, s := range slices.SortedFunc(maps.Keys(j.windows), compareStrata) {
+		w := j.windows[s]
 		switch {
 		case w.ready(now), w.oneSided(now):
 			j.close(s, w, now)
@@ -214,7 +224,8 @@
 	j.crashes.tick(j.serving(now), now)
 	j.busy.tick(now)
 	j.exclude(now)
-	j.watchLone(now)
+	j.here.look(j.options.Alpha, now)
+	j.elsewhere.look(j.options.Alpha, now)
 }
 
 // close compares the groups of a window and learns from the old version.
@@ -222,7 +233,7 @@
 	for _, g := range w.groups() {
 		switch {
 		case j.options.NoControl:
-			ref := j.past(s, g.load)
+			ref, _ := j.past(s, g.load)
 			if ref != nil {
 				j.step(s.route, compare(&g.fresh, sampleOf(ref), ref))
 			}
@@ -244,66 +255,41 @@
 	for _, load := range g.loads {
 		ref.add(j.reference(j.recent, place{s, load}))
 	}
-	j.step(s.route, compare(&g.fresh, &g.old, &ref))
-	for name, own := range g.targets {
-		inc := compare(own, &g.old, &ref)
-		j.targets[name].tests.step(&inc)
+	whole := compare(&g.fresh, &g.old, &ref)
+	j.step(s.route, whole)
+	for name, t := range j.targets {
+		t.rest.step(withoutTarget(g, name, &ref, &whole))
 	}
 }
 
-func (j *Judge) step(route string, inc increment) {
-	j.pooled.step(&inc)
-	r := j.routes[route]
-	if r == nil {
-		n := float64(len(j.routes) + 1)
-		r = &routeTests{weight: 1 / (n * (n + 1))}
-		r.tests.start(j.weightSoFar())
-		j.routes[route] = r
+// withoutTarget returns the increment of a group without one target.
+func withoutTarget(g *group, name string, ref *reference, whole *increment) *increment {
+	own := g.targets[name]
+	if own == nil {
+		return whole
 	}
-	r.tests.step(&inc)
+	rest := g.fresh
+	rest.subtract(own)
+	inc := compare(&rest, &g.old, ref)
+	return &inc
 }
 
-// compareAlone compares the new version with the old one's past, when the old
-// version is known to do well elsewhere at the moment.
-func (j *Judge) compareAlone(s stratum, g *group, now time.Time) {
-	if now.Sub(j.oldSound) > soundFor || now.Sub(j.oldWorse) < soundFor {
-		return
-	}
-	if ref := j.past(s, g.load); ref != nil {
-		inc := compare(&g.fresh, sampleOf(ref), ref)
-		j.lone.step(&inc)
-	}
+func (j *Judge) step(route string, inc increment) {
+	j.pooled.step(&inc)
+	j.route(route).tests.step(&inc)
 }
 
-// past returns the old version's long picture at a concurrency, there or in
-// another failure domain.
-func (j *Judge) past(s stratum, load int) *reference {
-	if ref := j.long[place{s, load}]; ref != nil && ref.requests >= windowRequests {
-		return ref
-	}
-	var best *reference
-	for other, ref := range j.long {
-		same := other.route == s.route && other.load == load && other.generation == s.generation
-		if same && ref.requests >= windowRequests && (best == nil || ref.requests > best.requests) {
-			best = ref
+func (j *Judge) route(name string) *routeTests {
+	for _, r := range j.routes {
+		if r.name == name {
+			return r
 		}
 	}
-	return best
-}
-
-// soundFor is how long a look at the old version stays current.
-const soundFor = 30 * time.Second
-
-// learn adds the old version's requests to the pictures of its past.
-func (j *Judge) learn(at place, old *sample, now time.Time) {
-	long := j.reference(j.long, at)
-	if degraded(old, long) {
-		j.oldWorse = now
-	} else if old.requests > 0 {
-		j.oldSound = now
-	}
-	j.reference(j.recent, at).fold(old, recentKeep)
-	long.fold(old, longKeep)
+	n := float64(len(j.routes) + 1)
+	r := &routeTests{name: name, weight: 1 / (n * (n + 1))}
+	r.tests.start(j.weightSoFar())
+	j.routes = append(j.routes, r)
+	return r
 }
 
 func (j *Judge) reference(of map[place]*reference, at place) *reference {
@@ -324,12 +310,13 @@
 		j.epoch++
 		weight := j.weight(j.epoch)
 		j.pooled.start(weight)
-		j.lone.start(weight)
+		j.here.tests.start(weight)
+		j.elsewhere.tests.start(weight)
 		for _, r := range j.routes {
 			r.tests.start(weight)
 		}
 		for _, t := range j.targets {
-			t.tests.start(weight)
+			t.rest.start(weight)
 		}
 	}
 }
--- a/internal/evidence/ledger.go
+++ b/internal/evidence/ledger.go
@@ -1,6 +1,8 @@
 package evidence
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,13 @@
 	Load uint8 `msgpack:"l"`
 }
 
+func compareKeys(a, b *Key) int {
+	return cmp.Or(
+		cmp.Compare(a.Version, b.Version), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Target, b.Target),
+		cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Generation, b.Generation),
+		cmp.Compare(a.Load, b.Load))
+}
+
 // Histogram holds counts of consecutive buckets; the first element is the
 // index of the first bucket that follows.
 type Histogram []uint32
@@ -116,13 +125,14 @@
 	return found.(*cell)
 }
 
-// Snapshot returns all counters, in no order.
+// Snapshot returns all counters, sorted by key.
 func (l *Ledger) Snapshot() []Record {
 	var records []Record
 	l.cells.Range(func(key, value any) bool {
 		records = append(records, Record{key.(Key), value.(*cell).counts()})
 		return true
 	})
+	slices.SortFunc(records, func(a, b Record) int { return compareKeys(&a.Key, &b.Key) })
 	return records
 }
 
--- a/internal/evidence/tests.go
+++ b/internal/evidence/tests.go
@@ -97,31 +97,6 @@
 	return logRatios(newOver, newAll, oldOver, oldAll)
 }
 
-// degraded tells whether the old version does clearly worse than its own
-// longer past.
-func degraded(old *sample, long *reference) bool {
-	if old.requests < windowRequests/2 || long.requests < windowRequests {
-		return false
-	}
-	failed := float64(old.failures) / float64(old.requests)
-	if failed > degradedFailures+2*long.failures/long.requests {
-		return true
-	}
-	limit, ok := quantile(&long.token, tailQuantile)
-	if !ok {
-		return false
-	}
-	over, all := above(&old.token, limit)
-	return all > 0 && float64(over) > degradedOver*float64(all)
-}
-
-const (
-	// degradedFailures is the failure share above twice the usual one.
-	degradedFailures = 0.1
-	// degradedOver is the share of requests over the usual 90% quantile.
-	degradedOver = 0.5
-)
-
 // sampleOf turns a reference into a sample of rounded counts.
 func sampleOf(r *reference) *sample {
 	s := &sample{requests: int(r.requests), failures: int(math.Ceil(r.failures))}
--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -27,10 +27,9 @@
 	loneWeight  = 0.15
 	// doubt is the logarithm of the evidence from which the share is held.
 	doubt = 4
-	// confirm is the logarithm of the evidence that a second target must show.
+	// confirm is the logarithm of the evidence that must remain without the
+	// target that shows the badness most.
 	confirm = 3
-	// lonePersist is how long evidence without a control must last.
-	lonePersist = 3 * time.Minute
 	// servedEnough is the number of requests that makes a target count.
 	servedEnough = 5
 	// servingFor is how long a target counts as serving after a request.
@@ -56,7 +55,7 @@
 func (j *Judge) Verdict(now time.Time) Verdict {
 	v := Verdict{
 		LogEvidence: j.log(), Totals: j.totals,
-		Degraded: now.Sub(j.oldWorse) < soundFor,
+		Degraded: j.degraded(now),
 	}
 	v.Totals.NewCrashes = j.crashes.events
 	for name := range j.excluded {
@@ -64,17 +63,18 @@
 	}
 	slices.Sort(v.Excluded)
 	limit := -math.Log(j.options.Alpha)
-	lone := j.lone.log() + math.Log(loneWeight)
 	switch {
 	case j.crashLog() >= limit:
 		v.Finding, v.Reason = Bad, fmt.Sprintf("targets crash: %d crashes", j.crashes.events)
 	case v.LogEvidence >= limit && j.confirmed(now):
 		v.Finding, v.Reason = Bad, j.describe()
-	case !j.loneSince.IsZero() && now.Sub(j.loneSince) >= lonePersist:
-		v.Finding, v.Reason = Bad, "worse than the old version's past: "+metricNames[j.lone.worst()]
+	case j.here.lasts(persistHere, now):
+		v.Finding, v.Reason = Bad, "worse than the old version's past: "+metricNames[j.here.tests.worst()]
+	case j.elsewhere.lasts(persistElsewhere, now):
+		v.Finding, v.Reason = Bad, "worse than the old version elsewhere: "+metricNames[j.elsewhere.tests.worst()]
 	case v.LogEvidence >= doubt:
 		v.Finding, v.Reason = Doubtful, "in doubt: "+j.describe()
-	case lone >= limit:
+	case j.here.strong(j.options.Alpha), j.elsewhere.strong(j.options.Alpha):
 		v.Finding, v.Reason = Doubtful, "worse than the old version's past, without a control"
 	}
 	return v
@@ -96,9 +96,9 @@
 // describe names the test with the strongest evidence.
 func (j *Judge) describe() string {
 	worst, route, strongest := j.pooled.worst(), "", j.pooled.log()
-	for name, r := range j.routes {
+	for _, r := range j.routes {
 		if l := r.tests.log() + math.Log(r.weight); l > strongest {
-			worst, route, strongest = r.tests.worst(), name, l
+			worst, route, strongest = r.tests.worst(), r.name, l
 		}
 	}
 	t := j.totals
@@ -121,41 +121,48 @@
 	return count
 }
 
-// confirmed tells whether a second target shows the badness, or whether there
-// is no second one to ask.
+// confirmed tells whether the badness shows even without the target that shows
+// it most, or whether only one target serves.
 func (j *Judge) confirmed(now time.Time) bool {
-	asked, agree := 0, 0
+	_, weakest, asked := j.loneliest(now)
+	return asked < 2 || weakest >= confirm
+}
+
+// loneliest returns the serving target without which the evidence is weakest,
+// that evidence, and the number of serving targets.
+func (j *Judge) loneliest(now time.Time) (target string, weakest float64, asked int) {
+	weakest = math.Inf(1)
 	for name, t := range j.targets {
 		if j.excluded[name] || t.served < servedEnough || now.Sub(t.lastSeen) >= servingFor {
 			continue
 		}
 		asked++
-		if t.tests.log() >= confirm {
-			agree++
+		if l := t.rest.log(); l < weakest || l == weakest && name < target {
+			target, weakest = name, l
 		}
 	}
-	return asked < 2 || agree >= 2
+	return target, weakest, asked
 }
 
 // exclude sets aside a target that fails alone and starts the tests again,
 // with half of their weight, since they now choose what to look at.
 func (j *Judge) exclude(now time.Time) {
 	if j.log() < -math.Log(j.options.Alpha) || j.confirmed(now) {
+		j.alone = time.Time{}
 		return
 	}
-	if len(j.excluded) >= max(len(j.targets)/excludeShare, 1) {
-		return
+	if j.alone.IsZero() {
+		j.alone = now
 	}
-	worst, strongest := "", doubt+0.0
-	for name, t := range j.targets {
-		if l := t.tests.log(); l > strongest {
-			worst, strongest = name, l
-		}
+	worst, _, _ := j.loneliest(now)
+	if now.Sub(j.alone) < aloneFor || j.othersServed(worst) < excludeServed {
+		return
 	}
-	if worst == "" || j.othersServed(worst) < excludeServed {
+	if len(j.excluded) >= max(len(j.targets)/excludeShare, 1) {
 		return
 	}
 	j.excluded[worst] = true
+	j.alone = time.Time{}
 	j.handicap += math.Ln2
 	j.reset()
 	j.Flush()
@@ -164,6 +171,8 @@
 const (
 	// excludeShare bounds the excluded targets to one in so many.
 	excludeShare = 4
+	// aloneFor is how long a target must carry the evidence alone.
+	aloneFor = 30 * time.Second
 	// excludeServed is how many requests the other targets must have served.
 	excludeServed = 20
 )
@@ -178,17 +187,6 @@
 	return sum
 }
 
-// watchLone notes since when the evidence without a control is strong.
-func (j *Judge) watchLone(now time.Time) {
-	if j.lone.log()+math.Log(loneWeight) < -math.Log(j.options.Alpha) {
-		j.loneSince = time.Time{}
-		return
-	}
-	if j.loneSince.IsZero() {
-		j.loneSince = now
-	}
-}
-
 // Concurrency returns the mean number of requests running in the pool, at the
 // busiest of the last ticks.
 func (j *Judge) Concurrency() float64 { return j.busy.peak }
--- a/internal/evidence/window.go
+++ b/internal/evidence/window.go
@@ -1,6 +1,9 @@
 package evidence
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // stratum is a group of requests that may be compared with each other, as far
 // as their concurrency allows.
@@ -12,6 +15,11 @@
 
 func stratumOf(k *Key) stratum { return stratum{k.Route, k.FailureDomain, k.Generation} }
 
+func compareStrata(a, b stratum) int {
+	return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.domain, b.domain),
+		cmp.Compare(a.generation, b.generation))
+}
+
 // loadBands is the number of classes of concurrency.
 const loadBands = maxLoadBand + 1
 
@@ -47,6 +55,20 @@
 	}
 }
 
+// subtract takes other, which is a part of s, out of s.
+func (s *sample) subtract(other *sample) {
+	s.requests -= other.requests
+	s.failures -= other.failures
+	for band := range other.first {
+		for i, count := range other.first[band] {
+			s.first[band][i] -= count
+		}
+	}
+	for i, count := range other.token {
+		s.token[i] -= count
+	}
+}
+
 // window collects one stratum's requests until there are enough of both
 // versions. When it closes depends on numbers of requests and on time, never
 // on outcomes.
--- a/internal/move/exchange.go
+++ b/internal/move/exchange.go
@@ -1,6 +1,8 @@
 package move
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -201,8 +203,8 @@
 	p.heard = summarize(&verdict)
 	in := m.input(p, named, config, now)
 	p.heard.Hold = holds(row, in)
-	for address, last := range s.addresses {
-		if now.Sub(last) > answerFor {
+	for _, address := range slices.Sorted(maps.Keys(s.addresses)) {
+		if now.Sub(s.addresses[address]) > answerFor {
 			delete(s.addresses, address)
 			continue
 		}
--- a/internal/move/experiment_test.go
+++ b/internal/move/experiment_test.go
@@ -63,12 +63,16 @@
 }
 
 // TestMovesByKind runs every kind of version under every trouble and prints
-// the figures by kind. With -seeds 10 it is the measurement of the design note.
+// the figures by kind. With -seeds 10 it is the measurement of the design note;
+// with one seed each kind meets one trouble.
 func TestMovesByKind(t *testing.T) {
 	runs := concpool.NewWithResults[result]().WithMaxGoroutines(5)
 	kinds := append([]badness{{}}, badnesses...)
-	for _, bad := range kinds {
-		for _, what := range troubles {
+	for i, bad := range kinds {
+		for k, what := range troubles {
+			if *seedsFlag == 1 && bad.name != "" && i%len(troubles) != k {
+				continue
+			}
 			for seed := range *seedsFlag {
 				runs.Go(func() result { return experiment(uint64(seed)+1, bad, what, *policyFlag) })
 			}
@@ -77,7 +81,9 @@
 	all := runs.Wait()
 	for _, bad := range kinds {
 		for _, what := range troubles {
-			t.Log(line(all, bad.name, what.name))
+			if l := line(all, bad.name, what.name); l != "" {
+				t.Log(l)
+			}
 		}
 	}
 	sum := summary(all)
@@ -137,6 +143,9 @@
 			odd += fmt.Sprintf(" [seed %d: %s]", r.seed, r.reason)
 		}
 	}
+	if runs == 0 {
+		return ""
+	}
 	if bad == "" {
 		bad = "good"
 	}
--- a/internal/move/kinds_test.go
+++ b/internal/move/kinds_test.go
@@ -84,6 +84,8 @@
 	{name: "no trouble"},
 	{name: "slow pool", from: 3 * time.Minute, to: 8 * time.Minute, slow: 2.5, fails: 0.05},
 	{name: "slow failure domain", from: 2 * time.Minute, to: 9 * time.Minute, slow: 2.5, fails: 0.1, domain: "d0"},
+	{name: "slow pool late", from: 13 * time.Minute, to: 17 * time.Minute, slow: 2.5, fails: 0.05},
+	{name: "slow domain late", from: 12 * time.Minute, to: 17 * time.Minute, slow: 2.5, fails: 0.1, domain: "d0"},
 	{name: "table outage", from: 2 * time.Minute, to: 6 * time.Minute, table: true},
 }
 
--- a/internal/move/step.go
+++ b/internal/move/step.go
@@ -170,7 +170,9 @@
 const enoughRequests = 50
 
 // holds returns why the share does not rise now, or will not; empty when
-// nothing but the planned time speaks against it.
+// nothing but the planned time speaks against it. A slowdown that hits the old
+// version too may hide badness, so it holds the share for up to twice the time
+// of the step; later steps are planned from what is then left.
 func holds(row *Row, in *input) string {
 	if row.State != Stages && row.State != Watch {
 		return ""
@@ -186,7 +188,7 @@
 	case row.Share < steps[row.Stage].share:
 		return fmt.Sprintf("too few targets run %s: share %.2f in place of %.2f",
 			row.New, row.Share, steps[row.Stage].share)
-	case v.Degraded && !late:
+	case v.Degraded && in.now.Before(row.Latest.Add(row.Latest.Sub(row.Since))):
 		return "held: the old version does worse than usual too"
 	case in.served < enoughRequests && !late && !in.now.Before(row.Until):
 		return fmt.Sprintf("held: %d requests answered in this step", in.served)
