--- /dev/null
+++ b/internal/measure/load/call.go
@@ -0,0 +1,96 @@
+// Package load plans and sends the requests of measures.
+//
+// A plan is drawn from a seed: arrival times of an open loop (Poisson), sizes
+// log-uniform over 1:100, accounts and tiers by weight. The sender keeps to
+// the planned times whatever the system does, reads streams as a real caller
+// would, and proves each whole answer against the text that the stand-in
+// engine must produce for that very prompt.
+package load
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/standin/target"
+)
+
+// Kind tells what a call is.
+type Kind int
+
+// The values of Kind.
+const (
+	// KindCompletion is a model request.
+	KindCompletion Kind = iota
+	// KindService is a call of a plain service.
+	KindService
+)
+
+// Call is one planned request.
+type Call struct {
+	// ID is unique in the plan. Model requests carry it as "user", service
+	// calls in their path, so that the targets' logs name it.
+	ID string
+	// At is when the call is sent, from the start of the plan.
+	At time.Duration
+	// Kind tells what the call is.
+	Kind Kind
+	// Account is the client account.
+	Account string
+	// Key is the idempotency key; empty means none.
+	Key string
+	// Tier is the priority that the route gives.
+	Tier int
+	// Model is the model's name.
+	Model string
+	// Path is the request's path without a query.
+	Path string
+	// Prompt and MaxTokens are the size of a model request.
+	Prompt    string
+	MaxTokens int
+	// Stream asks for a stream.
+	Stream bool
+	// Resends is how often the caller sends a keyed call again after a broken
+	// answer.
+	Resends int
+	// Twin sends a keyed call a second time beside the first.
+	Twin bool
+}
+
+// Tokens is the work of the call.
+func (c *Call) Tokens() int { return target.PromptTokens(c.Prompt) + c.MaxTokens }
+
+// modelBody is the body of a model request.
+type modelBody struct {
+	Model     string `json:"model"`
+	User      string `json:"user"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// body is what the call sends.
+func (c *Call) body() ([]byte, error) {
+	if c.Kind == KindService {
+		return []byte(c.ID), nil
+	}
+	return json.Marshal(modelBody{
+		Model: c.Model, User: c.ID, Prompt: c.Prompt, MaxTokens: c.MaxTokens, Stream: c.Stream,
+	})
+}
+
+// uri is the path with the query that names a service call in the logs.
+func (c *Call) uri() string {
+	if c.Kind == KindService {
+		return c.Path + "?call=" + c.ID
+	}
+	return c.Path
+}
+
+// RunID returns the call id that a target's log entry belongs to.
+func RunID(run target.Run) string {
+	if run.User != "" {
+		return run.User
+	}
+	_, id, _ := cutQuery(run.Path)
+	return id
+}
--- /dev/null
+++ b/internal/measure/load/outcome.go
@@ -0,0 +1,72 @@
+package load
+
+import (
+	"strings"
+	"time"
+)
+
+// Verdict is what a caller saw of one attempt.
+type Verdict string
+
+// The values of Verdict.
+const (
+	// Whole is the complete answer to the very request.
+	Whole Verdict = "whole"
+	// Refused is an explicit refusal or error.
+	Refused Verdict = "refused"
+	// Wrong is an answer that claims to be complete and is not the expected
+	// one, or the start of a stream that is not the start of the expected one.
+	Wrong Verdict = "wrong"
+	// Partial is a stream that ended in good order without its explicit end.
+	Partial Verdict = "partial"
+	// Broken is a connection that failed; the caller knows nothing.
+	Broken Verdict = "broken"
+)
+
+// Attempt is one request on the wire and what became of it.
+type Attempt struct {
+	// URL is the instance that was called.
+	URL string
+	// Sent, FirstToken and Ended are by the caller's clock; FirstToken is zero
+	// when there was none.
+	Sent, FirstToken, Ended time.Time
+	// Verdict is what the caller saw.
+	Verdict Verdict
+	// Status is the HTTP status; 0 when there was no answer.
+	Status int
+	// Run is the statement of a refusal: "not_run", "ran_in_part", "unknown".
+	Run string
+	// Detail is a short text for people on what was not as expected.
+	Detail string
+}
+
+// Outcome is a call with all its attempts.
+type Outcome struct {
+	Call     *Call
+	Attempts []Attempt
+}
+
+// Final is the attempt that decides: the first whole one, else the last.
+func (o *Outcome) Final() Attempt {
+	for _, attempt := range o.Attempts {
+		if attempt.Verdict == Whole {
+			return attempt
+		}
+	}
+	if len(o.Attempts) == 0 {
+		return Attempt{}
+	}
+	return o.Attempts[len(o.Attempts)-1]
+}
+
+// InTime reports whether the whole answer came within the deadline, counted
+// from the first attempt.
+func (o *Outcome) InTime(deadline time.Duration) bool {
+	final := o.Final()
+	return final.Verdict == Whole && final.Ended.Sub(o.Attempts[0].Sent) <= deadline
+}
+
+// cutQuery splits a service path at the query that names its call.
+func cutQuery(path string) (plain, id string, found bool) {
+	return strings.Cut(path, "?call=")
+}
--- /dev/null
+++ b/internal/measure/load/sender.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// resendPause is how long a caller waits before it sends again.
+	resendPause = 200 * time.Millisecond
+	// idleConnections bounds the connections kept to each instance.
+	idleConnections = 512
+)
+
+// Balancer stands for the platform's balancer: it gives each attempt the next
+// instance in turn.
+type Balancer struct {
+	urls atomic.Pointer[[]string]
+	turn atomic.Uint64
+}
+
+// NewBalancer returns a balancer over the base URLs of instances.
+func NewBalancer(urls []string) *Balancer {
+	b := &Balancer{}
+	b.Set(urls)
+	return b
+}
+
+// Set replaces the instances.
+func (b *Balancer) Set(urls []string) {
+	own := append([]string(nil), urls...)
+	b.urls.Store(&own)
+}
+
+// next returns the next instance, or "" when there is none.
+func (b *Balancer) next() string {
+	urls := *b.urls.Load()
+	if len(urls) == 0 {
+		return ""
+	}
+	return urls[b.turn.Add(1)%uint64(len(urls))]
+}
+
+// Sender sends a plan.
+type Sender struct {
+	balancer *Balancer
+	timeout  time.Duration
+	http     *http.Client
+}
+
+// NewSender returns a sender whose attempts last at most timeout.
+func NewSender(balancer *Balancer, timeout time.Duration) *Sender {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+	return &Sender{balancer: balancer, timeout: timeout, http: &http.Client{Transport: transport}}
+}
+
+// Close ends the idle connections.
+func (s *Sender) Close() { s.http.CloseIdleConnections() }
+
+// Send sends all calls at their times and waits for their outcomes, which are
+// in the order of the plan. Calls that were not sent when ctx ended have no
+// attempts.
+func (s *Sender) Send(ctx context.Context, calls []*Call) []*Outcome {
+	outcomes := make([]*Outcome, len(calls))
+	start := time.Now()
+	var inFlight conc.WaitGroup
+	for i, call := range calls {
+		outcomes[i] = &Outcome{Call: call}
+		if !sleepUntil(ctx, start.Add(call.At)) {
+			continue
+		}
+		outcome := outcomes[i]
+		inFlight.Go(func() { s.carryOut(ctx, outcome) })
+	}
+	inFlight.Wait()
+	return outcomes
+}
+
+// carryOut sends one call, with its twin and resends.
+func (s *Sender) carryOut(ctx context.Context, outcome *Outcome) {
+	var mu sync.Mutex // guards outcome.Attempts while twins run
+	var twins conc.WaitGroup
+	series := func() {
+		for n := 0; ; n++ {
+			attempt := s.attempt(ctx, outcome.Call)
+			mu.Lock()
+			outcome.Attempts = append(outcome.Attempts, attempt)
+			mu.Unlock()
+			isLost := attempt.Verdict == Broken || attempt.Verdict == Partial
+			if !isLost || outcome.Call.Key == "" || n >= outcome.Call.Resends {
+				return
+			}
+			if !sleepUntil(ctx, time.Now().Add(resendPause)) {
+				return
+			}
+		}
+	}
+	twins.Go(series)
+	if outcome.Call.Twin {
+		twins.Go(series)
+	}
+	twins.Wait()
+}
+
+// attempt sends the call once and reads the answer to its end.
+func (s *Sender) attempt(ctx context.Context, call *Call) Attempt {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	attempt := Attempt{URL: s.balancer.next(), Sent: time.Now()}
+	response, err := s.post(ctx, call, attempt.URL)
+	if err != nil {
+		attempt.Verdict = Broken
+		attempt.Detail = err.Error()
+		attempt.Ended = time.Now()
+		return attempt
+	}
+	defer response.Body.Close()
+	attempt.Status = response.StatusCode
+	read(call, response, &attempt)
+	_, _ = io.Copy(io.Discard, response.Body)
+	attempt.Ended = time.Now()
+	return attempt
+}
+
+// post sends the request once. GetBody is removed, since the library sends a
+// request with an Idempotency-Key again by itself when it has one.
+func (s *Sender) post(ctx context.Context, call *Call, base string) (*http.Response, error) {
+	body, err := call.body()
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+call.uri(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Hibiscus-Account", call.Account)
+	if call.Key != "" {
+		request.Header.Set("Idempotency-Key", call.Key)
+	}
+	return s.http.Do(request)
+}
+
+// sleepUntil waits; it reports false when ctx ended first.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/measure/report.go
@@ -0,0 +1,40 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+)
+
+// WriteJSON writes one JSON object a line for each figure.
+func WriteJSON(w io.Writer, figures []Figure) error {
+	encoder := json.NewEncoder(w)
+	for _, figure := range figures {
+		if err := encoder.Encode(figure); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteTable writes the figures as a table for people.
+func WriteTable(w io.Writer, figures []Figure) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "MEASURE\tSEED\tFIGURE\tVALUE\tUNIT\tBASELINE")
+	for _, f := range figures {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\n",
+			f.Measure, f.Seed, f.Name, number(f.Value), f.Unit, baselineText(f.Baseline))
+	}
+	return table.Flush()
+}
+
+func baselineText(value *float64) string {
+	if value == nil {
+		return "-"
+	}
+	return number(*value)
+}
+
+func number(value float64) string { return strconv.FormatFloat(value, 'g', 4, 64) }
--- a/internal/standin/target/engine_test.go
+++ b/internal/standin/target/engine_test.go
@@ -31,6 +31,7 @@
 	t.Helper()
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	assert.NilError(t, err)
+	request.GetBody = nil // the library sends a keyed request again by itself
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("Idempotency-Key", "key-"+id)
 	request.Header.Set("Hibiscus-Account", "acme")
