Measure pressure, once and prefix against real instances

Cause: the outcomes that users weigh must be measured from outside, with the targets' logs as the truth.

Change: beds of stand-ins, fleets of instances and of the naive policy, experiments that play faults beside load, the checks, three measures, and the command for the command line.

--- /dev/null
+++ b/internal/measure/command.go
@@ -0,0 +1,65 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+)
+
+// allMeasures is the name that stands for every measure.
+const allMeasures = "all"
+
+// Command is the command "measure".
+type Command struct {
+	Name    string `arg:"" optional:"" default:"all" help:"A measure, or all."`
+	Seed    uint64 `default:"1" help:"Determines load, sizes, fault times and kinds."`
+	Seconds int    `help:"How long load is sent; default 12." placeholder:"N"`
+	JSON    bool   `name:"json" help:"Print one JSON object a line."`
+	List    bool   `help:"Print the names of the measures."`
+}
+
+// Run carries measures out and prints their figures.
+func (c *Command) Run(ctx context.Context, out io.Writer) error {
+	if c.List {
+		return list(out)
+	}
+	chosen := All()
+	if c.Name != allMeasures {
+		m, err := Find(c.Name)
+		if err != nil {
+			return exit.With(exit.BadInput, err)
+		}
+		chosen = []Measure{m}
+	}
+	options := Options{Seed: c.Seed, Duration: time.Duration(c.Seconds) * time.Second}
+	var table []Figure
+	for _, m := range chosen {
+		figures, err := Execute(ctx, m, options)
+		if err != nil {
+			return err
+		}
+		table = append(table, figures...)
+		if !c.JSON {
+			continue
+		}
+		if err := WriteJSON(out, figures); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return nil
+	}
+	return WriteTable(out, table)
+}
+
+func list(out io.Writer) error {
+	for _, m := range All() {
+		if _, err := fmt.Fprintf(out, "%-10s %s\n", m.Name, m.Summary); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/experiment.go
@@ -0,0 +1,58 @@
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/measure/load"
+	"github.com/hibiscuspost/hibiscuspost/internal/standin/target"
+)
+
+// callerPatience is how much longer than the deadline a caller waits.
+const callerPatience = 2 * time.Second
+
+// setup is what a fleet is started with besides its bed.
+type setup struct {
+	// deadline bounds each request.
+	deadline time.Duration
+}
+
+// experiment is one load with its faults, to be sent through a fleet.
+type experiment struct {
+	engines  []target.EngineOptions
+	services int
+	setup    setup
+	calls    []*load.Call
+	// faults are the events beside the load; nil for none.
+	faults func(ctx context.Context, b *bed, f fleet) []event
+}
+
+// result is what callers saw and what the targets ran.
+type result struct {
+	outcomes []*load.Outcome
+	truth    *truth
+}
+
+// run sends the load through a fleet and collects both sides.
+func (e *experiment) run(ctx context.Context, start starter) (*result, error) {
+	b, err := newBed(e.engines, e.services)
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	f, err := start(ctx, b, e.setup)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	var events []event
+	if e.faults != nil {
+		events = e.faults(ctx, b, f)
+	}
+	faults := play(ctx, events)
+	sender := load.NewSender(f.balancer(), e.setup.deadline+callerPatience)
+	defer sender.Close()
+	outcomes := sender.Send(ctx, e.calls)
+	faults.Wait()
+	return &result{outcomes: outcomes, truth: b.truth()}, ctx.Err()
+}
--- /dev/null
+++ b/internal/measure/load/load_test.go
@@ -0,0 +1,90 @@
+package load
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/standin/target"
+)
+
+func TestPlansFollowTheirSeed(t *testing.T) {
+	sources := []Source{{
+		Rate: 100, Until: time.Second, Accounts: []string{"a", "b"}, MinTokens: 2, MaxTokens: 200,
+		PromptBytes: 4, KeyRatio: 0.5, TwinRatio: 0.5, StreamRatio: 0.5,
+	}}
+	assert.DeepEqual(t, Plan(7, sources), Plan(7, sources))
+	assert.Assert(t, len(Plan(7, sources)) > 0)
+	assert.Assert(t, Plan(7, sources)[0].Prompt != Plan(8, sources)[0].Prompt)
+}
+
+func TestVerdicts(t *testing.T) {
+	whole := target.ExpectedText("p", 2)
+	chunk := func(text string) string { return fmt.Sprintf("data: {\"choices\":[{\"text\":%q}]}\n\n", text) }
+	cases := map[string]struct {
+		status  int
+		body    string
+		stream  bool
+		abort   bool
+		verdict Verdict
+	}{
+		"whole":             {200, fmt.Sprintf(`{"choices":[{"text":%q}]}`, whole), false, false, Whole},
+		"someone else's":    {200, fmt.Sprintf(`{"choices":[{"text":%q}]}`, target.ExpectedText("q", 2)), false, false, Wrong},
+		"half":              {200, fmt.Sprintf(`{"choices":[{"text":%q}]}`, whole[:9]), false, false, Wrong},
+		"refused":           {503, `{"run":"not_run"}`, false, false, Refused},
+		"cut":               {200, `{"cho`, false, true, Broken},
+		"stream":            {200, chunk(whole[:9]) + chunk(whole[9:]) + "data: [DONE]\n\n", true, false, Whole},
+		"stream short":      {200, chunk(whole[:9]) + "data: [DONE]\n\n", true, false, Wrong},
+		"stream glued":      {200, chunk(whole[:9]) + chunk(whole[:9]), true, false, Wrong},
+		"stream no end":     {200, chunk(whole), true, false, Partial},
+		"stream cut":        {200, chunk(whole), true, true, Broken},
+		"stream refused":    {200, chunk(whole[:9]) + "event: error\ndata: {\"run\":\"ran_in_part\"}\n\n", true, false, Refused},
+		"stream with pings": {200, ": ping\n\n" + chunk(whole) + "data: [DONE]\n\n", true, false, Whole},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+				if c.abort {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer server.Close()
+			sender := NewSender(NewBalancer([]string{server.URL}), time.Minute)
+			defer sender.Close()
+			outcomes := sender.Send(t.Context(), []*Call{{Path: "/v1/completions", Prompt: "p", MaxTokens: 2, Stream: c.stream}})
+			assert.Equal(t, outcomes[0].Final().Verdict, c.verdict)
+		})
+	}
+}
+
+// A keyed call on a connection that has served before must arrive once for
+// each attempt, since the HTTP library sends such requests again by itself.
+func TestEachAttemptArrivesOnce(t *testing.T) {
+	var arrived atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "" {
+			_, _ = w.Write([]byte(`{"body":"warm"}`))
+			return
+		}
+		arrived.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	sender := NewSender(NewBalancer([]string{server.URL}), time.Minute)
+	defer sender.Close()
+	warm := sender.Send(t.Context(), []*Call{{Kind: KindService, ID: "warm", Path: "/svc"}})
+	assert.Equal(t, warm[0].Final().Verdict, Whole)
+
+	outcomes := sender.Send(t.Context(), []*Call{{Kind: KindService, ID: "x", Key: "k", Path: "/svc", Resends: 1}})
+
+	assert.Equal(t, len(outcomes[0].Attempts), 2)
+	assert.Equal(t, arrived.Load(), int64(2))
+}
--- a/internal/measure/load/sender.go
+++ b/internal/measure/load/sender.go
@@ -4,17 +4,21 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 )
 
 const (
 	// resendPause is how long a caller waits before it sends again.
 	resendPause = 200 * time.Millisecond
+	// connectTries is how many instances an attempt is offered to.
+	connectTries = 4
 	// idleConnections bounds the connections kept to each instance.
 	idleConnections = 512
 )
@@ -113,8 +117,8 @@
 func (s *Sender) attempt(ctx context.Context, call *Call) Attempt {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	attempt := Attempt{URL: s.balancer.next(), Sent: time.Now()}
-	response, err := s.post(ctx, call, attempt.URL)
+	attempt := Attempt{Sent: time.Now()}
+	response, err := s.connect(ctx, call, &attempt)
 	if err != nil {
 		attempt.Verdict = Broken
 		attempt.Detail = err.Error()
@@ -129,6 +133,25 @@
 	return attempt
 }
 
+// connect sends the request to the next instance that takes a connection. As
+// a balancer does, it passes over instances that refuse one, which have not
+// seen a byte of the request.
+func (s *Sender) connect(ctx context.Context, call *Call, attempt *Attempt) (*http.Response, error) {
+	for tries := 1; ; tries++ {
+		attempt.URL = s.balancer.next()
+		response, err := s.post(ctx, call, attempt.URL)
+		if err == nil || tries == connectTries || !isDial(err) {
+			return response, err
+		}
+	}
+}
+
+// isDial reports whether no connection could be made.
+func isDial(err error) bool {
+	var network *net.OpError
+	return errors.As(err, &network) && network.Op == "dial"
+}
+
 // post sends the request once. GetBody is removed, since the library sends a
 // request with an Idempotency-Key again by itself when it has one.
 func (s *Sender) post(ctx context.Context, call *Call, base string) (*http.Response, error) {
--- a/internal/standin/target/cache.go
+++ b/internal/standin/target/cache.go
@@ -13,8 +13,8 @@
 // BlockBytes is the length of a cache block in bytes of prompt text.
 const BlockBytes = 256
 
-// blockTokens is the length of a cache block in tokens.
-const blockTokens = BlockBytes / bytesPerToken
+// BlockTokens is the length of a cache block in tokens.
+const BlockTokens = BlockBytes / bytesPerToken
 
 // CacheEvent is one change of the prefix cache as callers see it.
 type CacheEvent struct {
@@ -86,7 +86,7 @@
 		c.touch(hashes[i], now)
 	}
 	c.evict(now)
-	return hit * blockTokens
+	return hit * BlockTokens
 }
 
 // touch stores a block or marks it as used; c.mu is held.
