--- a/internal/measure/bed.go
+++ b/internal/measure/bed.go
@@ -45,7 +45,7 @@
 	}
 	b.platform = server
 	for i, options := range engines {
-		options.Name = fmt.Sprintf("engine-%d", i)
+		options.Name = engineName(i)
 		engine := target.NewEngine(options)
 		if err := engine.Start(); err != nil {
 			b.close()
@@ -127,11 +127,13 @@
 
 func (b *bed) engineEntry(i int, engine *target.Engine) tables.Target {
 	return tables.Target{
-		Name: fmt.Sprintf("engine-%d", i), Address: engine.Address(), Version: engine.Version(),
+		Name: engineName(i), Address: engine.Address(), Version: engine.Version(),
 		FailureDomain: failureDomains[i%len(failureDomains)], Slots: b.slots[i],
 	}
 }
 
+func engineName(i int) string { return fmt.Sprintf("engine-%d", i) }
+
 func modelOf(tier int) string { return fmt.Sprintf("tier-%d", tier) }
 
 // engineURLs and serviceURLs are the base URLs of the targets.
--- a/internal/measure/experiment.go
+++ b/internal/measure/experiment.go
@@ -31,6 +31,8 @@
 type result struct {
 	outcomes []*load.Outcome
 	truth    *truth
+	// refused are the requests that engines refused, by the engine's name.
+	refused map[string][]target.Refused
 }
 
 // run sends the load through a fleet and collects both sides.
@@ -54,5 +56,5 @@
 	defer sender.Close()
 	outcomes := sender.Send(ctx, e.calls)
 	faults.Wait()
-	return &result{outcomes: outcomes, truth: b.truth()}, ctx.Err()
+	return &result{outcomes: outcomes, truth: b.truth(), refused: b.refusals()}, ctx.Err()
 }
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -18,6 +18,8 @@
 type fleet interface {
 	// balancer gives callers the instances that live.
 	balancer() *load.Balancer
+	// url is the base URL for callers of one instance; empty for an ended one.
+	url(index int) string
 	// crash ends one instance at once, cutting its connections.
 	crash(index int)
 	// shutdown ends one instance gracefully.
@@ -55,6 +57,15 @@
 
 func (f *naiveFleet) balancer() *load.Balancer { return f.public }
 
+func (f *naiveFleet) url(index int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.proxies[index] == nil {
+		return ""
+	}
+	return f.proxies[index].URL()
+}
+
 func (f *naiveFleet) replace(_ context.Context, index int) error {
 	limit := max(f.bed.limit/entryCount, 1)
 	proxy, err := baseline.Start(f.bed.engineURLs(), f.bed.serviceURLs(), limit)
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -42,13 +42,19 @@
 	// mu guards the fields below; an ended instance is nil.
 	mu        sync.Mutex
 	instances []*instance.Instance
+	names     []string
 	started   int
 }
 
 // startSystem starts the system's instances and puts the bed's tables in
 // force.
 func startSystem(ctx context.Context, b *bed, s setup) (fleet, error) {
-	f, err := startInstances(ctx, b, entryCount)
+	return startSystemFleet(ctx, b, s)
+}
+
+// startSystemFleet is startSystem with the type of its result.
+func startSystemFleet(ctx context.Context, b *bed, s setup) (*systemFleet, error) {
+	f, err := startInstances(b, entryCount)
 	if err != nil {
 		return nil, err
 	}
@@ -64,8 +70,8 @@
 }
 
 // startInstances starts instances without a configuration.
-func startInstances(_ context.Context, b *bed, count int) (*systemFleet, error) {
-	f := &systemFleet{bed: b, public: load.NewBalancer(nil), instances: make([]*instance.Instance, count)}
+func startInstances(b *bed, count int) (*systemFleet, error) {
+	f := &systemFleet{bed: b, public: load.NewBalancer(nil), instances: make([]*instance.Instance, count), names: make([]string, count)}
 	for i := range count {
 		if err := f.launch(i); err != nil {
 			f.close()
@@ -77,6 +83,31 @@
 
 func (f *systemFleet) balancer() *load.Balancer { return f.public }
 
+func (f *systemFleet) url(index int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.instances[index] == nil {
+		return ""
+	}
+	return f.instances[index].CallersURL()
+}
+
+// name is the name of one instance; empty for an ended one.
+func (f *systemFleet) name(index int) string {
+	name, _ := f.admin(index)
+	return name
+}
+
+// admin returns the name and the administration URL of one instance.
+func (f *systemFleet) admin(index int) (name, url string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.instances[index] == nil {
+		return "", ""
+	}
+	return f.names[index], f.instances[index].AdminURL()
+}
+
 // launch starts an instance that joins the living ones.
 func (f *systemFleet) launch(index int) error {
 	f.mu.Lock()
@@ -101,6 +132,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "instance %s", name)
 	}
+	f.mu.Lock()
+	f.names[index] = name
+	f.mu.Unlock()
 	f.set(index, running)
 	return nil
 }
