Measure moves with real engines and a faster clock for the movers

Cause: good versions moved in time and bad ones taken back are what one of the users weighs most; a move lasts minutes and a measure must not.

The engines count the runs on which badness showed.

--- a/internal/measure/load/sender.go
+++ b/internal/measure/load/sender.go
@@ -117,8 +117,23 @@
 func (s *Sender) attempt(ctx context.Context, call *Call) Attempt {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	attempt := Attempt{Sent: time.Now()}
-	response, err := s.connect(ctx, call, &attempt)
+	return s.exchange(call, Attempt{Sent: time.Now()}, func(attempt *Attempt) (*http.Response, error) {
+		return s.connect(ctx, call, attempt)
+	})
+}
+
+// SendTo sends the call once to one base URL.
+func (s *Sender) SendTo(ctx context.Context, call *Call, base string) Attempt {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	return s.exchange(call, Attempt{URL: base, Sent: time.Now()}, func(*Attempt) (*http.Response, error) {
+		return s.post(ctx, call, base)
+	})
+}
+
+// exchange sends by the given function and reads the answer to its end.
+func (s *Sender) exchange(call *Call, attempt Attempt, send func(*Attempt) (*http.Response, error)) Attempt {
+	response, err := send(&attempt)
 	if err != nil {
 		attempt.Verdict = Broken
 		attempt.Detail = err.Error()
--- /dev/null
+++ b/internal/measure/moves_test.go
@@ -0,0 +1,54 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
+	"github.com/hibiscuspost/hibiscuspost/internal/measure/load"
+)
+
+func TestMoveFigures(t *testing.T) {
+	figures := moveFigures([]moveResult{
+		{done: true},
+		{takenBack: true},
+		{bad: true, takenBack: true, shareMax: 0.1, after: 1},
+		{bad: true, done: true, shareMax: 0.9, after: 2},
+	})
+	got := make(map[string]float64)
+	for _, figure := range figures {
+		got[figure.Name] = figure.Value
+	}
+	assert.DeepEqual(t, got, map[string]float64{
+		"good_moved_in_time_ratio": 0.5, "good_taken_back_ratio": 0.5,
+		"bad_taken_back_ratio": 0.5, "bad_share_max": 0.9, "bad_after_shown": 3,
+	})
+}
+
+func TestScaledClock(t *testing.T) {
+	fake := clockwork.NewFakeClock()
+	clock := &scaledClock{real: fake, origin: fake.Now(), factor: 10}
+	timer := clock.NewTimer(time.Minute)
+	fake.Advance(6*time.Second - 1)
+	select {
+	case <-timer.Chan():
+		t.Fatal("the timer fired early")
+	default:
+	}
+	fake.Advance(1)
+	<-timer.Chan()
+	assert.Equal(t, clock.Since(clock.origin), time.Minute)
+}
+
+func TestFailuresAreObserved(t *testing.T) {
+	cases := map[load.Verdict]evidence.FailureKind{
+		load.Whole: evidence.FailureNone, load.Partial: evidence.FailureWrongEnd,
+		load.Broken: evidence.FailureBroken, load.Refused: evidence.FailureStatus, load.Wrong: evidence.FailureStatus,
+	}
+	for verdict, kind := range cases {
+		assert.Equal(t, failureOf(verdict), kind, string(verdict))
+	}
+}
--- a/internal/standin/target/engine.go
+++ b/internal/standin/target/engine.go
@@ -25,6 +25,7 @@
 	cutAfter  atomic.Int64 // events after which a stream is cut; 0 for never
 	cutsLeft  atomic.Int64
 	crashes   atomic.Int64
+	badRuns   atomic.Int64
 	generator conc.WaitGroup
 
 	// mu guards the fields below.
@@ -155,6 +156,9 @@
 	return version
 }
 
+// BadRuns counts the runs on which the badness of their version showed.
+func (e *Engine) BadRuns() int { return int(e.badRuns.Load()) }
+
 // Running counts the requests that run now.
 func (e *Engine) Running() int {
 	e.mu.Lock()
--- a/internal/standin/target/generate.go
+++ b/internal/standin/target/generate.go
@@ -38,7 +38,7 @@
 		Target: e.options.Name, RequestID: id, Path: r.URL.Path, Version: version,
 		Key: r.Header.Get("Idempotency-Key"), Account: r.Header.Get("Hibiscus-Account"),
 		Model: request.Model, User: request.User, Started: now,
-		PromptTokens: PromptTokens(prompt), CachedTokens: cached,
+		PromptTokens: PromptTokens(prompt), CachedTokens: cached, Bad: p.bad.shows,
 	})
 	ctx, cancel := context.WithCancel(e.lifetime)
 	p.cancel = cancel
@@ -91,7 +91,11 @@
 		slow = 1
 	}
 	fails := bad.FailRatio > 0 && e.random.Float64() < bad.FailRatio
-	return symptoms{fails: fails, slow: slow, noEnd: bad.NoEnd}
+	marked := fails || slow != 1 || bad.NoEnd
+	if marked {
+		e.badRuns.Add(1)
+	}
+	return symptoms{shows: marked, fails: fails, slow: slow, noEnd: bad.NoEnd}
 }
 
 // generate carries out one run: prefill, then one token after the other. When
--- a/internal/standin/target/log.go
+++ b/internal/standin/target/log.go
@@ -45,6 +45,8 @@
 	OutputTokens int
 	// End tells how the run ended.
 	End End
+	// Bad is set when the badness of its version showed on the run.
+	Bad bool
 }
 
 // Refused is a request that a target refused without running it.
--- a/internal/standin/target/run.go
+++ b/internal/standin/target/run.go
@@ -29,6 +29,7 @@
 
 // symptoms are what a bad version does to one request.
 type symptoms struct {
+	shows bool
 	fails bool
 	slow  float64
 	noEnd bool
