Measure the cost of control

Cause: control has a budget in bytes, processor time and memory for each instance, and slopes are needed for the large size.

Change: measure control samples the process at a base size and with one size raised at a time. peer.Carried and the stand-in platform count bytes (additive; peer.Carried is the only change outside the measure's packages).

--- a/internal/measure/pressure.go
+++ b/internal/measure/pressure.go
@@ -53,6 +53,15 @@
 	return engines
 }
 
+// sameEngines are engines of one speed.
+func sameEngines(seed uint64, count int) []target.EngineOptions {
+	engines := make([]target.EngineOptions, count)
+	for i := range engines {
+		engines[i] = target.EngineOptions{Slots: engineSlots, HardLimit: engineHardLimit, Seed: seed + uint64(i)}
+	}
+	return engines
+}
+
 // capacity is the output tokens a second that engines give at full batches.
 func capacity(engines []target.EngineOptions) float64 {
 	total := 0.0
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -74,7 +74,8 @@
 	if err != nil {
 		return fault.At(fault.StepPeer, address, err)
 	}
-	_, err = b.packets.WriteToUDPAddrPort(b.sealer.seal(kind, b.address, body), to)
+	n, err := b.packets.WriteToUDPAddrPort(b.sealer.seal(kind, b.address, body), to)
+	carried.Add(uint64(n))
 	return fault.At(fault.StepPeer, address, err)
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -81,7 +81,9 @@
 // Write implements net.Conn.
 func (c *timedConn) Write(p []byte) (int, error) {
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	carried.Add(uint64(n))
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -89,6 +91,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
+		carried.Add(uint64(n))
 	}
 	return n, err
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -41,6 +41,7 @@
 	delay    atomic.Int64 // nanoseconds before an operation is carried out
 	lost     atomic.Int64 // answers to writes still to be lost
 	requests atomic.Int64
+	carried  atomic.Uint64
 
 	// listMu guards listLag and lists.
 	listMu  sync.Mutex
@@ -86,7 +87,8 @@
 	server := &http.Server{Handler: s}
 	s.listener = listener
 	s.http = server
-	s.serving.Go(func() { _ = server.Serve(listener) })
+	counted := &countingListener{Listener: listener, carried: &s.carried}
+	s.serving.Go(func() { _ = server.Serve(counted) })
 	return nil
 }
 
@@ -118,6 +120,9 @@
 // Requests counts the HTTP requests received, also those refused.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
+// Carried counts the bytes of requests and answers, headers of HTTP included.
+func (s *Server) Carried() uint64 { return s.carried.Load() }
+
 // SetDown makes all calls answer 503 with nothing done, or ends that.
 func (s *Server) SetDown(down bool) { s.down.Store(down) }
 
