Take memory slopes from live heap and stacks

Cause: a process keeps pages of earlier points, so slopes of the resident set were negative.

Change: rss_mb stays the growth of the resident set at the first point; the slopes come from heap and stacks in use after a collection.

--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -42,7 +42,11 @@
 
 // controlCost is what control costs one instance.
 type controlCost struct {
-	bytesPerS, cpuShare, rssMB float64
+	bytesPerS, cpuShare float64
+	// rssMB is the growth of the resident set. It is true for the first point
+	// of a process only, since the process keeps pages of earlier points;
+	// slopes are taken from liveMB, the heap and stacks in use.
+	rssMB, liveMB float64
 }
 
 func controlMeasure() Measure {
@@ -73,7 +77,7 @@
 		figures = append(figures,
 			slope("bytes_per_s", raised.name, "B/s", cost.bytesPerS-base.bytesPerS, raised.by),
 			slope("cpu_share", raised.name, unitRatio, cost.cpuShare-base.cpuShare, raised.by),
-			slope("rss_mb", raised.name, "MB", cost.rssMB-base.rssMB, raised.by),
+			slope("rss_mb", raised.name, "MB", cost.liveMB-base.liveMB, raised.by),
 		)
 	}
 	return figures, nil
@@ -130,6 +134,7 @@
 		bytesPerS: float64(last.bytes-first.bytes) / passed / n,
 		cpuShare:  (last.cpu - first.cpu).Seconds() / passed / n,
 		rssMB:     float64(last.rss-before.rss) / bytesPerMB / n,
+		liveMB:    float64(last.live-before.live) / bytesPerMB / n,
 	}
 }
 
--- a/internal/measure/usage.go
+++ b/internal/measure/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -23,12 +24,15 @@
 	at    time.Time
 	bytes uint64 // between instances, and to and from the platform
 	cpu   time.Duration
-	rss   int64 // bytes
+	rss   int64 // resident bytes
+	live  int64 // bytes of heap and stacks in use after a collection
 }
 
 // takeUsage reads what this process has used; server may be nil.
 func takeUsage(server *platform.Server) (usage, error) {
 	debug.FreeOSMemory()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
 	rss, err := residentBytes()
 	if err != nil {
 		return usage{}, err
@@ -42,6 +46,7 @@
 		bytes: peer.Carried(),
 		cpu:   time.Duration(spent.Utime.Nano() + spent.Stime.Nano()),
 		rss:   rss,
+		live:  int64(memory.HeapInuse + memory.StackInuse),
 	}
 	if server != nil {
 		u.bytes += server.Carried()
