--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -60,6 +60,12 @@
 
 func runControl(ctx context.Context, o Options) ([]Figure, error) {
 	span := time.Duration(controlShare * float64(o.duration()))
+	// The first point also pays for what the process sets up once, so that the
+	// slopes start from a second one of the same size.
+	first, err := controlAt(ctx, o.Seed, span, baseSize)
+	if err != nil {
+		return nil, err
+	}
 	base, err := controlAt(ctx, o.Seed, span, baseSize)
 	if err != nil {
 		return nil, err
@@ -67,7 +73,7 @@
 	figures := []Figure{
 		{Name: "bytes_per_s", Value: base.bytesPerS, Unit: "B/s"},
 		{Name: "cpu_share", Value: base.cpuShare, Unit: unitRatio},
-		{Name: "rss_mb", Value: base.rssMB, Unit: "MB"},
+		{Name: "rss_mb", Value: first.rssMB, Unit: "MB"},
 	}
 	for _, raised := range raisedSizes {
 		cost, err := controlAt(ctx, o.Seed, span, raised.size)
@@ -89,15 +95,15 @@
 
 // controlAt measures one point over a span of time.
 func controlAt(ctx context.Context, seed uint64, span time.Duration, size controlSize) (controlCost, error) {
-	before, err := takeUsage(nil)
+	b, err := newBed(sameEngines(seed, size.targets), 0)
 	if err != nil {
 		return controlCost{}, err
 	}
-	b, err := newBed(sameEngines(seed, size.targets), 0)
+	defer b.close()
+	before, err := takeUsage(nil)
 	if err != nil {
 		return controlCost{}, err
 	}
-	defer b.close()
 	f, err := startInstances(b, size.instances)
 	if err != nil {
 		return controlCost{}, err
--- a/internal/measure/experiment.go
+++ b/internal/measure/experiment.go
@@ -58,3 +58,25 @@
 	faults.Wait()
 	return &result{outcomes: outcomes, truth: b.truth(), refused: b.refusals()}, ctx.Err()
 }
+
+// compare runs the experiment with the system and with the naive policy.
+func (e *experiment) compare(ctx context.Context, start starter, figures func(*result) []Figure) ([]Figure, error) {
+	system, err := e.run(ctx, start)
+	if err != nil {
+		return nil, err
+	}
+	naive, err := e.run(ctx, startNaive)
+	if err != nil {
+		return nil, err
+	}
+	return compare(figures(system), figures(naive)), nil
+}
+
+// compare sets the naive policy's values beside the system's.
+func compare(system, naive []Figure) []Figure {
+	for i := range system {
+		value := naive[i].Value
+		system[i].Baseline = &value
+	}
+	return system
+}
--- a/internal/measure/once.go
+++ b/internal/measure/once.go
@@ -123,14 +123,14 @@
 	return events
 }
 
-func runOnce(ctx context.Context, o Options, start starter) ([]Figure, error) {
+func onceExperiment(o Options) *experiment {
 	engines := unlikeEngines(o.Seed)
 	for i := range engines {
 		engines[i].CrashMarker = poisonMarker
 	}
 	calls := oncePlan(o, capacity(engines))
 	slices.SortStableFunc(calls, func(a, b *load.Call) int { return int(a.At - b.At) })
-	e := &experiment{
+	return &experiment{
 		engines:  engines,
 		services: 2,
 		setup:    setup{deadline: onceDeadline},
@@ -139,15 +139,10 @@
 			return append(onceFaults(ctx, o, b, f), reviveEngines(o, b)...)
 		},
 	}
-	system, err := e.run(ctx, start)
-	if err != nil {
-		return nil, err
-	}
-	naive, err := e.run(ctx, startNaive)
-	if err != nil {
-		return nil, err
-	}
-	return compare(onceFigures(system), onceFigures(naive)), nil
+}
+
+func runOnce(ctx context.Context, o Options, start starter) ([]Figure, error) {
+	return onceExperiment(o).compare(ctx, start, onceFigures)
 }
 
 func onceFigures(r *result) []Figure {
--- a/internal/measure/prefix.go
+++ b/internal/measure/prefix.go
@@ -68,15 +68,7 @@
 		setup:   setup{deadline: prefixDeadline},
 		calls:   prefixPlan(o, capacity(engines)),
 	}
-	system, err := e.run(ctx, start)
-	if err != nil {
-		return nil, err
-	}
-	naive, err := e.run(ctx, startNaive)
-	if err != nil {
-		return nil, err
-	}
-	return compare(prefixFigures(system), prefixFigures(naive)), nil
+	return e.compare(ctx, start, prefixFigures)
 }
 
 func prefixFigures(r *result) []Figure {
--- a/internal/measure/pressure.go
+++ b/internal/measure/pressure.go
@@ -103,9 +103,9 @@
 	return load.Plan(o.Seed, sources)
 }
 
-func runPressure(ctx context.Context, o Options, start starter) ([]Figure, error) {
+func pressureExperiment(o Options) *experiment {
 	engines := unlikeEngines(o.Seed)
-	e := &experiment{
+	return &experiment{
 		engines: engines,
 		setup:   setup{deadline: pressureDeadline},
 		calls:   pressurePlan(o, capacity(engines)),
@@ -115,15 +115,10 @@
 			return []event{{at: at, do: func() { slowed.SetSpeed(slowedTo) }}}
 		},
 	}
-	system, err := e.run(ctx, start)
-	if err != nil {
-		return nil, err
-	}
-	naive, err := e.run(ctx, startNaive)
-	if err != nil {
-		return nil, err
-	}
-	return compare(pressureFigures(system), pressureFigures(naive)), nil
+}
+
+func runPressure(ctx context.Context, o Options, start starter) ([]Figure, error) {
+	return pressureExperiment(o).compare(ctx, start, pressureFigures)
 }
 
 func pressureFigures(r *result) []Figure {
@@ -138,12 +133,3 @@
 		Figure{Name: "fairness_worst_account", Value: fair, Unit: unitRatio},
 	)
 }
-
-// compare sets the naive policy's values beside the system's.
-func compare(system, naive []Figure) []Figure {
-	for i := range system {
-		value := naive[i].Value
-		system[i].Baseline = &value
-	}
-	return system
-}
