Wire configuration, leaving targets, quarantine and the measures

Cause: the instance polled the table for its configuration, knew no leaving targets and quarantined nothing. Change: the instance adopts configurations by push and poll, takes targets from the directory, and keeps requests that crash targets away from them; the measures run real instances. Applying waits until the instances have found each other.

--- a/cmd/hibiscuspost/main.go
+++ b/cmd/hibiscuspost/main.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/command"
 	"github.com/hibiscuspost/hibiscuspost/internal/demo"
 	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+	"github.com/hibiscuspost/hibiscuspost/internal/measure"
 	"github.com/hibiscuspost/hibiscuspost/internal/query"
 )
 
@@ -25,6 +26,7 @@
 	Targets   query.Targets   `cmd:"" help:"Show the targets."`
 	Instances query.Instances `cmd:"" help:"Show the live instances."`
 	Demo      demo.Command    `cmd:"" help:"Run three instances with stand-ins on loopback."`
+	Measure   measure.Command `cmd:"" help:"Measure the system against a naive policy, with stand-ins on loopback."`
 	Version   command.Version `cmd:"" help:"Print the version."`
 }
 
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -16,7 +16,6 @@
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/configuration"
-	"github.com/hibiscuspost/hibiscuspost/internal/platform"
 	"github.com/hibiscuspost/hibiscuspost/internal/strictjson"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
@@ -182,7 +181,7 @@
 			Outcome: OutcomeUnknown,
 			Detail:  "the configuration may have been accepted; `config` tells once the table service answers: " + err.Error(),
 		}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, configuration.ErrUnavailable):
 		return fiber.StatusServiceUnavailable, ApplyAnswer{Outcome: OutcomeUnavailable, Detail: err.Error()}
 	default:
 		return fiber.StatusInternalServerError, ApplyAnswer{Outcome: OutcomeUnknown, Detail: err.Error()}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/admin"
 	"github.com/hibiscuspost/hibiscuspost/internal/adminclient"
 	"github.com/hibiscuspost/hibiscuspost/internal/entry"
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
 	"github.com/hibiscuspost/hibiscuspost/internal/sse"
 	"github.com/hibiscuspost/hibiscuspost/internal/standin/target"
 )
@@ -70,7 +71,7 @@
 }
 
 func applyTables(ctx context.Context, out io.Writer, c *cluster) error {
-	if err := apply(ctx, c, 0, c.pools("v1", time.Time{})); err != nil {
+	if err := applyOnceJoined(ctx, c); err != nil {
 		return err
 	}
 	start := time.Now()
@@ -84,6 +85,23 @@
 	return err
 }
 
+// applyOnceJoined applies the first tables as soon as the instances have found
+// each other; before that, nothing is accepted.
+func applyOnceJoined(ctx context.Context, c *cluster) error {
+	deadline := time.Now().Add(adoptionBound)
+	for {
+		err := apply(ctx, c, 0, c.pools("v1", time.Time{}))
+		if exit.Of(err) != exit.Unavailable || time.Now().After(deadline) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollPause):
+		}
+	}
+}
+
 func waitReady(ctx context.Context, url string) error {
 	deadline := time.Now().Add(adoptionBound)
 	for time.Now().Before(deadline) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -25,6 +25,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/once"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/platform"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/settings"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
@@ -32,14 +33,6 @@
 // patience bounds waits that only end early when the code is right.
 const patience = 30 * time.Second
 
-// quarantineNothing lets every request pass.
-type quarantineNothing struct{}
-
-func (quarantineNothing) Quarantined(string) bool { return false }
-func (quarantineNothing) Running(string, string)  {}
-func (quarantineNothing) Done(string, string)     {}
-func (quarantineNothing) Crashed(string)          {}
-
 var secret = []byte("a secret of the instances")
 
 // newExecutor returns an executor of one instance over in-memory parts.
@@ -65,7 +58,7 @@
 	})
 	return executor.New(executor.Options{
 		Viewer: viewer, Tables: current, Ready: func() error { return nil }, Admission: controller,
-		Observe: func(evidence.Observation) {}, MarkLeaving: func(string) {}, Quarantine: quarantineNothing{},
+		Observe: func(evidence.Observation) {}, MarkLeaving: func(string) {}, Quarantine: quarantine.New(quarantine.Options{Rumors: membership.NewLocalRumors()}),
 		Shards: shards, Forwards: forwards,
 		Ledger: once.NewLedger(once.LedgerOptions{Shards: shards, Forwards: forwards, Bus: bus, Viewer: viewer}),
 		Claims: once.NewClaims(once.ClaimOptions{Platform: memory, Bus: bus, Viewer: viewer}),
--- a/internal/executor/attempt.go
+++ b/internal/executor/attempt.go
@@ -36,7 +36,7 @@
 // carryOut waits for a target, dispatches and relays the answer into a. It
 // always ends a.
 func (e *Executor) carryOut(ctx context.Context, j *job, a *answer.Answer, p permit) {
-	avoid := make(map[string]bool)
+	avoid := e.suspectTargets(j)
 	for {
 		grant, err := e.admit(ctx, j, avoid)
 		if errors.Is(err, admission.ErrDraining) {
@@ -54,6 +54,21 @@
 	}
 }
 
+// suspectTargets returns the targets to which a request that ran at a crash must
+// not be sent.
+func (e *Executor) suspectTargets(j *job) map[string]bool {
+	avoid := make(map[string]bool)
+	if !e.Quarantine.Suspect(j.fingerprint) {
+		return avoid
+	}
+	for _, target := range j.pool.Targets {
+		if !e.Quarantine.MayRun(j.fingerprint, target.Name) {
+			avoid[target.Name] = true
+		}
+	}
+	return avoid
+}
+
 // admit waits for a target.
 func (e *Executor) admit(ctx context.Context, j *job, avoid map[string]bool) (*admission.Grant, error) {
 	prompt := &j.call.Prompt
@@ -89,6 +104,8 @@
 	first   time.Duration
 	events  int
 	usage   usage
+	// gone is set once the target was found to have crashed.
+	gone bool
 }
 
 // attempt dispatches once. It returns true when it is proved that nothing was
@@ -161,7 +178,11 @@
 	r := &relay{
 		source: t.target.Address, answer: t.answer, watch: t,
 		resume: func(ctx context.Context, after uint64) (*dispatch.Response, error) {
-			return dispatch.Resume(ctx, t.target.Address, t.job.id, after)
+			response, err := dispatch.Resume(ctx, t.target.Address, t.job.id, after)
+			if dispatch.IsNotSent(err) && ctx.Err() == nil {
+				t.crashed()
+			}
+			return response, err
 		},
 	}
 	defer func() { t.executor.Metrics.Add(metrics.Resumed, int64(r.resumed)) }()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -31,6 +31,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/once"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
@@ -53,7 +54,7 @@
 	Observe func(evidence.Observation)
 	// MarkLeaving is told of a target that refused work since it leaves.
 	MarkLeaving func(address string)
-	Quarantine  Quarantine
+	Quarantine  *quarantine.List
 	Shards      *once.Shards
 	Ledger      *once.Ledger
 	Forwards    *once.Forwards
@@ -63,18 +64,6 @@
 	Metrics *metrics.Set
 }
 
-// Quarantine keeps requests that crash targets away from them.
-type Quarantine interface {
-	// Quarantined tells whether a request must not be dispatched.
-	Quarantined(fingerprint string) bool
-	// Running notes that a request runs at a target.
-	Running(fingerprint, target string)
-	// Done notes that it has ended there without a crash.
-	Done(fingerprint, target string)
-	// Crashed notes that a target has crashed.
-	Crashed(target string)
-}
-
 // Executor carries requests out.
 type Executor struct {
 	Options
@@ -132,7 +121,7 @@
 	pool  *tables.Pool
 	// id names the run at its target.
 	id          string
-	fingerprint string
+	fingerprint quarantine.Fingerprint
 	deadline    time.Time
 }
 
@@ -171,7 +160,7 @@
 		return nil, refuse(fault.StepRoute, statusBadRequest, "this route is not idempotent and needs the header Idempotency-Key")
 	}
 	j := &job{call: call, route: route, pool: config.Pool(route.Pool), id: uuid.NewString()}
-	j.fingerprint = fingerprint(call)
+	j.fingerprint = quarantine.FingerprintOf(call.Account, call.Method+" "+call.Path, call.Body)
 	if e.Quarantine.Quarantined(j.fingerprint) {
 		e.Metrics.Add(metrics.Quarantined, 1)
 		return nil, refuse(fault.StepRoute, statusUnprocessable, "this request has crashed targets and is quarantined")
--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -44,7 +44,7 @@
 	e := t.executor
 	if dispatch.IsNotSent(err) {
 		e.Metrics.Add(metrics.NotSent, 1)
-		e.Quarantine.Done(t.job.fingerprint, t.target.Name)
+		e.Quarantine.Done(t.job.fingerprint, t.target.Name, false)
 		t.observe(evidence.FailureUnreachable)
 		if ctx.Err() == nil {
 			t.grant.Finish(admission.Outcome{Kind: admission.NotSent})
@@ -73,7 +73,7 @@
 	default:
 		return false
 	}
-	e.Quarantine.Done(t.job.fingerprint, t.target.Name)
+	e.Quarantine.Done(t.job.fingerprint, t.target.Name, false)
 	t.grant.Finish(admission.Outcome{Kind: kind})
 	e.refuseAnswer(t.answer, refuse(fault.StepDispatch, statusUnavailable, reason))
 	return true
@@ -86,7 +86,7 @@
 		return
 	}
 	e := t.executor
-	e.Quarantine.Done(t.job.fingerprint, t.target.Name)
+	e.Quarantine.Done(t.job.fingerprint, t.target.Name, true)
 	outcome := t.outcome(admission.Complete)
 	kind := evidence.FailureNone
 	if response.Status >= statusServerError {
@@ -105,7 +105,7 @@
 	e := t.executor
 	if ctx.Err() != nil {
 		cancelRun(t.target.Address, t.job.id)
-		e.Quarantine.Done(t.job.fingerprint, t.target.Name)
+		e.Quarantine.Done(t.job.fingerprint, t.target.Name, false)
 	}
 	refusal := &fault.Refusal{
 		Run: fault.RanInPart, Step: fault.StepStream, Status: statusBadGateway, Reason: err.Error(),
@@ -134,7 +134,7 @@
 // broken handles an answer that the target, or the path to it, broke off.
 func (t *attempt) broken(err error, refusal *fault.Refusal) {
 	if errors.Is(err, errWrongEnd) {
-		t.executor.Quarantine.Done(t.job.fingerprint, t.target.Name)
+		t.executor.Quarantine.Done(t.job.fingerprint, t.target.Name, true)
 		t.observe(evidence.FailureWrongEnd)
 		return
 	}
@@ -142,10 +142,20 @@
 		refusal.Run = fault.Unknown
 		refusal.Step = fault.StepDispatch
 	}
-	t.executor.Quarantine.Crashed(t.target.Name)
+	t.crashed()
 	t.observe(evidence.FailureBroken)
 }
 
+// crashed notes once that the target has gone while the request ran.
+func (t *attempt) crashed() {
+	if t.gone {
+		return
+	}
+	t.gone = true
+	t.executor.Quarantine.Crashed(t.target.Name)
+	t.executor.Quarantine.Done(t.job.fingerprint, t.target.Name, false)
+}
+
 func (t *attempt) outcome(kind admission.Kind) admission.Outcome {
 	prompt := t.usage.PromptTokens
 	if prompt == 0 {
--- a/internal/executor/refuse.go
+++ b/internal/executor/refuse.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -76,12 +74,3 @@
 		e.Metrics.Add(metrics.RefusedUnknown, 1)
 	}
 }
-
-// fingerprint identifies what a request asks for, whoever sends it again.
-func fingerprint(call *Call) string {
-	digest := sha256.New()
-	digest.Write([]byte(call.Account + "\x00" + call.Method + "\x00" + call.Path + "\x00"))
-	digest.Write(call.Body)
-	const size = 12
-	return hex.EncodeToString(digest.Sum(nil)[:size])
-}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/admin"
 	"github.com/hibiscuspost/hibiscuspost/internal/admission"
 	"github.com/hibiscuspost/hibiscuspost/internal/configuration"
+	"github.com/hibiscuspost/hibiscuspost/internal/directory"
 	"github.com/hibiscuspost/hibiscuspost/internal/entry"
 	"github.com/hibiscuspost/hibiscuspost/internal/executor"
 	"github.com/hibiscuspost/hibiscuspost/internal/membership"
@@ -24,7 +25,9 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/once"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/platform/client"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/settings"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
 const (
@@ -59,7 +62,10 @@
 
 	platform  *client.Client
 	members   *membership.Membership
-	config    *configuration.Poller
+	config    *configuration.Adopter
+	store     *configuration.Store
+	directory *directory.Directory
+	suspects  *quarantine.List
 	moves     *move.Manager
 	admission *admission.Controller
 	shards    *once.Shards
@@ -134,7 +140,15 @@
 		},
 		Bus: i.bus, Seeds: s.Peers, List: i.platform, Clock: i.clock, Rand: i.random(), Logger: i.logger,
 	})
-	i.config = configuration.NewPoller(i.platform)
+	i.config = configuration.NewAdopter(configuration.Options{
+		Table: i.platform, Bus: i.bus, Members: i.members, Clock: i.clock, Rand: i.random(), Logger: i.logger,
+	})
+	i.store = configuration.NewStore(i.config)
+	i.directory = directory.New(directory.Options{
+		Current: i.config.Current, List: i.platform, Rumors: i.members, Clock: i.clock, Rand: i.random(), Logger: i.logger,
+	})
+	i.config.OnAdopt(func(*tables.Tables) { i.directory.Refresh() })
+	i.suspects = quarantine.New(quarantine.Options{Rumors: i.members, Clock: i.clock})
 	i.provisionScheduling()
 	i.provisionOnce()
 	i.provisionServers()
@@ -144,10 +158,10 @@
 func (i *Instance) provisionScheduling() {
 	i.moves = move.New(move.Options{
 		Viewer: i.members, Bus: i.bus, Rumors: i.members, Table: i.platform, Tables: i.config.Current,
-		Targets: i.targets, Clock: i.clock, Rand: i.random(), Logger: i.logger,
+		Targets: i.directory.Targets, Clock: i.clock, Rand: i.random(), Logger: i.logger,
 	})
 	i.admission = admission.New(admission.Options{
-		Viewer: i.members, Bus: i.bus, Pools: i.pools, Targets: i.targets, Versions: i.moves,
+		Viewer: i.members, Bus: i.bus, Pools: i.pools, Targets: i.directory.Targets, Versions: i.moves,
 		Clock: i.clock, Rand: i.random(), Logger: i.logger,
 	})
 }
@@ -162,8 +176,8 @@
 	})
 	i.claims = once.NewClaims(once.ClaimOptions{Platform: i.platform, Bus: i.bus, Viewer: i.members})
 	i.executor = executor.New(executor.Options{
-		Viewer: i.members, Tables: i.config.Current, Ready: i.admitting, Admission: i.admission,
-		Observe: i.moves.Observe, MarkLeaving: func(string) {}, Quarantine: noQuarantine{},
+		Viewer: i.members, Tables: i.config.Current, Ready: i.config.Admitting, Admission: i.admission,
+		Observe: i.moves.Observe, MarkLeaving: i.directory.MarkLeaving, Quarantine: i.suspects,
 		Shards: i.shards, Ledger: i.ledger, Forwards: forwards, Claims: i.claims,
 		Secret: i.options.Secrets.PeerSecret, Metrics: i.metrics,
 	})
@@ -175,7 +189,7 @@
 		Secret: i.options.Secrets.PeerSecret, Ready: i.ready,
 	})
 	i.admin = admin.New(admin.Options{
-		Token: i.options.Secrets.AdminToken, Applier: i.config, Reports: reports{i}, Ready: i.ready,
+		Token: i.options.Secrets.AdminToken, Applier: i.store, Reports: reports{i}, Ready: i.ready,
 	})
 }
 
@@ -184,7 +198,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	i.background.Go(func() { _ = i.members.Run(ctx) })
-	i.background.Go(func() { i.config.Run(ctx) })
+	i.background.Go(func() { _ = i.config.Run(ctx) })
+	i.background.Go(func() { _ = i.directory.Run(ctx) })
 	i.background.Go(func() { i.moves.Run(ctx) })
 	i.background.Go(func() { i.admission.Run(ctx) })
 	i.background.Go(func() { i.shards.Run(ctx) })
@@ -205,20 +220,12 @@
 	return rand.New(rand.NewPCG(seed, stream))
 }
 
-// admitting tells why the instance takes no new work, or nil.
-func (i *Instance) admitting() error {
-	if i.config.Current().Version == 0 {
-		return errors.New("no configuration is in force")
-	}
-	return nil
-}
-
 // ready tells the balancer why it should send no requests, or nil.
 func (i *Instance) ready() error {
 	if i.draining.Load() {
 		return errors.New("shutting down")
 	}
-	return i.admitting()
+	return i.config.Admitting()
 }
 
 // CallersURL is the base URL for callers.
--- a/internal/instance/reports.go
+++ b/internal/instance/reports.go
@@ -1,9 +1,10 @@
 package instance
 
 import (
+	"context"
+
 	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 	"github.com/hibiscuspost/hibiscuspost/internal/report"
-	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
 // pools returns the names of all pools.
@@ -16,35 +17,36 @@
 	return names
 }
 
-// targets returns the usable targets of a pool.
-func (i *Instance) targets(name string) []tables.Target {
-	pool := i.config.Current().Pool(name)
-	if pool == nil {
-		return nil
-	}
-	return pool.Targets
-}
-
-// noQuarantine lets everything pass.
-type noQuarantine struct{}
-
-func (noQuarantine) Quarantined(string) bool { return false }
-func (noQuarantine) Running(string, string)  {}
-func (noQuarantine) Done(string, string)     {}
-func (noQuarantine) Crashed(string)          {}
-
 // reports answers the operators' queries.
 type reports struct{ instance *Instance }
 
 // Config implements admin.Reports.
 func (r reports) Config() any {
-	current := r.instance.config.Current()
-	return report.Config{
-		Version: current.Version, Hash: current.Hash,
+	i := r.instance
+	current := i.config.Current()
+	fresh := i.config.Freshness()
+	answer := report.Config{
+		Version: current.Version, Hash: current.Hash, AgeMillis: unknownAge,
+		MayBeBehind: fresh.MayBeBehind, Mode: string(fresh.Mode),
 		Routes: current.Routes, Pools: current.Pools,
 	}
+	if fresh.Known {
+		answer.AgeMillis = fresh.Age.Milliseconds()
+	}
+	if err := i.config.Admitting(); err != nil {
+		answer.Reason = err.Error()
+	}
+	for _, v := range i.config.Survey(context.Background()) {
+		answer.Instances = append(answer.Instances, report.InstanceConfig{
+			Name: v.Name, Version: v.Version, AgeMillis: v.HeardAge.Milliseconds(), Mode: string(v.Mode),
+		})
+	}
+	return answer
 }
 
+// unknownAge stands for an age that is not known, in milliseconds.
+const unknownAge = -1
+
 // Moves implements admin.Reports.
 func (r reports) Moves() any {
 	return report.Moves{Moves: r.instance.moves.Status()}
@@ -54,17 +56,14 @@
 func (r reports) Targets() any {
 	i := r.instance
 	view := i.members.View()
-	usable := make(map[string]bool)
 	list := report.Targets{Targets: []report.Target{}}
-	for _, pool := range i.config.Current().Pools {
-		for _, t := range i.targets(pool.Name) {
-			usable[t.Address] = i.moves.Usable(pool.Name, t.Version)
-		}
-		for _, t := range pool.Targets {
+	for _, name := range i.pools() {
+		for _, t := range i.directory.Entries(name) {
 			list.Targets = append(list.Targets, report.Target{
-				Pool: pool.Name, Name: t.Name, Address: t.Address, FailureDomain: t.FailureDomain,
-				Version: t.Version, Usable: usable[t.Address], Slots: t.Slots,
-				Home: membership.Owner(view, "target/"+t.Name).Name,
+				Pool: name, Name: t.Name, Address: t.Address, FailureDomain: t.FailureDomain,
+				Version: t.Version, Slots: t.Slots, Leaving: t.Leaving,
+				Usable: !t.Leaving && i.moves.Usable(name, t.Version),
+				Home:   membership.Owner(view, "target/"+t.Name).Name,
 			})
 		}
 	}
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/admin"
 	"github.com/hibiscuspost/hibiscuspost/internal/adminclient"
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
 	"github.com/hibiscuspost/hibiscuspost/internal/instance"
 	"github.com/hibiscuspost/hibiscuspost/internal/measure/load"
 	"github.com/hibiscuspost/hibiscuspost/internal/settings"
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := f.apply(ctx, 0, 0, b.tables(s.deadline)); err != nil {
+	if err := f.applyOnceJoined(ctx, b.tables(s.deadline)); err != nil {
 		f.close()
 		return nil, err
 	}
@@ -69,6 +70,19 @@
 	return f, nil
 }
 
+// applyOnceJoined applies the first tables as soon as the instances have found
+// each other; before that, nothing is accepted.
+func (f *systemFleet) applyOnceJoined(ctx context.Context, t *tables.Tables) error {
+	deadline := time.Now().Add(adoptionBound)
+	for {
+		_, err := f.apply(ctx, 0, 0, t)
+		if exit.Of(err) != exit.Unavailable || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(adoptionPoll)
+	}
+}
+
 // startInstances starts instances without a configuration.
 func startInstances(b *bed, count int) (*systemFleet, error) {
 	f := &systemFleet{bed: b, public: load.NewBalancer(nil), instances: make([]*instance.Instance, count), names: make([]string, count)}
--- a/internal/query/commands.go
+++ b/internal/query/commands.go
@@ -21,13 +21,14 @@
 	row(table, "hash", config.Hash)
 	row(table, "age of newest table read, ms", config.AgeMillis)
 	row(table, "may be behind", config.MayBeBehind)
+	row(table, "mode", config.Mode)
 	if config.Reason != "" {
 		row(table, "new work is refused", config.Reason)
 	}
 	row(table)
-	row(table, "INSTANCE", "VERSION", "AGE MS")
+	row(table, "INSTANCE", "VERSION", "AGE MS", "MODE")
 	for _, instance := range config.Instances {
-		row(table, instance.Name, instance.Version, instance.AgeMillis)
+		row(table, instance.Name, instance.Version, instance.AgeMillis, instance.Mode)
 	}
 }
 
@@ -40,9 +41,9 @@
 }
 
 func printTargets(table *tabwriter.Writer, targets report.Targets) {
-	row(table, "POOL", "TARGET", "ADDRESS", "DOMAIN", "VERSION", "USABLE", "SLOTS", "HOME")
+	row(table, "POOL", "TARGET", "ADDRESS", "DOMAIN", "VERSION", "USABLE", "LEAVING", "SLOTS", "HOME")
 	for _, t := range targets.Targets {
-		row(table, t.Pool, t.Name, t.Address, t.FailureDomain, t.Version, t.Usable, t.Slots, t.Home)
+		row(table, t.Pool, t.Name, t.Address, t.FailureDomain, t.Version, t.Usable, t.Leaving, t.Slots, t.Home)
 	}
 }
 
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -2,8 +2,6 @@
 package report
 
 import (
-	"time"
-
 	"github.com/hibiscuspost/hibiscuspost/internal/move"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
@@ -18,6 +16,8 @@
 	AgeMillis int64 `json:"age_ms"`
 	// MayBeBehind is set when an accepted configuration could be missing here.
 	MayBeBehind bool `json:"may_be_behind"`
+	// Mode is the ground on which new work is taken or refused.
+	Mode string `json:"mode"`
 	// Reason tells why new work is refused, when it is.
 	Reason string `json:"reason,omitempty"`
 	// Instances are the versions in force elsewhere, as far as known.
@@ -31,8 +31,11 @@
 type InstanceConfig struct {
 	Name    string `json:"name"`
 	Version uint64 `json:"version"`
-	// AgeMillis is the age of this knowledge, in milliseconds.
+	// AgeMillis is the age of this knowledge, in milliseconds; negative when
+	// the instance was never heard.
 	AgeMillis int64 `json:"age_ms"`
+	// Mode is the ground on which the instance takes or refuses new work.
+	Mode string `json:"mode,omitempty"`
 }
 
 // Instances lists the live instances as one of them sees them.
@@ -66,7 +69,9 @@
 	Version       string `json:"version"`
 	// Usable is false for a target that leaves or whose version was taken back.
 	Usable bool `json:"usable"`
-	Slots  int  `json:"slots"`
+	// Leaving is set when the target takes no new work since it leaves.
+	Leaving bool `json:"leaving"`
+	Slots   int  `json:"slots"`
 	// Home is the instance that grants the target's credits.
 	Home string `json:"home"`
 }
@@ -75,6 +80,3 @@
 type Moves struct {
 	Moves []move.Status `json:"moves"`
 }
-
-// Millis returns a duration in whole milliseconds.
-func Millis(d time.Duration) int64 { return d.Milliseconds() }
