Ask only engines for streams, and crash instances for real

Change: resuming and cancelling are for engines; an answer in another form than the one asked for is refused as unknown; claimed answers are recorded; Kill resets the connections. Conclusion: joined service calls follow the holder's record.

--- a/internal/executor/attempt.go
+++ b/internal/executor/attempt.go
@@ -175,6 +175,9 @@
 
 // relay passes the answer's body on.
 func (t *attempt) relay(ctx context.Context, response *dispatch.Response) error {
+	if t.job.pool.Kind != tables.KindEngine {
+		return (&relay{source: t.target.Address, answer: t.answer, watch: t}).body(ctx, response)
+	}
 	r := &relay{
 		source: t.target.Address, answer: t.answer, watch: t,
 		resume: func(ctx context.Context, after uint64) (*dispatch.Response, error) {
--- a/internal/executor/claimed.go
+++ b/internal/executor/claimed.go
@@ -22,6 +22,7 @@
 	}
 	j.id = key.ID()
 	a := e.live.New(0)
+	permit.granted = func() { e.live.Put(j.id, a) }
 	run, cancel := context.WithDeadline(e.base, j.deadline)
 	e.running.Go(func() {
 		defer cancel()
@@ -42,6 +43,8 @@
 	key      once.Key
 	hash     once.BodyHash
 	deadline time.Time
+	// granted is called once the claim is held.
+	granted func()
 
 	// done is closed once the fields below are set.
 	done   chan struct{}
@@ -69,6 +72,7 @@
 		return errAnsweredElsewhere
 	}
 	p.claim = result.Claim
+	p.granted()
 	if err := p.claim.Dispatch(); err != nil {
 		return err
 	}
@@ -111,7 +115,7 @@
 		return &Execution{Answer: answer.Restore(p.other.Stored, answer.Options{}), Abandon: nobody}, nil
 	case once.ClaimJoin:
 		p.executor.Metrics.Add(metrics.Joined, 1)
-		return p.executor.follow(ctx, once.Dispatched{Instance: p.other.Instance.Name, Handle: p.other.Handle}, 0)
+		return p.executor.follow(ctx, once.Dispatched{Instance: p.other.Instance.Name, Handle: p.other.Handle}, 0, asBody)
 	default:
 		return &Execution{Answer: a, Abandon: nobody}, nil
 	}
--- a/internal/executor/keyed.go
+++ b/internal/executor/keyed.go
@@ -38,6 +38,9 @@
 			if maybe {
 				refusal.Run = fault.Unknown
 			}
+			if j.call.Forwarder == "" {
+				refusal.Status = statusUnavailable
+			}
 			e.count(refusal)
 			return nil, refusal
 		case <-time.After(keyedPause):
@@ -59,7 +62,7 @@
 		e.Metrics.Add(metrics.Joined, 1)
 		return &Execution{Answer: decision.Answer, Abandon: nobody}, nil
 	case once.DecideResume:
-		execution, err := e.follow(ctx, decision.Dispatched, 0)
+		execution, err := e.follow(ctx, decision.Dispatched, 0, formOf(j.call))
 		if err != nil {
 			return nil, decision.Refusal
 		}
--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
 // cancelTimeout bounds the cancellation of a run at its target.
@@ -104,7 +105,7 @@
 func (t *attempt) failed(ctx context.Context, err error) {
 	e := t.executor
 	if ctx.Err() != nil {
-		cancelRun(t.target.Address, t.job.id)
+		t.cancelRun()
 		e.Quarantine.Done(t.job.fingerprint, t.target.Name, false)
 	}
 	refusal := &fault.Refusal{
@@ -191,9 +192,12 @@
 	})
 }
 
-// cancelRun ends a run whose answer nobody wants.
-func cancelRun(target, id string) {
+// cancelRun ends a run whose answer nobody wants. Only engines can.
+func (t *attempt) cancelRun() {
+	if t.job.pool.Kind != tables.KindEngine {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	_ = dispatch.Cancel(ctx, target, id)
+	_ = dispatch.Cancel(ctx, t.target.Address, t.job.id)
 }
--- a/internal/executor/resume.go
+++ b/internal/executor/resume.go
@@ -5,12 +5,15 @@
 	"net/url"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hibiscuspost/hibiscuspost/internal/answer"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
 	"github.com/hibiscuspost/hibiscuspost/internal/handle"
 	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 	"github.com/hibiscuspost/hibiscuspost/internal/once"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
 // HeaderLastEvent gives the last event that a caller has seen.
@@ -29,11 +32,35 @@
 	}
 	return e.follow(ctx, once.Dispatched{
 		Instance: named.Instance, Handle: text, Target: named.Target, RequestID: named.RequestID,
-	}, after)
+	}, after, anyForm)
+}
+
+// form tells in which form an answer is wanted.
+type form int
+
+const (
+	// anyForm takes events or a plain body.
+	anyForm form = iota
+	// asStream and asBody take only that.
+	asStream
+	asBody
+)
+
+// formOf returns the form that a call asks for.
+func formOf(call *Call) form {
+	if call.Prompt.Stream {
+		return asStream
+	}
+	return asBody
+}
+
+// fits tells whether a response has the form.
+func (f form) fits(response *dispatch.Response) bool {
+	return f == anyForm || isEventStream(response) == (f == asStream)
 }
 
 // follow returns an answer that is or was written elsewhere.
-func (e *Executor) follow(ctx context.Context, at once.Dispatched, after uint64) (*Execution, error) {
+func (e *Executor) follow(ctx context.Context, at once.Dispatched, after uint64, want form) (*Execution, error) {
 	if named, err := handle.Decode(e.Secret, at.Handle); err == nil {
 		at.RequestID = named.RequestID
 		at.Target = named.Target
@@ -49,7 +76,7 @@
 		response.Close()
 		return nil, refusal
 	}
-	if response.Status != statusOK && response.Get(HeaderRequest) == "" {
+	if (response.Status != statusOK && response.Get(HeaderRequest) == "") || !want.fits(response) {
 		response.Close()
 		return nil, followRefusal(nil)
 	}
@@ -120,8 +147,11 @@
 	}, after)
 }
 
+// errNoStream means that the target keeps no streams to resume.
+var errNoStream = errors.New("the target keeps no streams")
+
 // reopenAt asks the instance that runs a request for its answer, and the target
-// when the instance does not answer.
+// when the instance does not answer and the target is an engine.
 func (e *Executor) reopenAt(ctx context.Context, at once.Dispatched, after uint64) (*dispatch.Response, error) {
 	if member, ok := e.member(at.Instance); ok && at.Handle != "" {
 		response, err := e.askInstance(ctx, member, at.Handle, after)
@@ -132,9 +162,23 @@
 			response.Close()
 		}
 	}
+	if !e.runsAtEngine(at) {
+		return nil, errNoStream
+	}
 	return dispatch.Resume(ctx, at.Target, at.RequestID, after)
 }
 
+// runsAtEngine tells whether a request went to an engine; plain services keep no
+// streams, and asking one would be a call of its own.
+func (e *Executor) runsAtEngine(at once.Dispatched) bool {
+	named, err := handle.Decode(e.Secret, at.Handle)
+	if err != nil {
+		return false
+	}
+	pool := e.Tables().Pool(named.Pool)
+	return pool != nil && pool.Kind == tables.KindEngine
+}
+
 // member finds another live instance by name.
 func (e *Executor) member(name string) (membership.Member, bool) {
 	view := e.Viewer.View()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -56,7 +56,7 @@
 	logger  *zap.Logger
 	clock   clockwork.Clock
 
-	callers net.Listener
+	callers *connections
 	admins  net.Listener
 	bus     *peer.NetBus
 
@@ -103,11 +103,12 @@
 }
 
 func (i *Instance) listen() error {
-	var err error
 	listen := &i.options.Settings.Listen
-	if i.callers, err = net.Listen("tcp", listen.Callers); err != nil {
+	callers, err := net.Listen("tcp", listen.Callers)
+	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	i.callers = trackConnections(callers)
 	if i.admins, err = net.Listen("tcp", listen.Admin); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
@@ -118,10 +119,11 @@
 }
 
 func (i *Instance) closeListeners() {
-	for _, listener := range []net.Listener{i.callers, i.admins} {
-		if listener != nil {
-			_ = listener.Close()
-		}
+	if i.callers != nil {
+		_ = i.callers.Close()
+	}
+	if i.admins != nil {
+		_ = i.admins.Close()
 	}
 	if i.bus != nil {
 		_ = i.bus.Close()
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -64,6 +64,7 @@
 // Kill ends the instance as a crash would: nothing is handed over or answered.
 func (i *Instance) Kill() {
 	i.draining.Store(true)
+	i.callers.abort()
 	_ = i.bus.Close()
 	i.cancel()
 	i.entry.Kill()
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -163,10 +163,8 @@
 
 // crash implements fleet: nothing that the instance runs is finished.
 func (f *systemFleet) crash(index int) {
-	ended, cancel := context.WithCancel(context.Background())
-	cancel()
 	if running := f.set(index, nil); running != nil {
-		_ = running.Shutdown(ended)
+		running.Kill()
 	}
 }
 
