--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -200,7 +200,13 @@
 		l.err = err
 		return
 	}
-	if err := greet(conn, b.secret, b.address); err != nil {
+	// A peer that is paused accepts and says nothing.
+	abandon := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = greet(conn, b.secret, b.address)
+	if !abandon() {
+		err = errors.CombineErrors(ctx.Err(), err)
+	}
+	if err != nil {
 		_ = conn.Close()
 		l.err = err
 		b.logger.Warn("peer handshake failed", zap.String("peer", address), zap.Error(err))
--- a/internal/peer/net_test.go
+++ b/internal/peer/net_test.go
@@ -172,3 +172,22 @@
 		assert.Check(t, err != nil, "%s", options.Address)
 	}
 }
+
+func TestCloseDoesNotWaitForAPeerThatSaysNothing(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, silent.Close()) }()
+	bus := mustListen(t)
+	assert.NilError(t, bus.Start())
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		err := bus.Call(context.Background(), silent.Addr().String(), "echo", nil, nil)
+		assert.Check(t, errors.Is(err, ErrUnreachable), "%v", err)
+	})
+	conn, err := silent.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, bus.Close())
+	wg.Wait()
+	assert.NilError(t, conn.Close())
+}
