Say nothing more after leaving

Cause: an instance that had left went on probing and comparing until its process ended, which could have brought it back into view after a pause.

Change: ticks, comparisons and joins stop with Leave. The test of leaving lets the process run on for 5 s.

Conclusion: who left stays out of view.

--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -103,6 +103,9 @@
 func (m *Membership) candidates(n int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.left {
+		return nil
+	}
 	taken := map[string]bool{m.self.PeerAddress: true}
 	all := slices.Concat(m.seeds, m.listed)
 	for _, r := range m.records {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -200,8 +200,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	assert.Check(t, leaver.Leave(ctx) != nil)
+	c.run(5 * time.Second)
 	c.crash(leaver)
-	c.run(time.Second)
 	c.assertViews("m000", "m001", "m003")
 	assert.Equal(t, members[0].Reach().Known, 3, "who left is not missed")
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -27,6 +27,9 @@
 // tick does the timed part of the protocol.
 func (m *Membership) tick() {
 	m.change(func(now time.Time) {
+		if m.left {
+			return
+		}
 		m.notePause(now)
 		m.advanceProbes(now)
 		if !m.withheld(now) {
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -59,7 +59,7 @@
 func (m *Membership) syncDue() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.resync || !m.clock.Now().Before(m.nextSync)
+	return !m.left && (m.resync || !m.clock.Now().Before(m.nextSync))
 }
 
 // planSync sets the time of the next comparison. The first ones after joining
