Exchange only the buckets of a state that differ

Cause: one difference made a comparison exchange the whole state; while instances are replaced one after the other most comparisons find one.

Conclusion: the cost of a comparison follows the difference.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -395,3 +395,21 @@
 	cancel()
 	assert.Check(t, errors.Is(m.Leave(ctx), context.Canceled))
 }
+
+func TestComparisonExchangesOnlyWhatDiffers(t *testing.T) {
+	c := newCluster(t)
+	members := c.startMany(60)
+	c.run(5 * time.Second)
+	a, b := members[0], members[1]
+	now := c.clock.Now()
+	assert.Equal(t, len(b.answerSync(a.openSync(), now).Updates), 0)
+	a.mu.Lock()
+	a.merge(update{Member: memberAt("zz", 5000), State: stateAlive}, now)
+	a.rumors.add(Rumor{Kind: RumorTakenBack, Subject: "pool/v2", Rank: 1}, now)
+	a.mu.Unlock()
+	answer := b.answerSync(a.openSync(), now)
+	assert.Check(t, len(answer.Updates) < 12, "%d of 60", len(answer.Updates))
+	assert.NilError(t, a.syncWith(context.Background(), b.self.PeerAddress))
+	assert.Equal(t, len(b.View().Members), 61)
+	assert.Equal(t, len(b.Known(RumorTakenBack)), 1)
+}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -3,12 +3,10 @@
 import (
 	"cmp"
 	"context"
-	"encoding/binary"
 	"encoding/json"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -20,23 +18,23 @@
 type syncRequest struct {
 	// Self is the caller, as it is now.
 	Self Member `json:"self"`
-	// Members and Rumors are digests; both are 0 in the second request.
-	Members uint64   `json:"members,omitempty"`
-	Rumors  uint64   `json:"rumors,omitempty"`
+	// Members and Rumors are digests; the second request has none.
+	Members digests  `json:"members,omitempty"`
+	Rumors  digests  `json:"rumors,omitempty"`
 	Updates []update `json:"updates,omitempty"`
 	News    []Rumor  `json:"news,omitempty"`
 	// Closing marks the second request.
 	Closing bool `json:"closing,omitempty"`
 }
 
-// syncAnswer holds the sections that differ, in full.
+// syncAnswer holds the buckets that differ, in full.
 type syncAnswer struct {
 	Self    Member   `json:"self"`
 	Updates []update `json:"updates,omitempty"`
 	News    []Rumor  `json:"news,omitempty"`
-	// MembersDiffer and RumorsDiffer tell which sections are given.
-	MembersDiffer bool `json:"members_differ,omitempty"`
-	RumorsDiffer  bool `json:"rumors_differ,omitempty"`
+	// MembersDiffer and RumorsDiffer tell which buckets are given.
+	MembersDiffer bucketSet `json:"members_differ,omitempty"`
+	RumorsDiffer  bucketSet `json:"rumors_differ,omitempty"`
 }
 
 // runSyncs compares with a random member now and then, and at once after a
@@ -143,7 +141,7 @@
 func (m *Membership) openSync() syncRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return syncRequest{Self: m.self, Members: m.memberDigest(), Rumors: m.rumorDigest(m.clock.Now())}
+	return syncRequest{Self: m.self, Members: m.memberDigests(), Rumors: m.rumorDigests(m.clock.Now())}
 }
 
 // serveSync answers a comparison.
@@ -172,37 +170,36 @@
 	return answer, nil
 }
 
-// answerSync returns the sections whose digests differ; m.mu is held.
+// answerSync returns the buckets whose digests differ; m.mu is held.
 func (m *Membership) answerSync(request syncRequest, now time.Time) syncAnswer {
 	answer := syncAnswer{Self: m.self}
 	if request.Closing {
 		return answer
 	}
-	if request.Members != m.memberDigest() {
-		answer.MembersDiffer = true
-		for _, r := range m.records {
+	answer.MembersDiffer = request.Members.differ(m.memberDigests())
+	answer.RumorsDiffer = request.Rumors.differ(m.rumorDigests(now))
+	for name, r := range m.records {
+		if answer.MembersDiffer.has(name) {
 			answer.Updates = append(answer.Updates, r.update())
 		}
 	}
-	if request.Rumors != m.rumorDigest(now) {
-		answer.RumorsDiffer = true
-		answer.News = m.allRumors(now)
+	for _, r := range m.allRumors(now) {
+		if answer.RumorsDiffer.has(rumorKey(r)) {
+			answer.News = append(answer.News, r)
+		}
 	}
 	return answer
 }
 
 // missing returns the statements that the answer lacks; m.mu is held.
 func (m *Membership) missing(answer syncAnswer) []update {
-	if !answer.MembersDiffer {
-		return nil
-	}
 	theirs := make(map[string]*record)
 	for _, u := range answer.Updates {
 		theirs[u.Member.Name] = &record{member: u.Member, state: u.State}
 	}
 	var newer []update
 	for name, r := range m.records {
-		if name == answer.Self.Name {
+		if name == answer.Self.Name || !answer.MembersDiffer.has(name) {
 			continue
 		}
 		if their := theirs[name]; their == nil || their.older(r.update()) {
@@ -213,16 +210,14 @@
 }
 
 func (m *Membership) missingRumors(answer syncAnswer, now time.Time) []Rumor {
-	if !answer.RumorsDiffer {
-		return nil
-	}
 	theirs := make(map[string]uint64)
 	for _, r := range answer.News {
 		theirs[rumorKey(r)] = r.Rank
 	}
 	var newer []Rumor
 	for _, r := range m.allRumors(now) {
-		if rank, ok := theirs[rumorKey(r)]; !ok || rank < r.Rank {
+		rank, ok := theirs[rumorKey(r)]
+		if answer.RumorsDiffer.has(rumorKey(r)) && (!ok || rank < r.Rank) {
 			newer = append(newer, r)
 		}
 	}
@@ -237,35 +232,3 @@
 	slices.SortFunc(all, func(a, b Rumor) int { return cmp.Compare(rumorKey(a), rumorKey(b)) })
 	return all
 }
-
-// memberDigest covers the live members with this instance, so that two that
-// agree have the same; m.mu is held.
-func (m *Membership) memberDigest() uint64 {
-	live := []Member{m.self}
-	for _, r := range m.records {
-		if r.live() {
-			live = append(live, r.member)
-		}
-	}
-	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, member := range live {
-		writeDigest(&digest, member.Name, member.Incarnation)
-	}
-	return digest.Sum64()
-}
-
-func (m *Membership) rumorDigest(now time.Time) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, r := range m.allRumors(now) {
-		writeDigest(&digest, rumorKey(r), r.Rank)
-	}
-	return digest.Sum64()
-}
-
-func writeDigest(digest *xxhash.Digest, name string, number uint64) {
-	_, _ = digest.WriteString(name)
-	_, _ = digest.Write(binary.BigEndian.AppendUint64([]byte{0}, number))
-}
