Wait for a majority before an apply is refused

Cause: measure control, which applies right after its start, failed with "hears from no majority"; and an instance that had not joined yet counted itself alone and would have accepted without any peer.

Change: Apply waits up to 5 s for contact. An instance without others counts itself alone only if it knows no address to seek any at, or after 3 s.

Conclusion: an apply in the first second of an instance takes part in the deployment that it joins.

--- a/internal/configuration/admit.go
+++ b/internal/configuration/admit.go
@@ -190,7 +190,7 @@
 func (a *Adopter) inContact() bool {
 	reach := a.members.Reach()
 	if reach.Known == 1 {
-		return true
+		return reach.Joined
 	}
 	return reach.Majority() && a.clock.Since(reach.LastAck) < contactLimit
 }
--- a/internal/configuration/fixture_test.go
+++ b/internal/configuration/fixture_test.go
@@ -41,7 +41,7 @@
 func (f *fakeMembers) inContact(live, known int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reach = membership.Reach{Live: live, Known: known, LastAck: f.clock.Now()}
+	f.reach = membership.Reach{Live: live, Known: known, LastAck: f.clock.Now(), Joined: true}
 }
 
 func (f *fakeMembers) CarryStatus(func() membership.Status, func(membership.Heard)) {}
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -21,6 +21,10 @@
 	// requiredHolders is how many peers in other failure domains must hold a
 	// configuration before it is called accepted.
 	requiredHolders = 2
+	// contactTimeout bounds the wait for a majority, contactPoll is the time
+	// between looks.
+	contactTimeout = 5 * time.Second
+	contactPoll    = 50 * time.Millisecond
 	// confirmTimeout bounds the wait for them.
 	confirmTimeout = 4 * time.Second
 	// settleTimeout bounds the reading back of a lost answer.
@@ -60,7 +64,7 @@
 // ErrUnavailable if t certainly is not, and ErrOutcomeUnknown otherwise.
 // Applying the content that is already in force on top of base confirms it.
 func (s *Store) Apply(ctx context.Context, base uint64, t tables.Tables) (uint64, error) {
-	if !s.adopter.inContact() {
+	if !s.awaitContact(ctx) {
 		return 0, unavailable(errors.New("this instance hears from no majority of the instances known"))
 	}
 	t.Version = base + 1
@@ -85,6 +89,18 @@
 	return s.confirm(ctx, &t)
 }
 
+// awaitContact waits a little for a majority, which an instance that has just
+// started does not hear yet.
+func (s *Store) awaitContact(ctx context.Context) bool {
+	deadline := s.adopter.clock.Now().Add(contactTimeout)
+	for !s.adopter.inContact() {
+		if !s.adopter.clock.Now().Before(deadline) || backoff.Wait(ctx, s.adopter.clock, contactPoll) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // unavailable returns ErrUnavailable with its reason; it is the platform's
 // ErrUnavailable too.
 func unavailable(reason error) error {
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 	"github.com/hibiscuspost/hibiscuspost/internal/platform"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
@@ -205,13 +206,25 @@
 func TestInstanceWithoutMajorityAcceptsNothing(t *testing.T) {
 	f := newFleet(t, 5)
 	f.members[0].inContact(2, 5)
-	_, err := NewStore(f.all[0]).Apply(context.Background(), 0, sample("first"))
+	_, err := f.applyWhileTimePasses(context.Background())
 	assert.Check(t, errors.Is(err, ErrUnavailable), "%v", err)
 	assert.Check(t, errors.Is(err, platform.ErrUnavailable), "%v", err)
 	writes, _ := f.memory.Counts()
 	assert.Equal(t, writes, 0)
 }
 
+func TestInstanceThatHasNotJoinedYetWaits(t *testing.T) {
+	f := newFleet(t, 3)
+	f.members[0].reach = membership.Reach{Live: 1, Known: 1}
+	f.wg.Go(func() {
+		if f.clock.BlockUntilContext(context.Background(), 1) == nil {
+			f.members[0].inContact(3, 3)
+			f.clock.Advance(contactPoll)
+		}
+	})
+	f.mustApply(0, 0, "first")
+}
+
 func TestHashCoversContentOnly(t *testing.T) {
 	a, b := sample("x"), sample("x")
 	b.Version, b.Hash = 7, "other"
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +86,7 @@
 	probes    map[uint32]*probe
 	relays    map[uint32]relay
 	sequence  uint32
+	firstTick time.Time
 	lastTick  time.Time
 	nextProbe time.Time
 	// nextGossip limits gossip packets.
@@ -307,6 +309,9 @@
 	Known int
 	// LastAck is when a probe of this instance was last answered; zero if never.
 	LastAck time.Time
+	// Joined is set once the instance has found another, knows no address to
+	// find one at, or has tried for joinPatience.
+	Joined bool
 }
 
 // Majority tells whether more than half of the known members are live here.
@@ -327,5 +332,20 @@
 			reach.Known++
 		}
 	}
+	reach.Joined = reach.Live > 1 || !m.mayFindOthers() || m.triedLong(now)
 	return reach
 }
+
+// mayFindOthers tells whether there is an address, or a list of them, to seek
+// others by.
+func (m *Membership) mayFindOthers() bool {
+	return m.list != nil || slices.ContainsFunc(m.seeds, func(seed string) bool {
+		return seed != m.self.PeerAddress
+	})
+}
+
+// triedLong tells whether the instance has sought others long enough to count
+// itself alone; m.mu is held.
+func (m *Membership) triedLong(now time.Time) bool {
+	return !m.firstTick.IsZero() && now.Sub(m.firstTick) >= joinPatience
+}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -413,3 +413,19 @@
 	assert.Equal(t, len(b.View().Members), 61)
 	assert.Equal(t, len(b.Known(RumorTakenBack)), 1)
 }
+
+func TestInstanceCountsItselfAloneOnlyAfterItHasSoughtOthers(t *testing.T) {
+	c := newCluster(t)
+	first := c.start(memberAt("a", 1), nil, memberAt("a", 1).PeerAddress)
+	assert.Check(t, first.Reach().Joined, "it has nobody to seek")
+	second := c.start(memberAt("b", 2), nil, "127.0.0.1:9")
+	assert.Check(t, !second.Reach().Joined)
+	c.run(joinPatience)
+	assert.Check(t, !second.Reach().Joined)
+	c.run(tickInterval)
+	assert.Check(t, second.Reach().Joined)
+	third := c.start(memberAt("c", 3), platform.NewMemory(), "127.0.0.1:1")
+	assert.Check(t, !third.Reach().Joined)
+	third.joinOnce(context.Background())
+	assert.Check(t, third.Reach().Joined)
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -52,6 +52,9 @@
 	gap := now.Sub(m.lastTick)
 	first := m.lastTick.IsZero()
 	m.lastTick = now
+	if first {
+		m.firstTick = now
+	}
 	if first || gap <= pauseLimit {
 		return
 	}
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -31,6 +31,9 @@
 	joinInterval      = 5 * time.Second
 	joinIntervalAlone = 500 * time.Millisecond
 	joinTimeout       = time.Second
+	// joinPatience is how long an instance that found nobody goes on to expect
+	// others.
+	joinPatience = 3 * time.Second
 	// listInterval is the least time between reads of the instance list;
 	// listReads bounds the reads of all instances together, per second.
 	listInterval      = 10 * time.Second
