Remember keyed requests until their deadline and the resend window have passed

Cause: a forwarder whose caller hung up forgot the request two minutes later, while a long run still went on at the keeper; after that keeper's death the key could have been sent again.

Change: records carry for how long they must be kept. Done tells whether the request has ended at the keeper.

--- a/internal/once/forwards.go
+++ b/internal/once/forwards.go
@@ -34,6 +34,8 @@
 	Key        Key        `json:"key"`
 	Hash       BodyHash   `json:"hash"`
 	Dispatched Dispatched `json:"dispatched"`
+	// KeepMillis is for how long it must be remembered, as of the message.
+	KeepMillis int64 `json:"keep_ms"`
 }
 
 // forwardParts is the number of independently locked parts of Forwards.
@@ -64,10 +66,23 @@
 	// maybe is set once an attempt has ended without proof that it was not
 	// dispatched.
 	maybe bool
-	// ended is when the last of them was.
-	ended time.Time
+	// until is when it may be forgotten, once no caller is served.
+	until time.Time
 }
 
+// ForwardEnd tells how the serving of a caller by way of the keeper ended.
+type ForwardEnd uint8
+
+const (
+	// ForwardBroken means that the keeper may still run the request.
+	ForwardBroken ForwardEnd = iota
+	// ForwardEnded means that the request has ended at the keeper.
+	ForwardEnded
+	// ForwardNotRun means that the keeper, or the failure to reach it, proved
+	// that the request was not dispatched.
+	ForwardNotRun
+)
+
 // NewForwards returns an empty memory; zero window means DefaultResendWindow.
 func NewForwards(clock clockwork.Clock, window time.Duration) *Forwards {
 	if clock == nil {
@@ -84,9 +99,10 @@
 }
 
 // Note must be called before a request is forwarded to its keeper, and Done
-// once its caller has been answered. Note fails with a not_run refusal when too
-// many requests are remembered.
-func (f *Forwards) Note(key Key, hash BodyHash, keeper string) error {
+// once its caller has been answered. Deadline is when the request ends at the
+// latest. Note fails with a not_run refusal when too many requests are
+// remembered.
+func (f *Forwards) Note(key Key, hash BodyHash, keeper string, deadline time.Time) error {
 	part := f.part(key)
 	part.mu.Lock()
 	defer part.mu.Unlock()
@@ -99,6 +115,7 @@
 		known.record = Record{Key: key, Hash: hash, Dispatched: Dispatched{Instance: keeper}}
 	}
 	known.open++
+	known.until = later(known.until, deadline.Add(f.window))
 	return nil
 }
 
@@ -112,9 +129,8 @@
 	}
 }
 
-// Done ends what Note began. NotRun tells that the keeper, or the failure to
-// reach it, proved that the request was not dispatched.
-func (f *Forwards) Done(key Key, notRun bool) {
+// Done ends what Note began.
+func (f *Forwards) Done(key Key, end ForwardEnd) {
 	part := f.part(key)
 	part.mu.Lock()
 	defer part.mu.Unlock()
@@ -123,8 +139,10 @@
 		return
 	}
 	known.open--
-	known.ended = f.clock.Now()
-	known.maybe = known.maybe || !notRun
+	known.maybe = known.maybe || end != ForwardNotRun
+	if end == ForwardEnded {
+		known.until = f.clock.Now().Add(f.window)
+	}
 	if known.open <= 0 && !known.maybe {
 		f.remove(part, key)
 	}
@@ -151,18 +169,19 @@
 	}
 	known.record = r
 	known.maybe = true
-	known.ended = f.clock.Now()
+	known.until = later(known.until, f.clock.Now().Add(time.Duration(r.KeepMillis)*time.Millisecond))
 }
 
 // collect returns the records that meet the condition.
 func (f *Forwards) collect(wanted func(Key) bool) []Record {
+	now := f.clock.Now()
 	var found []Record
 	for i := range f.parts {
 		part := &f.parts[i]
 		part.mu.Lock()
 		for key, known := range part.records {
 			if wanted(key) {
-				found = append(found, known.record)
+				found = append(found, known.export(now, f.window))
 			}
 		}
 		part.mu.Unlock()
@@ -170,6 +189,20 @@
 	return found
 }
 
+// export returns the record as of now.
+func (k *forward) export(now time.Time, window time.Duration) Record {
+	record := k.record
+	record.KeepMillis = max(k.until.Sub(now), window).Milliseconds()
+	return record
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Age forgets the records past their time. Ledger.Run calls it.
 func (f *Forwards) Age() {
 	now := f.clock.Now()
@@ -177,7 +210,7 @@
 		part := &f.parts[i]
 		part.mu.Lock()
 		for key, known := range part.records {
-			if known.open <= 0 && now.Sub(known.ended) > f.window {
+			if known.open <= 0 && now.After(known.until) {
 				f.remove(part, key)
 			}
 		}
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -85,8 +85,9 @@
 	stage      entryStage
 	answer     *answer.Answer // nil for foreign ones
 	dispatched Dispatched
-	// changed is when the stage was last set.
-	changed time.Time
+	// until is when it ends at the latest if it is dispatched, and when it may
+	// be forgotten if it has ended or is foreign.
+	until time.Time
 }
 
 // NewLedger registers its call handlers with the bus and listens to the shards;
@@ -193,7 +194,7 @@
 
 // admit makes the entry of a new key; part.mu is held.
 func (l *Ledger) admit(part *ledgerPart, key Key, hash BodyHash, forwarder string) Decision {
-	entry := &ledgerEntry{hash: hash, answer: l.answers.New(0), changed: l.options.Clock.Now()}
+	entry := &ledgerEntry{hash: hash, answer: l.answers.New(0)}
 	part.entries[key] = entry
 	l.count.Add(1)
 	l.answers.Put(key.ID(), entry.answer)
@@ -258,7 +259,7 @@
 	defer part.mu.Unlock()
 	for key, entry := range part.entries {
 		over := entry.stage == entryEnded || entry.stage == entryForeign
-		if over && now.Sub(entry.changed) > l.options.Window {
+		if over && now.After(entry.until) {
 			l.remove(part, key, entry)
 		}
 	}
--- a/internal/once/settle.go
+++ b/internal/once/settle.go
@@ -239,7 +239,7 @@
 	}
 	part.entries[r.Key] = &ledgerEntry{
 		hash: r.Hash, stage: entryForeign, dispatched: r.Dispatched,
-		changed: l.options.Clock.Now(),
+		until: l.options.Clock.Now().Add(time.Duration(r.KeepMillis) * time.Millisecond),
 	}
 }
 
@@ -257,6 +257,7 @@
 
 // export returns the ledger's records of shards that may have been dispatched.
 func (l *Ledger) export(shards []Shard) []Record {
+	now := l.options.Clock.Now()
 	var records []Record
 	for _, shard := range shards {
 		if shard >= ShardCount {
@@ -266,7 +267,7 @@
 		part.mu.Lock()
 		for key, entry := range part.entries {
 			if entry.stage != entryQueued {
-				records = append(records, Record{Key: key, Hash: entry.hash, Dispatched: entry.dispatched})
+				records = append(records, entry.record(key, now, l.options.Window))
 			}
 		}
 		part.mu.Unlock()
@@ -274,6 +275,18 @@
 	return records
 }
 
+// record returns what others are to know of an entry; the part's lock is held.
+func (e *ledgerEntry) record(key Key, now time.Time, window time.Duration) Record {
+	keep := e.until.Sub(now)
+	if e.stage == entryDispatched {
+		keep += window
+	}
+	return Record{
+		Key: key, Hash: e.hash, Dispatched: e.dispatched,
+		KeepMillis: max(keep, window).Milliseconds(),
+	}
+}
+
 // within returns a condition that holds for keys of the shards.
 func within(shards []Shard) func(Key) bool {
 	wanted := make(map[Shard]bool, len(shards))
--- a/internal/once/shards_test.go
+++ b/internal/once/shards_test.go
@@ -106,6 +106,19 @@
 			begin: func(w *world) { w.isolate(w.nodes[0]); w.see(func(n *node) bool { return n != w.nodes[0] }) },
 			heal:  func(w *world) { w.rejoin(w.nodes[0]) },
 		},
+		{
+			name: "alone cut off from the table service, and thought dead",
+			begin: func(w *world) {
+				w.nodes[0].noTable.Store(true)
+				w.see(func(n *node) bool { return n != w.nodes[0] })
+			},
+			heal: func(w *world) { w.nodes[0].noTable.Store(false) }, taken: true,
+		},
+		{
+			name:  "alone cut off from the table service",
+			begin: func(w *world) { w.nodes[0].noTable.Store(true) },
+			heal:  func(w *world) { w.nodes[0].noTable.Store(false) },
+		},
 		{
 			name:  "table service down for all",
 			begin: func(w *world) { w.setFault(down) },
--- a/internal/once/ticket.go
+++ b/internal/once/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/answer"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
@@ -11,6 +12,9 @@
 // maxCopyTries bounds the instances asked to keep a copy of one record.
 const maxCopyTries = 3
 
+// longestRun is how long a request without a deadline may run.
+const longestRun = time.Hour
+
 // Ticket is the right to queue one keyed request at its keeper. Its holder
 // calls Dispatch just before sending, writes Answer, ends that, and then calls
 // Finish.
@@ -30,7 +34,7 @@
 // another target is tried. It makes sure that another instance knows of the
 // request, that this one is still the keeper, and that ctx has not ended. An
 // error is a not_run refusal: the request must not be sent, and the ticket is
-// void.
+// void. The deadline of ctx is the request's: it must not run longer.
 func (t *Ticket) Dispatch(ctx context.Context, at Dispatched) error {
 	if t.needsCopy && !t.copy(ctx, at) {
 		return t.refuse("no other instance could take note of the request")
@@ -41,7 +45,7 @@
 	reason := t.obstacle(ctx, part)
 	if reason == "" {
 		t.entry.stage, t.entry.dispatched = entryDispatched, at
-		t.entry.changed = t.ledger.options.Clock.Now()
+		t.entry.until = t.ledger.latestEnd(ctx)
 	}
 	part.mu.Unlock()
 	if reason != "" {
@@ -50,6 +54,14 @@
 	return nil
 }
 
+// latestEnd returns the deadline of a request's context.
+func (l *Ledger) latestEnd(ctx context.Context) time.Time {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		return deadline
+	}
+	return l.options.Clock.Now().Add(longestRun)
+}
+
 // obstacle returns why the request must not be sent, or ""; part.mu is held.
 func (t *Ticket) obstacle(ctx context.Context, part *ledgerPart) string {
 	clock := t.ledger.options.Clock
@@ -73,7 +85,8 @@
 	if len(peers(view)) == 0 {
 		return l.options.Shards.solo()
 	}
-	record := Record{Key: t.key, Hash: t.entry.hash, Dispatched: at}
+	keep := l.latestEnd(ctx).Add(l.options.Window).Sub(l.options.Clock.Now())
+	record := Record{Key: t.key, Hash: t.entry.hash, Dispatched: at, KeepMillis: keep.Milliseconds()}
 	tries := 0
 	for _, member := range membership.Ranked(view, "copy/"+t.key.ID()) {
 		if member.Name == view.Self.Name || member.Leaving {
@@ -114,5 +127,5 @@
 	part.mu.Lock()
 	defer part.mu.Unlock()
 	t.entry.stage = entryEnded
-	t.entry.changed = t.ledger.options.Clock.Now()
+	t.entry.until = t.ledger.options.Clock.Now().Add(t.ledger.options.Window)
 }
