--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/admin"
 	"github.com/hibiscuspost/hibiscuspost/internal/adminclient"
 	"github.com/hibiscuspost/hibiscuspost/internal/entry"
+	"github.com/hibiscuspost/hibiscuspost/internal/exit"
 	"github.com/hibiscuspost/hibiscuspost/internal/sse"
 	"github.com/hibiscuspost/hibiscuspost/internal/standin/target"
 )
@@ -45,7 +46,7 @@
 		err = errors.CombineErrors(err, c.close(stopCtx))
 	}()
 	steps := []func(context.Context, io.Writer, *cluster) error{
-		applyTables, showStream, showPlainCall,
+		applyTables, showStream, showPlainCall, showOnce,
 	}
 	for _, step := range steps {
 		if err := step(ctx, out, c); err != nil {
@@ -70,7 +71,7 @@
 }
 
 func applyTables(ctx context.Context, out io.Writer, c *cluster) error {
-	if err := apply(ctx, c, 0, c.pools("v1", time.Time{})); err != nil {
+	if err := applyOnceJoined(ctx, c); err != nil {
 		return err
 	}
 	start := time.Now()
@@ -84,6 +85,23 @@
 	return err
 }
 
+// applyOnceJoined applies the first tables as soon as the instances have found
+// each other; before that, nothing is accepted.
+func applyOnceJoined(ctx context.Context, c *cluster) error {
+	deadline := time.Now().Add(adoptionBound)
+	for {
+		err := apply(ctx, c, 0, c.pools("v1", time.Time{}))
+		if exit.Of(err) != exit.Unavailable || time.Now().After(deadline) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollPause):
+		}
+	}
+}
+
 func waitReady(ctx context.Context, url string) error {
 	deadline := time.Now().Add(adoptionBound)
 	for time.Now().Before(deadline) {
@@ -229,6 +247,24 @@
 	return err
 }
 
+func showOnce(ctx context.Context, out io.Writer, c *cluster) error {
+	const path, key, body = "/billing/cancel", "cancel-4711", `{"subscription":"seat-pack"}`
+	first, err := echoed(ctx, c.instances[0].CallersURL()+path, key, body)
+	if err != nil {
+		return err
+	}
+	second, err := echoed(ctx, c.instances[2].CallersURL()+path, key, body)
+	if err != nil {
+		return err
+	}
+	runs := c.service.RunsByKey()[target.AccountKey{Account: "franchise-7", Key: key}]
+	if runs != 1 || first != second {
+		return errors.Newf("the cancellation ran %d times, answers %+v and %+v", runs, first, second)
+	}
+	_, err = fmt.Fprintln(out, "cancellation sent twice with one key, through entry-1 and entry-3: ran once, both got its answer")
+	return err
+}
+
 func short(handle string) string {
 	const shown = 8
 	return handle[:min(shown, len(handle))]
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -71,10 +71,12 @@
 
 	// mu guards the fields below. Nothing is sent, and no listener called,
 	// while it is held: see change.
-	mu        sync.Mutex
-	rand      *rand.Rand
-	self      Member
-	left      bool
+	mu   sync.Mutex
+	rand *rand.Rand
+	self Member
+	left bool
+	// rival is the address of another process with the same name.
+	rival     string
 	records   map[string]*record
 	byAddress map[string]string
 	queue     queue
@@ -92,13 +94,20 @@
 	// resyncUntil.
 	resync      bool
 	resyncUntil time.Time
+	// listed are the entry instances of the instance list, and listEntries
+	// the length of the whole list.
 	listed      []string
+	listEntries int
 	// quiet keeps the members learned by joining from being spread back.
-	quiet     bool
-	dirty     bool
-	out       []outgoing
-	events    []func()
-	notifying bool
+	quiet bool
+	// nextSync is when to compare again; eagerSyncs counts the comparisons
+	// left that follow joining closely.
+	nextSync   time.Time
+	eagerSyncs int
+	dirty      bool
+	out        []outgoing
+	events     []func()
+	notifying  bool
 }
 
 // outgoing is a datagram to be sent once the lock is free.
@@ -164,7 +173,8 @@
 	m.heard = heard
 }
 
-// Run keeps the membership until ctx ends. The bus must have been started.
+// Run keeps the membership until ctx ends, and returns why it ended. The bus
+// must have been started.
 func (m *Membership) Run(ctx context.Context) error {
 	var wg conc.WaitGroup
 	wg.Go(func() { m.runTicks(ctx) })
