Tell the forwarders' records when a request ends at its keeper

Cause: Forwards.Note takes the request's deadline and Done how the forwarding ended, since records must outlive long runs.

Change: the executor gives both.

Figures: go test -race ./internal/entry passes; the executor has no tests yet.

Conclusion: the build follows the changed calls.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -94,14 +94,14 @@
 func (e *Executor) forwardKeyed(
 	ctx context.Context, j *job, key once.Key, hash once.BodyHash, keeper membership.Member,
 ) (*Execution, *fault.Refusal) {
-	if err := e.Forwards.Note(key, hash, keeper.Name); err != nil {
+	if err := e.Forwards.Note(key, hash, keeper.Name, j.deadline); err != nil {
 		return nil, asRefusal(fault.StepForward, err)
 	}
 	run, cancel := context.WithDeadline(e.base, j.deadline)
 	response, err := e.send(run, j, keeper, forwardKey)
 	if err != nil {
 		cancel()
-		e.Forwards.Done(key, dispatch.IsNotSent(err))
+		e.Forwards.Done(key, forwardEnd(dispatch.IsNotSent(err)))
 		refusal := misdirected("")
 		if !dispatch.IsNotSent(err) {
 			refusal.Run = fault.Unknown
@@ -111,7 +111,7 @@
 	if refusal := peerRefusal(response); refusal != nil {
 		cancel()
 		response.Close()
-		e.Forwards.Done(key, refusal.Run == fault.NotRun)
+		e.Forwards.Done(key, forwardEnd(refusal.Run == fault.NotRun))
 		return nil, refusal
 	}
 	e.noteDispatched(key, response)
@@ -119,11 +119,23 @@
 	e.running.Go(func() {
 		defer cancel()
 		e.relayFrom(run, response, a)
-		e.Forwards.Done(key, false)
+		end := once.ForwardBroken
+		if state, _ := a.State(); state == answer.Complete {
+			end = once.ForwardEnded
+		}
+		e.Forwards.Done(key, end)
 	})
 	return &Execution{Answer: a, Abandon: nobody}, nil
 }
 
+// forwardEnd tells how a forwarding without an answer ended.
+func forwardEnd(notRun bool) once.ForwardEnd {
+	if notRun {
+		return once.ForwardNotRun
+	}
+	return once.ForwardBroken
+}
+
 // noteDispatched remembers where the keeper runs the request.
 func (e *Executor) noteDispatched(key once.Key, response *dispatch.Response) {
 	text := response.Get(HeaderRequest)
