Let queued keyed requests outlive the passing on of their shard

Cause: when an instance joined, the keyed requests queued at the old keepers of its shards were refused not_run.

A leaving instance grants nothing, since its queue is passed on and runs elsewhere. The executor gives the handle of a queued request.

--- a/internal/executor/keyed.go
+++ b/internal/executor/keyed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+	"github.com/hibiscuspost/hibiscuspost/internal/handle"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/once"
 )
@@ -91,6 +92,7 @@
 // others may join it and the caller may send it again.
 func (e *Executor) keep(j *job, ticket *once.Ticket) *Execution {
 	ctx, cancel := context.WithDeadline(e.base, j.deadline)
+	ticket.Queued(e.waitingHere(j))
 	e.running.Go(func() {
 		defer cancel()
 		e.carryOut(ctx, j, ticket.Answer(), keyedPermit{ticket})
@@ -103,6 +105,19 @@
 	return &Execution{Answer: ticket.Answer(), Abandon: nobody}
 }
 
+// waitingHere tells where a request without a target can be followed.
+func (e *Executor) waitingHere(j *job) once.Dispatched {
+	self := e.Viewer.View().Self.Name
+	text, err := handle.Handle{
+		Instance: self, RequestID: j.id, Account: j.call.Account, Pool: j.route.Pool,
+		CreatedMillis: j.call.Received.UnixMilli(),
+	}.Encode(e.Secret)
+	if err != nil {
+		return once.Dispatched{Instance: self}
+	}
+	return once.Dispatched{Instance: self, Handle: text, RequestID: j.id}
+}
+
 // keyedPermit is the right to dispatch of a keeper.
 type keyedPermit struct{ ticket *once.Ticket }
 
--- a/internal/once/handover.go
+++ b/internal/once/handover.go
@@ -34,16 +34,16 @@
 
 // passOn stops holding shards, gives their records to the members they belong
 // to, and then frees their rows for them.
-func (s *Shards) passOn(ctx context.Context, placed map[membership.Member][]Shard) {
+func (s *Shards) passOn(ctx context.Context, placed map[membership.Member][]Shard, leaving bool) {
 	for owner, shards := range placed {
-		s.passTo(ctx, owner, shards)
+		s.passTo(ctx, owner, shards, leaving)
 	}
 }
 
-func (s *Shards) passTo(ctx context.Context, owner membership.Member, shards []Shard) {
+func (s *Shards) passTo(ctx context.Context, owner membership.Member, shards []Shard, leaving bool) {
 	versions := s.drop(shards)
 	row := shardRow{Holder: s.options.Viewer.View().Self}
-	if s.listener == nil || s.listener.passOn(ctx, owner, shards) {
+	if s.listener == nil || s.listener.passOn(ctx, owner, shards, leaving) {
 		row.Heir = identity(owner)
 	}
 	for _, shard := range shards {
@@ -106,7 +106,7 @@
 	defer s.stepMu.Unlock()
 	s.released = true
 	g := s.grip.Load()
-	s.passOn(ctx, s.heirs(g))
+	s.passOn(ctx, s.heirs(g), true)
 	s.lose()
 	if err := s.free(ctx); err != nil || g.version == 0 {
 		return err
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -81,8 +81,12 @@
 
 // ledgerEntry is the record of one key; the part's lock guards it.
 type ledgerEntry struct {
-	hash       BodyHash
-	stage      entryStage
+	hash  BodyHash
+	stage entryStage
+	// granted is until when a queued key may be dispatched here although its
+	// shard was passed on: the next keeper has a record of it and will not run
+	// it. Zero for keys whose shard was not passed on.
+	granted    time.Time
 	answer     *answer.Answer // nil for foreign ones
 	dispatched Dispatched
 	// until is when it ends at the latest if it is dispatched, and when it may
@@ -134,9 +138,9 @@
 	DecideRun DecisionKind = 1
 	// DecideJoin: follow Answer.
 	DecideJoin DecisionKind = 2
-	// DecideResume: an earlier keeper dispatched it; resume it at the target
-	// named in Dispatched, or follow its handle there if the instance lives. If
-	// neither works answer with Refusal.
+	// DecideResume: an earlier keeper has it; follow its handle at the instance
+	// named in Dispatched if that lives, or resume it at the target, if that is
+	// named. If neither works answer with Refusal.
 	DecideResume DecisionKind = 3
 	// DecideWait: not known yet; ask again after Refusal.RetryAfter, or answer
 	// with Refusal.
@@ -162,15 +166,16 @@
 // Forwards, or "" when this instance took it from the caller itself.
 func (l *Ledger) Begin(key Key, hash BodyHash, forwarder string) Decision {
 	shard := key.Shard()
-	if !l.options.Shards.Holds(shard) {
-		return l.elsewhere(key)
-	}
 	part := &l.parts[shard]
 	part.mu.Lock()
 	defer part.mu.Unlock()
-	if entry := part.entries[key]; entry != nil {
+	holds := l.options.Shards.Holds(shard)
+	if entry := part.entries[key]; entry != nil && (holds || entry.runsHere(l.options.Clock.Now())) {
 		return entry.decide(hash)
 	}
+	if !holds {
+		return l.elsewhere(key)
+	}
 	if refusal := part.settlement.refuseUnseen(l.options.Clock.Now()); refusal != nil {
 		kind := DecideRefuse
 		if refusal.RetryAfter > 0 {
@@ -205,6 +210,17 @@
 	return Decision{Kind: DecideRun, Ticket: ticket}
 }
 
+// runsHere tells whether this instance has dispatched a key or may, whoever
+// holds its shard; the part's lock is held.
+func (e *ledgerEntry) runsHere(now time.Time) bool {
+	return e.stage == entryDispatched || e.stage == entryEnded || e.mayRun(now)
+}
+
+// mayRun tells whether a key is granted still; the part's lock is held.
+func (e *ledgerEntry) mayRun(now time.Time) bool {
+	return e.stage == entryQueued && now.Before(e.granted)
+}
+
 // decide answers for a key that is known; the part's lock is held.
 func (e *ledgerEntry) decide(hash BodyHash) Decision {
 	if e.hash != hash {
@@ -214,7 +230,7 @@
 		return Decision{Kind: DecideJoin, Answer: e.answer}
 	}
 	refusal := refuseUnknown("the request may have run; its answer is no longer kept here")
-	if e.dispatched.Target == "" {
+	if e.dispatched.Target == "" && e.dispatched.Handle == "" {
 		return Decision{Kind: DecideRefuse, Dispatched: e.dispatched, Refusal: refusal}
 	}
 	return Decision{Kind: DecideResume, Dispatched: e.dispatched, Refusal: refusal}
--- a/internal/once/ledger_test.go
+++ b/internal/once/ledger_test.go
@@ -56,7 +56,7 @@
 		from := ""
 		if r.forwarder != r.keeper {
 			from = r.forwarder.member.Name
-			assert.NilError(t, r.forwarder.forwards.Note(r.key, testHash, r.keeper.member.Name, time.Now().Add(time.Minute)))
+			assert.NilError(t, r.forwarder.forwards.Note(r.key, testHash, r.keeper.member.Name, time.Now().Add(3*DefaultResendWindow)))
 		}
 		decision := r.keeper.ledger.Begin(r.key, testHash, from)
 		assert.Equal(t, decision.Kind, DecideRun)
@@ -285,6 +285,71 @@
 	})
 }
 
+// newcomer makes a fifth instance join that all see.
+func (w *world) newcomer() *node {
+	member := w.nodes[0].member
+	member.Name, member.PeerAddress, member.Incarnation = "z", "peer-z", 26
+	n := w.newNode(member, nil)
+	w.nodes = append(w.nodes, n)
+	w.see(func(*node) bool { return true })
+	n.start()
+	time.Sleep(4 * shardTick)
+	return n
+}
+
+// passedOn returns a request that was queued at its keeper when the shard was
+// passed on to a newcomer.
+func passedOn(t *testing.T, w *world) (r *keyedRequest, next *node) {
+	t.Helper()
+	var waiting []*keyedRequest
+	for i := range 200 {
+		key := Key{Account: "queue", Key: strconv.Itoa(i)}
+		keeper := w.find(w.holders(key.Shard())[0])
+		r := &keyedRequest{world: w, forwarder: keeper, keeper: keeper, key: key}
+		r.advance(t, queued)
+		r.ticket.Queued(Dispatched{Instance: keeper.member.Name, Handle: "h"})
+		waiting = append(waiting, r)
+	}
+	next = w.newcomer()
+	for _, r := range waiting {
+		if next.shards.Holds(r.key.Shard()) {
+			return r, next
+		}
+	}
+	t.Fatal("no shard was passed on")
+	return nil, nil
+}
+
+func TestQueuedRequestOutlivesThePassingOn(t *testing.T) {
+	tests := []struct {
+		name  string
+		then  func(r *keyedRequest, next *node)
+		sends int
+	}{
+		{"dispatched", func(*keyedRequest, *node) {}, 1},
+		{"the next keeper dies", func(r *keyedRequest, next *node) { r.world.die(next) }, 1},
+		{"after a pause", func(*keyedRequest, *node) { time.Sleep(DefaultResendWindow) }, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inWorld(t, 4, func(t *testing.T, w *world) {
+				r, next := passedOn(t, w)
+				first := r.ticket
+				test.then(r, next)
+				other := w.nodes[0]
+				if other == r.keeper {
+					other = w.nodes[1]
+				}
+				decision := r.resend(other)
+				assert.Assert(t, decision.Kind == DecideResume || decision.Kind == DecideJoin, "%+v", decision)
+				r.ticket = first
+				_ = r.send()
+				assert.Equal(t, r.sends, test.sends)
+			})
+		})
+	}
+}
+
 func TestNoCopyMeansNotSent(t *testing.T) {
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		r := newKeyedRequest(t, w, 0)
@@ -328,33 +393,31 @@
 }
 
 func TestRecordsOutliveLongRuns(t *testing.T) {
-	inWorld(t, 4, func(t *testing.T, w *world) {
-		for _, forwarder := range []int{0, 1} {
-			r := newKeyedRequest(t, w, forwarder)
-			r.key.Account += strconv.Itoa(forwarder)
-			r.keeper = w.find(w.holders(r.key.Shard())[0])
-			r.forwarder = r.keeper
-			if forwarder == 1 {
-				r.forwarder = w.nodes[int(r.keeper.member.Incarnation)%len(w.nodes)]
-			}
-			r.advance(t, queued)
-			ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
-			assert.NilError(t, r.ticket.Dispatch(ctx, targetSite))
-			if forwarder == 1 {
-				assert.NilError(t, r.forwarder.forwards.Note(r.key, testHash, "a", time.Now().Add(time.Hour)))
+	const long = 3 * DefaultResendWindow
+	for _, forwarder := range []int{0, 1} {
+		t.Run(strconv.Itoa(forwarder), func(t *testing.T) {
+			inWorld(t, 4, func(t *testing.T, w *world) {
+				r := newKeyedRequest(t, w, forwarder)
+				r.advance(t, queued)
+				ctx, cancel := context.WithTimeout(t.Context(), long)
+				defer cancel()
+				assert.NilError(t, r.ticket.Dispatch(ctx, targetSite))
 				r.forwarder.forwards.Done(r.key, ForwardBroken) // its caller hung up
-			}
-			time.Sleep(10 * DefaultResendWindow)
-			known := 0
-			for _, n := range w.nodes {
-				known += n.forwards.Count()
-			}
-			assert.Equal(t, known, 1, "forwarder %d", forwarder)
-			cancel()
-			r.ticket.Finish()
-			time.Sleep(2 * time.Hour)
-		}
-	})
+				known := func() (count int) {
+					for _, n := range w.nodes {
+						count += n.forwards.Count()
+					}
+					return count
+				}
+				time.Sleep(long - time.Second)
+				assert.Equal(t, known(), 1, "still running")
+				time.Sleep(DefaultResendWindow)
+				assert.Equal(t, known(), 1, "may still be sent again")
+				time.Sleep(2 * ageEvery)
+				assert.Equal(t, known(), 0)
+			})
+		})
+	}
 }
 
 func TestRecordsAgeAndAreBounded(t *testing.T) {
--- a/internal/once/settle.go
+++ b/internal/once/settle.go
@@ -128,7 +128,7 @@
 	part.settlement = s
 	part.term++
 	for key, entry := range part.entries {
-		if entry.stage == entryQueued {
+		if entry.stage == entryQueued && !entry.mayRun(l.options.Clock.Now()) {
 			l.remove(part, key, entry)
 		}
 	}
@@ -229,7 +229,7 @@
 	switch {
 	case entry == nil:
 		l.count.Add(1)
-	case entry.stage == entryQueued:
+	case entry.stage == entryQueued && !entry.mayRun(l.options.Clock.Now()):
 		l.answers.Remove(r.Key.ID())
 	case entry.stage == entryForeign && entry.dispatched.Target == "":
 		entry.dispatched = r.Dispatched
@@ -266,7 +266,7 @@
 		part := &l.parts[shard]
 		part.mu.Lock()
 		for key, entry := range part.entries {
-			if entry.stage != entryQueued {
+			if entry.stage != entryQueued || entry.mayRun(now) {
 				records = append(records, entry.record(key, now, l.options.Window))
 			}
 		}
@@ -296,9 +296,56 @@
 	return func(key Key) bool { return wanted[key.Shard()] }
 }
 
-// passOn implements shardListener.
-func (l *Ledger) passOn(ctx context.Context, to membership.Member, shards []Shard) bool {
-	records := l.export(shards)
+// passOn implements shardListener. Unless this instance leaves, what is queued
+// here stays here: the next keeper gets a record of it, after which this
+// instance may still dispatch it.
+func (l *Ledger) passOn(ctx context.Context, to membership.Member, shards []Shard, leaving bool) bool {
+	var waiting []Record
+	if !leaving {
+		waiting = l.queued(shards)
+	}
+	records := append(l.export(shards), waiting...)
+	if !l.handOver(ctx, to, records) {
+		return false
+	}
+	for _, r := range waiting {
+		l.grant(r.Key)
+	}
+	return true
+}
+
+// queued returns records of the keys that wait here, marked as of this instance.
+func (l *Ledger) queued(shards []Shard) []Record {
+	now, self := l.options.Clock.Now(), l.options.Viewer.View().Self.Name
+	var records []Record
+	for _, shard := range shards {
+		part := &l.parts[shard]
+		part.mu.Lock()
+		for key, entry := range part.entries {
+			if entry.stage == entryQueued {
+				record := entry.record(key, now, l.options.Window+longestRun)
+				record.Dispatched.Instance = self
+				records = append(records, record)
+			}
+		}
+		part.mu.Unlock()
+	}
+	return records
+}
+
+// grant lets a queued key be dispatched although its shard was passed on. The
+// grant is shorter than the window for which a successor of the next keeper
+// holds keys in doubt, should this instance be paused with it.
+func (l *Ledger) grant(key Key) {
+	part := &l.parts[key.Shard()]
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	if entry := part.entries[key]; entry != nil && entry.stage == entryQueued {
+		entry.granted = l.options.Clock.Now().Add(l.options.Window / 2)
+	}
+}
+
+func (l *Ledger) handOver(ctx context.Context, to membership.Member, records []Record) bool {
 	ctx, cancel := l.withTimeout(ctx, callTimeout)
 	defer cancel()
 	var result copyResult
--- a/internal/once/shards.go
+++ b/internal/once/shards.go
@@ -44,8 +44,8 @@
 type shardListener interface {
 	acquired([]Acquired)
 	// passOn gives the records of shards to the member; false means that it
-	// may not have got them.
-	passOn(context.Context, membership.Member, []Shard) bool
+	// may not have got them. Leaving tells that this instance shuts down.
+	passOn(ctx context.Context, to membership.Member, shards []Shard, leaving bool) bool
 }
 
 // Shards holds this instance's lease and the shards under it.
@@ -244,7 +244,7 @@
 			return err
 		}
 	}
-	s.passOn(ctx, s.misplaced())
+	s.passOn(ctx, s.misplaced(), false)
 	if err := s.free(ctx); err != nil {
 		return err
 	}
--- a/internal/once/ticket.go
+++ b/internal/once/ticket.go
@@ -30,6 +30,17 @@
 // Answer is the record to write; all who join follow it.
 func (t *Ticket) Answer() *answer.Answer { return t.entry.answer }
 
+// Queued tells under which handle the request can be followed at this instance
+// before it has a target. Call it right after Begin.
+func (t *Ticket) Queued(at Dispatched) {
+	part := &t.ledger.parts[t.key.Shard()]
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	if t.entry.stage == entryQueued {
+		t.entry.dispatched = at
+	}
+}
+
 // Dispatch must be called just before the first byte is sent, and again before
 // another target is tried. It makes sure that another instance knows of the
 // request, that this one is still the keeper, and that ctx has not ended. An
@@ -65,13 +76,14 @@
 // obstacle returns why the request must not be sent, or ""; part.mu is held.
 func (t *Ticket) obstacle(ctx context.Context, part *ledgerPart) string {
 	clock := t.ledger.options.Clock
+	granted := t.entry.mayRun(clock.Now())
 	deadline, bounded := ctx.Deadline()
 	switch {
-	case part.entries[t.key] != t.entry || part.term != t.term:
+	case part.entries[t.key] != t.entry || (part.term != t.term && !granted):
 		return "another instance has been the keeper of the key since"
 	case ctx.Err() != nil || bounded && !clock.Now().Before(deadline):
 		return "the deadline passed before the request was sent"
-	case !t.ledger.options.Shards.Holds(t.key.Shard()):
+	case !granted && !t.ledger.options.Shards.Holds(t.key.Shard()):
 		return "this instance is no longer the keeper of the key"
 	default:
 		return ""
