--- a/internal/once/ledger_test.go
+++ b/internal/once/ledger_test.go
@@ -56,7 +56,7 @@
 		from := ""
 		if r.forwarder != r.keeper {
 			from = r.forwarder.member.Name
-			assert.NilError(t, r.forwarder.forwards.Note(r.key, testHash, r.keeper.member.Name))
+			assert.NilError(t, r.forwarder.forwards.Note(r.key, testHash, r.keeper.member.Name, time.Now().Add(3*DefaultResendWindow)))
 		}
 		decision := r.keeper.ledger.Begin(r.key, testHash, from)
 		assert.Equal(t, decision.Kind, DecideRun)
@@ -112,7 +112,7 @@
 		if !ok || !r.world.network.Deliver(at.member.PeerAddress, node.member.PeerAddress) {
 			return wait
 		}
-		_ = at.forwards.Note(r.key, testHash, keeper.Name)
+		_ = at.forwards.Note(r.key, testHash, keeper.Name, time.Now().Add(time.Minute))
 		decision := node.ledger.Begin(r.key, testHash, at.member.Name)
 		if decision.Kind != DecideForward {
 			return decision
@@ -254,14 +254,24 @@
 }
 
 func TestTicketOfAnEarlierTermIsVoid(t *testing.T) {
+	for _, at := range []progress{queued, dispatched} {
+		t.Run(at.String(), func(t *testing.T) { checkEarlierTerm(t, at) })
+	}
+}
+
+func checkEarlierTerm(t *testing.T, at progress) {
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		r := newKeyedRequest(t, w, 0)
-		r.advance(t, queued)
+		r.advance(t, at)
 		first, keeper := r.ticket, r.keeper
 		w.isolate(keeper)
 		keeper.stop()
 		w.see(func(n *node) bool { return n != keeper })
-		assert.Equal(t, r.resend(w.nodes[2]).Kind, DecideRun, "nobody knew of it")
+		want := DecideRun // nobody knew of it
+		if at == dispatched {
+			want = DecideResume
+		}
+		assert.Equal(t, r.resend(w.nodes[2]).Kind, want)
 		assert.Equal(t, r.sends, 1)
 		w.rejoin(keeper)
 		w.see(func(*node) bool { return true })
@@ -275,6 +285,71 @@
 	})
 }
 
+// newcomer makes a fifth instance join that all see.
+func (w *world) newcomer() *node {
+	member := w.nodes[0].member
+	member.Name, member.PeerAddress, member.Incarnation = "z", "peer-z", 26
+	n := w.newNode(member, nil)
+	w.nodes = append(w.nodes, n)
+	w.see(func(*node) bool { return true })
+	n.start()
+	time.Sleep(4 * shardTick)
+	return n
+}
+
+// passedOn returns a request that was queued at its keeper when the shard was
+// passed on to a newcomer.
+func passedOn(t *testing.T, w *world) (r *keyedRequest, next *node) {
+	t.Helper()
+	var waiting []*keyedRequest
+	for i := range 200 {
+		key := Key{Account: "queue", Key: strconv.Itoa(i)}
+		keeper := w.find(w.holders(key.Shard())[0])
+		r := &keyedRequest{world: w, forwarder: keeper, keeper: keeper, key: key}
+		r.advance(t, queued)
+		r.ticket.Queued(Dispatched{Instance: keeper.member.Name, Handle: "h"})
+		waiting = append(waiting, r)
+	}
+	next = w.newcomer()
+	for _, r := range waiting {
+		if next.shards.Holds(r.key.Shard()) {
+			return r, next
+		}
+	}
+	t.Fatal("no shard was passed on")
+	return nil, nil
+}
+
+func TestQueuedRequestOutlivesThePassingOn(t *testing.T) {
+	tests := []struct {
+		name  string
+		then  func(r *keyedRequest, next *node)
+		sends int
+	}{
+		{"dispatched", func(*keyedRequest, *node) {}, 1},
+		{"the next keeper dies", func(r *keyedRequest, next *node) { r.world.die(next) }, 1},
+		{"after a pause", func(*keyedRequest, *node) { time.Sleep(DefaultResendWindow) }, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inWorld(t, 4, func(t *testing.T, w *world) {
+				r, next := passedOn(t, w)
+				first := r.ticket
+				test.then(r, next)
+				other := w.nodes[0]
+				if other == r.keeper {
+					other = w.nodes[1]
+				}
+				decision := r.resend(other)
+				assert.Assert(t, decision.Kind == DecideResume || decision.Kind == DecideJoin, "%+v", decision)
+				r.ticket = first
+				_ = r.send()
+				assert.Equal(t, r.sends, test.sends)
+			})
+		})
+	}
+}
+
 func TestNoCopyMeansNotSent(t *testing.T) {
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		r := newKeyedRequest(t, w, 0)
@@ -317,18 +392,46 @@
 	})
 }
 
+func TestRecordsOutliveLongRuns(t *testing.T) {
+	const long = 3 * DefaultResendWindow
+	for _, forwarder := range []int{0, 1} {
+		t.Run(strconv.Itoa(forwarder), func(t *testing.T) {
+			inWorld(t, 4, func(t *testing.T, w *world) {
+				r := newKeyedRequest(t, w, forwarder)
+				r.advance(t, queued)
+				ctx, cancel := context.WithTimeout(t.Context(), long)
+				defer cancel()
+				assert.NilError(t, r.ticket.Dispatch(ctx, targetSite))
+				r.forwarder.forwards.Done(r.key, ForwardBroken) // its caller hung up
+				known := func() (count int) {
+					for _, n := range w.nodes {
+						count += n.forwards.Count()
+					}
+					return count
+				}
+				time.Sleep(long - time.Second)
+				assert.Equal(t, known(), 1, "still running")
+				time.Sleep(DefaultResendWindow)
+				assert.Equal(t, known(), 1, "may still be sent again")
+				time.Sleep(2 * ageEvery)
+				assert.Equal(t, known(), 0)
+			})
+		})
+	}
+}
+
 func TestRecordsAgeAndAreBounded(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, w *world) {
 		r := newKeyedRequest(t, w, 1)
 		r.advance(t, ended)
-		r.forwarder.forwards.Done(r.key, false)
+		r.forwarder.forwards.Done(r.key, ForwardEnded)
 		time.Sleep(DefaultResendWindow + 2*ageEvery)
 		assert.Equal(t, r.keeper.ledger.Count(), 0)
 		assert.Equal(t, r.forwarder.forwards.Count(), 0)
 		forwards := r.forwarder.forwards
 		for i := range maxForwards {
-			assert.NilError(t, forwards.Note(Key{Key: strconv.Itoa(i)}, testHash, "a"))
+			assert.NilError(t, forwards.Note(Key{Key: strconv.Itoa(i)}, testHash, "a", time.Now()))
 		}
-		refusedAs(t, forwards.Note(Key{Key: "one too many"}, testHash, "a"), fault.NotRun)
+		refusedAs(t, forwards.Note(Key{Key: "one too many"}, testHash, "a", time.Now()), fault.NotRun)
 	})
 }
