Cache rankings and shorten credit messages

Cause: each step ranked all members for each target three times, and a report with its grant took most of its bytes for tiers where nothing happens.

Change: rankings are kept for one view; empty amounts are one byte, an unbounded number of tokens is a single byte.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -52,9 +52,10 @@
 	inboxMu sync.Mutex
 	inbox   []*credit.Datagram
 
-	// stepMu serialises steps and guards ledgers.
-	stepMu  sync.Mutex
-	ledgers map[string]*credit.Ledger
+	// stepMu serialises steps and guards the fields below.
+	stepMu   sync.Mutex
+	ledgers  map[string]*credit.Ledger
+	rankings rankings
 }
 
 // New returns a controller. It registers its datagram handler at the bus, which
--- a/internal/admission/pressure_test.go
+++ b/internal/admission/pressure_test.go
@@ -33,7 +33,16 @@
 				PromptTokens: int(float64(s.prompt) * factor),
 				Deadline:     w.clock.Now().Add(s.deadline),
 			}
-			w.submit(w.nodes[w.rand.IntN(len(w.nodes))], r, max(1, int(float64(s.output)*factor)))
+			w.submit(w.anyNode(), r, max(1, int(float64(s.output)*factor)))
+		}
+	}
+}
+
+// anyNode returns a random node that is not paused.
+func (w *world) anyNode() *node {
+	for {
+		if n := w.nodes[w.rand.IntN(len(w.nodes))]; !n.paused {
+			return n
 		}
 	}
 }
@@ -68,7 +77,7 @@
 		{0, "audit", 2, 2000, 800, 20 * time.Second},
 		{1, "quick", 60, 100, 16, 4 * time.Second},
 		{2, "draft", 12, 500, 200, 10 * time.Second},
-		{3, "tagging", 70, 200, 100, 30 * time.Second},
+		{3, "tagging", 70, 200, 100, 8 * time.Second},
 	}
 }
 
@@ -86,6 +95,9 @@
 				w.killNode(w.home("e0"))
 			}
 		}},
+		{"entry paused with credits", func(w *world, second int) {
+			w.nodes[0].paused = second == 4 || second == 5
+		}},
 		{"target at a tenth", func(w *world, second int) {
 			if second == 4 {
 				w.engines[0].slow = 10
@@ -103,7 +115,7 @@
 					w.run(time.Second, pressed())
 				}
 				to := w.clock.Now()
-				w.run(8*time.Second, nil)
+				w.run(12*time.Second, nil)
 				w.report(t, from, to)
 				assert.Equal(t, w.violations, 0)
 				for _, e := range w.engines {
--- a/internal/admission/step.go
+++ b/internal/admission/step.go
@@ -45,6 +45,7 @@
 	c.stepMu.Lock()
 	defer c.stepMu.Unlock()
 	r := &round{c: c, now: c.clock.Now(), view: c.options.Viewer.View(), out: make(map[string]*credit.Datagram)}
+	c.rankings.follow(r.view)
 	c.refreshPools(r.now)
 	r.takeInbox()
 	for _, p := range *c.pools.Load() {
@@ -90,7 +91,7 @@
 
 func (r *round) hear(from string, incarnation uint64, report credit.Report) {
 	t := r.c.target(report.Target)
-	if t == nil || membership.Owner(r.view, homeKey(report.Target)).Name != r.view.Self.Name {
+	if t == nil || r.rank(report.Target).home.Name != r.view.Self.Name {
 		return
 	}
 	r.c.ledger(t, r.now).Hear(from, incarnation, report, r.now)
@@ -125,29 +126,17 @@
 
 // setHome tells the target's holder who its home is, and reads the allowance.
 func (r *round) setHome(t *target) {
-	ranked := membership.Ranked(r.view, homeKey(t.info.Load().Name))
+	ranking := r.rank(t.info.Load().Name)
 	t.mu.Lock()
-	if t.holder.SetHome(ranked[0].Name, ranked[0].Incarnation, r.now) {
+	if t.holder.SetHome(ranking.home.Name, ranking.home.Incarnation, r.now) {
 		t.reportedAt = time.Time{}
 	}
 	t.mu.Unlock()
-	r.allow(t, ranked)
+	t.setAllowance(r.now, ranking.self, len(ranking.names))
 	stopped := t.obeyKeep(r.now)
 	r.c.counters.preempted.Add(uint64(stopped))
 }
 
-func (r *round) allow(t *target, ranked []membership.Member) {
-	rank := len(ranked)
-	for i, m := range ranked {
-		if m.Name == r.view.Self.Name {
-			rank = i
-		}
-	}
-	t.setAllowance(r.now, rank, len(ranked))
-}
-
-func homeKey(target string) string { return "target/" + target }
-
 // report sends the entry's state at the target to its home if it is due.
 func (r *round) report(t *target, demand *demand) {
 	t.mu.Lock()
@@ -158,7 +147,7 @@
 	}
 	t.holder.Fill(&next, r.now)
 	t.reported, t.reportedAt = next, r.now
-	home := membership.Owner(r.view, homeKey(next.Target))
+	home := r.rank(next.Target).home
 	if home.Name == r.view.Self.Name {
 		r.c.ledger(t, r.now).Hear(home.Name, home.Incarnation, next, r.now)
 		return
@@ -171,24 +160,16 @@
 func (r *round) homeSide(p *pool) {
 	for _, t := range *p.targets.Load() {
 		name := t.info.Load().Name
-		ranked := membership.Ranked(r.view, homeKey(name))
-		if ranked[0].Name != r.view.Self.Name {
+		ranking := r.rank(name)
+		if ranking.home.Name != r.view.Self.Name {
 			delete(r.c.ledgers, name)
 			continue
 		}
 		ledger := r.c.ledger(t, r.now)
 		ledger.SetCapacity(capacity(t.info.Load()))
-		r.deliver(ledger.Allocate(r.now, names(ranked)))
-		r.allow(t, ranked)
-	}
-}
-
-func names(members []membership.Member) []string {
-	all := make([]string, len(members))
-	for i, m := range members {
-		all[i] = m.Name
+		r.deliver(ledger.Allocate(r.now, ranking.names))
+		t.setAllowance(r.now, ranking.self, len(ranking.names))
 	}
-	return all
 }
 
 func (r *round) deliver(grants []credit.Addressed) {
--- /dev/null
+++ b/internal/credit/codec.go
@@ -0,0 +1,76 @@
+package credit
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// boundless stands for Unbounded on the wire.
+const boundless = -1
+
+// EncodeMsgpack writes nil for nothing, else both parts.
+func (a Amount) EncodeMsgpack(e *msgpack.Encoder) error {
+	if a == (Amount{}) {
+		return e.EncodeNil()
+	}
+	tokens := int64(a.Tokens)
+	if a.Tokens >= Unbounded {
+		tokens = boundless
+	}
+	if err := e.EncodeArrayLen(2); err != nil {
+		return err
+	}
+	if err := e.EncodeInt(int64(a.Slots)); err != nil {
+		return err
+	}
+	return e.EncodeInt(tokens)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (a *Amount) DecodeMsgpack(d *msgpack.Decoder) error {
+	if n, err := d.DecodeArrayLen(); err != nil || n < 2 {
+		*a = Amount{}
+		return err
+	}
+	slots, err := d.DecodeInt()
+	if err != nil {
+		return err
+	}
+	tokens, err := d.DecodeInt()
+	if tokens == boundless {
+		tokens = int(Unbounded)
+	}
+	*a = Amount{Slots: Slots(slots), Tokens: Tokens(tokens)}
+	return err
+}
+
+// EncodeMsgpack writes nil for nothing, else all tiers.
+func (p PerTier) EncodeMsgpack(e *msgpack.Encoder) error {
+	if p == (PerTier{}) {
+		return e.EncodeNil()
+	}
+	if err := e.EncodeArrayLen(tables.TierCount); err != nil {
+		return err
+	}
+	for _, a := range p {
+		if err := a.EncodeMsgpack(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (p *PerTier) DecodeMsgpack(d *msgpack.Decoder) error {
+	*p = PerTier{}
+	n, err := d.DecodeArrayLen()
+	for i := 0; err == nil && i < n; i++ {
+		var a Amount
+		err = a.DecodeMsgpack(d)
+		if i < tables.TierCount {
+			p[i] = a
+		}
+	}
+	return err
+}
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -32,19 +32,22 @@
 	for i := range 60 {
 		name := fmt.Sprintf("target-%02d", i)
 		sent.Reports = append(sent.Reports, Report{Target: name, Seq: uint32(i), Running: PerTier{{1, 200}}})
-		sent.Grants = append(sent.Grants, Grant{Target: name, Seq: uint32(i), Keep: [tables.TierCount]Slots{-1, 2}})
+		sent.Grants = append(sent.Grants, Grant{Target: name, Seq: uint32(i), Amount: Amount{3, Unbounded}, Keep: [tables.TierCount]Slots{-1, 2}})
 	}
 	bodies, err := Encode(sent)
 	assert.NilError(t, err)
+	total := 0
 	got := &Datagram{From: sent.From, Incarnation: sent.Incarnation}
 	for _, body := range bodies {
 		assert.Assert(t, len(body) <= peer.MaxDatagram)
+		total += len(body)
 		d, err := Decode(body)
 		assert.NilError(t, err)
 		got.Reports = append(got.Reports, d.Reports...)
 		got.Grants = append(got.Grants, d.Grants...)
 	}
 	assert.DeepEqual(t, got, sent)
+	t.Logf("%d bytes for a report and a grant", total/len(sent.Reports))
 }
 
 func TestDecodeRefusesGarbage(t *testing.T) {
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,126 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func candidates(outstanding ...int) []Candidate {
+	all := make([]Candidate, len(outstanding))
+	for i, tokens := range outstanding {
+		all[i] = Candidate{
+			Slots: 10, Running: tokens / 100, Outstanding: tokens,
+			FirstToken: 100 * time.Millisecond, Decode: 10 * time.Millisecond,
+		}
+	}
+	return all
+}
+
+func TestPolicies(t *testing.T) {
+	slow := candidates(0, 0)
+	slow[0].Decode = 100 * time.Millisecond
+	cached := candidates(300, 0)
+	cached[0].Reuse = 1
+	crowded := candidates(1000, 0, 0)
+	crowded[0].Reuse = 1
+	near := candidates(100, 0)
+	near[0].FailureDomain = "a"
+	far := candidates(900, 0)
+	far[0].FailureDomain = "a"
+	cases := []struct {
+		name       string
+		policy     Policy
+		ask        Ask
+		candidates []Candidate
+		want       int
+	}{
+		{"in turn", RoundRobin{}, Ask{Turn: 5}, candidates(0, 0, 0), 2},
+		{"fewest tokens", LeastTokens{}, Ask{}, candidates(300, 100, 200), 1},
+		{"faster target", ExpectedWait{}, Ask{Output: 100}, slow, 1},
+		{"reuse beats a little load", Default(), Ask{Output: 100}, cached, 0},
+		{"load beats reuse", Default(), Ask{Output: 100}, crowded, 1},
+		{"own domain", PreferDomain{LeastTokens{}, 2}, Ask{FailureDomain: "a"}, near, 0},
+		{"busy own domain", PreferDomain{LeastTokens{}, 1}, Ask{FailureDomain: "a"}, far, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for random := range uint64(20) {
+				c.ask.Random = random
+				got := c.policy.Pick(c.ask, c.candidates)
+				if c.name == "load beats reuse" {
+					assert.Assert(t, got != 0)
+					continue
+				}
+				assert.Equal(t, got, c.want)
+			}
+		})
+	}
+}
+
+func TestTwoChoicesAvoidsTheWorst(t *testing.T) {
+	counts := make([]int, 3)
+	for random := range uint64(3000) {
+		counts[TwoChoices{}.Pick(Ask{Random: random}, candidates(0, 100, 200))]++
+	}
+	assert.Assert(t, counts[0] > counts[1] && counts[1] > counts[2], "%v", counts)
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := NewBudget()
+	spent := 0
+	for range 1000 {
+		b.Earn()
+		if b.Spend() {
+			spent++
+		}
+	}
+	assert.Assert(t, spent >= 100 && spent <= 110, "spent %d", spent)
+}
+
+func TestEjectorReturnsGently(t *testing.T) {
+	var e Ejector
+	now := time.Unix(1_000_000, 0)
+	assert.Assert(t, !e.Failure(now) && !e.Failure(now))
+	assert.Assert(t, e.Failure(now))
+	assert.Assert(t, e.Ejected(now))
+	now = now.Add(firstEjection)
+	assert.Assert(t, !e.Ejected(now))
+	assert.Equal(t, e.Allowed(), 1)
+	assert.Assert(t, e.Failure(now), "one failure during re-entry ejects again")
+	assert.Assert(t, e.Ejected(now.Add(2*firstEjection-1)))
+	now = now.Add(2 * firstEjection)
+	for range 6 {
+		e.Success()
+	}
+	assert.Equal(t, e.Allowed(), -1)
+}
+
+func TestPrefixIndex(t *testing.T) {
+	p := NewPrefixIndex(1000)
+	prompt := []uint64{1, 2, 3, 4}
+	assert.Equal(t, p.Match(prompt), 0)
+	p.Dispatched(prompt)
+	assert.Equal(t, p.Match([]uint64{1, 2, 3, 9}), 3)
+	p.Apply([]CacheEvent{{CacheEvicted, 4}, {CacheEvicted, 3}, {CacheStored, 9}})
+	assert.Equal(t, p.Match(prompt), 2)
+	p.Apply([]CacheEvent{{Op: CacheGap}})
+	assert.Assert(t, p.Match(prompt) < 3)
+}
+
+func TestPrefixIndexLearnsTheCacheSize(t *testing.T) {
+	p := NewPrefixIndex(10_000)
+	for block := range uint64(5000) {
+		p.Dispatched([]uint64{block})
+	}
+	for range 20 {
+		p.Learn(4, 0)
+	}
+	assert.Assert(t, len(p.blocks) < 1000, "%d blocks", len(p.blocks))
+	low := p.bound
+	for range 50 {
+		p.Learn(4, 4)
+	}
+	assert.Assert(t, p.bound > low)
+}
