Weigh what reuse saves instead of the whole prefill

Cause: the weight on prefills also moved requests that reuse nothing.

Change: ReuseWeight multiplies the time that reuse saves, by the fastest candidate's prefill.

--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -17,11 +17,11 @@
 		routing.TwoChoices{},
 		routing.ExpectedWait{},
 		routing.ExpectedWait{Bound: routing.DefaultBound},
-		routing.ExpectedWait{Bound: routing.DefaultBound, PrefillWeight: 2},
+		routing.ExpectedWait{Bound: routing.DefaultBound, ReuseWeight: 2},
 		routing.Default(),
-		routing.ExpectedWait{Bound: routing.DefaultBound, PrefillWeight: 8},
-		routing.ExpectedWait{Bound: routing.DefaultBound, PrefillWeight: 12},
-		routing.ExpectedWait{Bound: 100, PrefillWeight: 5},
+		routing.ExpectedWait{Bound: routing.DefaultBound, ReuseWeight: 8},
+		routing.ExpectedWait{Bound: routing.DefaultBound, ReuseWeight: 12},
+		routing.ExpectedWait{Bound: 100, ReuseWeight: 5},
 		routing.PreferDomain{Inner: routing.Default(), Bound: 1},
 	}
 }
--- a/internal/routing/policies.go
+++ b/internal/routing/policies.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // RoundRobin takes the candidates in turn.
 type RoundRobin struct{}
 
@@ -47,17 +49,18 @@
 	// Bound is the load, relative to the mean, up to which reuse counts;
 	// 0 ignores reuse.
 	Bound float64
-	// PrefillWeight multiplies the cost of a prefill, since it delays the other
-	// requests on the target and displaces prefixes that they would reuse; 0
-	// means 1.
-	PrefillWeight float64
+	// ReuseWeight multiplies the time that reuse saves, since a prefill also
+	// delays other requests on the target and displaces prefixes that they
+	// would reuse; 0 means 1. The part beyond 1 counts by the fastest
+	// candidate's prefill, so that slow targets attract nothing by it.
+	ReuseWeight float64
 }
 
-// DefaultBound and DefaultPrefillWeight are the usual parameters of
+// DefaultBound and DefaultReuseWeight are the usual parameters of
 // ExpectedWait.
 const (
-	DefaultBound         = 1.5
-	DefaultPrefillWeight = 5
+	DefaultBound       = 1.5
+	DefaultReuseWeight = 5
 )
 
 // Name implements Policy.
@@ -71,10 +74,11 @@
 // Pick implements Policy.
 func (p ExpectedWait) Pick(ask Ask, candidates []Candidate) int {
 	limit := p.Bound * (meanLoad(candidates) + loadOfOne(candidates))
+	bonus := max(0, p.ReuseWeight-1) * float64(shortestPrefill(candidates))
 	return least(ask, candidates, func(c *Candidate) float64 {
-		prefill := float64(c.FirstToken) * max(1, p.PrefillWeight)
+		prefill := float64(c.FirstToken)
 		if p.Bound > 0 && load(c) <= limit {
-			prefill *= 1 - c.Reuse
+			prefill -= c.Reuse * (prefill + bonus)
 		}
 		return prefill + float64(c.Decode)*float64(ask.Output) + backlog(c)
 	})
@@ -115,7 +119,7 @@
 // Default returns the policy that measurement chose; see
 // docs/design/pressure.md.
 func Default() Policy {
-	return ExpectedWait{Bound: DefaultBound, PrefillWeight: DefaultPrefillWeight}
+	return ExpectedWait{Bound: DefaultBound, ReuseWeight: DefaultReuseWeight}
 }
 
 // backlog is the delay in nanoseconds that the work already on a candidate
@@ -128,6 +132,14 @@
 	return float64(c.Running) / float64(max(1, c.Slots))
 }
 
+func shortestPrefill(candidates []Candidate) time.Duration {
+	shortest := candidates[0].FirstToken
+	for i := range candidates {
+		shortest = min(shortest, candidates[i].FirstToken)
+	}
+	return shortest
+}
+
 func meanLoad(candidates []Candidate) float64 {
 	total := 0.0
 	for i := range candidates {
