--- /dev/null
+++ b/internal/evidence/judge.go
@@ -0,0 +1,342 @@
+package evidence
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Options say what a Judge compares.
+type Options struct {
+	// Old and New are the versions.
+	Old, New string
+	// Alpha is the probability that a version no worse than the old one is
+	// ever found bad by this judge.
+	Alpha float64
+	// Planned is the time for which badness is watched for; later badness
+	// needs a little more evidence.
+	Planned time.Duration
+	// NoControl compares the new version with the old one's past in place of
+	// the same window. It serves measurements only.
+	NoControl bool
+}
+
+// EntryID names one process that reports.
+type EntryID struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Judge weighs counters of any number of entries. It is not safe for use by
+// several goroutines at once.
+type Judge struct {
+	options Options
+	// last holds the last counters of each entry.
+	last    map[EntryID]map[Key]Counts
+	windows map[stratum]*window
+	// recent and long are pictures of the old version, fading fast and slowly.
+	recent map[place]*reference
+	long   map[place]*reference
+
+	pooled  tests
+	routes  []*routeTests
+	targets map[string]*targetTests
+	// here and elsewhere are evidence without a control in the same window:
+	// against the old version's past in the same failure domain or in another.
+	here, elsewhere lonely
+	domains         map[string]*domainHealth
+	crashes         *crashTest
+	// excluded are targets found to fail alone.
+	excluded map[string]bool
+	// alone is since when one target alone has carried the evidence.
+	alone time.Time
+
+	started  time.Time
+	epoch    int
+	handicap float64
+	totals   Totals
+	busy     meter
+}
+
+// place is a stratum at one class of concurrency.
+type place struct {
+	stratum
+	load int
+}
+
+// routeTests are the tests of one route; the weights of all routes sum to less
+// than one.
+type routeTests struct {
+	name   string
+	tests  tests
+	weight float64
+}
+
+// targetTests is about one target of the new version.
+type targetTests struct {
+	// rest are the tests of all other targets together.
+	rest     tests
+	served   int
+	lastSeen time.Time
+}
+
+// Totals are numbers of requests that a judge has seen.
+type Totals struct {
+	OldRequests int `json:"old_requests"`
+	OldFailures int `json:"old_failures"`
+	NewRequests int `json:"new_requests"`
+	NewFailures int `json:"new_failures"`
+	NewCrashes  int `json:"new_crashes"`
+}
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge(options Options, now time.Time) *Judge {
+	j := &Judge{
+		options: options, started: now,
+		last:     make(map[EntryID]map[Key]Counts),
+		windows:  make(map[stratum]*window),
+		recent:   make(map[place]*reference),
+		long:     make(map[place]*reference),
+		excluded: make(map[string]bool),
+		domains:  make(map[string]*domainHealth),
+	}
+	j.reset()
+	return j
+}
+
+// reset starts all tests again.
+func (j *Judge) reset() {
+	j.pooled = tests{}
+	j.forgetLonely()
+	j.routes = nil
+	j.targets = make(map[string]*targetTests)
+	j.crashes = newCrashTest()
+	j.pooled.start(j.weightSoFar())
+}
+
+// Take counts what an entry did since its last report. The first report of an
+// entry only sets its baseline: what it did before may span several shares.
+func (j *Judge) Take(entry EntryID, records []Record, now time.Time) {
+	known, heard := j.last[entry]
+	if !heard {
+		known = make(map[Key]Counts, len(records))
+		j.last[entry] = known
+	}
+	for i := range records {
+		r := &records[i]
+		before := known[r.Key]
+		if r.Counts.Requests < before.Requests || r.Counts.Broken < before.Broken {
+			continue
+		}
+		known[r.Key] = r.Counts
+		if heard {
+			j.count(&r.Key, &before, &r.Counts, now)
+		}
+	}
+}
+
+// Begin sets the baseline of an entry that has counted nothing yet, so that
+// its first report counts in full.
+func (j *Judge) Begin(entry EntryID) {
+	if _, heard := j.last[entry]; !heard {
+		j.last[entry] = make(map[Key]Counts)
+	}
+}
+
+func (j *Judge) count(key *Key, before, after *Counts, now time.Time) {
+	isNew := key.Version == j.options.New
+	if !isNew && key.Version != j.options.Old {
+		return
+	}
+	j.busy.add(after.Busy - before.Busy)
+	if j.excluded[key.Target] {
+		return
+	}
+	if after.Broken > before.Broken {
+		j.crashes.crash(key.FailureDomain, isNew, now)
+	}
+	if after.Requests == before.Requests {
+		return
+	}
+	j.window(stratumOf(key), now).add(key, isNew, before, after)
+	if isNew {
+		j.seen(key.Target, int(after.Requests-before.Requests), now)
+	}
+	j.tally(isNew, before, after)
+}
+
+func (j *Judge) tally(isNew bool, before, after *Counts) {
+	requests, failures := int(after.Requests-before.Requests), int(after.Failures-before.Failures)
+	if isNew {
+		j.totals.NewRequests += requests
+		j.totals.NewFailures += failures
+		return
+	}
+	j.totals.OldRequests += requests
+	j.totals.OldFailures += failures
+}
+
+func (j *Judge) window(s stratum, now time.Time) *window {
+	w := j.windows[s]
+	if w == nil {
+		w = newWindow(now)
+		j.windows[s] = w
+	}
+	return w
+}
+
+func (j *Judge) seen(target string, requests int, now time.Time) {
+	t := j.targets[target]
+	if t == nil {
+		t = &targetTests{}
+		t.rest.start(j.weightSoFar())
+		j.targets[target] = t
+	}
+	t.served += requests
+	t.lastSeen = now
+}
+
+// Flush drops unfinished windows; call it when the share changes, since a
+// window must not span two shares.
+func (j *Judge) Flush() { j.windows = make(map[stratum]*window) }
+
+const (
+	// recentKeep and longKeep are the weights that pictures of the old version
+	// keep for each further window.
+	recentKeep = 0.8
+	longKeep   = 0.995
+)
+
+// Tick closes windows and updates the tests.
+func (j *Judge) Tick(now time.Time) {
+	j.restart(now)
+	for _, s := range slices.SortedFunc(maps.Keys(j.windows), compareStrata) {
+		w := j.windows[s]
+		switch {
+		case w.ready(now), w.oneSided(now):
+			j.close(s, w, now)
+			delete(j.windows, s)
+		case now.Sub(w.opened) >= windowLimit:
+			delete(j.windows, s)
+		}
+	}
+	j.crashes.tick(j.serving(now), now)
+	j.busy.tick(now)
+	j.exclude(now)
+	j.here.look(j.options.Alpha, now)
+	j.elsewhere.look(j.options.Alpha, now)
+}
+
+// close compares the groups of a window and learns from the old version.
+func (j *Judge) close(s stratum, w *window, now time.Time) {
+	for _, g := range w.groups() {
+		switch {
+		case j.options.NoControl:
+			ref, _ := j.past(s, g.load)
+			if ref != nil {
+				j.step(s.route, compare(&g.fresh, sampleOf(ref), ref))
+			}
+		case g.old.requests > 0:
+			j.compareGroup(s, g)
+		default:
+			j.compareAlone(s, g, now)
+		}
+	}
+	for load := range w.old {
+		if w.old[load].requests > 0 {
+			j.learn(place{s, load}, &w.old[load], now)
+		}
+	}
+}
+
+func (j *Judge) compareGroup(s stratum, g *group) {
+	var ref reference
+	for _, load := range g.loads {
+		ref.add(j.reference(j.recent, place{s, load}))
+	}
+	whole := compare(&g.fresh, &g.old, &ref)
+	j.step(s.route, whole)
+	for name, t := range j.targets {
+		t.rest.step(withoutTarget(g, name, &ref, &whole))
+	}
+}
+
+// withoutTarget returns the increment of a group without one target.
+func withoutTarget(g *group, name string, ref *reference, whole *increment) *increment {
+	own := g.targets[name]
+	if own == nil {
+		return whole
+	}
+	rest := g.fresh
+	rest.subtract(own)
+	inc := compare(&rest, &g.old, ref)
+	return &inc
+}
+
+func (j *Judge) step(route string, inc increment) {
+	j.pooled.step(&inc)
+	j.route(route).tests.step(&inc)
+}
+
+func (j *Judge) route(name string) *routeTests {
+	for _, r := range j.routes {
+		if r.name == name {
+			return r
+		}
+	}
+	n := float64(len(j.routes) + 1)
+	r := &routeTests{name: name, weight: 1 / (n * (n + 1))}
+	r.tests.start(j.weightSoFar())
+	j.routes = append(j.routes, r)
+	return r
+}
+
+func (j *Judge) reference(of map[place]*reference, at place) *reference {
+	r := of[at]
+	if r == nil {
+		r = &reference{}
+		of[at] = r
+	}
+	return r
+}
+
+// epochLength is the spacing of the starting times of the tests.
+const epochLength = 30 * time.Second
+
+// restart gives the tests their next starting times.
+func (j *Judge) restart(now time.Time) {
+	for j.started.Add(time.Duration(j.epoch+1) * epochLength).Before(now) {
+		j.epoch++
+		weight := j.weight(j.epoch)
+		j.pooled.start(weight)
+		j.here.tests.start(weight)
+		j.elsewhere.tests.start(weight)
+		for _, r := range j.routes {
+			r.tests.start(weight)
+		}
+		for _, t := range j.targets {
+			t.rest.start(weight)
+		}
+	}
+}
+
+// weight is that of one starting time: half is spread evenly over the planned
+// time, half falls off with the square of the epoch.
+func (j *Judge) weight(epoch int) float64 {
+	planned := max(int(j.options.Planned/epochLength), 1)
+	n := float64(epoch + 1)
+	weight := 0.5 / (n * (n + 1))
+	if epoch < planned {
+		weight += 0.5 / float64(planned)
+	}
+	return weight * math.Exp(-j.handicap)
+}
+
+func (j *Judge) weightSoFar() float64 {
+	sum := 0.0
+	for epoch := 0; epoch <= j.epoch; epoch++ {
+		sum += j.weight(epoch)
+	}
+	return sum
+}
