Report only counters that changed lately

Cause: reading and sending all counters cost most of an instance's time in a move, and the budget of a report let the judge hear only every ten seconds. Change: a ledger reads only cells that changed; reports hold what changed in the last five seconds, all counters at a new judge and every half minute.

--- a/internal/evidence/judge.go
+++ b/internal/evidence/judge.go
@@ -115,10 +115,14 @@
 	j.pooled.start(j.weightSoFar())
 }
 
-// Take counts what an entry did since its last report. The first report of an
-// entry only sets its baseline: what it did before may span several shares.
-func (j *Judge) Take(entry EntryID, records []Record, now time.Time) {
+// Take counts what an entry did since its last report. The first full report
+// of an entry only sets its baseline: what it did before may span several
+// shares. Reports before it are ignored.
+func (j *Judge) Take(entry EntryID, records []Record, full bool, now time.Time) {
 	known, heard := j.last[entry]
+	if !heard && !full {
+		return
+	}
 	if !heard {
 		known = make(map[Key]Counts, len(records))
 		j.last[entry] = known
--- a/internal/evidence/ledger.go
+++ b/internal/evidence/ledger.go
@@ -51,8 +51,10 @@
 	Counts Counts `msgpack:"c"`
 }
 
-// cell holds one key's counters; all fields are atomic.
+// cell holds one key's counters. Changes rises after each of them.
 type cell struct {
+	key      Key
+	changes  atomic.Uint64
 	requests atomic.Uint32
 	failures atomic.Uint32
 	broken   atomic.Uint32
@@ -70,10 +72,26 @@
 const maxCells = 2048
 
 // Ledger counts one entry's requests to one pool. Add is called on the request
-// path by any number of goroutines and takes no lock for known keys.
+// path by any number of goroutines and takes no lock for known keys. Update and
+// Since are called by one goroutine at a time.
 type Ledger struct {
 	cells sync.Map // Key to *cell
-	count atomic.Int32
+
+	// mu guards added, the cells that Update has not met yet.
+	mu    sync.Mutex
+	added []*cell
+	count int
+
+	// views are the caller's pictures of all cells, sorted by key.
+	views []view
+}
+
+// view is a cell's counters as of the last Update.
+type view struct {
+	cell    *cell
+	changes uint64
+	changed time.Time
+	record  Record
 }
 
 // Add counts one observation made at now.
@@ -82,6 +100,7 @@
 	if c == nil {
 		return
 	}
+	defer c.changes.Add(1)
 	if o.Failed {
 		c.fail(o.Kind, now)
 		return
@@ -114,25 +133,63 @@
 	if found, ok := l.cells.Load(key); ok {
 		return found.(*cell)
 	}
-	if l.count.Add(1) > maxCells {
-		l.count.Add(-1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if found, ok := l.cells.Load(key); ok {
+		return found.(*cell)
+	}
+	if l.count >= maxCells {
 		return nil
 	}
-	found, loaded := l.cells.LoadOrStore(key, &cell{})
-	if loaded {
-		l.count.Add(-1)
+	l.count++
+	c := &cell{key: key}
+	l.added = append(l.added, c)
+	l.cells.Store(key, c)
+	return c
+}
+
+// Update reads the counters anew at now and returns those that have changed
+// since the last call, sorted by key.
+func (l *Ledger) Update(now time.Time) []Record {
+	l.meet()
+	var changed []Record
+	for i := range l.views {
+		v := &l.views[i]
+		changes := v.cell.changes.Load()
+		if changes == v.changes {
+			continue
+		}
+		v.changes, v.changed = changes, now
+		v.record.Counts = v.cell.counts()
+		changed = append(changed, v.record)
+	}
+	return changed
+}
+
+// meet takes the cells added since the last call into the views.
+func (l *Ledger) meet() {
+	l.mu.Lock()
+	added := l.added
+	l.added = nil
+	l.mu.Unlock()
+	if len(added) == 0 {
+		return
+	}
+	for _, c := range added {
+		l.views = append(l.views, view{cell: c, record: Record{Key: c.key}})
 	}
-	return found.(*cell)
+	slices.SortFunc(l.views, func(a, b view) int { return compareKeys(&a.record.Key, &b.record.Key) })
 }
 
-// Snapshot returns all counters, sorted by key.
-func (l *Ledger) Snapshot() []Record {
+// Since returns the counters that changed at from or later, as of the last
+// Update, sorted by key. The zero time gives all.
+func (l *Ledger) Since(from time.Time) []Record {
 	var records []Record
-	l.cells.Range(func(key, value any) bool {
-		records = append(records, Record{key.(Key), value.(*cell).counts()})
-		return true
-	})
-	slices.SortFunc(records, func(a, b Record) int { return compareKeys(&a.Key, &b.Key) })
+	for i := range l.views {
+		if !l.views[i].changed.Before(from) {
+			records = append(records, l.views[i].record)
+		}
+	}
 	return records
 }
 
--- a/internal/evidence/report.go
+++ b/internal/evidence/report.go
@@ -24,6 +24,9 @@
 	Part     int      `msgpack:"a"`
 	Parts    int      `msgpack:"z"`
 	Records  []Record `msgpack:"r"`
+	// Full is set when the snapshot holds all counters; others hold those that
+	// changed lately.
+	Full bool `msgpack:"f,omitempty"`
 }
 
 // maxRecords is the room for records in a datagram, in bytes.
--- a/internal/move/exchange.go
+++ b/internal/move/exchange.go
@@ -79,6 +79,10 @@
 	reportPeriod = time.Second
 	// reportBudget bounds the reports for one pool, in bytes a second.
 	reportBudget = 2000
+	// fullPeriod is how often all counters are reported; other reports hold
+	// those that changed within changedFor, which covers some lost reports.
+	fullPeriod = 30 * time.Second
+	changedFor = 5 * time.Second
 )
 
 // report sends the counters of a pool under move to the judge and its
@@ -90,17 +94,23 @@
 	p.reported = now
 	p.sequence++
 	self := m.self()
+	judges := m.judges(p.name)
 	header := evidence.Report{
 		Entry: self.Name, Incarnation: self.Incarnation, Pool: p.name,
 		Version: p.move.fresh, Rank: p.move.rank, Sequence: p.sequence,
+		Full: now.Sub(p.full) >= fullPeriod || !slices.Equal(judges, p.judges),
 	}
-	parts, err := evidence.Encode(header, p.ledger.Snapshot())
+	since := now.Add(-changedFor)
+	if header.Full {
+		p.full, p.judges, since = now, judges, time.Time{}
+	}
+	parts, err := evidence.Encode(header, p.ledger.Since(since))
 	if err != nil {
 		m.options.Logger.Error("encode a report", zap.Error(err))
 		return
 	}
 	bytes := 0
-	for _, judge := range m.judges(p.name) {
+	for _, judge := range judges {
 		for _, part := range parts {
 			bytes += len(part)
 			out.add(judge.PeerAddress, tagged(tagReport, part))
@@ -153,7 +163,7 @@
 		s.entries[id] = assembler
 	}
 	if records, complete := assembler.Add(report); complete {
-		s.judge.Take(id, records, now)
+		s.judge.Take(id, records, report.Full, now)
 	}
 }
 
--- a/internal/move/manager.go
+++ b/internal/move/manager.go
@@ -98,7 +98,10 @@
 	reported time.Time
 	// room is when the budget for reports allows the next one.
 	room time.Time
-	seat *seat
+	// full is when all counters were last reported, judges to whom.
+	full   time.Time
+	judges []membership.Member
+	seat   *seat
 	// heard is the last summary from the judge.
 	heard Summary
 }
--- a/internal/move/tick.go
+++ b/internal/move/tick.go
@@ -67,7 +67,7 @@
 		return
 	}
 	p.move, p.ledger = id, &evidence.Ledger{}
-	p.seat, p.heard = nil, Summary{}
+	p.seat, p.heard, p.judges = nil, Summary{}, nil
 	members := float64(len(m.options.Viewer.View().Members))
 	p.local = evidence.NewJudge(evidence.Options{
 		Old: row.Old, New: row.New, Alpha: localAlpha / members, Planned: row.Deadline.Sub(now),
@@ -110,7 +110,7 @@
 	if p.local == nil {
 		return
 	}
-	p.local.Take(m.self(), p.ledger.Snapshot(), now)
+	p.local.Take(m.self(), p.ledger.Update(now), true, now)
 	p.local.Tick(now)
 	verdict := p.local.Verdict(now)
 	if verdict.Finding == evidence.Bad {
--- a/internal/move/world_test.go
+++ b/internal/move/world_test.go
@@ -91,7 +91,9 @@
 	trouble  trouble
 	naive    *naivePolicy
 	outage   bool
-	dead     map[int]bool
+	// rate is the number of requests a second.
+	rate float64
+	dead map[int]bool
 
 	// sent counts requests; hurt those sent to the new version while it was
 	// bad; late those sent to it over a second after it was taken back.
@@ -103,7 +105,7 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), clock: clockwork.NewFakeClock(),
 		network: peer.NewNetwork(), memory: platform.NewMemory(),
-		bad: bad, trouble: what, backAt: -1, dead: make(map[int]bool),
+		rate: requestRate, bad: bad, trouble: what, backAt: -1, dead: make(map[int]bool),
 	}
 	w.start = w.clock.Now()
 	w.memory.Fault = func(context.Context, string) error {
@@ -227,7 +229,7 @@
 }
 
 func (w *world) gap() time.Duration {
-	return time.Duration(w.rng.ExpFloat64() / requestRate * float64(time.Second))
+	return time.Duration(w.rng.ExpFloat64() / w.rate * float64(time.Second))
 }
 
 func (w *world) send(at time.Duration) {
