Resume lost streams by their handle as callers do

Cause: callers are told a handle, and an instance's death must not lose their answer.

Change: the sender resumes a broken stream with Last-Event-ID at the next instance and proves that both parts together are the whole answer; a keyed call falls back to sending again.

--- a/internal/measure/load/answer.go
+++ b/internal/measure/load/answer.go
@@ -110,38 +110,24 @@
 	expected := target.ExpectedText(call.Prompt, call.MaxTokens)
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
-	got := ""
+	id := ""
 	for lines.Scan() {
-		data, isData := strings.CutPrefix(lines.Text(), "data:")
-		if !isData {
-			continue
-		}
-		data = strings.TrimSpace(data)
-		if data == "[DONE]" {
-			endStream(got, expected, attempt)
-			return
+		name, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimSpace(value)
+		if name == "id" {
+			id = value
 		}
-		var event answerBody
-		if json.Unmarshal([]byte(data), &event) != nil {
-			attempt.Verdict = Wrong
-			attempt.Detail = fmt.Sprintf("event %.80q", data)
-			return
+		if name != "data" {
+			continue
 		}
-		if event.Run != "" {
-			attempt.Verdict = Refused
-			attempt.Run = event.Run
-			attempt.Detail = strings.TrimSpace(event.Title + " " + event.Detail)
+		if value == "[DONE]" {
+			endStream(attempt.text, expected, attempt)
 			return
 		}
-		if text := event.text(); text != "" && attempt.FirstToken.IsZero() {
-			attempt.FirstToken = time.Now()
-		}
-		got += event.text()
-		if !strings.HasPrefix(expected, got) {
-			attempt.Verdict = Wrong
-			attempt.Detail = fmt.Sprintf("after %d bytes: %.80q", len(got), data)
+		if !readEvent([]byte(value), expected, attempt) {
 			return
 		}
+		attempt.lastID = id
 	}
 	attempt.Verdict = Partial
 	if err := lines.Err(); err != nil {
@@ -150,6 +136,32 @@
 	}
 }
 
+// readEvent takes one event; it reports false when the stream is decided.
+func readEvent(data []byte, expected string, attempt *Attempt) bool {
+	var event answerBody
+	if json.Unmarshal(data, &event) != nil {
+		attempt.Verdict = Wrong
+		attempt.Detail = fmt.Sprintf("event %.80q", data)
+		return false
+	}
+	if event.Run != "" {
+		attempt.Verdict = Refused
+		attempt.Run = event.Run
+		attempt.Detail = strings.TrimSpace(event.Title + " " + event.Detail)
+		return false
+	}
+	if event.text() != "" && attempt.FirstToken.IsZero() {
+		attempt.FirstToken = time.Now()
+	}
+	attempt.text += event.text()
+	if !strings.HasPrefix(expected, attempt.text) {
+		attempt.Verdict = Wrong
+		attempt.Detail = fmt.Sprintf("after %d bytes: %.80q", len(attempt.text), data)
+		return false
+	}
+	return true
+}
+
 // endStream judges a stream that ended explicitly.
 func endStream(got, expected string, attempt *Attempt) {
 	attempt.Verdict = Whole
--- a/internal/measure/load/load_test.go
+++ b/internal/measure/load/load_test.go
@@ -88,3 +88,30 @@
 	assert.Equal(t, len(outcomes[0].Attempts), 2)
 	assert.Equal(t, arrived.Load(), int64(2))
 }
+
+// A lost stream is resumed by its handle, at the event after the last one.
+func TestLostStreamIsResumed(t *testing.T) {
+	whole := target.ExpectedText("p", 2)
+	event := func(id int, text string) string {
+		return fmt.Sprintf("id: %d\ndata: {\"choices\":[{\"text\":%q}]}\n\n", id, text)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet && r.URL.Path == "/v1/requests/h1" && r.Header.Get("Last-Event-ID") == "1" {
+			_, _ = w.Write([]byte(event(2, whole[9:]) + "data: [DONE]\n\n"))
+			return
+		}
+		w.Header().Set("Hibiscus-Request", "h1")
+		_, _ = w.Write([]byte(event(1, whole[:9])))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	sender := NewSender(NewBalancer([]string{server.URL}), time.Minute)
+	defer sender.Close()
+
+	call := &Call{Path: "/v1/completions", Prompt: "p", MaxTokens: 2, Stream: true, Resends: 1}
+	outcomes := sender.Send(t.Context(), []*Call{call})
+
+	assert.Equal(t, len(outcomes[0].Attempts), 2)
+	assert.Equal(t, outcomes[0].Final().Verdict, Whole)
+}
--- a/internal/measure/load/outcome.go
+++ b/internal/measure/load/outcome.go
@@ -38,6 +38,15 @@
 	Run string
 	// Detail is a short text for people on what was not as expected.
 	Detail string
+	// Handle names the request for a resumption; empty when none came.
+	Handle string
+	// Resumed is set for an attempt that resumes an earlier one's stream.
+	Resumed bool
+
+	// text is what the stream gave so far, with the attempts that it resumes,
+	// and lastID the number of its last event.
+	text   string
+	lastID string
 }
 
 // Outcome is a call with all its attempts.
@@ -59,6 +68,17 @@
 	return o.Attempts[len(o.Attempts)-1]
 }
 
+// Sends counts the attempts that sent the request itself; resumptions do not.
+func (o *Outcome) Sends() int {
+	count := 0
+	for _, attempt := range o.Attempts {
+		if !attempt.Resumed {
+			count++
+		}
+	}
+	return count
+}
+
 // InTime reports whether the whole answer came within the deadline, counted
 // from the first attempt.
 func (o *Outcome) InTime(deadline time.Duration) bool {
--- a/internal/measure/load/sender.go
+++ b/internal/measure/load/sender.go
@@ -92,16 +92,13 @@
 	var mu sync.Mutex // guards outcome.Attempts while twins run
 	var twins conc.WaitGroup
 	series := func() {
+		var attempt Attempt
 		for n := 0; ; n++ {
-			attempt := s.attempt(ctx, outcome.Call)
+			attempt = s.next(ctx, outcome.Call, &attempt)
 			mu.Lock()
 			outcome.Attempts = append(outcome.Attempts, attempt)
 			mu.Unlock()
-			isLost := attempt.Verdict == Broken || attempt.Verdict == Partial
-			if !isLost || outcome.Call.Key == "" || n >= outcome.Call.Resends {
-				return
-			}
-			if !sleepUntil(ctx, time.Now().Add(resendPause)) {
+			if !s.followUp(ctx, outcome.Call, &attempt, n) {
 				return
 			}
 		}
@@ -113,12 +110,69 @@
 	twins.Wait()
 }
 
+// followUp decides whether a caller tries again after an attempt, and waits
+// before it does. A lost stream is resumed by its handle; a keyed call is sent
+// again.
+func (s *Sender) followUp(ctx context.Context, call *Call, last *Attempt, tries int) bool {
+	isLost := last.Verdict == Broken || last.Verdict == Partial
+	hasWay := call.Key != "" || last.canResume()
+	// A resumption that is refused leaves the other way to a keyed call.
+	isRefusedResume := last.Resumed && last.Verdict == Refused && call.Key != ""
+	if tries >= call.Resends || !(isLost && hasWay || isRefusedResume) {
+		return false
+	}
+	return sleepUntil(ctx, time.Now().Add(resendPause))
+}
+
+// canResume reports whether a stream was lost that can be resumed.
+func (a *Attempt) canResume() bool {
+	isLost := a.Verdict == Broken || a.Verdict == Partial
+	return isLost && a.Handle != "" && a.lastID != ""
+}
+
+// next resumes the last attempt's stream where it can, else sends the call.
+func (s *Sender) next(ctx context.Context, call *Call, last *Attempt) Attempt {
+	if last.canResume() {
+		return s.resume(ctx, call, last)
+	}
+	return s.attempt(ctx, call)
+}
+
+// resume asks the next instance for the rest of a lost stream.
+func (s *Sender) resume(ctx context.Context, call *Call, last *Attempt) Attempt {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	attempt := Attempt{
+		Sent: time.Now(), Resumed: true, Handle: last.Handle,
+		FirstToken: last.FirstToken, text: last.text, lastID: last.lastID,
+	}
+	return s.exchange(call, attempt, func(attempt *Attempt) (*http.Response, error) {
+		return s.offer(attempt, func(base string) (*http.Response, error) {
+			return s.getRest(ctx, call, attempt, base)
+		})
+	})
+}
+
+// getRest asks one instance for the events after the last one.
+func (s *Sender) getRest(ctx context.Context, call *Call, attempt *Attempt, base string) (*http.Response, error) {
+	url := base + "/v1/requests/" + attempt.Handle
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Hibiscus-Account", call.Account)
+	request.Header.Set("Last-Event-ID", attempt.lastID)
+	return s.http.Do(request)
+}
+
 // attempt sends the call once and reads the answer to its end.
 func (s *Sender) attempt(ctx context.Context, call *Call) Attempt {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	return s.exchange(call, Attempt{Sent: time.Now()}, func(attempt *Attempt) (*http.Response, error) {
-		return s.connect(ctx, call, attempt)
+		return s.offer(attempt, func(base string) (*http.Response, error) {
+			return s.post(ctx, call, base)
+		})
 	})
 }
 
@@ -142,19 +196,22 @@
 	}
 	defer response.Body.Close()
 	attempt.Status = response.StatusCode
+	if handle := response.Header.Get("Hibiscus-Request"); handle != "" {
+		attempt.Handle = handle
+	}
 	read(call, response, &attempt)
 	_, _ = io.Copy(io.Discard, response.Body)
 	attempt.Ended = time.Now()
 	return attempt
 }
 
-// connect sends the request to the next instance that takes a connection. As
-// a balancer does, it passes over instances that refuse one, which have not
-// seen a byte of the request.
-func (s *Sender) connect(ctx context.Context, call *Call, attempt *Attempt) (*http.Response, error) {
+// offer sends a request to the next instance that takes a connection. As a
+// balancer does, it passes over instances that refuse one, which have not seen
+// a byte of the request.
+func (s *Sender) offer(attempt *Attempt, send func(base string) (*http.Response, error)) (*http.Response, error) {
 	for tries := 1; ; tries++ {
 		attempt.URL = s.balancer.next()
-		response, err := s.post(ctx, call, attempt.URL)
+		response, err := send(attempt.URL)
 		if err == nil || tries == connectTries || !isDial(err) {
 			return response, err
 		}
--- a/internal/measure/truth.go
+++ b/internal/measure/truth.go
@@ -24,7 +24,7 @@
 }
 
 // duplicateDispatches counts the runs of model calls beyond those allowed: one
-// for a keyed call however often it was sent, and one an attempt without a key.
+// for a keyed call however often it was sent, and one for each sending without a key.
 func (t *truth) duplicateDispatches(outcomes []*load.Outcome) int {
 	count := 0
 	for _, outcome := range outcomes {
@@ -50,7 +50,7 @@
 func (t *truth) excess(outcome *load.Outcome) int {
 	allowed := 1
 	if outcome.Call.Key == "" {
-		allowed = len(outcome.Attempts)
+		allowed = outcome.Sends()
 	}
 	return max(0, len(t.byCall[outcome.Call.ID])-allowed)
 }
@@ -62,7 +62,7 @@
 func (t *truth) falseNotRun(outcomes []*load.Outcome) int {
 	count := 0
 	for _, outcome := range outcomes {
-		if outcome.Call.Key == "" && len(outcome.Attempts) > 1 {
+		if outcome.Call.Key == "" && outcome.Sends() > 1 {
 			continue
 		}
 		if t.deniesRun(outcome) {
