Measure instances that crash for real and leave through the balancer

Cause: the instance is wired, with Kill for crashes and a notice before it goes.

Change: fleets use Kill, seed their instances, and take an instance from the balancer shortly after it reports not ready.

--- a/internal/measure/config.go
+++ b/internal/measure/config.go
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	defer b.close()
-	f, err := startSystemFleet(ctx, b, setup{deadline: configDeadline})
+	f, err := startSystemFleet(ctx, b, setup{seed: o.Seed, deadline: configDeadline})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return controlCost{}, err
 	}
-	f, err := startInstances(b, size.instances)
+	f, err := startInstances(b, seed, size.instances)
 	if err != nil {
 		return controlCost{}, err
 	}
--- a/internal/measure/drain.go
+++ b/internal/measure/drain.go
@@ -77,7 +77,7 @@
 	e := &experiment{
 		engines:  engines,
 		services: 2,
-		setup:    setup{deadline: drainDeadline},
+		setup:    setup{seed: o.Seed, deadline: drainDeadline},
 		calls:    drainPlan(o, capacity(engines)),
 		faults: func(ctx context.Context, b *bed, f fleet) []event {
 			return drainEvents(ctx, o, b, f, told)
--- a/internal/measure/experiment.go
+++ b/internal/measure/experiment.go
@@ -13,6 +13,8 @@
 
 // setup is what a fleet is started with besides its bed.
 type setup struct {
+	// seed drives the instances' own random choices.
+	seed uint64
 	// deadline bounds each request.
 	deadline time.Duration
 }
--- a/internal/measure/once.go
+++ b/internal/measure/once.go
@@ -133,7 +133,7 @@
 	return &experiment{
 		engines:  engines,
 		services: 2,
-		setup:    setup{deadline: onceDeadline},
+		setup:    setup{seed: o.Seed, deadline: onceDeadline},
 		calls:    calls,
 		faults: func(ctx context.Context, b *bed, f fleet) []event {
 			return append(onceFaults(ctx, o, b, f), reviveEngines(o, b)...)
--- a/internal/measure/prefix.go
+++ b/internal/measure/prefix.go
@@ -65,7 +65,7 @@
 	}
 	e := &experiment{
 		engines: engines,
-		setup:   setup{deadline: prefixDeadline},
+		setup:   setup{seed: o.Seed, deadline: prefixDeadline},
 		calls:   prefixPlan(o, capacity(engines)),
 	}
 	return e.compare(ctx, start, prefixFigures)
--- a/internal/measure/pressure.go
+++ b/internal/measure/pressure.go
@@ -107,7 +107,7 @@
 	engines := unlikeEngines(o.Seed)
 	return &experiment{
 		engines: engines,
-		setup:   setup{deadline: pressureDeadline},
+		setup:   setup{seed: o.Seed, deadline: pressureDeadline},
 		calls:   pressurePlan(o, capacity(engines)),
 		faults: func(_ context.Context, b *bed, _ fleet) []event {
 			slowed := b.engines[o.Seed%uint64(len(b.engines))]
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -30,6 +30,11 @@
 	adoptionBound = 10 * time.Second
 	// adoptionPoll is how often readiness is looked at.
 	adoptionPoll = 20 * time.Millisecond
+	// seedsEach is how many instances can have seeds of their own in one run.
+	seedsEach = 1000
+	// balancerLag is how long the balancer takes to notice that an instance is
+	// not ready; it is shorter than an instance waits for that.
+	balancerLag = 300 * time.Millisecond
 	// stopBound is how long an instance may take to shut down.
 	stopBound = 15 * time.Second
 )
@@ -43,6 +48,7 @@
 	mu        sync.Mutex
 	instances []*instance.Instance
 	names     []string
+	seed      uint64
 	started   int
 }
 
@@ -54,7 +60,7 @@
 
 // startSystemFleet is startSystem with the type of its result.
 func startSystemFleet(ctx context.Context, b *bed, s setup) (*systemFleet, error) {
-	f, err := startInstances(b, entryCount)
+	f, err := startInstances(b, s.seed, entryCount)
 	if err != nil {
 		return nil, err
 	}
@@ -70,8 +76,8 @@
 }
 
 // startInstances starts instances without a configuration.
-func startInstances(b *bed, count int) (*systemFleet, error) {
-	f := &systemFleet{bed: b, public: load.NewBalancer(nil), instances: make([]*instance.Instance, count), names: make([]string, count)}
+func startInstances(b *bed, seed uint64, count int) (*systemFleet, error) {
+	f := &systemFleet{bed: b, public: load.NewBalancer(nil), instances: make([]*instance.Instance, count), names: make([]string, count), seed: seed * seedsEach}
 	for i := range count {
 		if err := f.launch(i); err != nil {
 			f.close()
@@ -112,7 +118,8 @@
 func (f *systemFleet) launch(index int) error {
 	f.mu.Lock()
 	f.started++
-	name := fmt.Sprintf("entry-%d", f.started)
+	number := f.started
+	name := fmt.Sprintf("entry-%d", number)
 	var peers []string
 	for _, running := range f.instances {
 		if running != nil {
@@ -128,6 +135,7 @@
 		},
 		Secrets: settings.Secrets{AdminToken: []byte(adminToken), PeerSecret: []byte(peerSecret)},
 		Logger:  zap.NewNop(),
+		Seed:    f.seed + uint64(number),
 	})
 	if err != nil {
 		return errors.Wrapf(err, "instance %s", name)
@@ -149,21 +157,28 @@
 
 // crash implements fleet: nothing that the instance runs is finished.
 func (f *systemFleet) crash(index int) {
-	ended, cancel := context.WithCancel(context.Background())
-	cancel()
 	if running := f.set(index, nil); running != nil {
-		_ = running.Shutdown(ended)
+		running.Kill()
 	}
 }
 
-// shutdown implements fleet.
+// shutdown implements fleet. Callers get the instance until the balancer has
+// noticed that it is not ready.
 func (f *systemFleet) shutdown(ctx context.Context, index int) error {
 	ctx, cancel := context.WithTimeout(ctx, stopBound)
 	defer cancel()
-	running := f.set(index, nil)
+	f.mu.Lock()
+	running := f.instances[index]
+	f.mu.Unlock()
 	if running == nil {
 		return nil
 	}
+	var noticing conc.WaitGroup
+	defer noticing.Wait()
+	noticing.Go(func() {
+		sleep(ctx, balancerLag)
+		f.set(index, nil)
+	})
 	return running.Shutdown(ctx)
 }
 
