Judge fairness where accounts compete

Cause: fairness_worst_account was 0 through the calm phases and through tiers that higher ones starve, where the few answers fall to accounts by chance.

--- a/internal/measure/pressure.go
+++ b/internal/measure/pressure.go
@@ -121,13 +121,27 @@
 	return pressureExperiment(o).compare(ctx, start, pressureFigures)
 }
 
+// burst are the outcomes of the calls that were sent during the burst, when
+// accounts compete.
+func (r *result) burst() []*load.Outcome {
+	last := r.outcomes[len(r.outcomes)-1].Call.At
+	var within []*load.Outcome
+	for _, outcome := range r.outcomes {
+		part := float64(outcome.Call.At) / float64(last)
+		if part >= burstFrom && part < burstUntil {
+			within = append(within, outcome)
+		}
+	}
+	return within
+}
+
 func pressureFigures(r *result) []Figure {
 	var figures []Figure
 	for tier, value := range goodputByTier(r.outcomes, pressureDeadline) {
 		figures = append(figures, Figure{Name: fmt.Sprintf("goodput_tier%d", tier), Value: value, Unit: unitRatio})
 	}
 	shed := float64(shedWhileLowerRan(r.outcomes, r.truth))
-	fair := worstAccount(r.outcomes, pressureDeadline)
+	fair := worstAccount(r.burst(), pressureDeadline)
 	return append(figures,
 		Figure{Name: "shed_higher_while_lower_ran", Value: shed, Unit: unitCount},
 		Figure{Name: "fairness_worst_account", Value: fair, Unit: unitRatio},
