Do not take noise for a slowdown of a target

Cause: the limiter compared each time per token with the least one ever seen, so that short answers, whose times differ two and three times, cut the limits to a slot or two and left targets idle under load. A slow target gained nothing from a limit far below its slots either.

Change: the usual time per token is a mean, a slowdown counts from four times it and lowers the limit to half of the table's number at most; answers under 16 tokens say nothing about the time per token.

--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -166,7 +166,7 @@
 		return
 	}
 	g.target.speed.ObserveFirst(max(0, o.PromptTokens-o.CachedTokens), o.FirstToken)
-	if g.sampled == 0 {
+	if g.sampled == 0 && o.OutputTokens >= sampleTokens {
 		g.target.speed.ObserveDecode(o.OutputTokens, o.Duration-o.FirstToken)
 		g.target.decodeSeen = true
 	}
--- a/internal/credit/limiter.go
+++ b/internal/credit/limiter.go
@@ -18,11 +18,14 @@
 	// fullUse is the share of the limit in use from which it may rise.
 	fullUse = 0.8
 	// slowdown is the ratio of the present time per token to the usual one
-	// from which the limit is lowered.
-	slowdown = 2.0
+	// from which the limit is lowered, slowFloor the part of the table's number
+	// that it keeps: a target that is slow for another reason than its load
+	// gains nothing from a lower limit.
+	slowdown  = 4.0
+	slowFloor = 0.5
 	// usualGain is the weight of one observation in the usual time per token.
 	// A lasting change becomes the usual one after about 1/usualGain of them.
-	usualGain = 0.005
+	usualGain = 0.01
 )
 
 // Limiter finds how many requests a target takes at once: additive increase up
@@ -88,13 +91,14 @@
 	if seconds <= 0 {
 		return
 	}
-	if l.usual == 0 || seconds < l.usual {
+	if l.usual == 0 {
 		l.usual = seconds
 	}
 	l.usual += usualGain * (seconds - l.usual)
 	ratio := seconds / l.usual
 	if ratio > slowdown && now.Sub(l.lowered) >= backoffPause {
-		l.lower(now, l.limit*max(0.5, slowdown/ratio))
+		floor := min(l.limit, slowFloor*float64(l.table))
+		l.lower(now, max(floor, l.limit*max(0.5, slowdown/ratio)))
 	}
 }
 
