Let kept requests wait on at a keeper that shuts down

Change: requests kept by key stay in the queue through a drain, shards move by the ordinary passing on while they do, and the lease is given back last. An instance that is not the keeper names it and the asker learns. Connections are not kept during a drain. Parts publish their own counters.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -95,7 +95,7 @@
 // submit starts the request at once, or lets it wait: then the ticket's result
 // channel gets its one result.
 func (c *Controller) submit(r *Request) (*Grant, *ticket, error) {
-	if c.draining.Load() {
+	if c.draining.Load() && !r.Stays {
 		return nil, nil, ErrDraining
 	}
 	now := c.clock.Now()
@@ -133,8 +133,8 @@
 	}
 }
 
-// Drain gives all waiting requests back with ErrDraining, now and from now on,
-// and returns how many waited. Running requests go on.
+// Drain gives all waiting requests but those that stay back with ErrDraining,
+// now and from now on, and returns how many waited. Running requests go on.
 func (c *Controller) Drain() int {
 	c.draining.Store(true)
 	returned := 0
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -159,7 +159,7 @@
 func (p *pool) enqueue(t *ticket, now time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.controller.draining.Load() {
+	if p.controller.draining.Load() && !t.request.Stays {
 		return ErrDraining
 	}
 	t.result = make(chan result, 1)
@@ -248,12 +248,15 @@
 	}
 }
 
-// drain gives all waiting requests back.
+// drain gives all waiting requests back but those that stay.
 func (p *pool) drain() (returned int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for tier := range p.queue.tiers {
 		for _, t := range p.queue.tiers[tier].ordered() {
+			if t.request.Stays {
+				continue
+			}
 			p.giveUp(t, ErrDraining)
 			returned++
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,9 @@
 	Secret []byte
 	// Ready tells why the instance takes no new work, or nil.
 	Ready func() error
+	// Draining tells that the instance shuts down, so that connections are not
+	// kept for further requests.
+	Draining func() bool
 }
 
 // Server serves callers.
@@ -160,6 +163,9 @@
 
 // respond starts an execution and answers once its head or refusal is there.
 func (s *Server) respond(c *fiber.Ctx, after uint64, start func(context.Context) (*executor.Execution, error)) error {
+	if s.Draining() {
+		c.Response().SetConnectionClose()
+	}
 	ctx, cancel := context.WithCancel(s.base)
 	watch := watchHangUp(c.Context().Conn(), cancel)
 	execution, head, reader, err := begin(ctx, after, start)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -79,7 +79,7 @@
 		}}},
 	})
 	server := New(Options{
-		Runner: runner, Secret: secret, Ready: func() error { return nil },
+		Runner: runner, Secret: secret, Ready: func() error { return nil }, Draining: func() bool { return false },
 		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100},
 		Logger: zap.NewNop(),
 	})
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -19,6 +19,9 @@
 	if refusal.RetryAfter > 0 {
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
 	}
+	if refusal.Peer != "" {
+		c.Set(executor.HeaderKeeper, refusal.Peer)
+	}
 	c.Set(executor.HeaderRefusal, string(refusal.Run))
 	err := c.Status(refusal.Status).JSON(executor.WireRefusal(refusal))
 	c.Set(fiber.HeaderContentType, contentTypeProblem)
--- a/internal/executor/attempt.go
+++ b/internal/executor/attempt.go
@@ -69,6 +69,10 @@
 	return avoid
 }
 
+// kept tells whether the request is run by the keeper of its key. While the keeper
+// shuts down it goes on waiting there: those that keep the key next follow it.
+func (j *job) kept() bool { return j.route.Idempotent && j.call.Key != "" }
+
 // admit waits for a target.
 func (e *Executor) admit(ctx context.Context, j *job, avoid map[string]bool) (*admission.Grant, error) {
 	prompt := &j.call.Prompt
@@ -77,7 +81,7 @@
 		PromptTokens: prompt.Tokens(), OutputTokens: prompt.MaxTokens, Prefix: prompt.Prefix(),
 		FailureDomain: e.Viewer.View().Self.FailureDomain, Deadline: j.deadline,
 		WaitUntil:  j.call.Received.Add(time.Duration(j.route.EffectiveMaxWait())),
-		Idempotent: j.route.Idempotent, Avoid: avoid,
+		Idempotent: j.route.Idempotent, Avoid: avoid, Stays: j.kept(),
 	}
 	if j.route.FirstToken > 0 {
 		r.FirstTokenBy = j.call.Received.Add(time.Duration(j.route.FirstToken))
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -112,6 +112,7 @@
 		cancel()
 		response.Close()
 		e.Forwards.Done(key, forwardEnd(refusal.Run == fault.NotRun))
+		e.learnKeeper(key, response.Get(HeaderKeeper))
 		return nil, refusal
 	}
 	e.noteDispatched(key, response)
@@ -136,6 +137,19 @@
 	return once.ForwardBroken
 }
 
+// HeaderKeeper names the keeper of a key in the refusal of an instance that is
+// not.
+const HeaderKeeper = "Hibiscus-Keeper"
+
+// learnKeeper takes an instance's word on who keeps a key.
+func (e *Executor) learnKeeper(key once.Key, name string) {
+	for _, member := range e.Viewer.View().Members {
+		if member.Name == name {
+			e.Shards.Learn(key, member)
+		}
+	}
+}
+
 // noteDispatched remembers where the keeper runs the request.
 func (e *Executor) noteDispatched(key once.Key, response *dispatch.Response) {
 	text := response.Get(HeaderRequest)
--- a/internal/executor/keyed.go
+++ b/internal/executor/keyed.go
@@ -87,7 +87,8 @@
 		reason = "the key is kept by " + keeper
 	}
 	return &fault.Refusal{
-		Run: fault.NotRun, Step: fault.StepForward, Status: statusMisdirected, RetryAfter: retryAfter, Reason: reason,
+		Run: fault.NotRun, Step: fault.StepForward, Status: statusMisdirected, RetryAfter: retryAfter,
+		Reason: reason, Peer: keeper,
 	}
 }
 
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -87,6 +87,9 @@
 	RetryAfter time.Duration
 	// Reason is a short text for people.
 	Reason string
+	// Peer names the instance that may serve the request; empty when none is
+	// known.
+	Peer string
 }
 
 // Error returns the refusal in one line.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -154,6 +154,17 @@
 	i.provisionScheduling()
 	i.provisionOnce()
 	i.provisionServers()
+	i.provisionMetrics()
+}
+
+// provisionMetrics publishes what the parts count themselves.
+func (i *Instance) provisionMetrics() {
+	i.metrics.Include("admission", func() any { return i.admission.Stats() })
+	i.metrics.Include("configuration", func() any { return i.config.Freshness() })
+	i.metrics.Include("membership", func() any { return i.members.Reach() })
+	i.metrics.Include("moves", func() any { return i.moves.Status() })
+	i.metrics.Include("shards_held", func() any { return i.shards.Count() })
+	i.metrics.Include("keys_remembered", func() any { return i.ledger.Count() })
 }
 
 // provisionScheduling builds what chooses targets and versions.
@@ -188,7 +199,7 @@
 func (i *Instance) provisionServers() {
 	i.entry = entry.New(entry.Options{
 		Runner: i.executor, Limits: i.options.Settings.Limits, Logger: i.logger,
-		Secret: i.options.Secrets.PeerSecret, Ready: i.ready,
+		Secret: i.options.Secrets.PeerSecret, Ready: i.ready, Draining: i.draining.Load,
 	})
 	i.admin = admin.New(admin.Options{
 		Token: i.options.Secrets.AdminToken, Applier: i.store, Reports: reports{i}, Ready: i.ready,
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -21,24 +21,26 @@
 	}
 	i.logger.Info("shutting down", zap.String("instance", i.options.Settings.Name))
 	i.members.MarkLeaving()
-	i.handOver(ctx)
+	i.admission.Drain()
 	i.waitNotice(ctx)
 	err := i.entry.Shutdown(ctx)
 	i.executor.Shutdown(ctx)
+	i.release(ctx)
 	i.leave(ctx)
 	err = errors.CombineErrors(err, i.admin.Shutdown(ctx))
 	i.stop()
 	return err
 }
 
-// handOver gives the shards back and passes the waiting requests on.
-func (i *Instance) handOver(ctx context.Context) {
+// release gives the lease back. Its shards have moved to others since the
+// instance was marked as leaving; requests that waited here under them have
+// been run here, followed by the next keepers.
+func (i *Instance) release(ctx context.Context) {
 	handover, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	if err := i.shards.Release(handover); err != nil {
 		i.logger.Warn("shards were not handed over; they wait for the lease to end", zap.Error(err))
 	}
-	i.admission.Drain()
 }
 
 // waitNotice lets the balancer see that the instance is not ready.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,12 +41,16 @@
 	tiers    [tables.TierCount]*latencies
 	accounts *accounts
 	instance string
+
+	// mu guards parts.
+	mu    sync.Mutex
+	parts map[string]func() any
 }
 
 // New returns an empty set for an instance, publishes it under the instance's
 // name and replaces an older one of that name.
 func New(instance string) *Set {
-	s := &Set{instance: instance, accounts: newAccounts(MaxAccounts)}
+	s := &Set{instance: instance, accounts: newAccounts(MaxAccounts), parts: make(map[string]func() any)}
 	for i := range s.tiers {
 		s.tiers[i] = newLatencies()
 	}
@@ -74,20 +78,41 @@
 	s.accounts.of(account).record(firstToken, total)
 }
 
+// Include adds what a part of the instance counts itself; read is called at each
+// reading and must be safe from any goroutine.
+func (s *Set) Include(part string, read func() any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts[part] = read
+}
+
 // Snapshot is the exported form of a set.
 type Snapshot struct {
 	Counters json.RawMessage           `json:"counters"`
 	Tiers    []LatencySummary          `json:"tiers"`
 	Accounts map[string]LatencySummary `json:"accounts"`
+	// Parts are the counters of the instance's parts, by name.
+	Parts map[string]any `json:"parts"`
 }
 
 func (s *Set) snapshot() any {
 	snapshot := Snapshot{
 		Counters: json.RawMessage(s.counters.String()),
 		Accounts: s.accounts.summaries(),
+		Parts:    s.readParts(),
 	}
 	for _, tier := range s.tiers {
 		snapshot.Tiers = append(snapshot.Tiers, tier.summary())
 	}
 	return snapshot
 }
+
+func (s *Set) readParts() map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := make(map[string]any, len(s.parts))
+	for name, read := range s.parts {
+		values[name] = read()
+	}
+	return values
+}
