Apply the tables of control once the instances are joined

Cause: measure control failed: nothing is accepted before the instances have found each other.

Change: control uses applyOnceJoined, which ends with its context.

--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -82,10 +82,10 @@
 	deadline := time.Now().Add(adoptionBound)
 	for {
 		_, err := f.apply(ctx, 0, 0, t)
-		if exit.Of(err) != exit.Unavailable || time.Now().After(deadline) {
+		if exit.Of(err) != exit.Unavailable || time.Now().After(deadline) || ctx.Err() != nil {
 			return err
 		}
-		time.Sleep(adoptionPoll)
+		sleep(ctx, adoptionPoll)
 	}
 }
 
