--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -27,6 +27,9 @@
 // tick does the timed part of the protocol.
 func (m *Membership) tick() {
 	m.change(func(now time.Time) {
+		if m.left {
+			return
+		}
 		m.notePause(now)
 		m.advanceProbes(now)
 		if !m.withheld(now) {
@@ -49,6 +52,9 @@
 	gap := now.Sub(m.lastTick)
 	first := m.lastTick.IsZero()
 	m.lastTick = now
+	if first {
+		m.firstTick = now
+	}
 	if first || gap <= pauseLimit {
 		return
 	}
