--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -11,36 +11,49 @@
 // highest rendezvous score among those not leaving. When all are leaving it is
 // chosen among all.
 func Owner(view *View, key string) Member {
-	return Ranked(view, key)[0]
+	best := scored{&view.Members[0], score(view.Members[0].Name, key)}
+	for i := range view.Members[1:] {
+		m := &view.Members[i+1]
+		if other := (scored{m, score(m.Name, key)}); compareScored(other, best) < 0 {
+			best = other
+		}
+	}
+	return *best.member
 }
 
 // Ranked returns the members by falling rendezvous score for key. Members that
 // are leaving come last.
 func Ranked(view *View, key string) []Member {
-	type scored struct {
-		member Member
-		score  uint64
-	}
 	all := make([]scored, len(view.Members))
-	for i, m := range view.Members {
+	for i := range view.Members {
+		m := &view.Members[i]
 		all[i] = scored{m, score(m.Name, key)}
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if a.member.Leaving != b.member.Leaving {
-			if a.member.Leaving {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
-	})
+	slices.SortFunc(all, compareScored)
 	ranked := make([]Member, len(all))
 	for i, s := range all {
-		ranked[i] = s.member
+		ranked[i] = *s.member
 	}
 	return ranked
 }
 
+// scored is a member with its score for one key.
+type scored struct {
+	member *Member
+	score  uint64
+}
+
+// compareScored orders those leaving last, then by falling score, then by name.
+func compareScored(a, b scored) int {
+	if a.member.Leaving != b.member.Leaving {
+		if a.member.Leaving {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
+}
+
 // score hashes a member's name with the key; both are separated by a zero byte.
 func score(name, key string) uint64 {
 	var digest xxhash.Digest
