--- /dev/null
+++ b/internal/once/janitor_test.go
@@ -0,0 +1,69 @@
+package once
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/platform"
+)
+
+func TestJanitorDeletesExpiredClaims(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		granted := n.ask(testKey, testHash, time.Second)
+		assert.NilError(t, granted.result.Claim.Dispatch())
+		large := strings.Repeat("x", 2*DefaultInlineBytes)
+		assert.NilError(t, granted.result.Claim.Complete(t.Context(), storedAnswer(large)))
+		object := "answers/" + granted.result.Claim.row.Claim
+		j, prefix := newJanitor(n.claims.options), testKey.ID()[:4]
+
+		j.clean(t.Context(), prefix, time.Now().Add(DefaultClaimKeep-time.Minute))
+		_, err := w.table.Get(t.Context(), claimKey(testKey))
+		assert.NilError(t, err)
+
+		j.clean(t.Context(), prefix, time.Now().Add(DefaultClaimKeep+time.Minute))
+		_, err = w.table.Get(t.Context(), claimKey(testKey))
+		assert.ErrorIs(t, err, platform.ErrNotFound)
+		_, err = w.table.GetObject(t.Context(), object)
+		assert.ErrorIs(t, err, platform.ErrNotFound)
+	})
+}
+
+func TestOneInstanceCleansEachPart(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		now := time.Now()
+		_, before := w.table.Counts()
+		for _, n := range w.nodes {
+			newJanitor(n.claims.options).tick(t.Context(), now)
+		}
+		_, after := w.table.Counts()
+		assert.Equal(t, after-before, 1)
+	})
+}
+
+func TestEndedLeasesAreSwept(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		put := func(id string, ended time.Time) {
+			row := leaseRow{EndedMillis: ended.UnixMilli()}
+			write := platform.Write{Key: leaseKey(id), Value: encodeRow(&row)}
+			assert.NilError(t, w.table.Commit(t.Context(), []platform.Write{write}))
+		}
+		put("old", time.Now().Add(-2*sweepEvery))
+		put("new", time.Now())
+		for _, n := range w.nodes {
+			n.stop()
+			n.shards.swept = time.Time{}
+			assert.NilError(t, n.shards.sweep(t.Context()))
+		}
+		_, err := w.table.Get(t.Context(), leaseKey("old"))
+		assert.ErrorIs(t, err, platform.ErrNotFound)
+		_, err = w.table.Get(t.Context(), leaseKey("new"))
+		assert.NilError(t, err)
+		rows, err := w.table.Scan(t.Context(), leaseTable, "", 100)
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), len(w.nodes)+1)
+	})
+}
