Do not doubt requests that only waited at the keeper that collects

Cause: a request on its way to a new keeper was collected by that keeper as one that might have been dispatched, and answered unknown.

Change: a record names the process that alone was asked; that process leaves it out, since its own ledger knows. A record of a key that several were asked for counts as before. Note takes the member in place of its name. The test's entry calls Done after an answer to wait, as the executor does.

Conclusion: a resend during the settling gets its answer.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -94,7 +94,7 @@
 func (e *Executor) forwardKeyed(
 	ctx context.Context, j *job, key once.Key, hash once.BodyHash, keeper membership.Member,
 ) (*Execution, *fault.Refusal) {
-	if err := e.Forwards.Note(key, hash, keeper.Name, j.deadline); err != nil {
+	if err := e.Forwards.Note(key, hash, keeper, j.deadline); err != nil {
 		return nil, asRefusal(fault.StepForward, err)
 	}
 	run, cancel := context.WithDeadline(e.base, j.deadline)
--- a/internal/once/forwards.go
+++ b/internal/once/forwards.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 )
 
 const (
@@ -34,6 +36,9 @@
 	Key        Key        `json:"key"`
 	Hash       BodyHash   `json:"hash"`
 	Dispatched Dispatched `json:"dispatched"`
+	// Keeper is the identity of the process that alone was asked to run it;
+	// empty if there were several or it is not known.
+	Keeper string `json:"keeper,omitempty"`
 	// KeepMillis is for how long it must be remembered, as of the message.
 	KeepMillis int64 `json:"keep_ms"`
 }
@@ -102,7 +107,7 @@
 // once its caller has been answered. Deadline is when the request ends at the
 // latest. Note fails with a not_run refusal when too many requests are
 // remembered.
-func (f *Forwards) Note(key Key, hash BodyHash, keeper string, deadline time.Time) error {
+func (f *Forwards) Note(key Key, hash BodyHash, keeper membership.Member, deadline time.Time) error {
 	part := f.part(key)
 	part.mu.Lock()
 	defer part.mu.Unlock()
@@ -112,7 +117,12 @@
 			return refuseNotRun("too many keyed requests are remembered here")
 		}
 		known = f.add(part, key)
-		known.record = Record{Key: key, Hash: hash, Dispatched: Dispatched{Instance: keeper}}
+		known.record = Record{
+			Key: key, Hash: hash, Dispatched: Dispatched{Instance: keeper.Name}, Keeper: identity(keeper),
+		}
+	}
+	if known.record.Keeper != identity(keeper) {
+		known.record.Keeper = ""
 	}
 	known.open++
 	known.until = later(known.until, deadline.Add(f.window))
--- a/internal/once/ledger_test.go
+++ b/internal/once/ledger_test.go
@@ -56,7 +56,7 @@
 		from := ""
 		if r.forwarder != r.keeper {
 			from = r.forwarder.member.Name
-			assert.NilError(t, r.forwarder.forwards.Note(r.key, testHash, r.keeper.member.Name, time.Now().Add(3*DefaultResendWindow)))
+			assert.NilError(t, r.forwarder.forwards.Note(r.key, testHash, r.keeper.member, time.Now().Add(3*DefaultResendWindow)))
 		}
 		decision := r.keeper.ledger.Begin(r.key, testHash, from)
 		assert.Equal(t, decision.Kind, DecideRun)
@@ -112,8 +112,11 @@
 		if !ok || !r.world.network.Deliver(at.member.PeerAddress, node.member.PeerAddress) {
 			return wait
 		}
-		_ = at.forwards.Note(r.key, testHash, keeper.Name, time.Now().Add(time.Minute))
+		_ = at.forwards.Note(r.key, testHash, keeper, time.Now().Add(time.Minute))
 		decision := node.ledger.Begin(r.key, testHash, at.member.Name)
+		if decision.Kind == DecideForward || decision.Kind == DecideWait {
+			at.forwards.Done(r.key, ForwardNotRun)
+		}
 		if decision.Kind != DecideForward {
 			return decision
 		}
@@ -350,6 +353,32 @@
 	}
 }
 
+func TestRecordOfARequestThatOnlyWaitedHere(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		a, b := w.nodes[0], w.nodes[1]
+		key, until := a.keyOf(t), time.Now().Add(time.Minute)
+		for _, test := range []struct {
+			keepers []*node
+			want    DecisionKind
+		}{
+			{[]*node{a}, DecideRun},
+			{[]*node{a, b}, DecideRefuse},
+			{[]*node{b, a}, DecideRefuse},
+		} {
+			forwards := NewForwards(w.clock, 0)
+			for _, keeper := range test.keepers {
+				assert.NilError(t, forwards.Note(key, testHash, keeper.member, until))
+			}
+			a.ledger.merge(forwards.collect(func(Key) bool { return true }))
+			decision := a.ledger.Begin(key, testHash, "c")
+			assert.Equal(t, decision.Kind, test.want)
+			if decision.Ticket != nil {
+				decision.Ticket.NotRun(refuseNotRun("end of the case"))
+			}
+		}
+	})
+}
+
 func TestNoCopyMeansNotSent(t *testing.T) {
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		r := newKeyedRequest(t, w, 0)
@@ -430,8 +459,8 @@
 		assert.Equal(t, r.forwarder.forwards.Count(), 0)
 		forwards := r.forwarder.forwards
 		for i := range maxForwards {
-			assert.NilError(t, forwards.Note(Key{Key: strconv.Itoa(i)}, testHash, "a", time.Now()))
+			assert.NilError(t, forwards.Note(Key{Key: strconv.Itoa(i)}, testHash, r.keeper.member, time.Now()))
 		}
-		refusedAs(t, forwards.Note(Key{Key: "one too many"}, testHash, "a", time.Now()), fault.NotRun)
+		refusedAs(t, forwards.Note(Key{Key: "one too many"}, testHash, r.keeper.member, time.Now()), fault.NotRun)
 	})
 }
--- a/internal/once/settle.go
+++ b/internal/once/settle.go
@@ -214,7 +214,11 @@
 // merge adds records of requests that earlier keepers may have dispatched. They
 // void what is only queued here.
 func (l *Ledger) merge(records []Record) {
+	self := identity(l.options.Viewer.View().Self)
 	for _, r := range records {
+		if r.Keeper == self {
+			continue // nobody but this ledger can know of a dispatch
+		}
 		part := &l.parts[r.Key.Shard()]
 		part.mu.Lock()
 		l.mergeOne(part, r)
