Let long prompts wait for the target that has their prefix

Cause: when targets are full, the one that falls free first got the next prompt, and conversations moved through all caches. Entries that do not hear each other's dispatches had no common place for a new conversation.

Change: a request waits for the target that probably has its prefix, for no longer than the prefill that it saves takes and a quarter of its slack; a prefix that no target is known to hold has a target by rendezvous hashing. Demand of such requests goes to that target's home alone.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -103,9 +103,19 @@
 	defer p.controller.scratch.Put(scratch)
 	wanted := p.version(ticket)
 	scratch.reset()
+	favorite, reuse := p.favorite(ticket, wanted, skip)
+	if p.holdsOut(ticket, favorite, reuse, now) {
+		ticket.heldFor = favorite
+		return nil
+	}
+	ticket.heldFor = nil
 	for _, t := range *p.targets.Load() {
 		if p.eligible(t, ticket, wanted, skip) && t.roomFor(ticket) == fits {
-			scratch.add(t, t.candidate(ticket, now, p.speed(t, now)))
+			c := t.candidate(ticket, now, p.speed(t, now))
+			if t == favorite {
+				c.Reuse = reuse
+			}
+			scratch.add(t, c)
 		}
 	}
 	ask := routing.Ask{
@@ -193,7 +203,7 @@
 				p.deliver(t, result{grant: g})
 				continue
 			}
-			if keep := p.keepFor(t, kept); keep != nil {
+			if keep := p.keepFor(t, kept); t.heldFor == nil && keep != nil {
 				kept = append(kept, keep)
 			}
 			q.setAside(f)
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -14,7 +14,9 @@
 type demand struct {
 	// each is asked of every target: its part of what waits, by tier.
 	each credit.PerTier
-	// urgent is asked of single targets.
+	// single is asked of single targets, for requests that wait for just them.
+	single map[*target]credit.PerTier
+	// urgent is the same for requests that cannot wait for lower tiers.
 	urgent map[*target]credit.PerTier
 }
 
@@ -31,20 +33,27 @@
 		if q.waiting == 0 {
 			continue
 		}
-		d.each[tier] = q.share(targets)
+		held := 0
 		for _, f := range q.flows {
 			for _, t := range f.tickets {
-				d.addUrgent(t)
+				if t.heldFor != nil {
+					held++
+				}
+				d.single = addAt(d.single, t.heldFor, t)
+				d.urgent = addAt(d.urgent, t.urgentAt, t)
 			}
 		}
+		if q.waiting > held {
+			d.each[tier] = q.share(q.waiting-held, targets)
+		}
 	}
 	return d
 }
 
 // share returns an even part of the tier's demand. The request that leaves
 // next counts with its own size, the others with the mean.
-func (q *tierQueue) share(targets int) credit.Amount {
-	slots := (q.waiting + targets - 1) / targets
+func (q *tierQueue) share(waiting, targets int) credit.Amount {
+	slots := (waiting + targets - 1) / targets
 	tokens := q.tokens / q.waiting * (slots - 1)
 	next := credit.Tokens(0)
 	if f := q.peek(); f != nil {
@@ -53,16 +62,18 @@
 	return credit.Amount{Slots: credit.Slots(slots), Tokens: next + credit.Tokens(tokens)}
 }
 
-func (d *demand) addUrgent(t *ticket) {
-	if t.urgentAt == nil {
-		return
+// addAt adds the request to the demand at one target, if there is one.
+func addAt(demand map[*target]credit.PerTier, at *target, t *ticket) map[*target]credit.PerTier {
+	if at == nil {
+		return demand
 	}
-	if d.urgent == nil {
-		d.urgent = make(map[*target]credit.PerTier)
+	if demand == nil {
+		demand = make(map[*target]credit.PerTier)
 	}
-	at := d.urgent[t.urgentAt]
-	at[t.tier] = at[t.tier].Plus(t.urgentAt.size(t))
-	d.urgent[t.urgentAt] = at
+	sum := demand[at]
+	sum[t.tier] = sum[t.tier].Plus(at.size(t))
+	demand[at] = sum
+	return demand
 }
 
 // describe returns the entry's state at the target. The lock is held.
@@ -73,7 +84,9 @@
 		Demand: d.each, Urgent: d.urgent[t],
 	}
 	whole := capacity(t.info.Load()).Tokens
+	single := d.single[t]
 	for tier := range r.Demand {
+		r.Demand[tier] = r.Demand[tier].Plus(single[tier])
 		r.Demand[tier] = r.Demand[tier].Max(r.Urgent[tier])
 		r.Demand[tier].Tokens = min(r.Demand[tier].Tokens, whole*credit.Tokens(r.Demand[tier].Slots))
 	}
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -35,7 +35,12 @@
 	// The fields below are guarded by the pool's lock.
 
 	waiting bool
-	tag     float64
+	// heldFor is the target that the request waits for although another has
+	// room; nil for none.
+	heldFor *target
+	// heldSince is when it was held first.
+	heldSince time.Time
+	tag       float64
 	// urgentAt is the target at which room is made for the request; it is
 	// chosen anew at urgentUntil.
 	urgentAt    *target
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"sync"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // PrefixIndex estimates which prompt prefixes a target has cached. It learns
@@ -21,6 +23,11 @@
 	recent *list.List
 }
 
+// Score is a target's rendezvous score for a prompt prefix.
+func Score(target string, prefix uint64) uint64 {
+	return mix(xxhash.Sum64String(target)^prefix, 0)
+}
+
 // CacheOp tells the cache events apart.
 type CacheOp uint8
 
