--- a/internal/executor/claimed.go
+++ b/internal/executor/claimed.go
@@ -21,8 +21,8 @@
 		done: make(chan struct{}),
 	}
 	j.id = key.ID()
-	a := e.live.New(0)
-	permit.granted = func() { e.live.Put(j.id, a) }
+	a := e.stored.New(0)
+	permit.granted = func() { e.stored.Put(j.id, a) }
 	run, cancel := context.WithDeadline(e.base, j.deadline)
 	e.running.Go(func() {
 		defer cancel()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -74,6 +74,9 @@
 	running conc.WaitGroup
 	// live holds the answers of runs without a key, by request id.
 	live *answer.Store
+	// stored holds the answers of claimed runs, whole, until they are on record
+	// in the table service.
+	stored *answer.Store
 	// load counts the requests that this instance runs at each target.
 	load sync.Map
 }
@@ -83,6 +86,7 @@
 	e := &Executor{Options: options}
 	e.base, e.stop = context.WithCancel(context.Background())
 	e.live = answer.NewStore(answer.StoreOptions{Limit: answer.LiveLimit, Keep: liveKeep})
+	e.stored = answer.NewStore(answer.StoreOptions{Keep: liveKeep})
 	return e
 }
 
@@ -96,6 +100,7 @@
 			return
 		case <-ticker.C:
 			e.live.Age()
+			e.stored.Age()
 		}
 	}
 }
--- a/internal/executor/keyed.go
+++ b/internal/executor/keyed.go
@@ -29,16 +29,16 @@
 		if refusal == nil {
 			return execution, nil
 		}
+		maybe = maybe || refusal.Run != fault.NotRun
+		if maybe && refusal.Run == fault.NotRun {
+			refusal.Run = fault.Unknown
+		}
 		if !isPassing(refusal) {
 			e.count(refusal)
 			return nil, refusal
 		}
-		maybe = maybe || refusal.Run != fault.NotRun
 		select {
 		case <-ctx.Done():
-			if maybe {
-				refusal.Run = fault.Unknown
-			}
 			if j.call.Forwarder == "" {
 				refusal.Status = statusUnavailable
 			}
@@ -49,9 +49,11 @@
 	}
 }
 
-// isPassing tells whether a refusal may pass while the caller waits, since the
-// key's keeper changes.
-func isPassing(refusal *fault.Refusal) bool { return refusal.Status == statusMisdirected }
+// isPassing tells whether a refusal may pass while the caller waits: the key's
+// keeper changes, or has just started and takes no work yet.
+func isPassing(refusal *fault.Refusal) bool {
+	return refusal.Status == statusMisdirected || refusal.Step == fault.StepAccept
+}
 
 // decide asks the ledger once and acts on its decision.
 func (e *Executor) decide(ctx context.Context, j *job, key once.Key, hash once.BodyHash) (*Execution, *fault.Refusal) {
@@ -74,7 +76,9 @@
 		}
 		return e.forwardKeyed(ctx, j, key, hash, decision.Keeper)
 	case once.DecideWait:
-		return nil, misdirected("")
+		refusal := misdirected("")
+		refusal.Run = decision.Refusal.Run
+		return nil, refusal
 	default:
 		return nil, decision.Refusal
 	}
--- a/internal/executor/resume.go
+++ b/internal/executor/resume.go
@@ -97,6 +97,9 @@
 	if a := e.live.Get(named.RequestID); a != nil {
 		return a
 	}
+	if a := e.stored.Get(named.RequestID); a != nil {
+		return a
+	}
 	return e.Ledger.Answer(named.RequestID)
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -252,3 +252,6 @@
 
 // Metrics returns the instance's counters.
 func (i *Instance) Metrics() *metrics.Set { return i.metrics }
+
+// ShardsHeld returns the number of shards that this instance keeps.
+func (i *Instance) ShardsHeld() int { return i.shards.Count() }
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -41,6 +41,9 @@
 	if err := i.shards.Release(handover); err != nil {
 		i.logger.Warn("shards were not handed over; they wait for the lease to end", zap.Error(err))
 	}
+	if !i.ledger.PassCopies(handover) {
+		i.logger.Warn("records of forwarded requests were left that no instance took")
+	}
 }
 
 // waitNotice lets the balancer see that the instance is not ready.
