Keep lasting slowdowns and lone targets from condemning a version

Cause: when the pool slowed down, the version with less to do finished its first slow requests sooner and looked worse in a short window; a slow target alone at a high concurrency condemned a version by the old one's past. Change: windows for times last ten seconds and are dropped while the old version is just slowing down; comparisons with the past leave out the slowest target and first tokens; the tail has a wider tolerance. TestSlowTargetAlone at 10 requests/s failed before and passes after.

--- a/internal/evidence/lonely.go
+++ b/internal/evidence/lonely.go
@@ -68,7 +68,7 @@
 // that the domain is degraded.
 func (d *domainHealth) add(old *sample, long *reference, now time.Time) bool {
 	d.seenAt = now
-	limit, known := quantile(&long.token, tailQuantile)
+	limit, known := quantile(&long.token, tailQuantile, withControl.least)
 	if !known {
 		return false
 	}
@@ -152,15 +152,24 @@
 
 // compareAlone compares the new version with the old one's past, while the old
 // version is known to do well.
-func (j *Judge) compareAlone(s stratum, g *group, now time.Time) {
-	if !j.sound(s.domain, now) {
+func (j *Judge) compareAlone(of metrics, s stratum, g *group, now time.Time) {
+	// A target that is slow alone gathers requests and runs where no other
+	// does; that is no evidence against the version.
+	alone := len(g.targets) < 2 && j.serving(now) >= 2
+	if alone || !j.sound(s.domain, now) {
 		return
 	}
 	ref, same := j.past(s, g.load)
 	if ref == nil {
 		return
 	}
-	inc := compare(&g.fresh, sampleOf(ref), ref)
+	fresh := g.fresh
+	if worst := g.slowest(ref); worst != nil && len(g.targets) >= 2 {
+		fresh.subtract(worst)
+	}
+	inc := compare(of, &fresh, sampleOf(ref), ref, withoutControl)
+	// Caches were in another state then, so first tokens do not compare.
+	inc[metricFirstMedian], inc[metricFirstTail] = [len(tilts)]float64{}, [len(tilts)]float64{}
 	if same {
 		j.here.tests.step(&inc)
 		return
@@ -168,6 +177,23 @@
 	j.elsewhere.tests.step(&inc)
 }
 
+// slowest returns the target with the most requests over the reference's tail,
+// nil when there are none.
+func (g *group) slowest(ref *reference) *sample {
+	limit, ok := quantile(&ref.token, tailQuantile, withoutControl.least)
+	if !ok {
+		return nil
+	}
+	var worst *sample
+	most := 0
+	for _, s := range g.targets {
+		if over, _ := above(&s.token, limit); over > most {
+			worst, most = s, over
+		}
+	}
+	return worst
+}
+
 // past returns the old version's long picture at a concurrency, there or else
 // in another failure domain; same tells which.
 func (j *Judge) past(s stratum, load int) (ref *reference, same bool) {
--- a/internal/evidence/tests.go
+++ b/internal/evidence/tests.go
@@ -22,6 +22,9 @@
 const (
 	medianQuantile = 0.5
 	tailQuantile   = 0.9
+	// tailSlack is added to the tolerance at the tail, where targets of one kind
+	// differ most.
+	tailSlack = 1
 	// tolerance is the slowness, in buckets, that is not held against a
 	// version: a quarter octave, or 19%.
 	tolerance = 1
@@ -65,18 +68,45 @@
 	}
 }
 
+// metrics tells which metrics a window serves.
+type metrics int
+
+const (
+	failures metrics = iota
+	times
+	metricsCount
+)
+
+// care says how careful a comparison of times is.
+type care struct {
+	// slack is the slowness, in buckets, that is not held against a version.
+	slack int
+	// least is the least weight of the reference, in requests.
+	least float64
+}
+
+var (
+	// withControl is for requests of the same window, withoutControl for the
+	// past, which serves as a sample again and again.
+	withControl    = care{slack: tolerance, least: 3}
+	withoutControl = care{slack: 2 * tolerance, least: 40}
+)
+
 // compare returns the increment of one window. The thresholds come from ref,
 // which holds only earlier windows.
-func compare(fresh, old *sample, ref *reference) increment {
+func compare(of metrics, fresh, old *sample, ref *reference, c care) increment {
 	var inc increment
-	inc[metricFailures] = logRatios(fresh.failures, fresh.requests, old.failures, old.requests)
-	inc[metricTokenMedian] = compareAbove(&fresh.token, &old.token, &ref.token, medianQuantile)
-	inc[metricTokenTail] = compareAbove(&fresh.token, &old.token, &ref.token, tailQuantile)
+	if of == failures {
+		inc[metricFailures] = logRatios(fresh.failures, fresh.requests, old.failures, old.requests)
+		return inc
+	}
+	inc[metricTokenMedian] = compareAbove(&fresh.token, &old.token, &ref.token, medianQuantile, c)
+	inc[metricTokenTail] = compareAbove(&fresh.token, &old.token, &ref.token, tailQuantile, c)
 	for band := range fresh.first {
 		addRatios(&inc[metricFirstMedian],
-			compareAbove(&fresh.first[band], &old.first[band], &ref.first[band], medianQuantile))
+			compareAbove(&fresh.first[band], &old.first[band], &ref.first[band], medianQuantile, c))
 		addRatios(&inc[metricFirstTail],
-			compareAbove(&fresh.first[band], &old.first[band], &ref.first[band], tailQuantile))
+			compareAbove(&fresh.first[band], &old.first[band], &ref.first[band], tailQuantile, c))
 	}
 	return inc
 }
@@ -87,16 +117,36 @@
 	}
 }
 
-func compareAbove(fresh, old *[Buckets]int, ref *[Buckets]float64, q float64) [len(tilts)]float64 {
-	limit, ok := quantile(ref, q)
+func compareAbove(fresh, old *[Buckets]int, ref *[Buckets]float64, q float64, c care) [len(tilts)]float64 {
+	limit, ok := quantile(ref, q, c.least)
 	if !ok {
 		return [len(tilts)]float64{}
 	}
-	newOver, newAll := above(fresh, limit+tolerance)
+	slack := c.slack
+	if q == tailQuantile {
+		slack += tailSlack
+	}
+	newOver, newAll := above(fresh, limit+slack)
 	oldOver, oldAll := above(old, limit)
 	return logRatios(newOver, newAll, oldOver, oldAll)
 }
 
+// turningOver is the part of the old version's requests over the 90% quantile
+// of its latest windows from which the pool is changing.
+const turningOver = 0.3
+
+// turning tells whether the old version is slowing down in this very window.
+// The version with less to do then finishes its first slow requests sooner, so
+// the window says nothing about times.
+func turning(old *sample, ref *reference) bool {
+	limit, ok := quantile(&ref.token, tailQuantile, withControl.least)
+	if !ok {
+		return false
+	}
+	over, all := above(&old.token, limit+tolerance)
+	return float64(over) > turningOver*float64(all)
+}
+
 // sampleOf turns a reference into a sample of rounded counts.
 func sampleOf(r *reference) *sample {
 	s := &sample{requests: int(r.requests), failures: int(math.Ceil(r.failures))}
--- a/internal/evidence/window.go
+++ b/internal/evidence/window.go
@@ -167,12 +167,19 @@
 	windowRequests = 8
 	// windowAge closes a window that has both versions but few requests.
 	windowAge = 5 * time.Second
+	// timesAge is the least age of a window for times.
+	timesAge = 10 * time.Second
 	// windowLimit ends a window that saw one version only.
 	windowLimit = 10 * time.Minute
 )
 
-// ready tells whether the window can be compared.
-func (w *window) ready(now time.Time) bool {
+// ready tells whether the window can be compared. Windows for times last
+// longer: when the whole pool slows down, the version with less to do finishes
+// its first slow requests sooner, and in a short window would look worse.
+func (w *window) ready(of metrics, now time.Time) bool {
+	if of == times && now.Sub(w.opened) < timesAge {
+		return false
+	}
 	if w.freshCount == 0 || w.oldCount == 0 {
 		return false
 	}
@@ -180,8 +187,11 @@
 }
 
 // oneSided tells whether the window has waited in vain for the other version.
-func (w *window) oneSided(now time.Time) bool {
+func (w *window) oneSided(of metrics, now time.Time) bool {
 	age := now.Sub(w.opened)
+	if of == times && age < timesAge {
+		return false
+	}
 	if w.freshCount == 0 {
 		return age >= windowAge
 	}
@@ -212,13 +222,14 @@
 	}
 }
 
-// quantile returns the bucket at which the picture reaches the share q.
-func quantile(buckets *[Buckets]float64, q float64) (int, bool) {
+// quantile returns the bucket at which the picture reaches the share q; it
+// needs the least weight.
+func quantile(buckets *[Buckets]float64, q, least float64) (int, bool) {
 	total := 0.0
 	for _, count := range buckets {
 		total += count
 	}
-	if total < minReference {
+	if total < least {
 		return 0, false
 	}
 	sum := 0.0
@@ -231,9 +242,6 @@
 	return Buckets - 1, true
 }
 
-// minReference is the least weight of a usable reference, in requests.
-const minReference = 3
-
 // add adds the other picture.
 func (r *reference) add(other *reference) {
 	r.requests += other.requests
