--- a/internal/evidence/lonely.go
+++ b/internal/evidence/lonely.go
@@ -1,7 +1,9 @@
 package evidence
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -186,7 +188,8 @@
 	}
 	var worst *sample
 	most := 0
-	for _, s := range g.targets {
+	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
+		s := g.targets[name]
 		if over, _ := above(&s.token, limit); over > most {
 			worst, most = s, over
 		}
