Drop windows in which the old version recovers

Of this state only the failure tests Alone, Outage and Death and the evidence tests Finds and Alarm were run, and passed.

--- a/internal/evidence/tests.go
+++ b/internal/evidence/tests.go
@@ -135,16 +135,20 @@
 // of its latest windows from which the pool is changing.
 const turningOver = 0.3
 
-// turning tells whether the old version is slowing down in this very window.
-// The version with less to do then finishes its first slow requests sooner, so
-// the window says nothing about times.
+// turning tells whether the old version is slowing down, or has just recovered,
+// in this very window. The versions then finish their first requests of the
+// new kind, or their last of the old kind, at different times, so the window
+// says nothing about times.
 func turning(old *sample, ref *reference) bool {
 	limit, ok := quantile(&ref.token, tailQuantile, withControl.least)
 	if !ok {
 		return false
 	}
 	over, all := above(&old.token, limit+tolerance)
-	return float64(over) > turningOver*float64(all)
+	median, _ := quantile(&ref.token, medianQuantile, withControl.least)
+	still, _ := above(&old.token, median-1-tolerance)
+	recovered := float64(all - still)
+	return max(float64(over), recovered) > turningOver*float64(all)
 }
 
 // sampleOf turns a reference into a sample of rounded counts.
