Let leases of keepers be shorter in small deployments

Cause: keys of a crashed keeper waited about 10 s, 8 of them for the lease; in measure once that was longer than the callers' deadlines of 5 s, and most refusals were 'no instance keeps this key'. Change: a lease lives 25 ms for each live instance, between 4 and 8 s; the holder writes its life into the row and a successor waits for that. The renewal test now asks for one write a renewal period of this deployment, as before; the test of the janitors counts reads of a table of their own, since it failed once when the nodes read theirs in between.

--- a/internal/once/janitor_test.go
+++ b/internal/once/janitor_test.go
@@ -35,12 +35,15 @@
 func TestOneInstanceCleansEachPart(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		now := time.Now()
-		_, before := w.table.Counts()
+		// A table of their own, since the nodes read theirs meanwhile.
+		table := platform.NewMemory()
 		for _, n := range w.nodes {
-			newJanitor(n.claims.options).tick(t.Context(), now)
+			options := n.claims.options
+			options.Platform = table
+			newJanitor(options).tick(t.Context(), now)
 		}
-		_, after := w.table.Counts()
-		assert.Equal(t, after-before, 1)
+		_, reads := table.Counts()
+		assert.Equal(t, reads, 1)
 	})
 }
 
--- a/internal/once/lease.go
+++ b/internal/once/lease.go
@@ -22,10 +22,15 @@
 
 // Times of leases. They are the same at all instances.
 const (
-	// LeaseTTL is how long a lease lives after its last renewal.
-	LeaseTTL = 8 * time.Second
-	// RenewEvery is the pause between renewals.
-	RenewEvery = 4 * time.Second
+	// LeaseTTL is how long a lease lives at most after its last renewal, and
+	// MinLeaseTTL how long at least. The holder writes its own into the row.
+	LeaseTTL    = 8 * time.Second
+	MinLeaseTTL = 4 * time.Second
+	// ttlPerInstance is the part of a lease's life for each live instance, so
+	// that all renewals together stay near 100 writes/s.
+	ttlPerInstance = 25 * time.Millisecond
+	// RenewEvery is the longest pause between renewals: half of the lease.
+	RenewEvery = LeaseTTL / 2
 	// LeaseMargin is how much earlier a holder stops; it allows for clocks that
 	// run at different speeds.
 	LeaseMargin = time.Second
@@ -35,9 +40,8 @@
 	VouchMargin = 200 * time.Millisecond
 	// VouchEvery is the pause between questions to the witnesses.
 	VouchEvery = 250 * time.Millisecond
-	// vouchAfter is the age of the last renewal from which on the witnesses are
-	// asked.
-	vouchAfter = RenewEvery + time.Second
+	// vouchLead is how long after a renewal was due the witnesses are asked.
+	vouchLead = 500 * time.Millisecond
 	// OutageLimit bounds for how long a holder goes on without the table
 	// service, and so how long a successor waits when no witness answers.
 	OutageLimit = 30 * time.Minute
@@ -58,6 +62,8 @@
 	// Attempt numbers the holder's writes, to settle a lost answer.
 	Attempt   uint64    `msgpack:"a"`
 	Witnesses []witness `msgpack:"w"`
+	// TTLMillis is how long the lease lives after this renewal, in ms.
+	TTLMillis int64 `msgpack:"t"`
 	// Solo is set when the holder saw no other instance, so that its records
 	// exist nowhere else.
 	Solo bool `msgpack:"s,omitempty"`
@@ -66,6 +72,14 @@
 	EndedMillis int64 `msgpack:"e,omitempty"`
 }
 
+// ttl returns how long the lease lives after this renewal.
+func (r *leaseRow) ttl() time.Duration { return time.Duration(r.TTLMillis) * time.Millisecond }
+
+// leaseTTL returns the life of a lease among so many live instances.
+func leaseTTL(members int) time.Duration {
+	return min(max(time.Duration(members)*ttlPerInstance, MinLeaseTTL), LeaseTTL)
+}
+
 // shardRow is the content of a shard's row.
 type shardRow struct {
 	// Lease is the holder's lease id; empty for a released shard.
--- a/internal/once/renewal.go
+++ b/internal/once/renewal.go
@@ -65,6 +65,7 @@
 		taken:   taken,
 		row: leaseRow{
 			Attempt: s.sequence.Add(1), Witnesses: chooseWitnesses(view), Solo: len(peers(view)) == 0,
+			TTLMillis: leaseTTL(len(view.Members)).Milliseconds(),
 		},
 	}
 }
@@ -120,7 +121,8 @@
 	}
 	s.update(func(g *grip) {
 		g.version = version
-		g.renewed, g.until = attempt.started, attempt.started.Add(LeaseTTL-LeaseMargin)
+		g.renewed, g.ttl = attempt.started, attempt.row.ttl()
+		g.until = attempt.started.Add(g.ttl - LeaseMargin)
 		g.witnesses, g.solo = attempt.row.Witnesses, attempt.row.Solo
 		g.rows = withTaken(g.rows, attempt.taken)
 	})
--- a/internal/once/shards.go
+++ b/internal/once/shards.go
@@ -92,6 +92,8 @@
 	version platform.Version
 	// renewed is when the last renewal known to have succeeded was begun.
 	renewed time.Time
+	// ttl is the life of the lease from that renewal.
+	ttl time.Duration
 	// until is when the holder must stop, unless vouched says later.
 	until time.Time
 	// vouched is the same by the word of the witnesses.
@@ -239,7 +241,7 @@
 
 func (s *Shards) step(ctx context.Context) error {
 	g := s.grip.Load()
-	if g.version != 0 && s.options.Clock.Since(g.renewed) >= RenewEvery {
+	if g.version != 0 && s.options.Clock.Since(g.renewed) >= g.ttl/2 {
 		if err := s.renew(ctx); err != nil {
 			return err
 		}
--- a/internal/once/shards_test.go
+++ b/internal/once/shards_test.go
@@ -75,7 +75,7 @@
 func TestRenewalCostsOneWriteForEachInstance(t *testing.T) {
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		before, _ := w.table.Counts()
-		time.Sleep(10 * RenewEvery)
+		time.Sleep(10 * leaseTTL(len(w.nodes)) / 2)
 		after, _ := w.table.Counts()
 		assert.Assert(t, after-before <= 10*len(w.nodes), "%d writes", after-before)
 		assert.Assert(t, after > before)
--- a/internal/once/takeover.go
+++ b/internal/once/takeover.go
@@ -245,7 +245,7 @@
 func (s *Shards) waitedOut(ctx context.Context, lease string, w *watchedLease) bool {
 	age := s.options.Clock.Since(w.since)
 	switch {
-	case age < LeaseTTL:
+	case age < w.row.ttl():
 		return false
 	case len(w.row.Witnesses) == 0 || age >= OutageLimit:
 		return true
--- a/internal/once/witness.go
+++ b/internal/once/witness.go
@@ -96,12 +96,12 @@
 	return params, nil
 }
 
-// askWitnesses extends a lease that could not be renewed for vouchAfter. All
+// askWitnesses extends a lease whose renewal is overdue by vouchLead. All
 // witnesses must vouch. Run calls it every VouchEvery.
 func (s *Shards) askWitnesses(ctx context.Context) {
 	g, asked := s.grip.Load(), s.options.Clock.Now()
 	age := asked.Sub(g.renewed)
-	if len(g.rows) == 0 || len(g.witnesses) == 0 || age < vouchAfter || age > OutageLimit-LeaseTTL {
+	if len(g.rows) == 0 || len(g.witnesses) == 0 || age < g.ttl/2+vouchLead || age > OutageLimit-LeaseTTL {
 		return
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, VouchTTL-VouchMargin)
