Tell callers the truth when the grace of a shutdown ends

Cause: when the grace time or a second signal ended a shutdown, the responses were cut before the runs, so callers saw a broken connection in place of a refusal that says whether the request ran.

Change: the runs are cut first; the responses get two more seconds to pass the refusals on.

--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -5,12 +5,17 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 )
 
 // handoverTimeout bounds each part of the handover of duties.
 const handoverTimeout = 5 * time.Second
 
+// lastAnswers is how long callers get to read what became of requests that
+// were cut.
+const lastAnswers = 2 * time.Second
+
 // Shutdown ends the instance without cutting a request: it reports not ready,
 // hands its duties over, passes waiting requests to others, finishes what runs
 // and leaves. When the context ends first, what is left is cut, each request
@@ -23,8 +28,7 @@
 	i.members.MarkLeaving()
 	i.handOver(ctx)
 	i.waitNotice(ctx)
-	err := i.entry.Shutdown(ctx)
-	i.executor.Shutdown(ctx)
+	err := i.finish(ctx)
 	i.leave(ctx)
 	err = errors.CombineErrors(err, i.admin.Shutdown(ctx))
 	i.stop()
@@ -53,6 +57,37 @@
 	}
 }
 
+// finish waits for the open responses and the runs. When the context ends first
+// it cuts the runs, and only after lastAnswers the responses, which tell the
+// callers what became of their requests.
+func (i *Instance) finish(ctx context.Context) error {
+	responses, answered := context.WithCancel(context.WithoutCancel(ctx))
+	defer answered()
+	var cutting conc.WaitGroup
+	cutting.Go(func() { i.cut(ctx, responses, answered) })
+	err := i.entry.Shutdown(responses)
+	if err == nil && ctx.Err() != nil {
+		err = errors.Wrap(ctx.Err(), "requests may have been cut")
+	}
+	answered()
+	cutting.Wait()
+	i.executor.Shutdown(ctx)
+	return err
+}
+
+// cut waits for the context's end, unless the responses have ended before, and
+// cuts what is left.
+func (i *Instance) cut(ctx, responses context.Context, answered context.CancelFunc) {
+	select {
+	case <-responses.Done():
+		return
+	case <-ctx.Done():
+	}
+	defer time.AfterFunc(lastAnswers, answered).Stop()
+	i.executor.Shutdown(ctx)
+	<-responses.Done()
+}
+
 func (i *Instance) leave(ctx context.Context) {
 	farewell, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
