List each fault at each step with its test

Cause: nothing said which fault at which step of the work is brought about by a test, and which is not. Figures: of 143 cells 74 name tests, 22 cannot occur, 47 are not proved yet. Conclusion: a third of the cells is open and shown so with its issue.

--- /dev/null
+++ b/internal/faultmatrix/faultmatrix.go
@@ -0,0 +1,125 @@
+// Package faultmatrix lists the steps of the system's work and the faults that
+// may strike at each, and says for each pair which test brings it about.
+//
+// A cell is in one of three states: a test proves it; it cannot occur, with the
+// reason; or it is not proved yet, with the issue under which it is open. A test
+// of this package fails on a cell in none of these states and on a named test
+// that the source does not have; docs/FAULTS.md is written by Page and compared
+// with it.
+//
+// A test in a cell proves the rule of the package that it is in. It does not say
+// that the same was seen of whole instances.
+package faultmatrix
+
+// Step is something that the system does.
+type Step string
+
+// Steps in the order in which a request, a configuration, a move and an
+// instance's end take them.
+const (
+	Accept   Step = "accept"
+	Wait     Step = "wait"
+	Claim    Step = "claim"
+	Dispatch Step = "dispatch"
+	Stream   Step = "stream"
+	Answer   Step = "answer"
+	Apply    Step = "apply"
+	Adopt    Step = "adopt"
+	Load     Step = "load"
+	Advance  Step = "advance"
+	TakeBack Step = "take back"
+	Drain    Step = "drain"
+	ShutDown Step = "shut down"
+)
+
+// Steps are all steps in order.
+var Steps = []Step{
+	Accept, Wait, Claim, Dispatch, Stream, Answer, Apply, Adopt, Load, Advance, TakeBack, Drain, ShutDown,
+}
+
+// Fault is something that strikes at a step.
+type Fault string
+
+// Faults; death, pause and slow are of the instance that does the step or of
+// the one that it depends on.
+const (
+	Death           Fault = "death"
+	Pause           Fault = "pause"
+	Slow            Fault = "slow"
+	LostMessage     Fault = "lost message"
+	LostAnswer      Fault = "lost answer after effect"
+	TableDown       Fault = "table service down"
+	ListLag         Fault = "list lag"
+	Burst           Fault = "burst"
+	TargetCrash     Fault = "target crash"
+	BadVersion      Fault = "bad version"
+	OperatorsRacing Fault = "operators racing"
+)
+
+// Faults are all faults in order.
+var Faults = []Fault{
+	Death, Pause, Slow, LostMessage, LostAnswer, TableDown, ListLag, Burst, TargetCrash, BadVersion, OperatorsRacing,
+}
+
+// Test names a test function.
+type Test struct {
+	// Package is the directory below internal.
+	Package string
+	// Name is the function.
+	Name string
+}
+
+// Cell says how a fault at a step is covered; one of its states is set.
+type Cell struct {
+	// Tests bring the fault about at the step.
+	Tests []Test
+	// Impossible is why the fault cannot occur there.
+	Impossible string
+	// Open is what is not proved yet; Issue is where it is kept.
+	Open  string
+	Issue int
+}
+
+// States counts how many of the three states a cell is in; one is right.
+func (c *Cell) States() int {
+	states := 0
+	if len(c.Tests) > 0 {
+		states++
+	}
+	if c.Impossible != "" {
+		states++
+	}
+	if c.Open != "" && c.Issue > 0 {
+		states++
+	}
+	return states
+}
+
+// Pair is two faults at once.
+type Pair struct {
+	First, Second Fault
+	Cell
+}
+
+// proved is a cell with tests of one package.
+func proved(pkg string, names ...string) Cell {
+	var c Cell
+	for _, name := range names {
+		c.Tests = append(c.Tests, Test{pkg, name})
+	}
+	return c
+}
+
+func cannot(reason string) Cell { return Cell{Impossible: reason} }
+
+func open(issue int, what string) Cell { return Cell{Open: what, Issue: issue} }
+
+// Issues under which cells are open.
+const (
+	issuePath      = 3
+	issueOnce      = 4
+	issuePressure  = 5
+	issueAgreement = 6
+	issueMoves     = 7
+	issueProof     = 8
+)
--- /dev/null
+++ b/internal/faultmatrix/operations.go
@@ -0,0 +1,125 @@
+package faultmatrix
+
+// everyApply strikes at every operation of an apply.
+const everyApply = "TestEveryFaultAtEveryStepOfAnApply"
+
+// operationCells are the steps of configuration, moves and shutdown.
+var operationCells = map[Step]map[Fault]Cell{
+	Apply: {
+		Death:           proved("configuration", "TestAcceptedSurvivesItsAcceptorAndTheTable"),
+		Pause:           open(issueAgreement, "an acceptor paused between its write and the confirmation"),
+		Slow:            proved("configuration", everyApply),
+		LostMessage:     proved("configuration", everyApply, "TestLostWriteIsRepeated"),
+		LostAnswer:      proved("configuration", everyApply, "TestLostAnswerIsSettledByReadingBack"),
+		TableDown:       proved("configuration", everyApply, "TestApplyWhileTheTableIsDownChangesNothing"),
+		ListLag:         cannot("an apply counts the members that it hears, and not the list"),
+		Burst:           proved("configuration", "TestHistoryOfConcurrentAppliesAndReadsIsLinearizable"),
+		TargetCrash:     cannot("no target takes part"),
+		BadVersion:      open(issueMoves, "an apply for a pool whose version is being taken back"),
+		OperatorsRacing: proved("configuration", "TestOfRacingOperatorsOneWins", "TestHistoryOfConcurrentAppliesAndReadsIsLinearizable"),
+	},
+	Adopt: {
+		Death:           proved("configuration", "TestRelayReachesAllThroughDeadPeers"),
+		Pause:           proved("configuration", "TestPausedInstanceRefusesUntilItHasHeard"),
+		Slow:            open(issueAgreement, "a table service that answers slowly"),
+		LostMessage:     proved("configuration", "TestPollFindsWhatNoPushBrought", "TestInstanceThatHearsNeitherAcceptorNorTableFollows"),
+		LostAnswer:      cannot("adopting swaps a pointer within the process"),
+		TableDown:       proved("configuration", "TestTableDownForAll", "TestTableAndAcceptorGoDownRightAfterTheAcceptance"),
+		ListLag:         proved("membership", "TestMembersFindEachOtherByListThatLagsAndFails"),
+		Burst:           open(issueProof, "adopting under full load"),
+		TargetCrash:     cannot("no target takes part"),
+		BadVersion:      cannot("tables name versions; whether one is good is found by its move"),
+		OperatorsRacing: proved("configuration", "TestVersionNeverFalls"),
+	},
+	Load: {
+		Death:           proved("lease", "TestSuccessorWaitsOutThePredecessorsOrders"),
+		Pause:           proved("lease", "TestHolderPausedDuringItsReadSendsNothing"),
+		Slow:            proved("lease", "TestLateOrder"),
+		LostMessage:     open(issueAgreement, "an order that never arrives"),
+		LostAnswer:      proved("lease", "TestOrderIsGivenOnceAlthoughAnswersAreLost"),
+		TableDown:       proved("lease", "TestLeaseRunsOutWhileTheTableIsDown"),
+		ListLag:         open(issueAgreement, "an order to a target that was replaced"),
+		Burst:           open(issueMoves, "loading while the old version is full"),
+		TargetCrash:     proved("lease", "TestTargetThatStaysSilentEndsWithTheLease"),
+		BadVersion:      open(issueMoves, "a version that does not load; no instance orders loads yet"),
+		OperatorsRacing: open(issueMoves, "a second version named while the first loads"),
+	},
+	Advance: {
+		Death:           open(issueMoves, "the judge's death"),
+		Pause:           open(issueMoves, "a judge paused before its row"),
+		Slow:            proved("move", "TestMovesByKind"),
+		LostMessage:     open(issueMoves, "lost reports to the judge"),
+		LostAnswer:      open(issueMoves, "a row of a stage whose answer is lost"),
+		TableDown:       proved("move", "TestMovesByKind"),
+		ListLag:         open(issueMoves, "new targets that the list shows late"),
+		Burst:           open(issueMoves, "a burst during a move"),
+		TargetCrash:     proved("move", "TestMovesByKind"),
+		BadVersion:      proved("move", "TestMovesByKind"),
+		OperatorsRacing: open(issueMoves, "an apply during a move"),
+	},
+	TakeBack: {
+		Death:           open(issueMoves, "the death of the instance that takes back"),
+		Pause:           open(issueMoves, "an entry paused while the others take back"),
+		Slow:            proved("move", "TestMovesByKind"),
+		LostMessage:     open(issueMoves, "a lost rumour of a version taken back"),
+		LostAnswer:      open(issueMoves, "a row of a version taken back whose answer is lost"),
+		TableDown:       proved("move", "TestMovesByKind"),
+		ListLag:         cannot("a version is taken back by its name, whatever targets are listed"),
+		Burst:           open(issueMoves, "the old version's room when the share returns in a burst"),
+		TargetCrash:     proved("move", "TestMovesByKind"),
+		BadVersion:      proved("move", "TestMovesByKind"),
+		OperatorsRacing: open(issueMoves, "an apply that names the version again"),
+	},
+	Drain: {
+		Death:           open(issueAgreement, "the death of the instance that first saw a target leave"),
+		Pause:           open(issueAgreement, "an entry paused while a target leaves"),
+		Slow:            open(issueAgreement, "streams that outlast the notice"),
+		LostMessage:     open(issueAgreement, "a lost rumour of a leaving target"),
+		LostAnswer:      proved("lease", "TestDrainIsGivenUntilAnswered"),
+		TableDown:       proved("directory", "TestOutageKeepsTheLastList"),
+		ListLag:         proved("directory", "TestLeavingTargetIsOutOfUseEverywhereAtOnce"),
+		Burst:           open(issuePressure, "a target that leaves in a burst"),
+		TargetCrash:     open(issueAgreement, "a leaving target that crashes"),
+		BadVersion:      cannot("a leaving target is out of use, whatever its version"),
+		OperatorsRacing: open(issueAgreement, "tables that name a leaving target again"),
+	},
+	ShutDown: {
+		Death:           cannot("it is the death at the step that was under way"),
+		Pause:           open(issuePath, "an instance paused while it shuts down"),
+		Slow:            proved("membership", "TestLeaveEndsWithItsContext"),
+		LostMessage:     open(issuePath, "a lost offer of waiting requests to a peer"),
+		LostAnswer:      open(issuePath, "a lost answer to waiting requests that were passed on"),
+		TableDown:       open(issueOnce, "shards released while the table service is down"),
+		ListLag:         proved("membership", "TestLeavingMemberIsShownAndThenGoneAtOnce"),
+		Burst:           proved("admission", "TestDrainGivesWaitingRequestsBack"),
+		TargetCrash:     open(issuePath, "a target's crash under an instance that shuts down"),
+		BadVersion:      cannot("an instance that shuts down judges no version"),
+		OperatorsRacing: open(issueAgreement, "an apply at an instance that shuts down"),
+	},
+}
+
+// Pairs are a sample of two faults at once.
+var Pairs = []Pair{
+	{Death, TableDown, proved("configuration", "TestTableAndAcceptorGoDownRightAfterTheAcceptance")},
+	{Death, LostAnswer, proved("once", resends)},
+	{Death, Death, proved("once", resends)},
+	{LostAnswer, TableDown, proved("configuration", "TestTableThatStaysDownAfterALostAnswerLeavesTheOutcomeOpen")},
+	{LostAnswer, OperatorsRacing, proved("configuration", "TestLostAnswerIsSettledAlthoughOthersAppliedSince")},
+	{LostMessage, OperatorsRacing, proved("configuration", "TestLostWriteThatAnotherOvertookIsAConflict")},
+	{BadVersion, Slow, proved("move", "TestMovesByKind")},
+	{BadVersion, TableDown, proved("move", "TestMovesByKind")},
+	{BadVersion, TargetCrash, proved("move", "TestMovesByKind")},
+	{BadVersion, Death, open(issueMoves, "the judge dies while a bad version shows")},
+	{Pause, TableDown, open(issueOnce, "a holder paused while the table service is down")},
+	{Burst, TargetCrash, open(issuePressure, "a crash in a burst")},
+	{Burst, Death, open(issuePressure, "the death of a home in a burst")},
+	{ListLag, TargetCrash, open(issueAgreement, "a crashed target that the list still shows")},
+}
+
+// At returns the cell of a fault at a step; it is empty where none is listed.
+func At(step Step, fault Fault) Cell {
+	if cell, listed := requestCells[step][fault]; listed {
+		return cell
+	}
+	return operationCells[step][fault]
+}
--- /dev/null
+++ b/internal/faultmatrix/requests.go
@@ -0,0 +1,89 @@
+package faultmatrix
+
+// resends and claims are the tests that strike at every step of a key's life.
+const (
+	resends = "TestResendUnderEachFaultAtEachStep"
+	claims  = "TestClaimUnderEachFaultAtEachStep"
+)
+
+// requestCells are the steps of a request.
+var requestCells = map[Step]map[Fault]Cell{
+	Accept: {
+		Death:           open(issuePath, "a whole entry's death between acceptance and dispatch"),
+		Pause:           proved("configuration", "TestPausedInstanceRefusesUntilItHasHeard"),
+		Slow:            open(issuePath, "callers that send their requests slowly"),
+		LostMessage:     cannot("a request that does not arrive is not accepted"),
+		LostAnswer:      proved("once", resends),
+		TableDown:       proved("configuration", "TestTableDownForAll", "TestStartingWhileTheTableIsDown"),
+		ListLag:         cannot("accepting reads no list"),
+		Burst:           open(issuePressure, "a bound on callers that one entry holds open"),
+		TargetCrash:     cannot("no target is chosen yet"),
+		BadVersion:      cannot("no target is chosen yet"),
+		OperatorsRacing: proved("configuration", "TestInstancesThatTakeWorkAreNeverBehindTheBound"),
+	},
+	Wait: {
+		Death:           proved("once", resends),
+		Pause:           proved("admission", "TestPausedEntryDoesNotUseExpiredCredits"),
+		Slow:            proved("credit", "TestLimiterYieldsToASlowdownAndReturns"),
+		LostMessage:     proved("admission", "TestLostDatagrams"),
+		LostAnswer:      cannot("reports and grants state the whole and have no further effect; either may be lost or repeated"),
+		TableDown:       cannot("waiting reads and writes no row"),
+		ListLag:         proved("directory", "TestOutageKeepsTheLastList"),
+		Burst:           proved("admission", "TestNoShedWhileLowerRuns", "TestBurstOfALargeAccountCostsASmallOneLittle"),
+		TargetCrash:     proved("admission", "TestFailingTargetIsEjectedAndTriedGently", "TestHalfOfAPoolIsNeverEjected"),
+		BadVersion:      open(issueMoves, "requests that wait for a version while it is taken back"),
+		OperatorsRacing: open(issuePressure, "requests that wait while their pool changes"),
+	},
+	Claim: {
+		Death:           proved("once", claims, "TestHolderDiedMeansUnknown"),
+		Pause:           proved("once", claims, "TestPausedHolderDoesNotSendLate"),
+		Slow:            proved("once", claims),
+		LostMessage:     proved("once", claims, "TestWithdrawnWriteDidNothing"),
+		LostAnswer:      proved("once", "TestLostAnswerIsSettledByReadingBack", "TestClaimWrittenButUnreadableIsGivenBack"),
+		TableDown:       proved("once", claims, "TestTableDownRefusesNotRunAtTheDeadline"),
+		ListLag:         cannot("a claim is a row, found without the list"),
+		Burst:           proved("once", "TestClaimsShareTransactions"),
+		TargetCrash:     cannot("the claim ends before the target is called"),
+		BadVersion:      cannot("the claim ends before the target is called"),
+		OperatorsRacing: open(issueOnce, "a route that becomes idempotent while a claim is under way"),
+	},
+	Dispatch: {
+		Death:           proved("once", resends, claims),
+		Pause:           proved("once", "TestTicketOfAnEarlierTermIsVoid", "TestPausedHolderDoesNotSendLate"),
+		Slow:            open(issuePath, "a target that takes connections slowly"),
+		LostMessage:     proved("dispatch", "TestARequestThatMayHaveLeftIsNotSentAgain"),
+		LostAnswer:      proved("dispatch", "TestARequestThatMayHaveLeftIsNotSentAgain"),
+		TableDown:       proved("once", resends, claims),
+		ListLag:         proved("directory", "TestLeavingTargetIsOutOfUseEverywhereAtOnce", "TestFirstReaderOfALeavingTargetTellsTheOthers"),
+		Burst:           proved("admission", "TestCreditsNeverExceedTheTarget", "TestConcurrentCallers"),
+		TargetCrash:     proved("dispatch", "TestARefusedConnectionProvesThatNothingWasSent"),
+		BadVersion:      proved("admission", "TestVersionsLimitTheTargets"),
+		OperatorsRacing: open(issueAgreement, "a target that leaves the tables between its choice and the dispatch"),
+	},
+	Stream: {
+		Death:           proved("once", resends),
+		Pause:           open(issueOnce, "an entry paused while it passes a stream on"),
+		Slow:            open(issueOnce, "a caller that reads its stream slowly"),
+		LostMessage:     proved("entry", "TestACutStreamIsResumedAndNotRepeated"),
+		LostAnswer:      cannot("events have no effect elsewhere; a cut stream is a lost message"),
+		TableDown:       cannot("a stream writes no row before its end"),
+		ListLag:         open(issueAgreement, "a stream at a target that leaves"),
+		Burst:           proved("admission", "TestPreemptsInTimeForADeadline"),
+		TargetCrash:     proved("entry", "TestAStreamWithoutItsEndIsNotPassedAsComplete"),
+		BadVersion:      proved("move", "TestMovesByKind"),
+		OperatorsRacing: open(issueAgreement, "a stream at a target that leaves the tables"),
+	},
+	Answer: {
+		Death:           proved("once", resends, claims),
+		Pause:           proved("once", resends, claims),
+		Slow:            proved("once", claims),
+		LostMessage:     proved("entry", "TestAStreamWithoutItsEndIsNotPassedAsComplete"),
+		LostAnswer:      proved("once", claims),
+		TableDown:       proved("once", claims),
+		ListLag:         cannot("the answer comes on the connection of its request"),
+		Burst:           proved("once", "TestRecordsAgeAndAreBounded"),
+		TargetCrash:     proved("entry", "TestRefusalsSayWhetherTheRequestRan"),
+		BadVersion:      proved("move", "TestMovesByKind"),
+		OperatorsRacing: cannot("the answer is the target's, whatever tables are in force"),
+	},
+}
