--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -103,9 +103,19 @@
 	defer p.controller.scratch.Put(scratch)
 	wanted := p.version(ticket)
 	scratch.reset()
+	favorite, reuse := p.favorite(ticket, wanted, skip)
+	if p.holdsOut(ticket, favorite, reuse, now) {
+		ticket.heldFor = favorite
+		return nil
+	}
+	ticket.heldFor = nil
 	for _, t := range *p.targets.Load() {
 		if p.eligible(t, ticket, wanted, skip) && t.roomFor(ticket) == fits {
-			scratch.add(t, t.candidate(ticket, now, p.speed(t, now)))
+			c := t.candidate(ticket, now, p.speed(t, now))
+			if t == favorite {
+				c.Reuse = reuse
+			}
+			scratch.add(t, c)
 		}
 	}
 	ask := routing.Ask{
@@ -159,7 +169,7 @@
 func (p *pool) enqueue(t *ticket, now time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.controller.draining.Load() {
+	if p.controller.draining.Load() && !t.request.Stays {
 		return ErrDraining
 	}
 	t.result = make(chan result, 1)
@@ -193,7 +203,7 @@
 				p.deliver(t, result{grant: g})
 				continue
 			}
-			if keep := p.keepFor(t, kept); keep != nil {
+			if keep := p.keepFor(t, kept); t.heldFor == nil && keep != nil {
 				kept = append(kept, keep)
 			}
 			q.setAside(f)
@@ -248,12 +258,15 @@
 	}
 }
 
-// drain gives all waiting requests back.
+// drain gives all waiting requests back but those that stay.
 func (p *pool) drain() (returned int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for tier := range p.queue.tiers {
 		for _, t := range p.queue.tiers[tier].ordered() {
+			if t.request.Stays {
+				continue
+			}
 			p.giveUp(t, ErrDraining)
 			returned++
 		}
