Take the lines from fleets at rest and count shared load right

Cause: the lines by instances included a fleet that was not at rest, and the entry's slopes were read as if one instance had taken the whole load of four.

--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -140,8 +140,16 @@
 // The processor time includes the stand-in platform.
 func BenchmarkFleet(b *testing.B) {
 	sizes := []fleetSize{
-		{7, 8, 5}, {20, 8, 5}, {40, 8, 5}, {80, 8, 5},
-		{20, 40, 5}, {20, 80, 5}, {20, 8, 105},
+		{4, 8, 5},
+		{7, 8, 5},
+		{12, 8, 5},
+		{20, 8, 5},
+		{28, 8, 5},
+		{40, 8, 5},
+		{80, 8, 5},
+		{20, 40, 5},
+		{20, 80, 5},
+		{20, 8, 105},
 	}
 	for _, size := range sizes {
 		b.Run(fmt.Sprintf("%d-%d-%d", size.instances, size.targets, size.routes), func(b *testing.B) {
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -11,9 +11,12 @@
 	var b strings.Builder
 	b.WriteString(intro)
 	writeRoles(&b, Roles(size, slopes))
+	fmt.Fprintf(&b, "Of the entry's processor time, admission alone (its benchmark with 12 targets) takes %s of a core.\n\n",
+		share(Admission(size, slopes)))
 	writeWhole(&b, Whole(size, slopes))
 	writeSubset(&b, Subset(slopes))
 	writeMechanisms(&b, Roles(size, slopes))
+	writeUnsettled(&b, slopes)
 	b.WriteString(regions)
 	writeBadDay(&b, size)
 	writeSlopes(&b, list)
@@ -42,7 +45,8 @@
 func writeWhole(b *strings.Builder, whole Role) {
 	b.WriteString("## A whole daemon at rest\n\n" +
 		"The roles above cannot all be told apart in a running instance. This is the line of whole instances without " +
-		"requests, carried to 380 instances and 940 targets.\n\n" + rolesHeader)
+		"requests, carried to 380 instances and 940 targets. The points of bytes by instances flatten from 20 on, so that " +
+		"their line overstates; that by targets was measured to 80 targets only.\n\n" + rolesHeader)
 	writeRole(b, &whole)
 	b.WriteString("\n")
 }
@@ -53,6 +57,16 @@
 		subsetTargets, against(subset, Allowed.BytesPerS, 0))
 }
 
+// unsettledSize is the number of instances of the fleet that did not rest.
+const unsettledSize = 40
+
+func writeUnsettled(b *strings.Builder, slopes Slopes) {
+	a := arithmetic{slopes: slopes}
+	fmt.Fprintf(b, unsettled, a.at("unsettled.peer_bytes", unsettledSize).text(0),
+		share(a.at("unsettled.cpu", unsettledSize)), a.at("unsettled.other_reads", unsettledSize).text(0),
+		a.at("unsettled.live_mb", unsettledSize).text(1))
+}
+
 func writeMechanisms(b *strings.Builder, roles []Role) {
 	b.WriteString("## What carries each role, and what does not fit yet\n\n")
 	for i := range roles {
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -82,7 +82,7 @@
 			plus(a.at("membership.packets", a.size.Daemons).times(datagramHeader)),
 		CPU: Cost{}, MemoryMB: Cost{},
 		Writes:    none(),
-		Reads:     a.at("fleet.list_reads", a.size.Daemons).times(a.size.Daemons),
+		Reads:     a.at("fleet.list_reads", a.size.Daemons),
 		Mechanism: "a constant number of probes a second for each daemon; news travels on the same packets",
 		Gap: "Processor time and memory are in the whole instance below. Reads of the list are those of the fleet " +
 			"at rest, whose list was empty: the intervals grow with its entries, so this is an upper bound.",
@@ -100,26 +100,34 @@
 		Messages:  Cost{},
 		BytesPerS: Cost{}, CPU: Cost{}, MemoryMB: a.rise("fleet.live_mb.by_routes", a.size.Models),
 		Writes:    known(a.size.ChangesPerDay / secondsPerDay),
-		Reads:     a.at("fleet.head_reads", a.size.Daemons).times(a.size.Daemons),
+		Reads:     a.at("fleet.head_reads", a.size.Daemons),
 		Mechanism: "push between instances on acceptance; a poll of the small head row by each",
-		Gap: "The code bounds the polls of all instances together to 200 a second, which the line passes; the bound " +
-			"was not reached in a measured fleet. Bytes of a push at this size are not measured.",
+		Gap: "The code bounds the polls of all instances together to 200 a second " +
+			"(TestPollsOfAllInstancesStayWithinTheBound); no measured fleet was large enough to reach the bound. " +
+			"Bytes of a push at this size are not measured. Memory is that of one route for each model.",
 	}
 }
 
+// controlInstances is the number of instances that shared the requests in the
+// runs behind the control slopes by requests.
+const controlInstances = 4
+
 func (a arithmetic) entry() Role {
+	rate := a.size.RequestsEach() * controlInstances
 	return Role{
 		Name:      "entry",
 		State:     "open callers, waiting requests, running dispatches; nothing for idle accounts",
 		Messages:  Cost{},
-		BytesPerS: a.rise("control.bytes.by_requests", a.size.RequestsEach()),
-		CPU:       a.rise("control.cpu.by_requests", a.size.RequestsEach()),
-		MemoryMB:  a.rise("control.live_mb.by_requests", a.size.RequestsEach()),
+		BytesPerS: a.rise("control.bytes.by_requests", rate),
+		CPU:       a.rise("control.cpu.by_requests", rate),
+		MemoryMB:  a.rise("control.live_mb.by_requests", rate),
 		Writes:    Cost{}, Reads: none(),
 		Mechanism: "waiting by tier and fair share in the entry; no message for a request that meets credits",
-		Gap: "Measured with 4 instances, where every fourth request is its own keeper's and leaves a copy; at 380 every " +
+		Gap: "Measured with 4 instances that shared the load, where every fourth request is its own keeper's and leaves a copy; at 380 every " +
 			"380th does, so bytes are an upper bound. Processor time includes the load's senders and the stand-in " +
-			"targets of the same process, and the data path, which is no control. Non-idempotent requests cost one " +
+			"targets of the same process, and the data path, which is no control; answers had 4 tokens, and the data " +
+			"path at 4.2 million tokens a second was not measured. 405 accounts instead of 5 raised neither bytes nor " +
+			"memory (seeds 11, 12, 13); 27,000 were not run. Non-idempotent requests cost one " +
 			"write each, shared in transactions; their rate at this size is not known.",
 	}
 }
@@ -136,8 +144,8 @@
 		Mechanism: "absolute reports and grants in datagrams between each entry and each target's home",
 		Gap: "Each entry reports to the homes of all targets, also when idle: subsets are not built. The mechanism " +
 			"that would carry it is a bounded, deterministic subset of each pool's targets for each entry, and " +
-			"silence for targets that an entry does not use. With 24 targets an entry the same line gives the " +
-			"figure in the table of what a subset would do.",
+			"silence for targets that an entry does not use. The pools of " +
+			"this size have some 50 targets each. The paragraph on subsets above gives the same line at 24 targets.",
 	}
 }
 
@@ -147,14 +155,15 @@
 	return Role{
 		Name:      "keeper of keys",
 		State:     "records of the keys of 1,024 / 380 shards, for the time that a resend may come",
-		Messages:  known(a.size.RequestsEach()/a.size.Daemons, "once.record_bytes"),
-		BytesPerS: copies.plus(a.at("once.lease_write_bytes", 0).times(renewals.Value)).plus(Cost{Known: renewals.Known, From: renewals.From}),
+		Messages:  known(a.size.RequestsEach() / a.size.Daemons),
+		BytesPerS: copies.plus(a.at("once.lease_write_bytes", 0).times(renewals.Value / a.size.Daemons)).plus(renewals.times(0)),
 		CPU:       Cost{}, MemoryMB: Cost{},
-		Writes:    renewals.times(a.size.Daemons),
-		Reads:     a.at("fleet.other_reads", a.size.Daemons).times(a.size.Daemons),
+		Writes:    renewals,
+		Reads:     a.at("fleet.other_reads", a.size.Daemons),
 		Mechanism: "a keyed request is passed to its keeper on the data path; shards are leased rows, one renewal an instance",
 		Gap: "Worst case: all requests have keys. Sizes are of bodies; headers of TCP and HTTP, the memory of a record " +
-			"and the processor time of the hop are not measured apart.",
+			"and the processor time of the hop are not measured apart. Reads and writes are those of fleets at rest, " +
+			"writes mostly renewals; a fleet of 40 did not come to rest, see below.",
 	}
 }
 
@@ -188,9 +197,9 @@
 		BytesPerS: a.at("fleet.peer_bytes", size.Daemons).plus(a.rise("fleet.peer_bytes.by_targets", targets)).plus(a.at("fleet.platform_bytes", size.Daemons)),
 		CPU:       a.at("fleet.cpu", size.Daemons).plus(a.rise("fleet.cpu.by_targets", targets)),
 		MemoryMB:  a.at("fleet.live_mb", size.Daemons).plus(a.rise("fleet.live_mb.by_targets", targets)),
-		Writes:    a.at("fleet.writes", size.Daemons).times(size.Daemons),
+		Writes:    a.at("fleet.writes", size.Daemons),
 		Reads: a.at("fleet.head_reads", size.Daemons).plus(a.at("fleet.other_reads", size.Daemons)).
-			plus(a.at("fleet.list_reads", size.Daemons)).times(size.Daemons),
+			plus(a.at("fleet.list_reads", size.Daemons)),
 	}
 }
 
@@ -200,6 +209,13 @@
 // subsetTargets is the number of targets an entry would use with subsets.
 const subsetTargets = 24
 
+// Admission returns the part of a core that admission alone takes in one
+// daemon, by its benchmark.
+func Admission(size Size, slopes Slopes) Cost {
+	const perNanosecond = 1e-9
+	return arithmetic{slopes: slopes}.at("admission.admit", 1).times(size.RequestsEach() * perNanosecond)
+}
+
 // Subset returns what the home's flow would cost if each entry used a subset
 // of the targets. It is arithmetic on the measured slope, not a measurement.
 func Subset(slopes Slopes) Cost {
--- a/internal/capacity/text.go
+++ b/internal/capacity/text.go
@@ -14,13 +14,27 @@
 daemons together; 300 writes are counted with here.
 
 Every figure comes from a slope at the end of this page. Lines measured at tens
-of instances and targets are carried to hundreds: they show what does not fit,
+of instances and targets, on a machine busy with other work, are carried to hundreds: they show what does not fit,
 and are no proof of what does. Where nothing was measured it says so. Messages,
 bytes, processor time and memory are those of one daemon; table writes and reads
 are those of all daemons together.
 
 `
 
+const unsettled = `## A fleet that did not come to rest
+
+Fleets of 4 to 28 instances that start at once were at rest 25 s after their
+configuration was in force, and the lines above are theirs. One of 40 was not:
+it still took %s bytes/s and %s of a core for each instance, %s reads/s of rows
+other than the configuration's head by all, and %s MB each. The reads were of
+rows of shards and of leases: the keepers' shards were still changing hands. A
+fleet of 80 whole instances did not end within 132 s and was stopped, so it is
+not measured. The machine was busy with other work in all these runs (load 15 to
+21 on 10 cores). Until the cause is known, no figure of this page for keepers
+holds beyond 28 instances. The cause is open under issue 8.
+
+`
+
 const regions = `## Two regions
 
 Nothing in the system knows regions yet: duties are placed over all live
