Say not run only of keys that the keeper or the claim has vouched for

Change: the forwarder is told at once; without the word of the keeper or of the claim's row, a request with a key is refused as unknown; a quarantined one as ran in part. Conclusion: more refusals are unknown; fewer requests are stuck.

--- a/internal/executor/attempt.go
+++ b/internal/executor/attempt.go
@@ -44,7 +44,13 @@
 			return
 		}
 		if err != nil {
-			e.refuseAnswer(a, asRefusal(fault.StepWait, err))
+			refusal := asRefusal(fault.StepWait, err)
+			if _, claims := p.(*claimPermit); claims {
+				// An earlier attempt with the key may have run; the claim tells
+				// only once a target is free.
+				refusal.Run = doubt(refusal.Run)
+			}
+			e.refuseAnswer(a, refusal)
 			return
 		}
 		if again := e.attempt(ctx, j, a, p, grant); !again {
--- a/internal/executor/claimed.go
+++ b/internal/executor/claimed.go
@@ -65,7 +65,7 @@
 	}
 	result, err := p.executor.Claims.Claim(ctx, p.key, p.hash, at.Handle, p.deadline)
 	if err != nil {
-		return err
+		return doubtClaim(err)
 	}
 	if result.Kind != once.ClaimGranted {
 		p.other = result
@@ -80,6 +80,18 @@
 	return nil
 }
 
+// doubtClaim turns the refusal of a claim that could not be read into unknown:
+// this attempt was not sent, but an earlier one with the key may have run.
+func doubtClaim(err error) error {
+	refusal, ok := fault.AsRefusal(err)
+	if !ok || refusal.Status != statusUnavailable {
+		return err
+	}
+	doubted := *refusal
+	doubted.Run = doubt(refusal.Run)
+	return &doubted
+}
+
 // settle lets result return; only the run's goroutine calls it.
 func (p *claimPermit) settle() {
 	if !p.closed {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -154,7 +154,11 @@
 // plan finds the route and refuses what must not run.
 func (e *Executor) plan(call *Call) (*job, error) {
 	if err := e.Ready(); err != nil {
-		return nil, refuse(fault.StepAccept, statusUnavailable, err.Error())
+		refusal := refuse(fault.StepAccept, statusUnavailable, err.Error())
+		if call.Key != "" {
+			refusal.Run = fault.Unknown
+		}
+		return nil, refusal
 	}
 	config := e.Tables()
 	route := config.Route(call.Path, call.Prompt.Model, call.Account)
@@ -168,7 +172,9 @@
 	j.fingerprint = quarantine.FingerprintOf(call.Account, call.Method+" "+call.Path, call.Body)
 	if e.Quarantine.Quarantined(j.fingerprint) {
 		e.Metrics.Add(metrics.Quarantined, 1)
-		return nil, refuse(fault.StepRoute, statusUnprocessable, "this request has crashed targets and is quarantined")
+		refusal := refuse(fault.StepRoute, statusUnprocessable, "this request has crashed targets and is quarantined")
+		refusal.Run = fault.RanInPart
+		return nil, refusal
 	}
 	j.deadline = call.Received.Add(time.Duration(route.EffectiveDeadline()))
 	if !call.Deadline.IsZero() && call.Deadline.Before(j.deadline) {
--- a/internal/executor/keyed.go
+++ b/internal/executor/keyed.go
@@ -29,9 +29,12 @@
 		if refusal == nil {
 			return execution, nil
 		}
+		if j.call.Forwarder != "" && refusal.Peer != "" {
+			return nil, refusal // the forwarder asks the keeper itself
+		}
 		maybe = maybe || refusal.Run != fault.NotRun
-		if maybe && refusal.Run == fault.NotRun {
-			refusal.Run = fault.Unknown
+		if maybe || isPassing(refusal) {
+			refusal.Run = doubt(refusal.Run)
 		}
 		if !isPassing(refusal) {
 			e.count(refusal)
@@ -49,6 +52,15 @@
 	}
 }
 
+// doubt turns not_run into unknown, where another attempt with the same key may
+// have run and its keeper or claim could not be asked.
+func doubt(run fault.Run) fault.Run {
+	if run == fault.NotRun {
+		return fault.Unknown
+	}
+	return run
+}
+
 // isPassing tells whether a refusal may pass while the caller waits: the key's
 // keeper changes, or has just started and takes no work yet.
 func isPassing(refusal *fault.Refusal) bool {
