--- a/internal/endtoend/process_test.go
+++ b/internal/endtoend/process_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/adminclient"
@@ -49,7 +50,8 @@
 	command *exec.Cmd
 	address logLine
 	// ended is closed once the process has gone and was waited for.
-	ended chan struct{}
+	ended     chan struct{}
+	following conc.WaitGroup
 
 	// mu guards lines.
 	mu    sync.Mutex
@@ -64,7 +66,7 @@
 	log, err := p.command.StderrPipe()
 	assert.NilError(t, err)
 	assert.NilError(t, p.command.Start())
-	go p.follow(log)
+	p.following.Go(func() { p.follow(log) })
 	t.Cleanup(func() { p.end(t) })
 	waitFor(t, config.Name+" serves", func() bool {
 		line, found := p.logged("serving")
@@ -103,8 +105,8 @@
 func (p *process) end(t *testing.T) {
 	if !p.hasEnded() {
 		_ = p.command.Process.Kill()
-		<-p.ended
 	}
+	p.following.Wait()
 	if !t.Failed() {
 		return
 	}
