Never let a new version serve before the first plan, and show a move

Cause: until the first plan of a pool, up to 250 ms after its configuration, any version could take requests: in the demonstration the first stream ran on a target whose version was not the pool's. Change: a pool without a plan serves the version that prevails; a new configuration is planned at once. The demonstration moves its assistants to a second version.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -22,7 +22,7 @@
 type cluster struct {
 	platform  *platformstandin.Server
 	instances []*instance.Instance
-	// engines run version v1, but for the last, which runs v2.
+	// engines run version v1, but for the last two, which run v2.
 	engines []*target.Engine
 	service *target.Service
 }
@@ -37,7 +37,7 @@
 	if err := c.platform.Start(); err != nil {
 		return nil, err
 	}
-	for i, version := range []string{"v1", "v1", "v2"} {
+	for i, version := range []string{"v1", "v1", "v2", "v2"} {
 		engine := target.NewEngine(target.EngineOptions{
 			Name: fmt.Sprintf("engine-%d", i+1), Version: version, Seed: uint64(i),
 		})
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,8 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/adminclient"
 	"github.com/hibiscuspost/hibiscuspost/internal/entry"
 	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+	"github.com/hibiscuspost/hibiscuspost/internal/move"
+	"github.com/hibiscuspost/hibiscuspost/internal/report"
 	"github.com/hibiscuspost/hibiscuspost/internal/sse"
 	"github.com/hibiscuspost/hibiscuspost/internal/standin/target"
 )
@@ -28,12 +31,17 @@
 	pollPause     = 20 * time.Millisecond
 	stopBound     = 20 * time.Second
 	maxTokens     = 12
+	// moveTime is the time given to the move, moveShown how long the demonstration
+	// waits to see it begin.
+	moveTime  = 30 * time.Minute
+	moveShown = 20 * time.Second
+	percent   = 100
 )
 
 // Command is the command "demo".
 type Command struct{}
 
-// Run shows streams and a plain call.
+// Run shows streams, a plain call, a call that must not run twice, and a move.
 // It fails unless every answer was right.
 func (d *Command) Run(ctx context.Context, out io.Writer) (err error) {
 	c, err := startCluster()
@@ -46,7 +54,7 @@
 		err = errors.CombineErrors(err, c.close(stopCtx))
 	}()
 	steps := []func(context.Context, io.Writer, *cluster) error{
-		applyTables, showStream, showPlainCall, showOnce,
+		applyTables, showStream, showPlainCall, showOnce, showMove,
 	}
 	for _, step := range steps {
 		if err := step(ctx, out, c); err != nil {
@@ -265,6 +273,50 @@
 	return err
 }
 
+// showMove lets the assistants move to version v2 and sends streams meanwhile.
+func showMove(ctx context.Context, out io.Writer, c *cluster) error {
+	deadline := time.Now().Add(moveTime)
+	if err := apply(ctx, c, 1, c.pools("v2", deadline)); err != nil {
+		return err
+	}
+	client, err := adminclient.New(c.instances[1].AdminURL(), adminToken)
+	if err != nil {
+		return err
+	}
+	until := time.Now().Add(moveShown)
+	for n := 0; ; n++ {
+		if err := showMoveStream(ctx, c, n); err != nil {
+			return err
+		}
+		var moves report.Moves
+		if err := client.Get(ctx, "/admin/v1/moves", &moves); err != nil {
+			return err
+		}
+		i := slices.IndexFunc(moves.Moves, func(s move.Status) bool { return s.Pool == "assistant" && s.Share > 0 && s.State == move.UnderWay })
+		if i >= 0 {
+			status := moves.Moves[i]
+			_, err := fmt.Fprintf(out, "move of assistant from %s to %s: %s (%s, share %.1f%%, time left %v), %d streams meanwhile whole\n",
+				status.OldVersion, status.NewVersion, status.State, status.Phase, percent*status.Share, time.Duration(status.TimeLeft), n+1)
+			return err
+		}
+		if time.Now().After(until) {
+			return errors.Newf("the move has not begun after %v: %+v", moveShown, moves.Moves)
+		}
+	}
+}
+
+func showMoveStream(ctx context.Context, c *cluster, n int) error {
+	prompt := fmt.Sprintf("What changes with invoice %d?", n)
+	text, _, err := stream(ctx, c.instances[n%len(c.instances)].CallersURL(), prompt)
+	if err != nil {
+		return err
+	}
+	if want := target.ExpectedText(prompt, maxTokens); text != want {
+		return errors.Newf("stream during the move: got %q, want %q", text, want)
+	}
+	return nil
+}
+
 func short(handle string) string {
 	const shown = 8
 	return handle[:min(shown, len(handle))]
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -149,7 +149,10 @@
 	i.directory = directory.New(directory.Options{
 		Current: i.config.Current, List: i.platform, Rumors: i.members, Clock: i.clock, Rand: i.random(), Logger: i.logger,
 	})
-	i.config.OnAdopt(func(*tables.Tables) { i.directory.Refresh() })
+	i.config.OnAdopt(func(*tables.Tables) {
+		i.directory.Refresh()
+		i.moves.Refresh()
+	})
 	i.suspects = quarantine.New(quarantine.Options{Rumors: i.members, Clock: i.clock})
 	i.provisionScheduling()
 	i.provisionOnce()
--- a/internal/move/manager.go
+++ b/internal/move/manager.go
@@ -126,11 +126,36 @@
 func (m *Manager) Pick(pool, _ string, tier tables.Tier, idempotent bool, u float64) string {
 	p := (*m.plans.Load())[pool]
 	if p == nil {
-		return ""
+		return m.unplanned(pool)
 	}
 	return p.pick(classOf(tier, idempotent), u)
 }
 
+// unplanned returns the version for a pool that has no plan yet: without it, a
+// version that is to be moved to would get its full share until the first plan.
+func (m *Manager) unplanned(name string) string {
+	config := m.options.Tables()
+	if config == nil {
+		return ""
+	}
+	named := config.Pool(name)
+	if named == nil {
+		return ""
+	}
+	before := prevailing(named, m.options.Targets(name))
+	switch {
+	case !named.Deadline.IsZero() && before != "" && m.serves(name, before):
+		return before
+	case m.serves(name, named.Version):
+		return named.Version
+	default:
+		return ""
+	}
+}
+
+// Refresh takes a changed configuration into account at once.
+func (m *Manager) Refresh() { m.tick() }
+
 // Usable tells whether a version of a pool may be sent to; it is false for
 // versions taken back.
 func (m *Manager) Usable(pool, version string) bool {
