Read load reports and cache events of engines

Cause: admission can take load reports and cache events, but nothing read them, so routing knew only what an instance had sent itself.

A routing.CacheEvent of a gap can now carry the count of lost events (Lost): a gap of unknown size halves the index, which at 5% loss would leave nothing of it.

Not covered by a passing test: visits over HTTP, backoff, forgetting, the hanging target, the end of Run.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -26,6 +26,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/platform/client"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
+	"github.com/hibiscuspost/hibiscuspost/internal/reporter"
 	"github.com/hibiscuspost/hibiscuspost/internal/settings"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
@@ -68,6 +69,7 @@
 	suspects  *quarantine.List
 	moves     *move.Manager
 	admission *admission.Controller
+	reporter  *reporter.Reporter
 	shards    *once.Shards
 	ledger    *once.Ledger
 	claims    *once.Claims
@@ -177,6 +179,21 @@
 		Viewer: i.members, Bus: i.bus, Pools: i.pools, Targets: i.directory.Targets, Versions: i.moves,
 		Clock: i.clock, Rand: i.random(), Logger: i.logger,
 	})
+	i.reporter = reporter.New(reporter.Options{
+		Targets: i.engines, ReportLoad: i.admission.ReportLoad, ReportCache: i.admission.ReportCache,
+		Clock: i.clock, Rand: i.random(), Logger: i.logger,
+	})
+}
+
+// engines returns the usable targets of all engine pools.
+func (i *Instance) engines() []tables.Target {
+	var engines []tables.Target
+	for _, pool := range i.config.Current().Pools {
+		if pool.Kind == tables.KindEngine {
+			engines = append(engines, i.directory.Targets(pool.Name)...)
+		}
+	}
+	return engines
 }
 
 // provisionOnce builds what makes each request run at most once.
@@ -215,6 +232,7 @@
 	i.background.Go(func() { _ = i.directory.Run(ctx) })
 	i.background.Go(func() { i.moves.Run(ctx) })
 	i.background.Go(func() { i.admission.Run(ctx) })
+	i.background.Go(func() { i.reporter.Run(ctx) })
 	i.background.Go(func() { i.shards.Run(ctx) })
 	i.background.Go(func() { i.ledger.Run(ctx) })
 	i.background.Go(func() { i.claims.Run(ctx) })
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -37,7 +37,7 @@
 	CacheStored CacheOp = iota + 1
 	// CacheEvicted says that the target has dropped a block.
 	CacheEvicted
-	// CacheGap stands for an unknown number of lost events.
+	// CacheGap stands for lost events.
 	CacheGap
 )
 
@@ -46,9 +46,12 @@
 	Op CacheOp
 	// Block is the hash of the prefix that ends with the block.
 	Block uint64
+	// Lost is how many events a gap stands for; 0 means that it is unknown.
+	Lost int
 }
 
-// gapKeep is the share of the blocks still believed in after a gap.
+// gapKeep is the share of the blocks still believed in after a gap of unknown
+// size.
 const gapKeep = 0.5
 
 // NewPrefixIndex returns an index of at most bound blocks.
@@ -93,11 +96,21 @@
 		case CacheEvicted:
 			p.remove(event.Block)
 		case CacheGap:
-			p.shrink(int(float64(len(p.blocks)) * gapKeep))
+			p.gap(event.Lost)
 		}
 	}
 }
 
+// gap forgets the least recently used blocks: as many as events were lost,
+// since each may have been an eviction, or a share when the number is unknown.
+func (p *PrefixIndex) gap(lost int) {
+	keep := int(float64(len(p.blocks)) * gapKeep)
+	if lost > 0 {
+		keep = max(0, len(p.blocks)-lost)
+	}
+	p.shrink(keep)
+}
+
 const (
 	// missKeep is the factor on the bound after an overestimate.
 	missKeep = 0.9
