--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -180,8 +180,10 @@
 
 // visit reads one target and sets its next turn.
 func (r *Reporter) visit(ctx context.Context, t *target) {
-	bounded, cancel := clockwork.WithTimeout(ctx, r.clock, visitTimeout)
+	bounded, cancel := context.WithCancel(ctx)
+	timer := r.clock.AfterFunc(visitTimeout, cancel)
 	err := r.read(bounded, t)
+	timer.Stop()
 	cancel()
 	if ctx.Err() != nil {
 		return
