--- a/internal/executor/claimed.go
+++ b/internal/executor/claimed.go
@@ -20,9 +20,10 @@
 		hash: once.HashBody(j.call.Method, j.call.URI(), j.call.Body),
 		done: make(chan struct{}),
 	}
-	j.id = key.ID()
 	a := e.stored.New(0)
-	permit.granted = func() { e.stored.Put(j.id, a) }
+	// Twins may follow the answer from the moment at which the claim is granted,
+	// so it is recorded before, under an id of this attempt.
+	e.stored.Put(j.id, a)
 	run, cancel := context.WithDeadline(e.base, j.deadline)
 	e.running.Go(func() {
 		defer cancel()
@@ -43,8 +44,6 @@
 	key      once.Key
 	hash     once.BodyHash
 	deadline time.Time
-	// granted is called once the claim is held.
-	granted func()
 
 	// done is closed once the fields below are set.
 	done   chan struct{}
@@ -72,7 +71,6 @@
 		return errAnsweredElsewhere
 	}
 	p.claim = result.Claim
-	p.granted()
 	if err := p.claim.Dispatch(); err != nil {
 		return err
 	}
