Test the administration API's token and outcomes

Cause: nothing showed that it tells and does nothing without the token. Change: tests over HTTP of every call and every outcome of apply.

--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,121 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/configuration"
+	"github.com/hibiscuspost/hibiscuspost/internal/tables"
+)
+
+// applier answers as it is told and counts the calls.
+type applier struct {
+	err   error
+	calls int
+}
+
+func (a *applier) Apply(_ context.Context, base uint64, _ tables.Tables) (uint64, error) {
+	a.calls++
+	return base + 1, a.err
+}
+
+// queries answers every query with the same value.
+type queries struct{}
+
+func (queries) Config() any    { return "config" }
+func (queries) Moves() any     { return "moves" }
+func (queries) Targets() any   { return "targets" }
+func (queries) Instances() any { return "instances" }
+
+const token = "a token of sixteen bytes"
+
+func serve(t *testing.T, a *applier) string {
+	t.Helper()
+	server := New(Options{Token: []byte(token), Applier: a, Reports: queries{}, Ready: func() error { return nil }})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var background conc.WaitGroup
+	background.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		assert.NilError(t, server.Shutdown(context.Background()))
+		background.Wait()
+	})
+	return "http://" + listener.Addr().String()
+}
+
+func do(t *testing.T, method, url, bearer, ifMatch, body string) (int, ApplyAnswer) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Close = true
+	request.Header.Set("Content-Type", "application/json")
+	if bearer != "" {
+		request.Header.Set("Authorization", "Bearer "+bearer)
+	}
+	if ifMatch != "" {
+		request.Header.Set("If-Match", ifMatch)
+	}
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var answer ApplyAnswer
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	return response.StatusCode, answer
+}
+
+const goodTables = `{"routes": {"name": "r", "text": "{\"routes\": []}"}, "pools": {"name": "p", "text": "{\"pools\": []}"}}`
+
+func TestNothingIsToldOrDoneWithoutTheToken(t *testing.T) {
+	a := &applier{}
+	url := serve(t, a)
+	for _, bearer := range []string{"", "wrong", token + "x", token[:len(token)-1]} {
+		for _, path := range []string{"config", "moves", "targets", "instances"} {
+			status, _ := do(t, http.MethodGet, url+"/admin/v1/"+path, bearer, "", "")
+			assert.Equal(t, status, http.StatusUnauthorized)
+		}
+		status, _ := do(t, http.MethodGet, url+"/debug/vars", bearer, "", "")
+		assert.Equal(t, status, http.StatusUnauthorized)
+		status, _ = do(t, http.MethodPut, url+"/admin/v1/tables", bearer, "0", goodTables)
+		assert.Equal(t, status, http.StatusUnauthorized)
+	}
+	assert.Equal(t, a.calls, 0)
+	status, _ := do(t, http.MethodGet, url+"/admin/v1/config", token, "", "")
+	assert.Equal(t, status, http.StatusOK)
+}
+
+func TestOutcomesOfApply(t *testing.T) {
+	faulty := strings.Replace(goodTables, `\"routes\": []`, `\"routs\": []`, 1)
+	cases := map[string]struct {
+		err     error
+		body    string
+		ifMatch string
+		status  int
+		outcome Outcome
+		calls   int
+	}{
+		"accepted":    {nil, goodTables, "4", 200, OutcomeAccepted, 1},
+		"faulty":      {nil, faulty, "4", 422, OutcomeInvalid, 0},
+		"no base":     {nil, goodTables, "", 428, OutcomeInvalid, 0},
+		"conflict":    {&configuration.ConflictError{Base: 4, Present: 7}, goodTables, "4", 412, OutcomeConflict, 1},
+		"unavailable": {errors.Mark(errors.New("down"), configuration.ErrUnavailable), goodTables, "4", 503, OutcomeUnavailable, 1},
+		"unknown":     {errors.Mark(errors.New("lost"), configuration.ErrOutcomeUnknown), goodTables, "4", 504, OutcomeUnknown, 1},
+		"other":       {errors.New("other"), goodTables, "4", 500, OutcomeUnknown, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := &applier{err: c.err}
+			status, answer := do(t, http.MethodPut, serve(t, a)+"/admin/v1/tables", token, c.ifMatch, c.body)
+			assert.Equal(t, status, c.status)
+			assert.Equal(t, answer.Outcome, c.outcome)
+			assert.Equal(t, a.calls, c.calls)
+		})
+	}
+}
