Hold 2,000 streams open at once through one instance

Cause: nothing showed that many streams neither mix nor cut each other. Change: a test holds 2,000 streams open until all have begun and compares each whole text; a benchmark gives the added latency against a direct call.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -36,7 +36,7 @@
 var secret = []byte("a secret of the instances")
 
 // newExecutor returns an executor of one instance over in-memory parts.
-func newExecutor(t *testing.T, configuration *tables.Tables) *executor.Executor {
+func newExecutor(t testing.TB, configuration *tables.Tables) *executor.Executor {
 	t.Helper()
 	viewer := membership.NewStatic(membership.Member{Name: t.Name()})
 	bus := peer.NewNetwork().Bus("127.0.0.1:1")
@@ -67,7 +67,14 @@
 }
 
 // startEntry serves an executor whose only target is the handler.
-func startEntry(t *testing.T, target http.Handler) string {
+func startEntry(t testing.TB, target http.Handler) string {
+	t.Helper()
+	const slots = 8
+	return startEntrySized(t, slots, target)
+}
+
+// startEntrySized is startEntry with the number of the target's slots.
+func startEntrySized(t testing.TB, slots int, target http.Handler) string {
 	t.Helper()
 	backend := httptest.NewServer(target)
 	t.Cleanup(backend.Close)
@@ -75,12 +82,12 @@
 		Version: 1,
 		Routes:  []tables.Route{{Name: "all", Pool: "p", Idempotent: true}},
 		Pools: []tables.Pool{{Name: "p", Kind: tables.KindEngine, Targets: []tables.Target{
-			{Name: "t", Address: backend.Listener.Addr().String(), Slots: 8},
+			{Name: "t", Address: backend.Listener.Addr().String(), Slots: slots},
 		}}},
 	})
 	server := New(Options{
 		Runner: runner, Secret: secret, Ready: func() error { return nil }, Draining: func() bool { return false },
-		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100},
+		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 4 * manyStreams},
 		Logger: zap.NewNop(),
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- /dev/null
+++ b/internal/entry/streams_test.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/executor"
+)
+
+// manyStreams is how many streams are open at once through one instance.
+const manyStreams = 2000
+
+// expectedStream is the answer to the prompt, event by event.
+func expectedStream(prompt string) string {
+	const events = 5
+	var text strings.Builder
+	for n := 1; n <= events; n++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s-%d\n\n", n, prompt, n)
+	}
+	fmt.Fprintf(&text, "id: %d\ndata: [DONE]\n\n", events+1)
+	return text.String()
+}
+
+func TestManyStreamsAreWholeAndTheirOwn(t *testing.T) {
+	var begun sync.WaitGroup
+	begun.Add(manyStreams)
+	url := startEntrySized(t, manyStreams, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		prompt, _ := executor.ParsePrompt(body)
+		first, rest, _ := strings.Cut(expectedStream(prompt.Text), "\n\n")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, first+"\n\n")
+		_ = http.NewResponseController(w).Flush()
+		begun.Done()
+		begun.Wait() // all streams are open at once
+		_, _ = io.WriteString(w, rest)
+	}))
+	c := client(t)
+	var callers conc.WaitGroup
+	failures := make([]string, manyStreams)
+	for i := range manyStreams {
+		callers.Go(func() {
+			prompt := fmt.Sprintf("stream-%d", i)
+			got := fetch(c, url, prompt)
+			if got != expectedStream(prompt) {
+				failures[i] = fmt.Sprintf("%s got %q", prompt, got)
+			}
+		})
+	}
+	callers.Wait()
+	failures = slices.DeleteFunc(failures, func(s string) bool { return s == "" })
+	assert.Equal(t, len(failures), 0, "%.500v", failures)
+}
+
+// fetch streams a completion and returns its whole text, or the error's.
+func fetch(c *http.Client, url, prompt string) string {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":6,"prompt":%q}`, prompt)
+	response, err := c.Post(url+"/v1/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return string(text) + err.Error()
+	}
+	return string(text)
+}
+
+// BenchmarkAddedLatency reports the percentiles of a plain call through an
+// instance less those of a direct call to the same target.
+func BenchmarkAddedLatency(b *testing.B) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	direct := httptest.NewServer(handler)
+	defer direct.Close()
+	through := startEntry(b, handler)
+	c := &http.Client{Timeout: patience}
+	defer c.CloseIdleConnections()
+	var times [2][]time.Duration
+	for b.Loop() {
+		for i, url := range []string{direct.URL, through} {
+			start := time.Now()
+			response, err := c.Get(url + "/x")
+			assert.NilError(b, err)
+			_, _ = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+			times[i] = append(times[i], time.Since(start))
+		}
+	}
+	for _, percentile := range []int{50, 99} {
+		added := at(times[1], percentile) - at(times[0], percentile)
+		b.ReportMetric(float64(added.Microseconds()), fmt.Sprintf("added-p%d-us", percentile))
+	}
+}
+
+// at returns a percentile.
+func at(times []time.Duration, percentile int) time.Duration {
+	slices.Sort(times)
+	return times[(len(times)-1)*percentile/100]
+}
