Name the peer and step of forwarded answers that break

Cause: errors of relayed answers said 'instance' in place of its name, and a request that could not be passed on was refused at the step dispatch. Change: the member's name and the step forward. Conclusion: errors carry step and peer here too.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -119,7 +119,7 @@
 	a := e.live.New(0)
 	e.running.Go(func() {
 		defer cancel()
-		e.relayFrom(run, response, a)
+		e.relayFrom(run, keeper, response, a)
 		end := once.ForwardBroken
 		if state, _ := a.State(); state == answer.Complete {
 			end = once.ForwardEnded
@@ -185,12 +185,12 @@
 
 // relayFrom relays the answer of another instance. When that dies, the stream
 // is resumed at any instance that can, by the handle.
-func (e *Executor) relayFrom(ctx context.Context, response *dispatch.Response, a *answer.Answer) {
+func (e *Executor) relayFrom(ctx context.Context, from membership.Member, response *dispatch.Response, a *answer.Answer) {
 	defer response.Close()
 	text := response.Get(HeaderRequest)
 	a.SetHead(answer.Head{Status: response.Status, Fields: fields(EndToEnd(response.Header))})
 	r := &relay{
-		source: "instance", answer: a, watch: noObserver{},
+		source: from.Name, answer: a, watch: noObserver{},
 		resume: func(ctx context.Context, after uint64) (*dispatch.Response, error) {
 			return e.reopen(ctx, text, after)
 		},
@@ -213,18 +213,17 @@
 // passOn hands a request that waited here to another instance, while this one
 // shuts down. It has not been sent to a target.
 func (e *Executor) passOn(ctx context.Context, j *job, a *answer.Answer) {
-	kind := forwardDrain
 	view := e.Viewer.View()
 	for _, member := range membership.Ranked(view, j.id) {
 		if member.Name == view.Self.Name || member.Leaving {
 			continue
 		}
-		response, err := e.send(ctx, j, member, kind)
+		response, err := e.send(ctx, j, member, forwardDrain)
 		if dispatch.IsNotSent(err) && ctx.Err() == nil {
 			continue
 		}
 		if err != nil {
-			e.refuseAnswer(a, refuseSend(ctx, err))
+			e.refuseAnswer(a, refuseSend(ctx, fault.StepForward, err))
 			return
 		}
 		e.Metrics.Add(metrics.PassedOn, 1)
@@ -233,7 +232,7 @@
 			e.refuseAnswer(a, refusal)
 			return
 		}
-		e.relayFrom(ctx, response, a)
+		e.relayFrom(ctx, member, response, a)
 		return
 	}
 	e.refuseAnswer(a, refuse(fault.StepShutdown, statusUnavailable, "the instance shuts down and no other takes the request"))
--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -52,7 +52,7 @@
 			return true
 		}
 		t.grant.Finish(admission.Outcome{Kind: admission.Cancelled})
-		e.refuseAnswer(t.answer, refuseSend(ctx, err))
+		e.refuseAnswer(t.answer, refuseSend(ctx, fault.StepDispatch, err))
 		return false
 	}
 	e.Metrics.Add(metrics.Dispatched, 1)
--- a/internal/executor/refuse.go
+++ b/internal/executor/refuse.go
@@ -37,10 +37,10 @@
 	return refusal
 }
 
-// refuseSend turns an error of dispatch.Send into a refusal.
-func refuseSend(ctx context.Context, err error) *fault.Refusal {
+// refuseSend turns an error of dispatch.Send at the step into a refusal.
+func refuseSend(ctx context.Context, step fault.Step, err error) *fault.Refusal {
 	refusal := &fault.Refusal{
-		Run: fault.Unknown, Step: fault.StepDispatch, Status: statusBadGateway, Reason: err.Error(),
+		Run: fault.Unknown, Step: step, Status: statusBadGateway, Reason: err.Error(),
 	}
 	if dispatch.IsNotSent(err) {
 		refusal.Run = fault.NotRun
