Keep the running requests in parts, and end a run twice without harm

Cause: one lock was shared by all requests, against the rule for the request's path; and a run that was ended twice, as after a crash and a deadline, would have written to a nil map. Change: runs in 64 parts by target; removing what does not run is no error; the end of the context is looked at once, so that it cannot change in between. Conclusion: no lock is shared by all requests here.

--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -104,7 +104,8 @@
 // failed ends an attempt that was sent and got no complete answer.
 func (t *attempt) failed(ctx context.Context, err error) {
 	e := t.executor
-	if ctx.Err() != nil {
+	cause := context.Cause(ctx)
+	if cause != nil {
 		t.cancelRun()
 		e.Quarantine.Done(t.job.fingerprint, t.target.Name, false)
 	}
@@ -112,7 +113,7 @@
 		Run: fault.RanInPart, Step: fault.StepStream, Status: statusBadGateway, Reason: err.Error(),
 	}
 	kind := admission.Failed
-	switch cause := context.Cause(ctx); {
+	switch {
 	case errors.Is(cause, errPreempted):
 		e.Metrics.Add(metrics.Preempted, 1)
 		refusal.Status, refusal.RetryAfter, refusal.Reason = statusUnavailable, retryAfter, errPreempted.Error()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -77,10 +77,8 @@
 	// while there are none.
 	known atomic.Int64
 
-	// runMu guards running.
-	runMu sync.Mutex
-	// running counts the requests under way by target and fingerprint.
-	running map[string]map[Fingerprint]int
+	// running counts the requests under way.
+	running runs
 
 	// mu guards cases.
 	mu    sync.RWMutex
@@ -114,7 +112,6 @@
 	}
 	l := &List{
 		options: options,
-		running: make(map[string]map[Fingerprint]int),
 		cases:   make(map[Fingerprint]*suspicion),
 	}
 	options.Rumors.Subscribe(membership.RumorQuarantine, l.hear)
@@ -122,59 +119,25 @@
 }
 
 // Running notes that a request is sent to a target.
-func (l *List) Running(fp Fingerprint, target string) {
-	l.runMu.Lock()
-	defer l.runMu.Unlock()
-	on := l.running[target]
-	if on == nil {
-		on = make(map[Fingerprint]int)
-		l.running[target] = on
-	}
-	on[fp]++
-}
+func (l *List) Running(fp Fingerprint, target string) { l.running.add(fp, target) }
 
 // Done notes that a request has ended at a target. Finished is set when it has
 // run to its end there; then it is innocent of earlier crashes.
 func (l *List) Done(fp Fingerprint, target string, finished bool) {
-	l.stop(fp, target)
+	l.running.remove(fp, target)
 	if finished && l.Suspect(fp) {
 		l.publish(factPardon, fp, "")
 	}
 }
 
-// stop removes one running request.
-func (l *List) stop(fp Fingerprint, target string) {
-	l.runMu.Lock()
-	defer l.runMu.Unlock()
-	on := l.running[target]
-	on[fp]--
-	if on[fp] <= 0 {
-		delete(on, fp)
-	}
-	if len(on) == 0 {
-		delete(l.running, target)
-	}
-}
-
 // Crashed marks the requests that were running on a target when it crashed. A
 // target that was merely unreachable must not be reported.
 func (l *List) Crashed(target string) {
-	for _, fp := range l.on(target) {
+	for _, fp := range l.running.on(target) {
 		l.publish(factMark, fp, target)
 	}
 }
 
-// on returns the requests that run on a target.
-func (l *List) on(target string) []Fingerprint {
-	l.runMu.Lock()
-	defer l.runMu.Unlock()
-	var all []Fingerprint
-	for fp := range l.running[target] {
-		all = append(all, fp)
-	}
-	return all
-}
-
 // Quarantined tells whether a request must be refused: for good, or because the
 // verdict on it is still open.
 func (l *List) Quarantined(fp Fingerprint) bool {
@@ -229,7 +192,7 @@
 	if l.marked(fp, target) {
 		return false
 	}
-	for _, other := range l.on(target) {
+	for _, other := range l.running.on(target) {
 		if other != fp && l.Suspect(other) {
 			return false
 		}
