--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,42 @@
+package metrics
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAccountsAreBounded(t *testing.T) {
+	s := New(t.Name())
+	defer s.Close()
+	const accounts = 27_000
+	for i := range accounts {
+		s.Observe(0, fmt.Sprint("account-", i), time.Millisecond, 2*time.Millisecond)
+	}
+	snapshot := s.snapshot().(Snapshot)
+	assert.Equal(t, len(snapshot.Accounts), MaxAccounts+1)
+	assert.Equal(t, snapshot.Accounts[OtherAccounts].Total.Count, int64(accounts-MaxAccounts))
+	assert.Equal(t, snapshot.Tiers[0].Total.Count, int64(accounts))
+}
+
+func TestInstancesOfOneProcessAreKeptApart(t *testing.T) {
+	a, b := New("instance-a"), New("instance-b")
+	defer a.Close()
+	defer b.Close()
+	a.Add(Accepted, 2)
+	b.Add(Accepted, 3)
+	b.Include("part", func() any { return 7 })
+	var published map[string]struct {
+		Counters map[string]int `json:"counters"`
+		Parts    map[string]int `json:"parts"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(expvar.Get("hibiscuspost").String()), &published))
+	assert.Equal(t, published["instance-a"].Counters[Accepted], 2)
+	assert.Equal(t, published["instance-b"].Counters[Accepted], 3)
+	assert.Equal(t, published["instance-b"].Parts["part"], 7)
+	assert.Equal(t, a.Count(Accepted), int64(2))
+}
