--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -200,8 +200,11 @@
 
 func TestEndToEndDropsWhatBelongsToOneConnection(t *testing.T) {
 	kept := EndToEnd([]dispatch.Field{
-		{Name: "Connection", Value: "X-Hop, close"}, {Name: "x-hop", Value: "1"}, {Name: "X-One", Value: "1"},
-		{Name: "Transfer-Encoding", Value: "chunked"}, {Name: "Content-Length", Value: "3"},
+		{Name: "Connection", Value: "X-Hop, close"},
+		{Name: "x-hop", Value: "1"},
+		{Name: "X-One", Value: "1"},
+		{Name: "Transfer-Encoding", Value: "chunked"},
+		{Name: "Content-Length", Value: "3"},
 	})
 	assert.DeepEqual(t, kept, []dispatch.Field{{Name: "X-One", Value: "1"}})
 }
