End relayed answers in one place, as unknown when they break off

Cause: two relays of other instances' answers ended their records each in its own way, and both said ran_in_part of a request that may have run to its end; a header name stood twice. Change: one function ends them, with unknown; the header's name has one constant; a measure's function has a plainer name. Conclusion: less code, and no claim about the target that nobody can prove.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,7 +22,7 @@
 
 // Header fields of the contract with callers.
 const (
-	HeaderAccount = "Hibiscus-Account"
+	HeaderAccount = executor.HeaderAccount
 	HeaderRequest = executor.HeaderRequest
 	HeaderKey     = "Idempotency-Key"
 )
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -195,19 +195,25 @@
 			return e.reopen(ctx, text, after)
 		},
 	}
+	e.relayAnswer(ctx, r, response)
+}
+
+// relayAnswer passes a whole answer on and ends its record. When it breaks off
+// for good, nobody here knows how far the target came.
+func (e *Executor) relayAnswer(ctx context.Context, r *relay, response *dispatch.Response) {
 	err := r.all(ctx, response)
 	e.Metrics.Add(metrics.Resumed, int64(r.resumed))
 	if err == nil {
-		a.End(answer.Complete)
+		r.answer.End(answer.Complete)
 		return
 	}
-	if refusal, ok := fault.AsRefusal(err); ok {
-		a.Refuse(refusal)
-		return
+	refusal, ok := fault.AsRefusal(err)
+	if !ok {
+		refusal = &fault.Refusal{
+			Run: fault.Unknown, Step: fault.StepStream, Status: statusBadGateway, Reason: err.Error(),
+		}
 	}
-	a.Refuse(&fault.Refusal{
-		Run: fault.RanInPart, Step: fault.StepStream, Status: statusBadGateway, Reason: err.Error(),
-	})
+	r.answer.Refuse(refusal)
 }
 
 // passOn hands a request that waited here to another instance, while this one
--- a/internal/executor/resume.go
+++ b/internal/executor/resume.go
@@ -16,6 +16,9 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
+// HeaderAccount names the client account; the balancer sets it.
+const HeaderAccount = "Hibiscus-Account"
+
 // HeaderLastEvent gives the last event that a caller has seen.
 const HeaderLastEvent = "Last-Event-ID"
 
@@ -128,15 +131,7 @@
 			return e.reopenAt(ctx, at, after)
 		},
 	}
-	if err := r.all(ctx, response); err != nil {
-		refusal, ok := fault.AsRefusal(err)
-		if !ok {
-			refusal = &fault.Refusal{Run: fault.RanInPart, Step: fault.StepStream, Status: statusBadGateway, Reason: err.Error()}
-		}
-		a.Refuse(refusal)
-		return
-	}
-	a.End(answer.Complete)
+	e.relayAnswer(ctx, r, response)
 }
 
 // reopen resumes a stream by the handle's text.
@@ -206,7 +201,7 @@
 		Target: member.CallerAddress, ID: named.RequestID, Method: "GET", URI: PathRequests + url.PathEscape(text),
 		Header: []dispatch.Field{
 			{Name: HeaderLastEvent, Value: strconv.FormatUint(after, 10)},
-			{Name: "Hibiscus-Account", Value: named.Account},
+			{Name: HeaderAccount, Value: named.Account},
 			{Name: HeaderLocalOnly, Value: "1"},
 		},
 	})
--- a/internal/measure/prefix.go
+++ b/internal/measure/prefix.go
@@ -25,7 +25,7 @@
 	conversationsStream = 2 // the stream of random numbers for the starts
 )
 
-func prefixMeasure() Measure {
+func prefillMeasure() Measure {
 	return Measure{
 		Name:    "prefix",
 		Summary: "prefill that a cache elsewhere could have spared, and time to the first token",
