--- a/cmd/hibiscuspost/main.go
+++ b/cmd/hibiscuspost/main.go
@@ -14,20 +14,22 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/exit"
 	"github.com/hibiscuspost/hibiscuspost/internal/measure"
 	"github.com/hibiscuspost/hibiscuspost/internal/query"
+	"github.com/hibiscuspost/hibiscuspost/platform"
 )
 
 // cli is the command line.
 type cli struct {
-	Serve     command.Serve   `cmd:"" help:"Run one instance."`
-	Check     command.Check   `cmd:"" help:"Look at settings and tables and name every fault."`
-	Apply     command.Apply   `cmd:"" help:"Put new tables in force."`
-	Config    query.Config    `cmd:"" help:"Show the configuration in force."`
-	Moves     query.Moves     `cmd:"" help:"Show the moves to new versions."`
-	Targets   query.Targets   `cmd:"" help:"Show the targets."`
-	Instances query.Instances `cmd:"" help:"Show the live instances."`
-	Demo      demo.Command    `cmd:"" help:"Run three instances with stand-ins on loopback."`
-	Measure   measure.Command `cmd:"" help:"Measure the system against a naive policy, with stand-ins on loopback."`
-	Version   command.Version `cmd:"" help:"Print the version."`
+	Serve     command.Serve    `cmd:"" help:"Run one instance."`
+	Node      platform.Command `cmd:"" help:"Run one instance on the users' platform."`
+	Check     command.Check    `cmd:"" help:"Look at settings and tables and name every fault."`
+	Apply     command.Apply    `cmd:"" help:"Put new tables in force."`
+	Config    query.Config     `cmd:"" help:"Show the configuration in force."`
+	Moves     query.Moves      `cmd:"" help:"Show the moves to new versions."`
+	Targets   query.Targets    `cmd:"" help:"Show the targets."`
+	Instances query.Instances  `cmd:"" help:"Show the live instances."`
+	Demo      demo.Command     `cmd:"" help:"Run three instances with stand-ins on loopback."`
+	Measure   measure.Command  `cmd:"" help:"Measure the system against a naive policy, with stand-ins on loopback."`
+	Version   command.Version  `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,59 @@
+package catalog
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func sample() *Configuration {
+	return (&Configuration{
+		Version: 3,
+		Routes: []Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Shares: []Share{{"x", 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/p/q/", Shares: []Share{{"x", 9}, {"y", 1}}},
+			{Name: "short", Host: "a.example", Prefix: "/p/", Shares: []Share{{"x", 1}}},
+		},
+		Accounts: []Account{{Name: "one"}},
+		Keys:     map[string]int{"k": 0},
+	}).Compile()
+}
+
+func TestMatchTakesLongestPrefixOfHost(t *testing.T) {
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/p/q/r", "long"},
+		{"A.example:80", "/p/q/r", "long"},
+		{"a.example", "/p/q", "short"},
+		{"a.example", "/z", "all"},
+		{"b.example", "/p/", ""},
+	} {
+		got := ""
+		if route := sample().Match(c.host, c.path); route != nil {
+			got = route.Name
+		}
+		assert.Equal(t, got, c.want, c.host+c.path)
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	route := sample().Match("a.example", "/p/q/")
+	assert.Equal(t, route.Pick(0), "x")
+	assert.Equal(t, route.Pick(0.89), "x")
+	assert.Equal(t, route.Pick(0.95), "y")
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	var h Holder
+	assert.Equal(t, h.Version(), uint64(0))
+	assert.Assert(t, h.Adopt(&Configuration{Version: 5}))
+	assert.Assert(t, !h.Adopt(&Configuration{Version: 4}))
+	assert.Assert(t, !h.Adopt(&Configuration{Version: 5}))
+	assert.Assert(t, h.Adopt(&Configuration{Version: 9}))
+	assert.Equal(t, h.Version(), uint64(9))
+}
+
+func TestUnknownKeyHasNoAccount(t *testing.T) {
+	c := sample()
+	assert.Equal(t, c.Account("k").Name, "one")
+	assert.Assert(t, c.Account("other") == nil)
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Stream replaces Body for answers that are passed on as they come; an
+	// error other than io.EOF cuts the caller's connection.
+	Stream io.ReadCloser
+}
+
+// write gives the answer to the HTTP library; end is called when it is over.
+func (a *Answer) write(ctx *fasthttp.RequestCtx, end func()) {
+	ctx.SetStatusCode(a.Status)
+	for name, values := range a.Header {
+		for _, value := range values {
+			ctx.Response.Header.Add(name, value)
+		}
+	}
+	if a.Stream == nil {
+		end()
+		ctx.Response.SetBodyRaw(a.Body)
+		if ctx.IsHead() {
+			ctx.Response.SkipBody = true
+		}
+		return
+	}
+	const unknownLength = -1
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStream(&streamBody{a.Stream, end}, unknownLength)
+}
+
+// streamBody ends the request when the library is done with the body.
+type streamBody struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close implements io.Closer.
+func (b *streamBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.end()
+	return err
+}
+
+// refuse returns an answer of the gateway's own. ReturnAfter is set only where
+// the request has not run.
+func refuse(status int, reason string, returnAfter time.Duration) *Answer {
+	a := &Answer{
+		Status: status, Body: []byte(reason + "\n"),
+		Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
+	}
+	if returnAfter > 0 {
+		const decimals = 3
+		a.Header.Set("Retry-After", strconv.FormatFloat(returnAfter.Seconds(), 'f', decimals, 64))
+	}
+	return a
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,116 @@
+// Package gateway carries one caller's request from its HTTP connection to a
+// target and the answer back.
+//
+// A request is matched to its route and client account, charged to the
+// account's quota, given a place by the scheduler and sent. It may be sent
+// again only where that cannot make it run twice:
+//
+//   - to a target that was not reached, or that stated that it did not run the
+//     request, any request, as far as the route's attempts allow;
+//   - after any other failure, only requests of routes that may be repeated;
+//   - a stream that was cut is continued after its last whole event where the
+//     route allows it, within the same answer.
+//
+// An answer of the gateway's own says 429 or 503 only if the request has not
+// run and will not; where it may have run it is 502 or 504.
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/routing"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
+)
+
+// Declared is what the caller states about a request.
+type Declared struct {
+	// ID names this attempt of the caller.
+	ID string
+	// Key is the API key; "" when none was given.
+	Key string
+	// TimeLeft is how long the caller will wait; 0 when it does not say.
+	TimeLeft time.Duration
+	// PromptTokens and OutputTokens are the stated sizes, OutputTokens the
+	// most that the answer may have; 0 when nothing is stated.
+	PromptTokens, OutputTokens int
+	// LengthHint is the caller's estimate of the output; 0 when not given.
+	LengthHint int
+	// After is the last event that the caller has, in a resumed stream.
+	After string
+}
+
+// Addressed is what the gateway states to a target.
+type Addressed struct {
+	TargetID string
+	// Account is the client account; "" for anonymous requests.
+	Account string
+	// TimeLeft is how long the target may work.
+	TimeLeft time.Duration
+	// After is the last event that was passed on; "" starts at the beginning.
+	After string
+}
+
+// Stated is what a target's answer says about itself.
+type Stated struct {
+	// ID is the attempt that the answer belongs to; "" when not stated.
+	ID string
+	// Signed answers bear the target's signature.
+	Signed bool
+	// NotExecuted states that the target has not run the request and will not.
+	NotExecuted bool
+}
+
+// Protocol reads and writes the header fields of the platform.
+type Protocol interface {
+	// ReadCaller reads what a caller states; get returns "" for absent fields.
+	ReadCaller(get func(name string) string) Declared
+	// Forwarded tells whether a caller's field is passed on to targets.
+	Forwarded(name string) bool
+	// WriteTarget returns the fields that the gateway itself sets.
+	WriteTarget(Addressed) []dispatch.Field
+	// ReadTarget reads what a target's answer states.
+	ReadTarget(http.Header) Stated
+	// Unsign removes the target's signature from an answer.
+	Unsign(http.Header)
+}
+
+// Limits bound repeats over all instances.
+type Limits struct {
+	RepeatRatio  float64
+	RepeatSlack  float64
+	RepeatWindow time.Duration
+}
+
+// Options are what a Gateway works with; all are required.
+type Options struct {
+	Protocol  Protocol
+	Catalog   *catalog.Holder
+	Scheduler *schedule.Scheduler
+	Pool      *dispatch.Pool
+	Quota     *quota.Ledger
+	// Budget returns the budget of repeats of a service.
+	Budget func(service string) *routing.WindowBudget
+	// Misdirected is told of a target that is not the one expected at its
+	// address.
+	Misdirected func(*catalog.Target)
+	// Draining tells that the instance shuts down.
+	Draining func() bool
+	Counters *Counters
+	// FailureDomain is the instance's own.
+	FailureDomain string
+	Clock         clockwork.Clock
+	Logger        *zap.Logger
+}
+
+// Gateway serves callers' requests.
+type Gateway struct{ Options }
+
+// New returns a gateway.
+func New(options Options) *Gateway { return &Gateway{options} }
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,423 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
+)
+
+const (
+	// maxUnreached bounds the targets tried for one request that could not be
+	// reached; such tries reach nobody and count nowhere else.
+	maxUnreached = 4
+	// maxPlainBytes bounds an answer that is held until it is whole.
+	maxPlainBytes = 8 << 20
+	// notReadyReturn is the advice to callers of an instance that knows no
+	// configuration yet.
+	notReadyReturn = 500 * time.Millisecond
+	// outputShare is the part of the stated maximum that is expected of an
+	// answer whose length is not hinted at.
+	outputShare = 0.25
+)
+
+// Call is one caller's request.
+type Call struct {
+	Received time.Time
+	Method   string
+	// URI is the request target exactly as sent.
+	URI  string
+	Host string
+	// Header holds the fields to pass on.
+	Header []dispatch.Field
+	Body   []byte
+	Declared
+}
+
+func (c *Call) path() string {
+	path, _, _ := strings.Cut(c.URI, "?")
+	return path
+}
+
+// run is one request under way.
+type run struct {
+	*Gateway
+	call    *Call
+	config  *catalog.Configuration
+	route   *catalog.Route
+	account *catalog.Account
+	service *catalog.Service
+	charge  float64
+	// deadline is the earlier of the caller's and the route's.
+	deadline time.Time
+	avoid    []catalog.TargetKey
+	// sent counts the targets that the request was sent to, unreached those
+	// that no connection could be made to.
+	sent, unreached int
+	// mayHaveRun is set once the request may have begun at a target.
+	mayHaveRun bool
+	trail      trail
+}
+
+// Serve carries a request out and returns its answer; nil when the caller has
+// gone.
+func (g *Gateway) Serve(ctx context.Context, call *Call) *Answer {
+	g.Counters.Requests.Add(1)
+	r := &run{Gateway: g, call: call}
+	answer := r.admit()
+	if answer == nil {
+		bounded, cancel := context.WithDeadline(ctx, r.deadline)
+		answer = r.execute(bounded)
+		if answer == nil || answer.Stream == nil {
+			cancel()
+		} else {
+			answer.Stream.(*stream).cancel = cancel
+		}
+	}
+	if answer == nil {
+		g.Counters.CallerGone.Add(1)
+	}
+	if answer == nil || answer.Stream == nil {
+		r.finish(answer)
+	}
+	return answer
+}
+
+// admit matches the request to what the configuration allows; it returns an
+// answer where it allows nothing.
+func (r *run) admit() *Answer {
+	r.config = r.Catalog.Current()
+	if r.config == nil {
+		return r.refuse("no configuration is known yet", notReadyReturn)
+	}
+	r.route = r.config.Match(r.call.Host, r.call.path())
+	if r.route == nil {
+		r.Counters.Denied.Add(1)
+		return refuse(http.StatusNotFound, "no route matches", 0)
+	}
+	if !r.route.Anonymous && len(r.config.Accounts) > 0 {
+		if r.account = r.config.Account(r.call.Key); r.account == nil {
+			r.Counters.Denied.Add(1)
+			return refuse(http.StatusUnauthorized, "the API key is not known", 0)
+		}
+	}
+	if limit := r.config.Limits.BodyBytes; limit > 0 && len(r.call.Body) > limit {
+		return refuse(http.StatusRequestEntityTooLarge, "the body is too long", 0)
+	}
+	r.deadline = r.call.Received.Add(r.timeAllowed())
+	service := r.config.Services[r.route.Pick(uniform(r.call.ID))]
+	r.service = &service
+	return r.takeQuota()
+}
+
+// timeAllowed is the shorter of what the caller and the operator allow.
+func (r *run) timeAllowed() time.Duration {
+	const unstated = time.Minute
+	allowed := unstated
+	if r.route.Timeout > 0 {
+		allowed = r.route.Timeout
+	}
+	if r.call.TimeLeft > 0 {
+		allowed = min(allowed, r.call.TimeLeft)
+	}
+	return allowed
+}
+
+// uniform maps a request's id to [0, 1), the same at every instance.
+func uniform(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
+func (r *run) takeQuota() *Answer {
+	if r.account == nil {
+		return nil
+	}
+	r.charge = r.account.Charge(r.call.PromptTokens + r.call.OutputTokens)
+	ok, wait := r.Quota.Take(r.account, r.charge)
+	if ok {
+		return nil
+	}
+	r.charge = 0
+	r.Counters.OverQuota.Add(1)
+	return refuse(http.StatusTooManyRequests, "the account's quota is used up", wait)
+}
+
+// refuse answers a request that has not run and will not.
+func (r *run) refuse(reason string, returnAfter time.Duration) *Answer {
+	if r.charge > 0 {
+		r.Quota.GiveBack(r.account, r.charge)
+		r.charge = 0
+	}
+	r.Counters.Refused.Add(1)
+	return refuse(http.StatusServiceUnavailable, reason, returnAfter)
+}
+
+// fail answers a request that may have run.
+func (r *run) fail(status int, reason string) *Answer {
+	r.Counters.Failed.Add(1)
+	return refuse(status, reason, 0)
+}
+
+// giveUp answers by what is known of the request so far.
+func (r *run) giveUp(reason string, returnAfter time.Duration) *Answer {
+	if r.mayHaveRun {
+		return r.fail(http.StatusBadGateway, reason)
+	}
+	return r.refuse(reason, returnAfter)
+}
+
+// execute places and sends the request until it is answered.
+func (r *run) execute(ctx context.Context) *Answer {
+	r.Budget(r.service.Name).Request()
+	for {
+		grant, answer := r.acquire(ctx)
+		if grant == nil {
+			return answer
+		}
+		answer, again := r.attempt(ctx, grant)
+		if !again {
+			return answer
+		}
+		if answer := r.mayRepeat(); answer != nil {
+			return answer
+		}
+	}
+}
+
+// mayRepeat returns an answer unless the request may be sent once more.
+func (r *run) mayRepeat() *Answer {
+	switch {
+	case r.unreached > maxUnreached:
+		return r.giveUp("no target could be reached", notReadyReturn)
+	case r.sent >= max(1, r.route.MaxAttempts):
+		return r.giveUp("all attempts of the route are used", notReadyReturn)
+	case r.sent > 0 && !r.Budget(r.service.Name).Spend():
+		return r.giveUp("the budget of repeats is used up", notReadyReturn)
+	}
+	if r.sent > 0 {
+		r.Counters.Repeated.Add(1)
+	}
+	return nil
+}
+
+// acquire waits for a place.
+func (r *run) acquire(ctx context.Context) (*schedule.Grant, *Answer) {
+	grant, err := r.Scheduler.Acquire(ctx, r.request())
+	if err == nil {
+		return grant, nil
+	}
+	var refused *schedule.RefusedError
+	if errors.As(err, &refused) {
+		r.trail.add("refused", refused.Reason, 0)
+		return nil, r.giveUp(refused.Reason, refused.ReturnAfter)
+	}
+	return nil, r.ended(ctx, "no place became free before the deadline")
+}
+
+// request describes the request to the scheduler.
+func (r *run) request() *schedule.Request {
+	request := &schedule.Request{
+		Service: r.service.Name, Priority: r.priority(), Arrived: r.call.Received,
+		Objective: r.route.Objective, Deadline: r.deadline, FailureDomain: r.FailureDomain, Avoid: r.avoid,
+	}
+	if r.service.Engine {
+		request.PromptTokens = max(1, r.call.PromptTokens)
+		request.OutputTokens = r.call.LengthHint
+		if request.OutputTokens == 0 {
+			request.OutputTokens = int(outputShare * float64(r.call.OutputTokens))
+		}
+	}
+	return request
+}
+
+func (r *run) priority() int {
+	if r.account != nil && r.account.Priority != nil {
+		return *r.account.Priority
+	}
+	return r.route.Priority
+}
+
+// ended answers a request whose time has passed; nil when the caller has gone.
+func (r *run) ended(ctx context.Context, reason string) *Answer {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil
+	}
+	r.Counters.TimedOut.Add(1)
+	if r.mayHaveRun {
+		return r.fail(http.StatusGatewayTimeout, reason)
+	}
+	return r.refuse(reason, notReadyReturn)
+}
+
+// attempt sends the request to the target of the grant. Again tells that it
+// has no answer yet and may be sent to another.
+func (r *run) attempt(ctx context.Context, grant *schedule.Grant) (answer *Answer, again bool) {
+	started := r.Clock.Now()
+	reply, err := r.Pool.Send(ctx, r.exchange(grant.Target, r.call.After))
+	took := r.Clock.Since(started)
+	if err != nil {
+		return r.sendFailed(ctx, grant, err, took)
+	}
+	r.sent++
+	r.Counters.Sent.Add(1)
+	stated := r.Protocol.ReadTarget(reply.Header)
+	if stated.NotExecuted || reply.Status == http.StatusMisdirectedRequest {
+		return r.notExecuted(grant, reply, took)
+	}
+	r.mayHaveRun = true
+	if reply.Status == http.StatusOK && r.route.Kind == catalog.Streaming && stated.Signed {
+		return r.openStream(ctx, grant, reply, started)
+	}
+	return r.plain(ctx, grant, reply, stated, started)
+}
+
+// exchange builds what is sent to the target.
+func (r *run) exchange(target *catalog.Target, after string) *dispatch.Exchange {
+	addressed := Addressed{TargetID: target.ID, TimeLeft: r.deadline.Sub(r.Clock.Now()), After: after}
+	if r.account != nil {
+		addressed.Account = r.account.Name
+	}
+	return &dispatch.Exchange{
+		Address: target.Address, Method: r.call.Method, URI: r.call.URI, Body: r.call.Body,
+		Header: append(r.Protocol.WriteTarget(addressed), r.call.Header...),
+		Fresh:  !r.route.Repeatable(),
+		Mine: func(header http.Header) bool {
+			id := r.Protocol.ReadTarget(header).ID
+			return id == "" || id == r.call.ID
+		},
+	}
+}
+
+// sendFailed deals with a request that got no answer's header.
+func (r *run) sendFailed(ctx context.Context, grant *schedule.Grant, err error, took time.Duration) (*Answer, bool) {
+	notSent := dispatch.IsNotSent(err)
+	if !notSent {
+		r.sent++
+		r.Counters.Sent.Add(1)
+		r.mayHaveRun = true
+	}
+	r.trail.add("send failed", grant.Target.ID, took)
+	if ctx.Err() != nil {
+		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		return r.ended(ctx, "no answer came before the deadline"), false
+	}
+	r.trail.err = err
+	r.avoid = append(r.avoid, grant.Target.Key())
+	if notSent {
+		r.unreached++
+		r.Counters.NotReached.Add(1)
+		grant.Done(schedule.Outcome{Result: schedule.Unreachable})
+		return nil, true
+	}
+	result := schedule.Failed
+	if errors.Is(err, dispatch.ErrStale) {
+		result = schedule.Cancelled
+	}
+	grant.Done(schedule.Outcome{Result: result})
+	return r.afterFailure("the target broke off before an answer")
+}
+
+// afterFailure lets a request that may be repeated try another target.
+func (r *run) afterFailure(reason string) (*Answer, bool) {
+	if r.route.Repeatable() {
+		return nil, true
+	}
+	return r.fail(http.StatusBadGateway, reason), false
+}
+
+// notExecuted deals with a target that states that it did not run the request.
+func (r *run) notExecuted(grant *schedule.Grant, reply *dispatch.Reply, took time.Duration) (*Answer, bool) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply, maxPlainBytes))
+	reply.Close()
+	r.Counters.NotExecuted.Add(1)
+	r.trail.add("not executed "+http.StatusText(reply.Status), grant.Target.ID, took)
+	r.avoid = append(r.avoid, grant.Target.Key())
+	if reply.Status == http.StatusMisdirectedRequest {
+		r.Counters.Misdirected.Add(1)
+		grant.Done(schedule.Outcome{Result: schedule.Unreachable})
+		r.Misdirected(grant.Target)
+		return nil, true
+	}
+	grant.Done(schedule.Outcome{Result: schedule.Full})
+	return nil, true
+}
+
+// plain passes an answer on that is held until it is whole.
+func (r *run) plain(
+	ctx context.Context, grant *schedule.Grant, reply *dispatch.Reply, stated Stated, started time.Time,
+) (*Answer, bool) {
+	grant.First(r.Clock.Since(started))
+	body, err := io.ReadAll(io.LimitReader(reply, maxPlainBytes))
+	took := r.Clock.Since(started)
+	reply.Close()
+	switch {
+	case ctx.Err() != nil:
+		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		return r.ended(ctx, "the answer was not complete before the deadline"), false
+	case err != nil, len(body) == maxPlainBytes, spoiled(reply, stated):
+		r.trail.add("answer unusable", grant.Target.ID, took)
+		r.trail.err = err
+		r.avoid = append(r.avoid, grant.Target.Key())
+		grant.Done(schedule.Outcome{Result: schedule.Failed})
+		return r.afterFailure("the target's answer was not whole")
+	}
+	result := schedule.Complete
+	if reply.Status >= http.StatusInternalServerError {
+		result = schedule.Cancelled
+	}
+	grant.Done(schedule.Outcome{Result: result, Whole: took})
+	r.trail.add("answered", grant.Target.ID, took)
+	if promises(reply.Status) {
+		return r.fail(http.StatusBadGateway, "the target failed"), false
+	}
+	r.Counters.Answered.Add(1)
+	return &Answer{Status: reply.Status, Header: endToEnd(reply.Header), Body: body}, false
+}
+
+// spoiled reports whether an answer cannot be the target's own.
+func spoiled(reply *dispatch.Reply, stated Stated) bool {
+	success := reply.Status < http.StatusMultipleChoices
+	return success && (!stated.Signed || stated.ID == "") || reply.Header.Get("Content-Encoding") != ""
+}
+
+// promises reports whether callers read the status as a promise that the
+// request has not run, which the target did not make.
+func promises(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests,
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// finish writes the request's line.
+func (r *run) finish(answer *Answer) {
+	status := statusCallerGone
+	if answer != nil {
+		status = answer.Status
+	}
+	r.trail.log(r, status)
+}
+
+// log fields of a request that are the same at each of its lines.
+func (r *run) fields() []zap.Field {
+	fields := []zap.Field{zap.String("request", r.call.ID)}
+	if r.route != nil {
+		fields = append(fields, zap.String("route", r.route.Name), zap.Int("priority", r.priority()))
+	}
+	if r.account != nil {
+		fields = append(fields, zap.String("account", r.account.Name))
+	}
+	if r.config != nil {
+		fields = append(fields, zap.Uint64("config", r.config.Version))
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/gateway/trail.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// trail collects the decisions about one request, for its line in the log.
+type trail struct {
+	steps []step
+	err   error
+}
+
+type step struct {
+	what, about string
+	took        time.Duration
+}
+
+func (t *trail) add(what, about string, took time.Duration) {
+	t.steps = append(t.steps, step{what, about, took})
+}
+
+// log writes the one line that tells what became of the request.
+func (t *trail) log(r *run, status int) {
+	var story strings.Builder
+	for i, s := range t.steps {
+		if i > 0 {
+			story.WriteString("; ")
+		}
+		fmt.Fprintf(&story, "%s %s", s.what, s.about)
+		if s.took > 0 {
+			fmt.Fprintf(&story, " after %d ms", s.took.Milliseconds())
+		}
+	}
+	fields := append(r.fields(), zap.Int("status", status), zap.String("story", story.String()),
+		zap.Duration("took", r.Clock.Since(r.call.Received)), zap.Int("sent", r.sent))
+	if t.err != nil {
+		fields = append(fields, zap.Error(t.err))
+	}
+	const firstFailure = 400
+	if status >= firstFailure {
+		r.Logger.Warn("request ended without an answer of a target", fields...)
+		return
+	}
+	r.Logger.Info("request answered", fields...)
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/backoff"
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+)
+
+const (
+	// targetPeriod is the time between reads of the targets; a leaving target
+	// must be known well within two seconds.
+	targetPeriod = 400 * time.Millisecond
+	// memberPeriod is the time between announcements of the own address.
+	memberPeriod = 10 * time.Second
+)
+
+// retry spaces out calls to the control plane after failures.
+var retry = backoff.Policy{Base: 50 * time.Millisecond, Max: 600 * time.Millisecond}
+
+// dependency logs when something that the instance needs is lost or regained.
+type dependency struct {
+	name   string
+	logger *zap.Logger
+	lost   bool
+}
+
+func (d *dependency) report(err error) {
+	switch {
+	case err != nil && !d.lost:
+		d.logger.Warn("dependency lost", zap.String("dependency", d.name), zap.Error(err))
+	case err == nil && d.lost:
+		d.logger.Info("dependency regained", zap.String("dependency", d.name))
+	}
+	d.lost = err != nil
+}
+
+// followDeclared keeps the configuration up to date until the context ends.
+func (n *Node) followDeclared(ctx context.Context) {
+	wait := backoff.New(retry, n.random())
+	state := dependency{name: "operator's declarations", logger: n.logger}
+	var position uint64
+	for ctx.Err() == nil {
+		var watched Watched
+		var err error
+		if position == 0 {
+			watched, err = n.control.Declared(ctx)
+		} else {
+			watched, err = n.control.Watch(ctx, position)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		state.report(err)
+		if err != nil {
+			position = 0
+			_ = backoff.Wait(ctx, n.clock, wait.Next())
+			continue
+		}
+		wait.Reset()
+		position = watched.Position
+		if watched.Configuration != nil {
+			n.adopt(watched.Configuration, "control plane")
+		}
+	}
+}
+
+// adopt puts a configuration in force if it is newer.
+func (n *Node) adopt(c *catalog.Configuration, source string) {
+	before := n.holder.Version()
+	if !n.holder.Adopt(c) {
+		return
+	}
+	n.logger.Info("configuration in force", zap.Uint64("config", c.Version), zap.Uint64("before", before),
+		zap.String("source", source), zap.Int("routes", len(c.Routes)))
+}
+
+// followTargets keeps the targets up to date until the context ends.
+func (n *Node) followTargets(ctx context.Context) {
+	wait := backoff.New(retry, n.random())
+	state := dependency{name: "list of targets", logger: n.logger}
+	for ctx.Err() == nil {
+		targets, position, err := n.control.Targets(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		state.report(err)
+		pause := targetPeriod
+		if err != nil {
+			pause = wait.Next()
+		} else {
+			wait.Reset()
+			n.applyTargets(targets, position)
+		}
+		_ = backoff.Wait(ctx, n.clock, pause)
+	}
+}
+
+// applyTargets takes a read of the targets.
+func (n *Node) applyTargets(targets []*catalog.Target, position uint64) {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	before := n.targets.present
+	if !n.targets.apply(targets, position, n.clock.Now()) {
+		return
+	}
+	for key, target := range before {
+		if n.targets.present[key] == nil {
+			n.pool.Forget(target.Address)
+			n.logger.Info("target gone", zap.String("target", key.ID), zap.String("service", target.Service))
+		}
+	}
+	for key, target := range n.targets.present {
+		if old := before[key]; old == nil || old.Draining != target.Draining {
+			n.logger.Info("target seen", zap.String("target", key.ID), zap.String("service", target.Service),
+				zap.String("address", target.Address), zap.Bool("draining", target.Draining),
+				zap.String("version", target.Version), zap.Uint64("position", position))
+		}
+	}
+	n.scheduler.SetTargets(n.targets.list())
+	n.knowsTargets.Store(true)
+}
+
+// followMembers announces this instance and learns of the others.
+func (n *Node) followMembers(ctx context.Context) {
+	wait := backoff.New(retry, n.random())
+	state := dependency{name: "list of instances", logger: n.logger}
+	for ctx.Err() == nil {
+		err := n.control.Announce(ctx, Member{Name: n.settings.Name, Address: n.settings.Peers})
+		if err == nil {
+			var members []Member
+			if members, err = n.control.Members(ctx); err == nil {
+				n.peers.introduce(members)
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		state.report(err)
+		pause := memberPeriod
+		if err != nil {
+			pause = wait.Next()
+		} else {
+			wait.Reset()
+		}
+		_ = backoff.Wait(ctx, n.clock, pause)
+	}
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,200 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
+)
+
+const (
+	// gossipPeriod is the time between two messages to each instance.
+	gossipPeriod = 50 * time.Millisecond
+	// usageEvery and introduceEvery say in how many messages quota totals and
+	// known addresses are included.
+	usageEvery     = 2
+	introduceEvery = 20
+	// fetchDelay is how long a newer configuration that another instance has
+	// may still come from the control plane.
+	fetchDelay = 150 * time.Millisecond
+	// fetchTimeout bounds a call to another instance.
+	fetchTimeout = time.Second
+	// fetchPeriod is the time between looks for what others know better.
+	fetchPeriod = 100 * time.Millisecond
+)
+
+// Methods that instances call at each other.
+const (
+	methodConfiguration = "configuration"
+	methodTargets       = "targets"
+)
+
+// message is the state of one instance.
+type message struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Name        string
+	Incarnation int64
+	// Config is the version in force.
+	Config uint64
+	Loads  []schedule.TargetLoad
+	Queues []schedule.ServiceQueue
+	Usages []quota.Usage
+	// Known are addresses of instances.
+	Known []string
+}
+
+// gossip sends the own state to all other instances until the context ends.
+func (n *Node) gossip(ctx context.Context) {
+	ticker := n.clock.NewTicker(gossipPeriod)
+	defer ticker.Stop()
+	for turn := 0; ctx.Err() == nil; turn++ {
+		n.sendState(turn)
+		if n.scheduler.Waiting() {
+			n.scheduler.Pump()
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// sendState sends one round of messages.
+func (n *Node) sendState(turn int) {
+	addresses := n.peers.addresses()
+	if len(addresses) == 0 {
+		return
+	}
+	report := n.scheduler.Report()
+	m := message{
+		Name: n.settings.Name, Incarnation: n.incarnation, Config: n.holder.Version(),
+		Loads: report.Loads, Queues: report.Queues,
+	}
+	if turn%usageEvery == 0 {
+		m.Usages = n.quota.Usages()
+	}
+	if turn%introduceEvery == 0 {
+		for _, p := range n.peers.live() {
+			m.Known = append(m.Known, p.address)
+		}
+	}
+	body, err := msgpack.Marshal(&m)
+	if err != nil {
+		n.logger.Error("state could not be encoded", zap.Error(err))
+		return
+	}
+	for _, address := range addresses {
+		if err := n.bus.Send(address, peer.KindCredit, body); err != nil {
+			n.counters.GossipUnsent.Add(1)
+		}
+	}
+}
+
+// hear takes another instance's state.
+func (n *Node) hear(from string, body []byte) {
+	var m message
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		n.counters.GossipUnread.Add(1)
+		return
+	}
+	if n.peers.heard(from, m.Name, m.Incarnation, m.Config) {
+		n.logger.Info("instance heard", zap.String("instance", m.Name), zap.String("address", from),
+			zap.Int64("incarnation", m.Incarnation))
+	}
+	n.peers.introduceAddresses(m.Known)
+	n.scheduler.Hear(m.Name, &schedule.Report{Loads: m.Loads, Queues: m.Queues})
+	if len(m.Usages) > 0 {
+		n.quota.Hear(m.Name, m.Incarnation, m.Usages)
+	}
+}
+
+// heldConfiguration is the answer to methodConfiguration.
+type heldConfiguration struct {
+	Source []byte `json:"source,omitempty"`
+}
+
+// heldTargets is the answer to methodTargets.
+type heldTargets struct {
+	Position uint64            `json:"position"`
+	Targets  []*catalog.Target `json:"targets"`
+}
+
+func (n *Node) handleCalls() {
+	n.bus.Handle(methodConfiguration, func(context.Context, string, json.RawMessage) (any, error) {
+		if c := n.holder.Current(); c != nil {
+			return heldConfiguration{c.Source}, nil
+		}
+		return nil, errors.New("no configuration is known")
+	})
+	n.bus.Handle(methodTargets, func(context.Context, string, json.RawMessage) (any, error) {
+		n.targetsMu.Lock()
+		defer n.targetsMu.Unlock()
+		return heldTargets{n.targets.position, n.targets.list()}, nil
+	})
+}
+
+// catchUp asks other instances for what they know better, until the context
+// ends: a newer configuration, and targets when none are known.
+func (n *Node) catchUp(ctx context.Context) {
+	var behindSince time.Time
+	for ctx.Err() == nil {
+		n.catchUpOnce(ctx, &behindSince)
+		select {
+		case <-ctx.Done():
+		case <-n.clock.After(fetchPeriod):
+		}
+	}
+}
+
+func (n *Node) catchUpOnce(ctx context.Context, behindSince *time.Time) {
+	live := n.peers.live()
+	if len(live) == 0 {
+		return
+	}
+	if live[0].config <= n.holder.Version() {
+		*behindSince = time.Time{}
+	} else if behindSince.IsZero() {
+		*behindSince = n.clock.Now()
+	} else if n.clock.Since(*behindSince) >= fetchDelay {
+		n.fetchConfiguration(ctx, live[0].address)
+	}
+	if !n.knowsTargets.Load() {
+		n.fetchTargets(ctx, live[0].address)
+	}
+}
+
+func (n *Node) fetchConfiguration(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var held heldConfiguration
+	err := n.bus.Call(ctx, address, methodConfiguration, nil, &held)
+	if err == nil {
+		var c *catalog.Configuration
+		if c, err = n.control.Decode(held.Source); err == nil {
+			n.adopt(c, address)
+			return
+		}
+	}
+	n.logger.Warn("configuration not fetched", zap.String("from", address), zap.Error(err))
+}
+
+func (n *Node) fetchTargets(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var held heldTargets
+	if err := n.bus.Call(ctx, address, methodTargets, nil, &held); err != nil {
+		n.logger.Warn("targets not fetched", zap.String("from", address), zap.Error(err))
+		return
+	}
+	if len(held.Targets) > 0 {
+		n.applyTargets(held.Targets, held.Position)
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"context"
+	"encoding/binary"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/routing"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
+)
+
+const (
+	// memoryShare is the part of the bounded memory that the runtime aims to
+	// stay under; the rest is for what it does not count.
+	memoryShare = 0.75
+	// collectPercent is how much the heap may grow between two collections:
+	// memory costs more than processor time at this size.
+	collectPercent = 60
+	// sweepPeriod is the time between looks for unused connections.
+	sweepPeriod = 2 * time.Second
+)
+
+// Options are what a Node works with.
+type Options struct {
+	Settings Settings
+	Control  ControlPlane
+	Protocol gateway.Protocol
+	// ReadyPath is where the balancer asks whether the instance takes
+	// requests.
+	ReadyPath string
+	Clock     clockwork.Clock
+	Logger    *zap.Logger
+}
+
+// counters are the node's own.
+type counters struct{ GossipUnsent, GossipUnread atomic.Uint64 }
+
+// Node is one running instance.
+type Node struct {
+	settings    Settings
+	control     ControlPlane
+	clock       clockwork.Clock
+	logger      *zap.Logger
+	incarnation int64
+
+	holder    *catalog.Holder
+	scheduler *schedule.Scheduler
+	pool      *dispatch.Pool
+	quota     *quota.Ledger
+	peers     *peerTable
+	bus       *peer.NetBus
+	callers   *gateway.Server
+	readiness *fiber.App
+	counters  counters
+	served    gateway.Counters
+
+	draining     atomic.Bool
+	knowsTargets atomic.Bool
+
+	// targetsMu guards targets.
+	targetsMu sync.Mutex
+	targets   targetList
+
+	// budgetsMu guards budgets.
+	budgetsMu sync.Mutex
+	budgets   map[string]*routing.WindowBudget
+
+	cancel     context.CancelFunc
+	background conc.WaitGroup
+}
+
+// Start listens on the addresses of the settings and begins to serve.
+func Start(o Options) (*Node, error) {
+	n := &Node{
+		settings: o.Settings, control: o.Control, clock: o.Clock, logger: o.Logger,
+		incarnation: o.Clock.Now().UnixNano() ^ int64(rand.Uint32()),
+		holder:      &catalog.Holder{}, budgets: make(map[string]*routing.WindowBudget),
+	}
+	n.LimitMemory(o.Settings.MemoryBytes)
+	n.scheduler = schedule.New(o.Clock, n.random())
+	n.pool = dispatch.NewPool(o.Clock)
+	n.quota = quota.New(o.Clock, o.Settings.FirstStart)
+	n.peers = newPeerTable(o.Clock, o.Settings.Peers, o.Settings.Seeds)
+	n.callers = gateway.NewServer(gateway.New(gateway.Options{
+		Protocol: o.Protocol, Catalog: n.holder, Scheduler: n.scheduler, Pool: n.pool, Quota: n.quota,
+		Budget: n.budget, Misdirected: n.misdirected, Draining: n.draining.Load, Counters: &n.served,
+		FailureDomain: o.Settings.FailureDomain, Clock: o.Clock, Logger: o.Logger,
+	}))
+	if err := n.listen(o.ReadyPath); err != nil {
+		return nil, err
+	}
+	n.run()
+	n.logger.Info("instance started", zap.String("instance", o.Settings.Name),
+		zap.String("callers", o.Settings.Callers), zap.String("peers", o.Settings.Peers),
+		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", o.Settings.FirstStart))
+	return n, nil
+}
+
+// LimitMemory bounds the memory of the process; 0 sets no bound.
+func (n *Node) LimitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(bytes)))
+	}
+	debug.SetGCPercent(collectPercent)
+}
+
+func (n *Node) listen(readyPath string) error {
+	var err error
+	n.bus, err = peer.Listen(peer.Options{
+		Address: n.settings.Peers, Secret: deploymentSecret(n.settings.Deployment), Logger: n.logger,
+	})
+	if err != nil {
+		return errors.Wrap(err, "listen for instances")
+	}
+	n.bus.HandleDatagram(peer.KindCredit, n.hear)
+	n.handleCalls()
+	if err := n.bus.Start(); err != nil {
+		return errors.Wrap(err, "listen for instances")
+	}
+	callers, err := net.Listen("tcp", n.settings.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	ready, err := net.Listen("tcp", n.settings.Readiness)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	n.readiness = fiber.New(fiber.Config{DisableStartupMessage: true})
+	n.readiness.Get(readyPath, n.ready)
+	n.background.Go(func() { n.serve("callers", n.callers.Serve(callers)) })
+	n.background.Go(func() { n.serve("balancer", n.readiness.Listener(ready)) })
+	return n.listenMetrics()
+}
+
+func (n *Node) listenMetrics() error {
+	if n.settings.Metrics == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", n.settings.Metrics)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	app.Get("/*", adaptor.HTTPHandler(expvar.Handler()))
+	n.background.Go(func() { n.serve("metrics", app.Listener(l)) })
+	return nil
+}
+
+// serve logs why a server has ended, unless the instance shuts down.
+func (n *Node) serve(name string, err error) {
+	if err != nil && !n.draining.Load() {
+		n.logger.Error("server ended", zap.String("server", name), zap.Error(err))
+	}
+}
+
+// deploymentSecret derives what messages between instances are sealed with.
+// The platform hands out no secret; the seal keeps deployments apart that
+// share a network.
+func deploymentSecret(deployment string) []byte {
+	return []byte("hibiscuspost instances of " + deployment)
+}
+
+// run starts the background work.
+func (n *Node) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	for _, work := range []func(context.Context){
+		n.followDeclared, n.followTargets, n.followMembers, n.gossip, n.catchUp, n.sweep,
+	} {
+		n.background.Go(func() { work(ctx) })
+	}
+}
+
+// sweep closes unused connections until the context ends.
+func (n *Node) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-n.clock.After(sweepPeriod):
+			n.pool.Sweep()
+			n.shareBudgets()
+		}
+	}
+}
+
+// ready tells the balancer whether to send callers here.
+func (n *Node) ready(c *fiber.Ctx) error {
+	if n.draining.Load() || n.holder.Current() == nil || !n.knowsTargets.Load() {
+		return c.SendStatus(http.StatusServiceUnavailable)
+	}
+	return c.SendStatus(http.StatusOK)
+}
+
+// budget returns the service's budget of repeats.
+func (n *Node) budget(service string) *routing.WindowBudget {
+	n.budgetsMu.Lock()
+	defer n.budgetsMu.Unlock()
+	b := n.budgets[service]
+	if b == nil {
+		limits := n.settings.Repeats
+		b = routing.NewWindowBudget(n.clock, limits.RepeatRatio, limits.RepeatSlack, limits.RepeatWindow)
+		b.Share(len(n.peers.live()) + 1)
+		n.budgets[service] = b
+	}
+	return b
+}
+
+func (n *Node) shareBudgets() {
+	sharers := len(n.peers.live()) + 1
+	n.budgetsMu.Lock()
+	defer n.budgetsMu.Unlock()
+	for _, b := range n.budgets {
+		b.Share(sharers)
+	}
+}
+
+// misdirected closes the connections to an address that another target has.
+func (n *Node) misdirected(target *catalog.Target) {
+	n.pool.Forget(target.Address)
+	n.logger.Warn("another target has the address", zap.String("target", target.ID),
+		zap.String("address", target.Address))
+}
+
+// random returns a source for one part.
+func (n *Node) random() *rand.Rand {
+	var seed [32]byte
+	binary.LittleEndian.PutUint64(seed[:], uint64(n.incarnation))
+	binary.LittleEndian.PutUint64(seed[8:], rand.Uint64())
+	return rand.New(rand.NewChaCha8(seed))
+}
+
+// Reload takes over what may change in the settings of a running instance.
+func (n *Node) Reload(settings Settings) {
+	n.LimitMemory(settings.MemoryBytes)
+	n.peers.introduceAddresses(settings.Seeds)
+	n.logger.Info("settings reloaded", zap.Int64("memory_bytes", settings.MemoryBytes),
+		zap.Int("seeds", len(settings.Seeds)))
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// peerSilence is how long an instance may be unheard and still count as
+	// one that shares the work.
+	peerSilence = 3 * time.Second
+	// peerForget is how long an address is kept that nothing comes from.
+	peerForget = 30 * time.Second
+)
+
+// peerTable knows the other instances by what comes from them.
+type peerTable struct {
+	clock clockwork.Clock
+	self  string
+
+	// mu guards byAddress.
+	mu        sync.Mutex
+	byAddress map[string]*peerState
+}
+
+type peerState struct {
+	address string
+	// name is "" until something has been heard.
+	name string
+	// introduced is when the address was last told, heard when something last
+	// came from there; zero if never.
+	introduced, heard time.Time
+	incarnation       int64
+	config            uint64
+}
+
+func newPeerTable(clock clockwork.Clock, self string, seeds []string) *peerTable {
+	p := &peerTable{clock: clock, self: self, byAddress: make(map[string]*peerState)}
+	for _, seed := range seeds {
+		p.add(seed)
+	}
+	return p
+}
+
+// add notes an address; mu is held or nobody else knows the table.
+func (p *peerTable) add(address string) *peerState {
+	if address == p.self || address == "" {
+		return nil
+	}
+	state := p.byAddress[address]
+	if state == nil {
+		state = &peerState{address: address}
+		p.byAddress[address] = state
+	}
+	state.introduced = p.clock.Now()
+	return state
+}
+
+// introduce notes instances that others know.
+func (p *peerTable) introduce(members []Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range members {
+		p.add(m.Address)
+	}
+}
+
+// heard notes a message. Fresh tells that its sender has restarted or was not
+// known.
+func (p *peerTable) heard(address, name string, incarnation int64, config uint64) (fresh bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.add(address)
+	if state == nil {
+		return false
+	}
+	fresh = state.incarnation != incarnation
+	state.name, state.incarnation, state.config = name, incarnation, config
+	state.heard = p.clock.Now()
+	return fresh
+}
+
+// addresses returns where to send to, and drops those long silent.
+func (p *peerTable) addresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	addresses := make([]string, 0, len(p.byAddress))
+	for address, state := range p.byAddress {
+		if now.Sub(later(state.heard, state.introduced)) > peerForget {
+			delete(p.byAddress, address)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// live returns the addresses of instances heard lately, the one with the
+// newest configuration first.
+func (p *peerTable) live() []peerState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var live []peerState
+	for _, state := range p.byAddress {
+		if !state.heard.IsZero() && now.Sub(state.heard) <= peerSilence {
+			live = append(live, *state)
+		}
+	}
+	slices.SortFunc(live, func(a, b peerState) int {
+		return cmp.Or(cmp.Compare(b.config, a.config), cmp.Compare(a.address, b.address))
+	})
+	return live
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// introduceAddresses notes addresses of instances.
+func (p *peerTable) introduceAddresses(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range addresses {
+		p.add(address)
+	}
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,70 @@
+// Package node runs one instance of the gateway: it follows the operator's
+// configuration and the targets, tells the other instances what it runs, and
+// starts and ends the servers.
+//
+// What must last lies with the control plane (ControlPlane). An instance keeps
+// nothing else: its loads, quotas and beliefs are told to the others in
+// datagrams of absolute state, from which a restarted one catches up.
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
+)
+
+// Settings are what an instance starts from.
+type Settings struct {
+	Name          string
+	FailureDomain string
+	// Callers, Readiness and Peers are the "ip:port" to listen on; Peers is for
+	// TCP and UDP.
+	Callers, Readiness, Peers string
+	// Metrics is the "ip:port" of the counters; "" for none.
+	Metrics string
+	// Seeds are the Peers addresses of some instances, possibly outdated.
+	Seeds []string
+	// Deployment tells deployments apart that share a network.
+	Deployment string
+	// FirstStart is set when the whole deployment starts for the first time.
+	FirstStart bool
+	// MemoryBytes bounds the process's memory; 0 means no bound.
+	MemoryBytes int64
+	// Grace is the time between the signal to stop and the end by force.
+	Grace time.Duration
+	// Repeats bound sending requests again, over all instances.
+	Repeats gateway.Limits
+}
+
+// Member is an instance as it announces itself.
+type Member struct {
+	Name    string
+	Address string
+}
+
+// Watched is what a watch of the operator's declarations has brought.
+type Watched struct {
+	// Configuration is nil when it has not changed.
+	Configuration *catalog.Configuration
+	// Position is where to continue.
+	Position uint64
+}
+
+// ControlPlane is the platform's lasting state. Errors mean that nothing is
+// known anew; calls may be repeated.
+type ControlPlane interface {
+	// Declared reads what the operator has declared.
+	Declared(ctx context.Context) (Watched, error)
+	// Watch waits for changes after a position.
+	Watch(ctx context.Context, after uint64) (Watched, error)
+	// Targets reads all targets, with the position of the answer.
+	Targets(ctx context.Context) ([]*catalog.Target, uint64, error)
+	// Announce lists an instance.
+	Announce(ctx context.Context, member Member) error
+	// Members reads the instances that have announced themselves lately.
+	Members(ctx context.Context) ([]Member, error)
+	// Decode reads a configuration that another instance has passed on.
+	Decode(source []byte) (*catalog.Configuration, error)
+}
--- /dev/null
+++ b/internal/node/shutdown.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// noticeTime is how long new connections are still accepted after the
+	// signal to stop: the balancer asks once a second and needs two misses.
+	noticeTime = 2500 * time.Millisecond
+	// forceMargin is kept between the end of the last request and the end by
+	// force.
+	forceMargin = 150 * time.Millisecond
+)
+
+// Shutdown stops taking requests and ends once those under way are answered,
+// at the latest a little before the end by force.
+func (n *Node) Shutdown() {
+	began := n.clock.Now()
+	n.draining.Store(true)
+	n.logger.Info("instance stopping", zap.Int("connections", n.callers.Open()))
+	n.clock.Sleep(noticeTime)
+	left := n.settings.Grace - forceMargin - n.clock.Since(began)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	err := n.callers.Shutdown(ctx)
+	n.cancel()
+	n.logger.Info("instance stopped", zap.Duration("took", n.clock.Since(began)), zap.Error(err))
+	_ = n.logger.Sync()
+}
--- /dev/null
+++ b/internal/node/targets.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+)
+
+const (
+	// outageAfter is the time between two successful reads that counts as an
+	// outage, in which entries may have lapsed although their targets live.
+	outageAfter = 1500 * time.Millisecond
+	// returnTime is how long after an outage entries may take to come back.
+	returnTime = 2200 * time.Millisecond
+)
+
+// targetList decides which targets are there, from reads of a list that drops
+// the entries of silent targets, also of living ones while it cannot be
+// reached by them.
+type targetList struct {
+	present  map[catalog.TargetKey]*catalog.Target
+	position uint64
+	readAt   time.Time
+	// lenientUntil is the end of the time in which missing entries may come
+	// back.
+	lenientUntil time.Time
+}
+
+// apply takes a read. It reports whether the targets have changed.
+func (l *targetList) apply(read []*catalog.Target, position uint64, now time.Time) bool {
+	if position < l.position {
+		return false
+	}
+	l.position = position
+	if !l.readAt.IsZero() && now.Sub(l.readAt) > outageAfter {
+		l.lenientUntil = now.Add(returnTime)
+	}
+	l.readAt = now
+	next := make(map[catalog.TargetKey]*catalog.Target, len(read))
+	ids := make(map[string]bool, len(read))
+	for _, target := range read {
+		next[target.Key()] = target
+		ids[target.ID] = true
+	}
+	if now.Before(l.lenientUntil) {
+		for key, target := range l.present {
+			if next[key] == nil && !ids[key.ID] {
+				next[key] = target
+			}
+		}
+	}
+	changed := !same(l.present, next)
+	l.present = next
+	return changed
+}
+
+func same(a, b map[catalog.TargetKey]*catalog.Target) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for key, target := range a {
+		other := b[key]
+		if other == nil || *other != *target {
+			return false
+		}
+	}
+	return true
+}
+
+// list returns the targets.
+func (l *targetList) list() []*catalog.Target {
+	targets := make([]*catalog.Target, 0, len(l.present))
+	for _, target := range l.present {
+		targets = append(targets, target)
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,234 @@
+// Package quota keeps client accounts within a quota that all instances share.
+//
+// Every instance keeps a token bucket for each account and takes its own
+// requests from it at once. What the other instances have taken arrives as
+// cumulative totals (Totals, Hear) and is taken off as the difference to the
+// total heard before, so that lost, late and repeated messages do no harm.
+//
+// While a known instance is silent, it is assumed to take its even share of
+// the rate, so that an instance that is cut off from all others falls back to
+// that share itself, and the sum stays within the quota.
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+)
+
+const (
+	// silence is how long an instance may be unheard before its use is assumed
+	// instead: several periods of the reports.
+	silence = 400 * time.Millisecond
+	// forget is how long a silent instance counts as one that may still serve;
+	// after that it is taken to be gone.
+	forget = 6 * time.Second
+	// restartShare is the part of the burst with which an instance starts that
+	// joins a running system and has not heard the others' levels yet.
+	restartShare = 0.25
+	// settleTime is how long after its start an instance takes over the lowest
+	// level that it hears.
+	settleTime = 1500 * time.Millisecond
+)
+
+// Ledger keeps the buckets. Its methods may be called from any goroutine.
+type Ledger struct {
+	clock   clockwork.Clock
+	started time.Time
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	first   bool
+	buckets map[string]*bucket
+	peers   map[string]*member
+}
+
+// bucket is one account's quota; Ledger.mu guards it.
+type bucket struct {
+	rate, burst float64
+	level       float64
+	filled      time.Time
+	// taken is what this instance has taken since its start.
+	taken float64
+}
+
+// member is another instance; Ledger.mu guards it.
+type member struct {
+	// incarnation tells a restarted instance, whose totals begin at 0.
+	incarnation int64
+	heard       time.Time
+	totals      map[string]float64
+	// assumed is what has been taken off for it while it was silent.
+	assumed map[string]float64
+	charged time.Time
+}
+
+// New returns a ledger. First tells that the whole system starts for the first
+// time, so that no other instance can have taken anything yet.
+func New(clock clockwork.Clock, first bool) *Ledger {
+	return &Ledger{
+		clock: clock, started: clock.Now(), first: first,
+		buckets: make(map[string]*bucket), peers: make(map[string]*member),
+	}
+}
+
+// Take takes a charge from the account's quota. When there is too little left
+// it takes nothing and returns the time until there is enough.
+func (l *Ledger) Take(account *catalog.Account, charge float64) (ok bool, wait time.Duration) {
+	if account.Rate <= 0 {
+		return true, 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	b := l.bucket(account, now)
+	l.assumeSilent(now)
+	b.fill(now)
+	if b.level < math.Min(charge, b.burst) {
+		missing := math.Min(charge, b.burst) - b.level
+		return false, time.Duration(missing / b.rate * float64(time.Second))
+	}
+	b.level -= charge
+	b.taken += charge
+	return true, 0
+}
+
+// GiveBack returns the charge of a request that did not run.
+func (l *Ledger) GiveBack(account *catalog.Account, charge float64) {
+	if account.Rate <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[account.Name]; b != nil {
+		b.level = math.Min(b.burst, b.level+charge)
+		b.taken -= charge
+	}
+}
+
+// bucket returns the account's bucket, adapted to its present quota.
+func (l *Ledger) bucket(account *catalog.Account, now time.Time) *bucket {
+	b := l.buckets[account.Name]
+	if b == nil {
+		b = &bucket{rate: account.Rate, burst: account.Burst, level: account.Burst, filled: now}
+		if !l.first {
+			b.level = restartShare * account.Burst
+		}
+		l.buckets[account.Name] = b
+	}
+	if b.rate != account.Rate || b.burst != account.Burst {
+		b.fill(now)
+		b.rate, b.burst = account.Rate, account.Burst
+		b.level = math.Min(b.level, b.burst)
+	}
+	return b
+}
+
+func (b *bucket) fill(now time.Time) {
+	b.level = math.Min(b.burst, b.level+b.rate*now.Sub(b.filled).Seconds())
+	b.filled = now
+}
+
+// draw takes off what others have taken; a debt beyond the burst is dropped,
+// since it could only have come from an instance that had not heard of it.
+func (b *bucket) draw(amount float64, now time.Time) {
+	b.fill(now)
+	b.level = math.Max(-b.burst, math.Min(b.burst, b.level-amount))
+}
+
+// assumeSilent takes off an even share for each instance that is silent.
+func (l *Ledger) assumeSilent(now time.Time) {
+	members := float64(len(l.peers) + 1)
+	for name, m := range l.peers {
+		quiet := now.Sub(m.heard)
+		if quiet > forget {
+			delete(l.peers, name)
+			continue
+		}
+		if quiet < silence {
+			continue
+		}
+		span := now.Sub(m.charged).Seconds()
+		m.charged = now
+		for account, b := range l.buckets {
+			share := b.rate / members * span
+			m.assumed[account] += share
+			b.draw(share, now)
+		}
+	}
+}
+
+// Usage is what one instance has taken from one account.
+type Usage struct {
+	Account string
+	// Total counts since the instance's start.
+	Total float64
+	// Level is what the instance takes to be left.
+	Level float64
+}
+
+// Usages returns this instance's own totals.
+func (l *Ledger) Usages() []Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	usages := make([]Usage, 0, len(l.buckets))
+	for account, b := range l.buckets {
+		usages = append(usages, Usage{account, b.taken, b.level})
+	}
+	return usages
+}
+
+// Hear takes another instance's totals. Incarnation changes when it restarts.
+func (l *Ledger) Hear(from string, incarnation int64, usages []Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	m := l.peers[from]
+	if m == nil || m.incarnation != incarnation {
+		l.join(from, m, incarnation, usages, now)
+		return
+	}
+	for _, u := range usages {
+		delta := u.Total - m.totals[u.Account] - m.assumed[u.Account]
+		m.totals[u.Account] = u.Total
+		if b := l.buckets[u.Account]; b != nil {
+			b.draw(delta, now)
+			l.takeOver(b, u.Level, now)
+		}
+	}
+	clear(m.assumed)
+	m.heard, m.charged = now, now
+}
+
+// join starts to follow an instance. What it took before is unknown unless it
+// is a restarted one, whose totals began at 0.
+func (l *Ledger) join(from string, old *member, incarnation int64, usages []Usage, now time.Time) {
+	m := &member{
+		incarnation: incarnation, heard: now, charged: now,
+		totals: make(map[string]float64), assumed: make(map[string]float64),
+	}
+	l.peers[from] = m
+	for _, u := range usages {
+		m.totals[u.Account] = u.Total
+		b := l.buckets[u.Account]
+		if b == nil {
+			continue
+		}
+		if old != nil {
+			b.draw(u.Total, now)
+		}
+		l.takeOver(b, u.Level, now)
+	}
+}
+
+// takeOver lowers a level shortly after the start to what others have heard.
+func (l *Ledger) takeOver(b *bucket, level float64, now time.Time) {
+	if now.Sub(l.started) < settleTime {
+		b.fill(now)
+		b.level = math.Min(b.level, level)
+	}
+}
--- /dev/null
+++ b/internal/routing/window_test.go
@@ -0,0 +1,27 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+func TestWindowBudgetBoundsRepeatsAndRecovers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := NewWindowBudget(clock, 0.2, 40, 10*time.Second)
+	b.Share(4)
+	for range 100 {
+		b.Request()
+	}
+	spent := 0
+	for b.Spend() {
+		spent++
+	}
+	assert.Equal(t, spent, 22)
+	clock.Advance(5 * time.Second)
+	assert.Assert(t, !b.Spend())
+	clock.Advance(7 * time.Second)
+	assert.Assert(t, b.Spend())
+}
--- /dev/null
+++ b/internal/schedule/schedule.go
@@ -0,0 +1,107 @@
+// Package schedule decides, on every instance by itself but from what all
+// instances tell, when a request starts, on which target, and when it is
+// refused instead.
+//
+// # How it works
+//
+// Targets admit requests in order of arrival and know no priorities, so their
+// own queues are kept empty: a request starts only on a target on which fewer
+// requests run, over all instances, than it has slots. Others wait here, by
+// priority and within a priority by arrival. The number that runs for other
+// instances is known from their reports (Report), which are tens of
+// milliseconds old; the own number is exact.
+//
+// A waiting request of lower priority leaves free slots to requests of higher
+// priority that wait at other instances.
+//
+// A request is refused when its wait is expected to be, or has become, longer
+// than what lets it be answered in good time; the refusal says when to return.
+//
+// # Input and output
+//
+// The decisions (Place, waitBound, returnAfter) are pure functions of a
+// snapshot; the Scheduler keeps the state behind one mutex and does no input
+// or output of its own.
+package schedule
+
+import (
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+)
+
+// PriorityCount is the number of priorities kept apart; lower ones than the
+// last are treated as the last.
+const PriorityCount = 4
+
+// Request is what the scheduler knows of a request.
+type Request struct {
+	Service string
+	// Priority 0 is the highest.
+	Priority int
+	// PromptTokens and OutputTokens are expected; 0 for plain services.
+	PromptTokens, OutputTokens int
+	// Arrived is when the request came in.
+	Arrived time.Time
+	// Objective is the time from Arrived to the first part of the answer that
+	// counts as good service.
+	Objective time.Duration
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// FailureDomain is the instance's own.
+	FailureDomain string
+	// Version restricts the targets to one version; "" means any.
+	Version string
+	// Avoid holds targets that have failed the request already.
+	Avoid []catalog.TargetKey
+}
+
+func (r *Request) priority() int { return min(max(r.Priority, 0), PriorityCount-1) }
+
+func (r *Request) avoids(key catalog.TargetKey) bool {
+	for _, avoided := range r.Avoid {
+		if avoided == key {
+			return true
+		}
+	}
+	return false
+}
+
+// RefusedError tells that a request was not started and when to return.
+type RefusedError struct {
+	// Reason is short, for logs and callers.
+	Reason string
+	// ReturnAfter is when the caller should try again; 0 means no advice.
+	ReturnAfter time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "refused: " + e.Reason }
+
+// Result tells how a started request ended at its target.
+type Result int
+
+// The results.
+const (
+	// Complete answers count as success whatever their status.
+	Complete Result = iota
+	// Failed means that the target broke off, was silent or sent rubbish.
+	Failed
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Full means that the target refused for want of room, without running it.
+	Full
+	// Cancelled says nothing about the target.
+	Cancelled
+)
+
+// Outcome is what is known when a request has ended at its target.
+type Outcome struct {
+	Result Result
+	// Tokens is how many output tokens came after the first event.
+	Tokens int
+	// Streaming is the time from the first to the last event.
+	Streaming time.Duration
+	// Whole is the time from the dispatch to the end.
+	Whole time.Duration
+}
--- /dev/null
+++ b/internal/schedule/scheduler.go
@@ -0,0 +1,391 @@
+package schedule
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/estimate"
+	"github.com/hibiscuspost/hibiscuspost/internal/routing"
+)
+
+// Scheduler starts requests on targets. Its methods may be called from any
+// goroutine.
+type Scheduler struct {
+	clock clockwork.Clock
+
+	// mu guards all fields below.
+	mu       sync.Mutex
+	random   *rand.Rand
+	services map[string]*service
+	targets  map[catalog.TargetKey]*target
+	// reports are what other instances said last, by their name.
+	reports map[string]*received
+}
+
+// service is the state of one service; Scheduler.mu guards it.
+type service struct {
+	targets []*target
+	waiting [PriorityCount][]*waiter
+	// elsewhere counts the requests that wait at other instances.
+	elsewhere [PriorityCount]int
+	starts    rate
+	// best is the speed taken for targets that are not known yet.
+	best estimate.Speed
+}
+
+type waiter struct {
+	request *Request
+	until   time.Time
+	result  chan *Grant
+}
+
+// New returns a scheduler without targets.
+func New(clock clockwork.Clock, random *rand.Rand) *Scheduler {
+	return &Scheduler{
+		clock: clock, random: random,
+		services: make(map[string]*service),
+		targets:  make(map[catalog.TargetKey]*target),
+		reports:  make(map[string]*received),
+	}
+}
+
+// Grant is the right to run one request on a target; Done ends it.
+type Grant struct {
+	Target *catalog.Target
+	// Waited is how long the request waited for its place.
+	Waited time.Duration
+	// Running is how many requests the target was taken to run before.
+	Running int
+
+	scheduler *Scheduler
+	target    *target
+	request   *Request
+	// first and done are guarded by the scheduler's lock.
+	first, done bool
+}
+
+// SetTargets replaces the targets. Those that are missing take no new work.
+func (s *Scheduler) SetTargets(targets []*catalog.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := make(map[catalog.TargetKey]bool, len(targets))
+	for _, info := range targets {
+		listed[info.Key()] = true
+		t := s.targets[info.Key()]
+		if t == nil {
+			t = &target{}
+			s.targets[info.Key()] = t
+		}
+		t.info, t.withdrawn = info, false
+	}
+	for key, t := range s.targets {
+		if listed[key] {
+			continue
+		}
+		t.withdrawn = true
+		if t.own == 0 {
+			delete(s.targets, key)
+		}
+	}
+	s.regroup()
+	s.applyReports()
+	s.pumpAll()
+}
+
+// regroup lists the targets by service, in a fixed order.
+func (s *Scheduler) regroup() {
+	for _, sv := range s.services {
+		sv.targets = sv.targets[:0]
+	}
+	for _, t := range s.targets {
+		if !t.withdrawn {
+			sv := s.service(t.info.Service)
+			sv.targets = append(sv.targets, t)
+		}
+	}
+	for _, sv := range s.services {
+		slices.SortFunc(sv.targets, func(a, b *target) int {
+			if a.info.ID < b.info.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+func (s *Scheduler) service(name string) *service {
+	sv := s.services[name]
+	if sv == nil {
+		sv = &service{}
+		s.services[name] = sv
+	}
+	return sv
+}
+
+// Acquire waits until the request may start. The error is a *RefusedError or
+// the context's.
+func (s *Scheduler) Acquire(ctx context.Context, r *Request) (*Grant, error) {
+	grant, w, err := s.submit(r)
+	if w == nil {
+		return grant, err
+	}
+	timer := s.clock.NewTimer(w.until.Sub(s.clock.Now()))
+	defer timer.Stop()
+	select {
+	case g := <-w.result:
+		return g, nil
+	case <-ctx.Done():
+		s.abandon(w)
+		return nil, ctx.Err()
+	case <-timer.Chan():
+		return s.expire(w)
+	}
+}
+
+// submit starts the request at once, refuses it, or lets it wait.
+func (s *Scheduler) submit(r *Request) (*Grant, *waiter, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	sv := s.service(r.Service)
+	if !sv.waitingAtOrAbove(r.priority()) {
+		if g := s.start(sv, r, now); g != nil {
+			return g, nil, nil
+		}
+	}
+	bound := r.Arrived.Add(waitBound(r))
+	expected := sv.expectedWait(r.priority(), now)
+	if now.Add(expected).After(bound) {
+		return nil, nil, s.refuse("the expected wait is too long", expected, r, now)
+	}
+	w := &waiter{request: r, until: bound, result: make(chan *Grant, 1)}
+	sv.waiting[r.priority()] = append(sv.waiting[r.priority()], w)
+	return nil, w, nil
+}
+
+func (s *Scheduler) refuse(reason string, expected time.Duration, r *Request, now time.Time) error {
+	return &RefusedError{
+		Reason:      reason,
+		ReturnAfter: returnAfter(expected, r.Deadline.Sub(now), s.random.Float64()),
+	}
+}
+
+// abandon ends the wait of a request whose caller has gone.
+func (s *Scheduler) abandon(w *waiter) {
+	if g, _ := s.expire(w); g != nil {
+		g.Done(Outcome{Result: Cancelled})
+	}
+}
+
+// expire takes a request out of the queue; if it has been started meanwhile it
+// returns the grant.
+func (s *Scheduler) expire(w *waiter) (*Grant, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sv := s.service(w.request.Service)
+	queue := sv.waiting[w.request.priority()]
+	at := slices.Index(queue, w)
+	if at < 0 {
+		return <-w.result, nil
+	}
+	sv.waiting[w.request.priority()] = slices.Delete(queue, at, at+1)
+	now := s.clock.Now()
+	return nil, s.refuse("no place became free in time", sv.expectedWait(w.request.priority(), now), w.request, now)
+}
+
+// start places the request if a target has room. The lock is held.
+func (s *Scheduler) start(sv *service, r *Request, now time.Time) *Grant {
+	if sv.free(now) <= sv.waitingElsewhereAbove(r.priority()) {
+		return nil
+	}
+	t := s.choose(sv, r, now)
+	if t == nil {
+		return nil
+	}
+	g := &Grant{
+		Target: t.info, Waited: now.Sub(r.Arrived), Running: t.running(),
+		scheduler: s, target: t, request: r,
+	}
+	t.own++
+	t.prefilling += r.PromptTokens
+	sv.starts.add(now)
+	return g
+}
+
+// choose returns the cheapest target with room, or nil.
+func (s *Scheduler) choose(sv *service, r *Request, now time.Time) *target {
+	ignore := sv.mostEjected(now)
+	var candidates []Candidate
+	var targets []*target
+	for _, t := range sv.targets {
+		if (r.Version != "" && t.info.Version != r.Version) || r.avoids(t.info.Key()) || t.room(now, ignore) <= 0 {
+			continue
+		}
+		candidates = append(candidates, Candidate{
+			Slots: t.info.Slots, Running: t.running(), Prefilling: t.prefilling + t.othersPrefilling,
+			Speed: sv.speed(t), Far: t.info.FailureDomain != r.FailureDomain,
+		})
+		targets = append(targets, t)
+	}
+	if len(targets) == 0 {
+		return nil
+	}
+	ask := Ask{PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Left: r.Arrived.Add(r.Objective).Sub(now)}
+	return targets[Place(ask, candidates, s.random.Float64)]
+}
+
+// speed returns the target's speed; one that is not known is taken to be as
+// fast as the fastest, so that it is tried.
+func (sv *service) speed(t *target) *estimate.Speed {
+	if t.known {
+		return &t.speed
+	}
+	best := &sv.best
+	for _, other := range sv.targets {
+		if other.known && (best == &sv.best || other.speed.Decode() < best.Decode()) {
+			best = &other.speed
+		}
+	}
+	return best
+}
+
+// mostEjected reports whether so many targets are ejected that the cause is
+// not the single target, and ejections are ignored.
+func (sv *service) mostEjected(now time.Time) bool {
+	ejected := 0
+	for _, t := range sv.targets {
+		if t.ejector.Ejected(now) {
+			ejected++
+		}
+	}
+	return routing.Floor(ejected, len(sv.targets))
+}
+
+// free counts the places that are free over all targets.
+func (sv *service) free(now time.Time) int {
+	ignore := sv.mostEjected(now)
+	free := 0
+	for _, t := range sv.targets {
+		free += max(0, t.room(now, ignore))
+	}
+	return free
+}
+
+func (sv *service) waitingAtOrAbove(priority int) bool {
+	for p := 0; p <= priority; p++ {
+		if len(sv.waiting[p]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (sv *service) waitingElsewhereAbove(priority int) int {
+	n := 0
+	for p := range priority {
+		n += sv.elsewhere[p]
+	}
+	return n
+}
+
+// expectedWait predicts the wait of a request that joins the queue now, from
+// those ahead of it and the rate at which requests have been started.
+func (sv *service) expectedWait(priority int, now time.Time) time.Duration {
+	ahead := 0
+	for p := 0; p <= priority; p++ {
+		ahead += len(sv.waiting[p])
+	}
+	perSecond := sv.starts.perSecond(now)
+	if ahead == 0 || perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+}
+
+// pumpAll starts what waits and can be started. The lock is held.
+func (s *Scheduler) pumpAll() {
+	for _, sv := range s.services {
+		s.pump(sv)
+	}
+}
+
+func (s *Scheduler) pump(sv *service) {
+	now := s.clock.Now()
+	for p := range sv.waiting {
+		kept := sv.waiting[p][:0]
+		for _, w := range sv.waiting[p] {
+			if g := s.start(sv, w.request, now); g != nil {
+				w.result <- g
+				continue
+			}
+			kept = append(kept, w)
+		}
+		clear(sv.waiting[p][len(kept):])
+		sv.waiting[p] = kept
+	}
+}
+
+// Waiting reports whether any request waits here.
+func (s *Scheduler) Waiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sv := range s.services {
+		if sv.waitingAtOrAbove(PriorityCount - 1) {
+			return true
+		}
+	}
+	return false
+}
+
+// Pump looks again whether waiting requests can start, as after a pause has
+// passed.
+func (s *Scheduler) Pump() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pumpAll()
+}
+
+// First records that the first part of the answer has come.
+func (g *Grant) First(after time.Duration) {
+	g.scheduler.mu.Lock()
+	defer g.scheduler.mu.Unlock()
+	g.leavePrefill()
+	if g.request.PromptTokens > 0 {
+		g.target.speed.ObserveFirst(g.request.PromptTokens+firstOverheadTokens, after)
+	}
+}
+
+// firstOverheadTokens stands for the constant part of the time to the first
+// token, so that short prompts do not make a target look slow.
+const firstOverheadTokens = 1000
+
+func (g *Grant) leavePrefill() {
+	if !g.first {
+		g.first = true
+		g.target.prefilling -= g.request.PromptTokens
+	}
+}
+
+// Done ends the request at its target; further calls do nothing.
+func (g *Grant) Done(o Outcome) {
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g.done {
+		return
+	}
+	g.done = true
+	g.leavePrefill()
+	g.target.own--
+	g.target.record(&o, g.request.PromptTokens, s.clock.Now())
+	if g.target.withdrawn && g.target.own == 0 {
+		delete(s.targets, g.target.info.Key())
+	}
+	s.pump(s.service(g.request.Service))
+}
--- /dev/null
+++ b/internal/schedule/target.go
@@ -0,0 +1,87 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/estimate"
+	"github.com/hibiscuspost/hibiscuspost/internal/routing"
+)
+
+const (
+	// fullPause is how long a target that refused for want of room is left
+	// alone: about the time in which one of its slots frees up.
+	fullPause = 50 * time.Millisecond
+	// unreachablePause is the first pause after a failed connection; it
+	// doubles up to maxUnreachablePause.
+	unreachablePause    = 250 * time.Millisecond
+	maxUnreachablePause = 4 * time.Second
+)
+
+// target is the state of one incarnation of a target. Scheduler.mu guards it.
+type target struct {
+	info *catalog.Target
+	// own counts what this instance runs there, prefilling the prompt tokens
+	// of those whose first event has not come.
+	own, prefilling int
+	// others and othersPrefilling are the same for the other instances, as
+	// last reported.
+	others, othersPrefilling int
+	speed                    estimate.Speed
+	known                    bool
+	ejector                  routing.Ejector
+	pausedUntil              time.Time
+	pause                    time.Duration
+	// withdrawn targets take no new work and are forgotten once empty.
+	withdrawn bool
+}
+
+func (t *target) running() int { return t.own + t.others }
+
+// room tells how many more requests may start on the target now.
+func (t *target) room(now time.Time, ignoreEjection bool) int {
+	if t.withdrawn || t.info.Draining || now.Before(t.pausedUntil) {
+		return 0
+	}
+	free := t.info.Slots - t.running()
+	if ignoreEjection {
+		return free
+	}
+	if t.ejector.Ejected(now) {
+		return 0
+	}
+	if allowed := t.ejector.Allowed(); allowed >= 0 {
+		free = min(free, allowed-t.own)
+	}
+	return free
+}
+
+// record learns from an outcome.
+func (t *target) record(o *Outcome, prompt int, now time.Time) {
+	switch o.Result {
+	case Complete:
+		t.ejector.Success()
+		t.pause = 0
+		t.learn(o, prompt)
+	case Failed:
+		t.ejector.Failure(now)
+	case Unreachable:
+		t.pause = min(max(unreachablePause, 2*t.pause), maxUnreachablePause)
+		t.pausedUntil = now.Add(t.pause)
+	case Full:
+		t.pausedUntil = now.Add(fullPause)
+	case Cancelled:
+	}
+}
+
+func (t *target) learn(o *Outcome, prompt int) {
+	if prompt == 0 {
+		t.speed.ObserveWhole(o.Whole)
+		t.known = true
+		return
+	}
+	if o.Tokens > 0 {
+		t.speed.ObserveDecode(o.Tokens, o.Streaming)
+		t.known = true
+	}
+}
