Keep a connection for requests that must run once, within the targets' bound

Ruled out: the number of requests under way, which the scheduler bounds.

Change: unused connections share half of a target's bound among the instances; a careful request may use a connection that was used within the last second.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -39,9 +39,9 @@
 	URI    string
 	Header []Field
 	Body   []byte
-	// Fresh demands a new connection, so that a connection that is closed
-	// meanwhile cannot leave open whether the request ran.
-	Fresh bool
+	// Careful demands a new connection or one used lately, since a connection
+	// that is closed meanwhile leaves open whether the request ran.
+	Careful bool
 	// Mine tells whether an answer belongs to the request.
 	Mine func(http.Header) bool
 }
@@ -66,7 +66,7 @@
 // context cancels the exchange, also while the body is read. Errors carry
 // fault.StepDispatch and the target; IsNotSent tells the provable case.
 func (p *Pool) Send(ctx context.Context, x *Exchange) (*Reply, error) {
-	l, err := p.take(ctx, x.Address, x.Fresh)
+	l, err := p.take(ctx, x.Address, x.Careful)
 	if err != nil {
 		return nil, fault.At(fault.StepDispatch, x.Address, &NotSentError{err})
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -18,8 +18,12 @@
 	// idleMargin is taken off the time that a target states, so that its close
 	// does not cross a request.
 	idleMargin = time.Second
-	// maxIdle bounds the unused connections to one target.
-	maxIdle = 32
+	// defaultIdle bounds the unused connections to one target while nothing is
+	// known of the target's own bound.
+	defaultIdle = 8
+	// recentUse is how long ago a connection may have been used last to be good
+	// for a request that must not meet a close on its way.
+	recentUse = time.Second
 	// poolDialTimeout bounds a new connection: several round trips between
 	// failure domains and a target's own handshake.
 	poolDialTimeout = 400 * time.Millisecond
@@ -33,20 +37,29 @@
 	clock  clockwork.Clock
 	dialer net.Dialer
 
-	// mu guards idle and opened.
-	mu     sync.Mutex
-	idle   map[string][]*link
-	opened uint64
+	// mu guards the fields below.
+	mu      sync.Mutex
+	idle    map[string][]*link
+	maxIdle func(address string) int
+	opened  uint64
 }
 
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock) *Pool {
 	return &Pool{
 		clock: clock, idle: make(map[string][]*link),
-		dialer: net.Dialer{Timeout: poolDialTimeout, KeepAlive: -1},
+		maxIdle: func(string) int { return defaultIdle },
+		dialer:  net.Dialer{Timeout: poolDialTimeout, KeepAlive: -1},
 	}
 }
 
+// BoundIdle sets how many unused connections to an address are kept.
+func (p *Pool) BoundIdle(bound func(address string) int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = bound
+}
+
 // Opened is the number of connections made so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -59,8 +72,9 @@
 	conn    net.Conn
 	address string
 	reader  *bufio.Reader
-	// until is when the link must not be used any more.
-	until time.Time
+	// since is when the link was used last, until when it must not be used any
+	// more.
+	since, until time.Time
 	// used is set once a request has been answered on it.
 	used bool
 }
@@ -68,13 +82,14 @@
 func (l *link) close() { _ = l.conn.Close() }
 
 // take returns a kept connection that is still open and silent, or a new one.
-func (p *Pool) take(ctx context.Context, address string, fresh bool) (*link, error) {
-	for !fresh {
-		l := p.pop(address)
+// With careful set, a kept one must have been used lately.
+func (p *Pool) take(ctx context.Context, address string, careful bool) (*link, error) {
+	for {
+		l := p.pop(address, careful)
 		if l == nil {
 			break
 		}
-		if p.clock.Now().Before(l.until) && quiet(l.conn) {
+		if quiet(l.conn) {
 			return l, nil
 		}
 		l.close()
@@ -89,7 +104,8 @@
 	return &link{conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
 }
 
-func (p *Pool) pop(address string) *link {
+// pop takes out the connection that was used last.
+func (p *Pool) pop(address string, careful bool) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	links := p.idle[address]
@@ -97,6 +113,10 @@
 		return nil
 	}
 	l := links[len(links)-1]
+	now := p.clock.Now()
+	if now.After(l.until) || (careful && now.Sub(l.since) > recentUse) {
+		return nil
+	}
 	links[len(links)-1] = nil
 	p.idle[address] = links[:len(links)-1]
 	return l
@@ -114,9 +134,10 @@
 		return
 	}
 	l.used = true
-	l.until = p.clock.Now().Add(limit)
+	l.since = p.clock.Now()
+	l.until = l.since.Add(limit)
 	p.mu.Lock()
-	if len(p.idle[l.address]) >= maxIdle {
+	if len(p.idle[l.address]) >= p.maxIdle(l.address) {
 		p.mu.Unlock()
 		l.close()
 		return
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -286,8 +286,8 @@
 	}
 	return &dispatch.Exchange{
 		Address: target.Address, Method: r.call.Method, URI: r.call.URI, Body: r.call.Body,
-		Header: append(r.Protocol.WriteTarget(addressed), r.call.Header...),
-		Fresh:  !r.route.Repeatable(),
+		Header:  append(r.Protocol.WriteTarget(addressed), r.call.Header...),
+		Careful: !r.route.Repeatable(),
 		Mine: func(header http.Header) bool {
 			id := r.Protocol.ReadTarget(header).ID
 			return id == "" || id == r.call.ID
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -120,6 +120,11 @@
 				zap.String("version", target.Version), zap.Uint64("position", position))
 		}
 	}
+	services := make(map[string]string, len(n.targets.present))
+	for _, target := range n.targets.present {
+		services[target.Address] = target.Service
+	}
+	n.serviceAt.Store(&services)
 	n.scheduler.SetTargets(n.targets.list())
 	n.knowsTargets.Store(true)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,10 @@
 
 	draining     atomic.Bool
 	knowsTargets atomic.Bool
+	// sharers counts the instances that share the work, with this one.
+	sharers atomic.Int64
+	// serviceAt maps the addresses of targets to their services.
+	serviceAt atomic.Pointer[map[string]string]
 
 	// targetsMu guards targets.
 	targetsMu sync.Mutex
@@ -95,9 +99,12 @@
 		incarnation: o.Clock.Now().UnixNano() ^ int64(rand.Uint32()),
 		holder:      &catalog.Holder{}, budgets: make(map[string]*routing.WindowBudget),
 	}
+	n.sharers.Store(1)
+	n.serviceAt.Store(&map[string]string{})
 	n.LimitMemory(o.Settings.MemoryBytes)
 	n.scheduler = schedule.New(o.Clock, n.random())
 	n.pool = dispatch.NewPool(o.Clock)
+	n.pool.BoundIdle(n.idleBound)
 	n.quota = quota.New(o.Clock, o.Settings.FirstStart)
 	n.peers = newPeerTable(o.Clock, o.Settings.Peers, o.Settings.Seeds)
 	n.callers = gateway.NewServer(gateway.New(gateway.Options{
@@ -210,6 +217,25 @@
 	return c.SendStatus(http.StatusOK)
 }
 
+const (
+	// idleShare is the part of a target's connections that all instances
+	// together may keep unused.
+	idleShare = 0.5
+	// maxIdle bounds an instance's unused connections to one target.
+	maxIdle = 16
+)
+
+// idleBound returns how many unused connections to an address may be kept.
+func (n *Node) idleBound(address string) int {
+	service, _ := (*n.serviceAt.Load())[address]
+	c := n.holder.Current()
+	if c == nil || c.Services[service].MaxConnections == 0 {
+		return maxIdle
+	}
+	share := idleShare * float64(c.Services[service].MaxConnections) / float64(n.sharers.Load())
+	return max(1, min(maxIdle, int(share)))
+}
+
 // budget returns the service's budget of repeats.
 func (n *Node) budget(service string) *routing.WindowBudget {
 	n.budgetsMu.Lock()
@@ -218,7 +244,7 @@
 	if b == nil {
 		limits := n.settings.Repeats
 		b = routing.NewWindowBudget(n.clock, limits.RepeatRatio, limits.RepeatSlack, limits.RepeatWindow)
-		b.Share(len(n.peers.live()) + 1)
+		b.Share(int(n.sharers.Load()))
 		n.budgets[service] = b
 	}
 	return b
@@ -226,6 +252,7 @@
 
 func (n *Node) shareBudgets() {
 	sharers := len(n.peers.live()) + 1
+	n.sharers.Store(int64(sharers))
 	n.budgetsMu.Lock()
 	defer n.budgetsMu.Unlock()
 	for _, b := range n.budgets {
