Place long prompts where they are in time and harm nobody

Accounts all have one priority, which stands before the route's, so that requests were in no order at all.

Change: the route's priority decides within an account's. The time to the first event is predicted from the target's pace per output token and one ratio per service; a target that would be late, or whose other streams would pause too long, is taken only after half of the objective. Paces are reported to others.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -211,6 +211,7 @@
 func (r *run) acquire(ctx context.Context) (*schedule.Grant, *Answer) {
 	grant, err := r.Scheduler.Acquire(ctx, r.request())
 	if err == nil {
+		r.trail.placed(grant)
 		return grant, nil
 	}
 	var refused *schedule.RefusedError
@@ -225,7 +226,7 @@
 func (r *run) request() *schedule.Request {
 	request := &schedule.Request{
 		Service: r.service.Name, Priority: r.priority(), Arrived: r.call.Received,
-		Objective: r.route.Objective, Deadline: r.deadline, FailureDomain: r.FailureDomain, Avoid: r.avoid,
+		Objective: r.route.Objective, Gap: r.route.EventGap, TokensPerEvent: r.service.TokensPerEvent, Deadline: r.deadline, FailureDomain: r.FailureDomain, Avoid: r.avoid,
 	}
 	if r.service.Engine {
 		request.PromptTokens = max(1, r.call.PromptTokens)
@@ -237,11 +238,18 @@
 	return request
 }
 
+// routePriorities is the number of route priorities kept apart within one
+// priority of accounts.
+const routePriorities = 4
+
+// priority ranks the request: an account's own priority goes before its
+// route's, which decides between accounts of the same priority.
 func (r *run) priority() int {
+	route := min(r.route.Priority, routePriorities-1)
 	if r.account != nil && r.account.Priority != nil {
-		return *r.account.Priority
+		return *r.account.Priority*routePriorities + route
 	}
-	return r.route.Priority
+	return route
 }
 
 // ended answers a request whose time has passed; nil when the caller has gone.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,6 +28,8 @@
 	events *eventReader
 
 	started, first, latest time.Time
+	// gap is the longest pause between events.
+	gap time.Duration
 	// count is the number of events of the present target.
 	count int
 	// last is the id of the last event passed on; "" before the first.
@@ -121,8 +124,14 @@
 			s.first = now
 			s.grant.First(now.Sub(s.started))
 		}
+		if s.count > 0 {
+			s.gap = max(s.gap, now.Sub(s.latest))
+		}
 		s.count++
 		s.latest = now
+		if s.count == paceEvents {
+			s.pace()
+		}
 		s.pending = append(s.pending, e.raw...)
 		if !s.events.buffered() {
 			return nil
@@ -207,18 +216,24 @@
 	s.ended = true
 	s.release(schedule.Complete)
 	s.run.Counters.Answered.Add(1)
-	s.run.trail.add("streamed", s.grant.Target.ID, s.latest.Sub(s.started))
+	s.run.trail.add(fmt.Sprintf("streamed %d events, the first after %d ms, with pauses of at most %d ms, from",
+		s.count, s.first.Sub(s.started).Milliseconds(), s.gap.Milliseconds()), s.grant.Target.ID, s.latest.Sub(s.started))
 }
 
 // release ends the exchange with the present target.
 func (s *stream) release(result schedule.Result) {
 	s.reply.Close()
-	outcome := schedule.Outcome{Result: result, Whole: s.latest.Sub(s.started)}
-	if s.count > 1 {
-		outcome.Streaming = s.latest.Sub(s.first)
-		outcome.Tokens = (s.count - 1) * s.run.service.TokensPerEvent
-	}
-	s.grant.Done(outcome)
+	s.pace()
+	s.grant.Done(schedule.Outcome{Result: result, Whole: s.latest.Sub(s.started)})
+}
+
+// paceEvents is the number of events after which a stream tells the pace of
+// its target while it goes on.
+const paceEvents = 8
+
+// pace tells the scheduler how fast events have come so far.
+func (s *stream) pace() {
+	s.grant.Pace((s.count-1)*s.run.service.TokensPerEvent, s.latest.Sub(s.first))
 }
 
 // Close implements io.Closer: it ends what still runs for the caller.
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
 // trail collects the decisions about one request, for its line in the log.
@@ -23,6 +25,12 @@
 	t.steps = append(t.steps, step{what, about, took})
 }
 
+// placed notes a place with what decided it.
+func (t *trail) placed(g *schedule.Grant) {
+	t.add(fmt.Sprintf("placed with %d running, %d tokens ahead, %d ms expected, waited %d ms at",
+		g.Running, g.Ahead, g.Expected.Milliseconds(), g.Waited.Milliseconds()), g.Target.ID, 0)
+}
+
 // log writes the one line that tells what became of the request.
 func (t *trail) log(r *run, status int) {
 	var story strings.Builder
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -73,7 +73,7 @@
 	if len(addresses) == 0 {
 		return
 	}
-	report := n.scheduler.Report()
+	report := n.scheduler.Report(turn%introduceEvery == 0)
 	m := message{
 		Name: n.settings.Name, Incarnation: n.incarnation, Config: n.holder.Version(),
 		Loads: report.Loads, Queues: report.Queues,
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -1,74 +1,100 @@
 package schedule
 
-import (
-	"time"
+import "time"
 
-	"github.com/hibiscuspost/hibiscuspost/internal/estimate"
+const (
+	// spread is the share by which costs are varied at random, so that instances
+	// with the same stale picture do not all choose the same target.
+	spread = 0.1
+	// farPenalty is the cost of a target in another failure domain, whose bytes
+	// are paid for; a few times the latency between domains.
+	farPenalty = 10 * time.Millisecond
+	// firstMargin multiplies expected times to the first token when they are
+	// held against the objective, since they vary.
+	firstMargin = 1.25
+	// gapShare is the part of the allowed pause between events that reading a
+	// prompt may cause to the other streams of a target.
+	gapShare = 0.7
+	// readAhead bounds the time that a target needs for the prompts sent there
+	// already, for it to be sent a further one. Targets read prompts in order
+	// of arrival, so what is sent behind a long one waits for it whatever its
+	// priority; kept back, it can be placed elsewhere or start in its turn.
+	readAhead = 120 * time.Millisecond
 )
 
-// lateWeight multiplies the part of an expected first token that comes after
-// the objective, so that long prompts go where they are still in time; from
-// comparing 1, 3 and 10 on days of high load.
-const lateWeight = 3
-
-// spread is the share by which costs are varied at random, so that instances
-// with the same stale picture do not all choose the same target.
-const spread = 0.1
-
-// Candidate is a target with room, as far as placing needs it.
+// Candidate is a target as far as placing needs it.
 type Candidate struct {
-	Slots int
-	// Running is the number of requests there, over all instances.
+	// Free tells that the target has room now; others may be waited for.
+	Free    bool
 	Running int
-	// Prefilling is the number of prompt tokens sent there whose first event
-	// has not come yet, over all instances.
-	Prefilling int
-	Speed      *estimate.Speed
+	Slots   int
+	// First is the expected time to the first part of the answer, Whole the
+	// expected time to its end.
+	First, Whole time.Duration
+	// Pause is the longest pause that reading the prompt causes to other
+	// streams there.
+	Pause time.Duration
 	// Far is set when the target is in another failure domain.
 	Far bool
 }
 
 // Ask is the part of a request that placing needs.
 type Ask struct {
-	PromptTokens, OutputTokens int
-	// Left is the time until the first token must come to be in time.
+	// Left is the time until the first part must come to be in time.
 	Left time.Duration
+	// Gap is the longest pause between events that is good service; 0 means
+	// that none is stated.
+	Gap time.Duration
+	// MayHold allows the request to go on waiting although there is room.
+	MayHold bool
 }
 
-// farPenalty is the cost of a target in another failure domain, whose bytes
-// are paid for; a few times the latency between domains.
-const farPenalty = 10 * time.Millisecond
-
-// cost returns the expected time to the answer's end on the candidate, with
-// the part of the first token's delay that comes too late counted more.
-func cost(ask Ask, c *Candidate) float64 {
-	first := c.Speed.FirstToken(ask.PromptTokens + c.Prefilling)
-	if ask.PromptTokens == 0 {
-		first = first * time.Duration(c.Running+1) / time.Duration(max(1, c.Slots))
+// good reports whether the request would be served in time on the candidate
+// without making others late.
+func (a *Ask) good(c *Candidate) bool {
+	if time.Duration(firstMargin*float64(c.First)) > a.Left {
+		return false
 	}
-	total := first + time.Duration(ask.OutputTokens)*c.Speed.Decode()
-	if late := first - ask.Left; late > 0 {
-		total += lateWeight * late
-	}
-	if c.Far {
-		total += farPenalty
-	}
-	return float64(total)
+	return a.Gap == 0 || c.Pause <= time.Duration(gapShare*float64(a.Gap))
 }
 
-// Place returns the index of the cheapest candidate, which are never empty.
-// Random returns numbers in [0, 1).
+// Hold is the answer of Place when waiting for another target is better than
+// any target with room.
+const Hold = -1
+
+// Place returns the index of the best candidate with room, or Hold. Random
+// returns numbers in [0, 1).
 //
-// It answers the load pattern of unlike targets under mixed request sizes:
-// least-outstanding puts long answers and long prompts on slow targets as
-// often as on fast ones.
+// It answers the load pattern of unlike targets under mixed sizes: targets
+// that serve the request in time without harm come first. When only others
+// have room, as when short requests have filled the fast targets and a long
+// prompt arrives, the request holds out for a better one as long as it may.
 func Place(ask Ask, candidates []Candidate, random func() float64) int {
-	best, bestCost := 0, 0.0
+	best, bestCost, bestGood := Hold, 0.0, false
+	goodExists := false
 	for i := range candidates {
-		c := cost(ask, &candidates[i]) * (1 + spread*random())
-		if i == 0 || c < bestCost {
-			best, bestCost = i, c
+		c := &candidates[i]
+		good := ask.good(c)
+		goodExists = goodExists || good
+		if !c.Free {
+			continue
 		}
+		cost := c.cost() * (1 + spread*random())
+		if best == Hold || (good && !bestGood) || (good == bestGood && cost < bestCost) {
+			best, bestCost, bestGood = i, cost, good
+		}
+	}
+	if best != Hold && !bestGood && goodExists && ask.MayHold {
+		return Hold
 	}
 	return best
 }
+
+// cost orders candidates that are alike in being good.
+func (c *Candidate) cost() float64 {
+	total := c.Whole
+	if c.Far {
+		total += farPenalty
+	}
+	return float64(total)
+}
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -19,8 +19,14 @@
 	// Prefilling is the number of prompt tokens without a first event yet, in
 	// units of prefillUnit.
 	Prefilling uint16
+	// PerToken is the target's time per output token in units of paceUnit; 0
+	// when it is not known.
+	PerToken uint16
 }
 
+// paceUnit is the unit of times per token in reports.
+const paceUnit = 10 * time.Microsecond
+
 const prefillUnit = 64
 
 // ServiceQueue is what waits at one instance for one service.
@@ -47,15 +53,18 @@
 // Hash names targets and services in reports.
 func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// Report returns this instance's own load.
-func (s *Scheduler) Report() *Report {
+// Report returns this instance's own load. With all set it also tells what it
+// knows of targets on which it runs nothing.
+func (s *Scheduler) Report(all bool) *Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	report := &Report{}
 	for _, t := range s.targets {
-		if t.own > 0 {
+		if t.own > 0 || (all && t.perToken.known()) {
 			report.Loads = append(report.Loads, TargetLoad{
-				Target: Hash(t.info.ID), Running: uint16(t.own), Prefilling: uint16(min(t.prefilling/prefillUnit, 1<<16-1)),
+				Target: Hash(t.info.ID), Running: uint16(t.own),
+				Prefilling: uint16(min(t.prefilling/prefillUnit, 1<<16-1)),
+				PerToken:   uint16(min(t.perToken.duration()/paceUnit, 1<<16-1)),
 			})
 		}
 	}
@@ -104,6 +113,9 @@
 			if t := loads[load.Target]; t != nil {
 				t.others += int(load.Running)
 				t.othersPrefilling += int(load.Prefilling) * prefillUnit
+				if load.PerToken > 0 && !t.perToken.known() {
+					t.perToken.observe(time.Duration(load.PerToken) * paceUnit)
+				}
 			}
 		}
 		for _, queue := range r.report.Queues {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -32,7 +32,7 @@
 
 // PriorityCount is the number of priorities kept apart; lower ones than the
 // last are treated as the last.
-const PriorityCount = 4
+const PriorityCount = 16
 
 // Request is what the scheduler knows of a request.
 type Request struct {
@@ -41,11 +41,16 @@
 	Priority int
 	// PromptTokens and OutputTokens are expected; 0 for plain services.
 	PromptTokens, OutputTokens int
+	// TokensPerEvent is how many tokens an event of the answer holds.
+	TokensPerEvent int
 	// Arrived is when the request came in.
 	Arrived time.Time
 	// Objective is the time from Arrived to the first part of the answer that
 	// counts as good service.
 	Objective time.Duration
+	// Gap is the longest pause between events that counts as good service; 0
+	// means that none is stated.
+	Gap time.Duration
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// FailureDomain is the instance's own.
@@ -98,10 +103,6 @@
 // Outcome is what is known when a request has ended at its target.
 type Outcome struct {
 	Result Result
-	// Tokens is how many output tokens came after the first event.
-	Tokens int
-	// Streaming is the time from the first to the last event.
-	Streaming time.Duration
 	// Whole is the time from the dispatch to the end.
 	Whole time.Duration
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -10,7 +10,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
-	"github.com/hibiscuspost/hibiscuspost/internal/estimate"
 	"github.com/hibiscuspost/hibiscuspost/internal/routing"
 )
 
@@ -35,8 +34,7 @@
 	// elsewhere counts the requests that wait at other instances.
 	elsewhere [PriorityCount]int
 	starts    rate
-	// best is the speed taken for targets that are not known yet.
-	best estimate.Speed
+	reader    reader
 }
 
 type waiter struct {
@@ -66,6 +64,10 @@
 	scheduler *Scheduler
 	target    *target
 	request   *Request
+	// Ahead is the number of prompt tokens that were being read there before,
+	// Expected the time to the first token that was predicted.
+	Ahead    int
+	Expected time.Duration
 	// first and done are guarded by the scheduler's lock.
 	first, done bool
 }
@@ -210,7 +212,8 @@
 	}
 	g := &Grant{
 		Target: t.info, Waited: now.Sub(r.Arrived), Running: t.running(),
-		scheduler: s, target: t, request: r,
+		scheduler: s, target: t, request: r, Ahead: t.reading(),
+		Expected: sv.candidate(t, r, now, true).First,
 	}
 	t.own++
 	t.prefilling += r.PromptTokens
@@ -218,40 +221,83 @@
 	return g
 }
 
-// choose returns the cheapest target with room, or nil.
+// choose returns the best target with room, or nil.
 func (s *Scheduler) choose(sv *service, r *Request, now time.Time) *target {
 	ignore := sv.mostEjected(now)
-	var candidates []Candidate
-	var targets []*target
+	candidates := make([]Candidate, 0, len(sv.targets))
+	targets := make([]*target, 0, len(sv.targets))
 	for _, t := range sv.targets {
-		if (r.Version != "" && t.info.Version != r.Version) || r.avoids(t.info.Key()) || t.room(now, ignore) <= 0 {
+		if (r.Version != "" && t.info.Version != r.Version) || r.avoids(t.info.Key()) || !t.usable(now, ignore) {
 			continue
 		}
-		candidates = append(candidates, Candidate{
-			Slots: t.info.Slots, Running: t.running(), Prefilling: t.prefilling + t.othersPrefilling,
-			Speed: sv.speed(t), Far: t.info.FailureDomain != r.FailureDomain,
-		})
+		candidates = append(candidates, sv.candidate(t, r, now, ignore))
 		targets = append(targets, t)
 	}
-	if len(targets) == 0 {
+	at := Place(r.ask(now), candidates, s.random.Float64)
+	if at == Hold {
 		return nil
 	}
-	ask := Ask{PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Left: r.Arrived.Add(r.Objective).Sub(now)}
-	return targets[Place(ask, candidates, s.random.Float64)]
+	return targets[at]
 }
 
-// speed returns the target's speed; one that is not known is taken to be as
-// fast as the fastest, so that it is tried.
-func (sv *service) speed(t *target) *estimate.Speed {
-	if t.known {
-		return &t.speed
+// ask describes the request to Place.
+func (r *Request) ask(now time.Time) Ask {
+	waited := now.Sub(r.Arrived)
+	return Ask{
+		Left: r.Objective - waited, Gap: r.Gap,
+		MayHold: waited < time.Duration(holdShare*float64(r.Objective)),
 	}
-	best := &sv.best
+}
+
+// candidate describes a target to Place.
+func (sv *service) candidate(t *target, r *Request, now time.Time, ignoreEjection bool) Candidate {
+	c := Candidate{
+		Running: t.running(), Slots: t.info.Slots,
+		Free: t.room(now, ignoreEjection) > 0, Far: t.info.FailureDomain != r.FailureDomain,
+	}
+	if r.PromptTokens == 0 {
+		c.First = sv.answerTime(t) * time.Duration(c.Running+1) / time.Duration(max(1, c.Slots))
+		c.Whole = c.First
+		return c
+	}
+	perToken := sv.tokenTime(t)
+	ahead := sv.reader.time(t.reading(), perToken)
+	read := sv.reader.time(r.PromptTokens, perToken)
+	c.First = readFixed + ahead + read
+	c.Whole = c.First + time.Duration(r.OutputTokens)*perToken
+	if c.Running > 0 {
+		c.Pause = min(read, time.Duration(max(1, r.TokensPerEvent))*sv.reader.time(chunkTokens, perToken))
+	}
+	if ahead > readAhead {
+		c.Free = false
+	}
+	return c
+}
+
+// tokenTime returns the target's time per output token; one that is not known
+// is taken to be as fast as the fastest, so that it is tried.
+func (sv *service) tokenTime(t *target) time.Duration {
+	return sv.paceOf(t, func(t *target) *pace { return &t.perToken }, defaultPace)
+}
+
+// answerTime is the same for the time of a whole answer.
+func (sv *service) answerTime(t *target) time.Duration {
+	return sv.paceOf(t, func(t *target) *pace { return &t.perAnswer }, defaultPace)
+}
+
+func (sv *service) paceOf(t *target, of func(*target) *pace, fallback time.Duration) time.Duration {
+	if p := of(t); p.known() {
+		return p.duration()
+	}
+	var best time.Duration
 	for _, other := range sv.targets {
-		if other.known && (best == &sv.best || other.speed.Decode() < best.Decode()) {
-			best = &other.speed
+		if p := of(other); p.known() && (best == 0 || p.duration() < best) {
+			best = p.duration()
 		}
 	}
+	if best == 0 {
+		return fallback
+	}
 	return best
 }
 
@@ -353,17 +399,25 @@
 
 // First records that the first part of the answer has come.
 func (g *Grant) First(after time.Duration) {
-	g.scheduler.mu.Lock()
-	defer g.scheduler.mu.Unlock()
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	g.leavePrefill()
-	if g.request.PromptTokens > 0 {
-		g.target.speed.ObserveFirst(g.request.PromptTokens+firstOverheadTokens, after)
+	if tokens := g.request.PromptTokens; tokens > 0 && g.target.perToken.known() {
+		s.service(g.request.Service).reader.observe(tokens+g.Ahead, after, g.target.perToken.duration())
 	}
+	s.pump(s.service(g.request.Service))
 }
 
-// firstOverheadTokens stands for the constant part of the time to the first
-// token, so that short prompts do not make a target look slow.
-const firstOverheadTokens = 1000
+// Pace records that output tokens have come in the given time.
+func (g *Grant) Pace(tokens int, took time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	g.scheduler.mu.Lock()
+	defer g.scheduler.mu.Unlock()
+	g.target.perToken.observe(took / time.Duration(tokens))
+}
 
 func (g *Grant) leavePrefill() {
 	if !g.first {
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
-	"github.com/hibiscuspost/hibiscuspost/internal/estimate"
 	"github.com/hibiscuspost/hibiscuspost/internal/routing"
 )
 
@@ -27,29 +26,39 @@
 	// others and othersPrefilling are the same for the other instances, as
 	// last reported.
 	others, othersPrefilling int
-	speed                    estimate.Speed
-	known                    bool
-	ejector                  routing.Ejector
-	pausedUntil              time.Time
-	pause                    time.Duration
+	// perToken is the time per output token of engines, perAnswer that of a
+	// whole answer of other targets.
+	perToken, perAnswer pace
+	ejector             routing.Ejector
+	pausedUntil         time.Time
+	pause               time.Duration
 	// withdrawn targets take no new work and are forgotten once empty.
 	withdrawn bool
 }
 
 func (t *target) running() int { return t.own + t.others }
 
+// reading is the number of prompt tokens sent there whose first event has not
+// come, over all instances.
+func (t *target) reading() int { return t.prefilling + t.othersPrefilling }
+
+// usable tells whether the target may take requests, now or when it has room.
+func (t *target) usable(now time.Time, ignoreEjection bool) bool {
+	if t.withdrawn || t.info.Draining || now.Before(t.pausedUntil) {
+		return false
+	}
+	return ignoreEjection || !t.ejector.Ejected(now)
+}
+
 // room tells how many more requests may start on the target now.
 func (t *target) room(now time.Time, ignoreEjection bool) int {
-	if t.withdrawn || t.info.Draining || now.Before(t.pausedUntil) {
+	if !t.usable(now, ignoreEjection) {
 		return 0
 	}
 	free := t.info.Slots - t.running()
 	if ignoreEjection {
 		return free
 	}
-	if t.ejector.Ejected(now) {
-		return 0
-	}
 	if allowed := t.ejector.Allowed(); allowed >= 0 {
 		free = min(free, allowed-t.own)
 	}
@@ -62,7 +71,9 @@
 	case Complete:
 		t.ejector.Success()
 		t.pause = 0
-		t.learn(o, prompt)
+		if prompt == 0 {
+			t.perAnswer.observe(o.Whole)
+		}
 	case Failed:
 		t.ejector.Failure(now)
 	case Unreachable:
@@ -73,15 +84,3 @@
 	case Cancelled:
 	}
 }
-
-func (t *target) learn(o *Outcome, prompt int) {
-	if prompt == 0 {
-		t.speed.ObserveWhole(o.Whole)
-		t.known = true
-		return
-	}
-	if o.Tokens > 0 {
-		t.speed.ObserveDecode(o.Tokens, o.Streaming)
-		t.known = true
-	}
-}
--- a/internal/schedule/wait.go
+++ b/internal/schedule/wait.go
@@ -6,6 +6,9 @@
 	// objectiveShare is the part of the objective that may be spent waiting;
 	// the rest is for the target's own work.
 	objectiveShare = 0.8
+	// holdShare is the part of the objective for which a request may hold out
+	// for a better target while others have room.
+	holdShare = 0.5
 	// defaultWait bounds the wait where no objective is stated.
 	defaultWait = time.Second
 	// deadlineShare bounds the wait to a part of the caller's whole time, so
