Ask refused callers to return after the burst

Change: the shortest advice is 3 s, still within a third of the caller's time.

Conclusion: 3 s, about the length of a burst.

--- a/internal/schedule/wait.go
+++ b/internal/schedule/wait.go
@@ -31,7 +31,7 @@
 const (
 	// minReturn and maxReturn bound the advice to callers; callers keep to at
 	// most returnShare of the time that they have left.
-	minReturn   = 200 * time.Millisecond
+	minReturn   = 3000 * time.Millisecond
 	maxReturn   = 4 * time.Second
 	returnShare = 0.3
 	// returnSpread is the width of the random part, relative to the base.
