Let one instance's read of the targets serve all

Change: the state that instances tell each other says when they read the targets and what they found. An instance reads only when it hears of no recent read; those earlier in the order of names first. Newer lists are fetched from the instance that has them.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -14,8 +14,14 @@
 	// targetPeriod is the time between reads of the targets; a leaving target
 	// must be known well within two seconds.
 	targetPeriod = 400 * time.Millisecond
+	// targetStagger is how much longer each further instance waits for a read
+	// of another: the time in which the news of a read arrives.
+	targetStagger = 120 * time.Millisecond
+	// maxRank bounds the wait, so that any instance that hears of no reads
+	// knows of leaving targets in time.
+	maxRank = 4
 	// memberPeriod is the time between announcements of the own address.
-	memberPeriod = 10 * time.Second
+	memberPeriod = 20 * time.Second
 )
 
 // retry spaces out calls to the control plane after failures.
@@ -78,25 +84,43 @@
 		zap.String("source", source), zap.Int("routes", len(c.Routes)))
 }
 
-// followTargets keeps the targets up to date until the context ends.
+// followTargets keeps the targets up to date until the context ends. One
+// instance's read serves all that hear of it: an instance reads only when no
+// read is known that is recent enough, those earlier in the order of names
+// first.
 func (n *Node) followTargets(ctx context.Context) {
 	wait := backoff.New(retry, n.random())
 	state := dependency{name: "list of targets", logger: n.logger}
 	for ctx.Err() == nil {
+		if pause := n.nextTargetRead(); pause > 0 {
+			_ = backoff.Wait(ctx, n.clock, pause)
+			continue
+		}
 		targets, position, err := n.control.Targets(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		state.report(err)
-		pause := targetPeriod
 		if err != nil {
-			pause = wait.Next()
-		} else {
-			wait.Reset()
-			n.applyTargets(targets, position)
+			_ = backoff.Wait(ctx, n.clock, wait.Next())
+			continue
 		}
-		_ = backoff.Wait(ctx, n.clock, pause)
+		wait.Reset()
+		n.ownRead.Store(n.clock.Since(n.started).Nanoseconds())
+		n.applyTargets(targets, position)
+	}
+}
+
+// nextTargetRead returns the time until this instance should read the targets.
+func (n *Node) nextTargetRead() time.Duration {
+	n.targetsMu.Lock()
+	readAt := n.targets.readAt
+	n.targetsMu.Unlock()
+	if readAt.IsZero() {
+		return 0
 	}
+	rank := min(n.peers.rank(n.settings.Name), maxRank)
+	return targetPeriod + time.Duration(rank)*targetStagger - n.clock.Since(readAt)
 }
 
 // applyTargets takes a read of the targets.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -49,8 +49,17 @@
 	Usages []quota.Usage
 	// Known are addresses of instances.
 	Known []string
+	// TargetsDigest and TargetsPosition describe the known targets.
+	TargetsDigest   uint32
+	TargetsPosition uint64
+	// TargetsAgeMs is the time since this instance itself read them; noRead if
+	// it has not.
+	TargetsAgeMs uint32
 }
 
+// noRead stands for the age of a read that was never made.
+const noRead = 1<<32 - 1
+
 // gossip sends the own state to all other instances until the context ends.
 func (n *Node) gossip(ctx context.Context) {
 	ticker := n.clock.NewTicker(gossipPeriod)
@@ -79,6 +88,7 @@
 		Name: n.settings.Name, Incarnation: n.incarnation, Config: n.holder.Version(),
 		Loads: report.Loads, Queues: report.Queues,
 	}
+	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
 	if turn%usageEvery == 0 {
 		m.Usages = n.quota.Usages()
 	}
@@ -111,12 +121,50 @@
 			zap.Int64("incarnation", m.Incarnation))
 	}
 	n.peers.introduceAddresses(m.Known)
+	n.hearTargets(from, &m)
 	n.scheduler.Hear(m.Name, &schedule.Report{Loads: m.Loads, Queues: m.Queues})
 	if len(m.Usages) > 0 {
 		n.quota.Hear(m.Name, m.Incarnation, m.Usages)
 	}
 }
 
+// describeTargets returns what the message says about the targets.
+func (n *Node) describeTargets() (digest uint32, position uint64, ageMs uint32) {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	read := n.ownRead.Load()
+	if read == 0 {
+		return n.targets.digest(), n.targets.position, noRead
+	}
+	age := n.clock.Since(n.started) - time.Duration(read)
+	return n.targets.digest(), n.targets.position, uint32(min(age.Milliseconds(), noRead-1))
+}
+
+// hearTargets takes another instance's recent read for an own one where it
+// brought the same, and asks for it where it brought something newer.
+func (n *Node) hearTargets(from string, m *message) {
+	if m.TargetsAgeMs == noRead {
+		return
+	}
+	age := time.Duration(m.TargetsAgeMs) * time.Millisecond
+	if age > targetPeriod {
+		return
+	}
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	if m.TargetsPosition < n.targets.position {
+		return
+	}
+	if m.TargetsDigest == n.targets.digest() {
+		n.targets.confirm(n.clock.Now().Add(-age))
+		return
+	}
+	select {
+	case n.newerTargets <- from:
+	default:
+	}
+}
+
 // heldConfiguration is the answer to methodConfiguration.
 type heldConfiguration struct {
 	Source []byte `json:"source,omitempty"`
@@ -150,6 +198,8 @@
 		n.catchUpOnce(ctx, &behindSince)
 		select {
 		case <-ctx.Done():
+		case from := <-n.newerTargets:
+			n.fetchTargets(ctx, from)
 		case <-n.clock.After(fetchPeriod):
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,14 @@
 	counters  counters
 	served    gateway.Counters
 
+	// started is the origin of ownRead.
+	started time.Time
+	// ownRead is when this instance last read the targets itself, in
+	// nanoseconds since started; 0 if never.
+	ownRead atomic.Int64
+	// newerTargets takes the addresses of instances that know newer targets.
+	newerTargets chan string
+
 	draining     atomic.Bool
 	knowsTargets atomic.Bool
 	// sharers counts the instances that share the work, with this one.
@@ -99,6 +107,7 @@
 		incarnation: o.Clock.Now().UnixNano() ^ int64(rand.Uint32()),
 		holder:      &catalog.Holder{}, budgets: make(map[string]*routing.WindowBudget),
 	}
+	n.started, n.newerTargets = o.Clock.Now(), make(chan string, 1)
 	n.sharers.Store(1)
 	n.serviceAt.Store(&map[string]string{})
 	n.LimitMemory(o.Settings.MemoryBytes)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -134,3 +134,15 @@
 		p.add(address)
 	}
 }
+
+// rank returns how many live instances come before this one in the order of
+// names.
+func (p *peerTable) rank(self string) int {
+	rank := 0
+	for _, state := range p.live() {
+		if state.name < self {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 )
 
@@ -54,6 +56,27 @@
 	return changed
 }
 
+// confirm takes note that another instance's read at that time gave the same
+// targets.
+func (l *targetList) confirm(readAt time.Time) {
+	if readAt.After(l.readAt) {
+		l.readAt = readAt
+	}
+}
+
+// digest tells lists of targets apart, whatever their order.
+func (l *targetList) digest() uint32 {
+	var sum uint64
+	for key, target := range l.present {
+		text := key.ID + "|" + target.Address + "|" + target.Version
+		if target.Draining {
+			text += "|draining"
+		}
+		sum += xxhash.Sum64String(text) + uint64(key.Born)
+	}
+	return uint32(sum)
+}
+
 func same(a, b map[catalog.TargetKey]*catalog.Target) bool {
 	if len(a) != len(b) {
 		return false
