--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	r.charge = r.account.Charge(r.call.PromptTokens + r.call.OutputTokens)
-	ok, wait := r.Quota.Take(r.account, r.charge)
+	ok, wait := r.Quota.Take(r.account, r.route.Priority, r.charge)
 	if ok {
 		return nil
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -105,8 +105,10 @@
 }
 
 // Take takes a charge from the account's quota. When there is too little left
-// it takes nothing and returns the time until there is enough.
-func (l *Ledger) Take(account *catalog.Account, charge float64) (ok bool, wait time.Duration) {
+// it takes nothing and returns the time until there is enough. Priority 0 is
+// the highest; lower ones leave a part of the burst to the higher ones, so that
+// these go first where an account asks for more than its quota.
+func (l *Ledger) Take(account *catalog.Account, priority int, charge float64) (ok bool, wait time.Duration) {
 	if account.Rate <= 0 {
 		return true, 0
 	}
@@ -116,8 +118,9 @@
 	b := l.bucket(account, now)
 	l.assumeSilent(now)
 	b.fill(now)
-	if b.level < math.Min(charge, b.burst) {
-		missing := math.Min(charge, b.burst) - b.level
+	needed := math.Min(charge+reserve(priority)*b.burst, b.burst)
+	if b.level < needed {
+		missing := needed - b.level
 		return false, time.Duration(missing / b.rate * float64(time.Second))
 	}
 	b.level -= charge
@@ -125,6 +128,17 @@
 	return true, 0
 }
 
+const (
+	// reserveStep is the part of the burst that each priority leaves to the one
+	// above it; maxReserve bounds the sum.
+	reserveStep = 0.15
+	maxReserve  = 0.45
+)
+
+func reserve(priority int) float64 {
+	return math.Min(maxReserve, reserveStep*float64(max(0, priority)))
+}
+
 // GiveBack returns the charge of a request that did not run.
 func (l *Ledger) GiveBack(account *catalog.Account, charge float64) {
 	if account.Rate <= 0 {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -16,35 +16,48 @@
 func TestTakeRefusesBeyondBurstAndRefills(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := New(clock, Tolerance{}, true)
-	ok, _ := l.Take(&account, 100)
+	ok, _ := l.Take(&account, 0, 100)
 	assert.Assert(t, ok)
-	ok, wait := l.Take(&account, 10)
+	ok, wait := l.Take(&account, 0, 10)
 	assert.Assert(t, !ok)
 	assert.Equal(t, wait, 100*time.Millisecond)
 	clock.Advance(100 * time.Millisecond)
-	ok, _ = l.Take(&account, 10)
+	ok, _ = l.Take(&account, 0, 10)
 	assert.Assert(t, ok)
 }
 
+func TestLowerPrioritiesLeaveTheRestToHigherOnes(t *testing.T) {
+	l := New(clockwork.NewFakeClock(), Tolerance{}, true)
+	taken := [3]int{}
+	for range 100 {
+		for p := len(taken) - 1; p >= 0; p-- {
+			if ok, _ := l.Take(&account, p, 5); ok {
+				taken[p]++
+			}
+		}
+	}
+	assert.DeepEqual(t, taken, [3]int{9, 6, 5})
+}
+
 func TestHearTakesOffDifferencesOnce(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := New(clock, Tolerance{}, true)
-	_, _ = l.Take(&account, 1)
+	_, _ = l.Take(&account, 0, 1)
 	l.Hear("b", 1, nil)
 	l.Hear("b", 1, []Usage{{"a", 60, 40}})
 	l.Hear("b", 1, []Usage{{"a", 60, 40}})
-	ok, _ := l.Take(&account, 40)
+	ok, _ := l.Take(&account, 0, 40)
 	assert.Assert(t, !ok)
-	ok, _ = l.Take(&account, 39)
+	ok, _ = l.Take(&account, 0, 39)
 	assert.Assert(t, ok)
 }
 
 func TestNewInstanceTakesOverLevel(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := New(clock, Tolerance{}, false)
-	_, _ = l.Take(&account, 1)
+	_, _ = l.Take(&account, 0, 1)
 	l.Hear("b", 1, []Usage{{"a", 500, 3}})
-	ok, _ := l.Take(&account, 4)
+	ok, _ := l.Take(&account, 0, 4)
 	assert.Assert(t, !ok)
 }
 
@@ -84,7 +97,7 @@
 		for i, from := range ledgers {
 			// Each instance is asked for three times the whole rate.
 			for range 9 {
-				if ok, _ := from.Take(&account, 600); ok {
+				if ok, _ := from.Take(&account, 0, 600); ok {
 					taken[at] += 600
 				}
 			}
