Let requests that hold out for a target keep no room from others

Cause: a waiting request of higher priority keeps free places from lower ones at other instances, also while it holds out for a better target and does not want them; a request that arrived behind others was looked at only at the next event.

Change: reports count waiting requests without those that hold out; a new request behind others is looked at at once; requests without a stated size take from a quota before all others.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	r.charge = r.account.Charge(r.call.PromptTokens + r.call.OutputTokens)
-	ok, wait := r.Quota.Take(r.account, r.route.Priority, r.charge)
+	ok, wait := r.Quota.Take(r.account, r.quotaPriority(), r.charge)
 	if ok {
 		return nil
 	}
@@ -149,6 +149,16 @@
 	return refuse(http.StatusTooManyRequests, "the account's quota is used up", wait)
 }
 
+// quotaPriority ranks requests of one account against each other where its
+// quota is short. Those of no stated size take so little that they always go
+// first.
+func (r *run) quotaPriority() int {
+	if r.call.PromptTokens == 0 {
+		return 0
+	}
+	return r.route.Priority
+}
+
 // refuse answers a request that has not run and will not.
 func (r *run) refuse(reason string, returnAfter time.Duration) *Answer {
 	if r.charge > 0 {
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -33,7 +33,8 @@
 type ServiceQueue struct {
 	// Service is the hash of the service's name.
 	Service uint32
-	// Waiting counts by priority.
+	// Waiting counts by priority, without those that hold out for a better
+	// target although others have room.
 	Waiting [PriorityCount]uint16
 }
 
@@ -72,8 +73,12 @@
 		queue := ServiceQueue{Service: Hash(name)}
 		any := 0
 		for p, waiting := range sv.waiting {
-			queue.Waiting[p] = uint16(len(waiting))
-			any += len(waiting)
+			for _, w := range waiting {
+				if !w.holding {
+					queue.Waiting[p]++
+					any++
+				}
+			}
 		}
 		if any > 0 {
 			report.Queues = append(report.Queues, queue)
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -43,6 +43,9 @@
 	request *Request
 	until   time.Time
 	result  chan *Grant
+	// holding is set while the request waits for a better target although
+	// others have room.
+	holding bool
 }
 
 // New returns a scheduler without targets.
@@ -166,18 +169,18 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	sv := s.service(r.Service)
+	w := &waiter{request: r, until: r.Arrived.Add(waitBound(r)), result: make(chan *Grant, 1)}
 	if !sv.waitingAtOrAbove(r.priority()) {
-		if g := s.start(sv, r, now); g != nil {
+		if g := s.start(sv, w, now); g != nil {
 			return g, nil, nil
 		}
 	}
-	bound := r.Arrived.Add(waitBound(r))
 	expected := sv.expectedWait(r.priority(), now)
-	if now.Add(expected).After(bound) {
+	if now.Add(expected).After(w.until) {
 		return nil, nil, s.refuse("the expected wait is too long", expected, r, now)
 	}
-	w := &waiter{request: r, until: bound, result: make(chan *Grant, 1)}
 	sv.waiting[r.priority()] = append(sv.waiting[r.priority()], w)
+	s.pump(sv)
 	return nil, w, nil
 }
 
@@ -212,12 +215,16 @@
 }
 
 // start places the request if a target has room. The lock is held.
-func (s *Scheduler) start(sv *service, r *Request, now time.Time) *Grant {
-	if sv.free(now) <= sv.waitingElsewhereAbove(r.priority()) {
+func (s *Scheduler) start(sv *service, w *waiter, now time.Time) *Grant {
+	r := w.request
+	w.holding = false
+	free := sv.free(now)
+	if free <= sv.waitingElsewhereAbove(r.priority()) {
 		return nil
 	}
 	t := s.choose(sv, r, now)
 	if t == nil {
+		w.holding = free > 0
 		return nil
 	}
 	g := &Grant{
@@ -379,10 +386,13 @@
 
 func (s *Scheduler) pump(sv *service) {
 	now := s.clock.Now()
+	if !sv.waitingAtOrAbove(PriorityCount-1) || sv.free(now) == 0 {
+		return
+	}
 	for p := range sv.waiting {
 		kept := sv.waiting[p][:0]
 		for _, w := range sv.waiting[p] {
-			if g := s.start(sv, w.request, now); g != nil {
+			if g := s.start(sv, w, now); g != nil {
 				w.result <- g
 				continue
 			}
