Gather the reports of more than a dozen instances at two of them

Cause: with every instance writing to every other, 76 instances send 115,000 datagrams a second.

Sums of loads and quotas are kept incrementally.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,13 @@
 	// known addresses are included.
 	usageEvery     = 2
 	introduceEvery = 20
+	// gatherEvery says in how many turns an instance reports where reports are
+	// gathered.
+	gatherEvery = 2
+	// maxKnown bounds the addresses, and loadsPerMessage the loads, of one
+	// message, so that it fits in one packet.
+	maxKnown        = 20
+	loadsPerMessage = 70
 	// fetchDelay is how long a newer configuration that another instance has
 	// may still come from the control plane.
 	fetchDelay = 150 * time.Millisecond
@@ -42,10 +50,16 @@
 // message is the state of one instance.
 type message struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	// Name is "" in messages that hold nothing but changes of the load.
+	// Name is "" in messages that hold only loads or quotas.
 	Name        string
 	Incarnation int64
 	Load        schedule.Report
+	// WantOthers asks for the sum of all others' states.
+	WantOthers bool
+	// Gathered tells that Load and Usages are such a sum.
+	Gathered bool
+	// Members counts the instances that share the work.
+	Members uint16
 	// Config is the version in force.
 	Config uint64
 	Usages []quota.Usage
@@ -62,7 +76,7 @@
 // noRead stands for the age of a read that was never made.
 const noRead = 1<<32 - 1
 
-// gossip sends the own state to all other instances until the context ends.
+// gossip sends the own state to other instances until the context ends.
 func (n *Node) gossip(ctx context.Context) {
 	ticker := n.clock.NewTicker(gossipPeriod)
 	defer ticker.Stop()
@@ -70,9 +84,7 @@
 		select {
 		case <-ctx.Done():
 		case <-n.scheduler.News():
-			if changes := n.scheduler.Changes(); changes != nil {
-				n.send(&message{Incarnation: n.incarnation, Load: *changes})
-			}
+			n.sendChanges()
 			n.clock.Sleep(changePeriod)
 		case <-ticker.Chan():
 			n.sendState(turn)
@@ -84,32 +96,87 @@
 	}
 }
 
+// sendChanges tells at once what others should not miss until the next round.
+func (n *Node) sendChanges() {
+	changes := n.scheduler.Changes()
+	if changes == nil {
+		return
+	}
+	t := n.peers.topology()
+	n.send(t.to, &message{Incarnation: n.incarnation, Load: *changes})
+}
+
 // sendState sends one round of messages.
 func (n *Node) sendState(turn int) {
-	m := message{
-		Name: n.settings.Name, Incarnation: n.incarnation, Config: n.holder.Version(),
-		Load: *n.scheduler.Report(turn%introduceEvery == 0),
+	t := n.peers.topology()
+	if t.gather && turn%gatherEvery != 0 {
+		return
 	}
-	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
+	m := n.describe(turn)
+	m.Load = *n.scheduler.Report(turn%introduceEvery == 0)
+	m.WantOthers = t.gather && !t.gathers
 	if turn%usageEvery == 0 {
 		m.Usages = n.quota.Usages()
 	}
+	n.send(t.to, m)
+}
+
+// describe returns a message with all but the load and the quotas.
+func (n *Node) describe(turn int) *message {
+	m := &message{
+		Name: n.settings.Name, Incarnation: n.incarnation, Config: n.holder.Version(),
+		Members: uint16(n.sharers.Load()),
+	}
+	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
 	if turn%introduceEvery == 0 {
 		for _, p := range n.peers.live() {
 			m.Known = append(m.Known, p.address)
 		}
+		if len(m.Known) > maxKnown {
+			rand.Shuffle(len(m.Known), func(i, j int) { m.Known[i], m.Known[j] = m.Known[j], m.Known[i] })
+			m.Known = m.Known[:maxKnown]
+		}
+	}
+	return m
+}
+
+// gatheredFor answers an instance that does not write to all others.
+func (n *Node) gatheredFor(address string) {
+	turn := int(n.gatherTurns.Add(1))
+	loads := n.scheduler.Gather(address)
+	m := n.describe(turn)
+	m.Gathered = true
+	m.Load = schedule.Report{Loads: loads.Loads, Queues: loads.Queues}
+	rest := loads.Loads
+	if len(rest) > loadsPerMessage {
+		m.Load.Loads, rest = rest[:loadsPerMessage], rest[loadsPerMessage:]
+	} else {
+		rest = nil
 	}
-	n.send(&m)
+	n.send([]string{address}, m)
+	for len(rest) > 0 {
+		part := rest[:min(loadsPerMessage, len(rest))]
+		rest = rest[len(part):]
+		n.send([]string{address}, &message{
+			Incarnation: n.incarnation, Gathered: true,
+			Load: schedule.Report{Partial: true, Loads: part, Queues: loads.Queues},
+		})
+	}
+	usages := n.quota.Gather(address)
+	n.send([]string{address}, &message{
+		Incarnation: n.incarnation, Gathered: true, Members: m.Members, Usages: usages,
+		Load: schedule.Report{Partial: true, Queues: loads.Queues},
+	})
 }
 
-// send sends a message to all instances that are known.
-func (n *Node) send(m *message) {
+// send sends a message to some instances.
+func (n *Node) send(addresses []string, m *message) {
 	body, err := msgpack.Marshal(m)
 	if err != nil {
 		n.logger.Error("state could not be encoded", zap.Error(err))
 		return
 	}
-	for _, address := range n.peers.addresses() {
+	for _, address := range addresses {
 		if err := n.bus.Send(address, peer.KindCredit, body); err != nil {
 			n.counters.GossipUnsent.Add(1)
 		}
@@ -123,19 +190,40 @@
 		n.counters.GossipUnread.Add(1)
 		return
 	}
-	if m.Name == "" {
-		n.scheduler.Hear(from, &m.Load)
-		return
+	if m.Name != "" {
+		if n.peers.heard(from, m.Name, m.Incarnation, m.Config) {
+			n.logger.Info("instance heard", zap.String("instance", m.Name), zap.String("address", from),
+				zap.Int64("incarnation", m.Incarnation))
+		}
+		n.peers.introduceAddresses(m.Known)
+		n.hearTargets(from, &m)
 	}
-	if n.peers.heard(from, m.Name, m.Incarnation, m.Config) {
-		n.logger.Info("instance heard", zap.String("instance", m.Name), zap.String("address", from),
-			zap.Int64("incarnation", m.Incarnation))
+	if m.Gathered {
+		n.hearGathered(from, &m)
+		return
 	}
-	n.peers.introduceAddresses(m.Known)
-	n.hearTargets(from, &m)
 	n.scheduler.Hear(from, &m.Load)
 	if len(m.Usages) > 0 {
-		n.quota.Hear(m.Name, m.Incarnation, m.Usages)
+		n.quota.Hear(from, m.Incarnation, m.Usages)
+	}
+	if m.WantOthers {
+		n.gatheredFor(from)
+	}
+}
+
+// hearGathered takes the sum of the others from the preferred instance that
+// gathers.
+func (n *Node) hearGathered(from string, m *message) {
+	t := n.peers.topology()
+	if !t.gather || t.gathers || len(t.to) == 0 || t.to[0] != from {
+		return
+	}
+	n.scheduler.HearGathered(&m.Load)
+	if m.Members > 0 {
+		n.sharers.Store(int64(m.Members))
+	}
+	if len(m.Usages) > 0 {
+		n.quota.HearGathered(from, m.Incarnation, max(1, int(m.Members)-1), m.Usages)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,8 @@
 	// ownRead is when this instance last read the targets itself, in
 	// nanoseconds since started; 0 if never.
 	ownRead atomic.Int64
+	// gatherTurns counts the sums sent to others.
+	gatherTurns atomic.Int64
 	// newerTargets takes the addresses of instances that know newer targets.
 	newerTargets chan string
 
@@ -260,8 +262,11 @@
 }
 
 func (n *Node) shareBudgets() {
-	sharers := len(n.peers.live()) + 1
-	n.sharers.Store(int64(sharers))
+	sharers := int(n.sharers.Load())
+	if t := n.peers.topology(); !t.gather || t.gathers {
+		sharers = len(n.peers.live()) + 1
+		n.sharers.Store(int64(sharers))
+	}
 	n.budgetsMu.Lock()
 	defer n.budgetsMu.Unlock()
 	for _, b := range n.budgets {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -74,25 +74,32 @@
 	peers   map[string]*member
 }
 
-// bucket is one account's quota; Ledger.mu guards it.
+// bucket is one account's quota; Ledger.mu guards it. One whose rate is 0 only
+// keeps what others report, until the account's first request here.
 type bucket struct {
 	rate, burst float64
 	level       float64
 	filled      time.Time
-	// taken is what this instance has taken since its start.
-	taken float64
+	// taken is what this instance has taken since its start, heard what it has
+	// heard that others took.
+	taken, heard float64
 }
 
 // member is another instance; Ledger.mu guards it.
 type member struct {
 	// incarnation tells a restarted instance, whose totals begin at 0.
 	incarnation int64
-	heard       time.Time
-	totals      map[string]float64
+	// at is when it was heard last.
+	at     time.Time
+	totals map[string]float64
+	// heard is what has been taken off for what it reported.
+	heard map[string]float64
 	// assumed is what has been taken off for it while it was silent.
 	assumed map[string]float64
 	charged time.Time
 	silent  bool
+	// stands is the number of instances that it stands for.
+	stands int
 }
 
 // New returns a ledger. First tells that the whole system starts for the first
@@ -146,7 +153,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.buckets[account.Name]; b != nil {
+	if b := l.buckets[account.Name]; b != nil && b.rate > 0 {
 		b.level = math.Min(b.burst, b.level+charge)
 		b.taken -= charge
 	}
@@ -157,11 +164,14 @@
 	burst := l.tolerance.burst(account)
 	b := l.buckets[account.Name]
 	if b == nil {
-		b = &bucket{rate: account.Rate, burst: burst, level: burst, filled: now}
+		b = &bucket{}
+		l.buckets[account.Name] = b
+	}
+	if b.rate == 0 {
+		b.rate, b.burst, b.level, b.filled = account.Rate, burst, burst, now
 		if !l.first {
 			b.level = restartShare * burst
 		}
-		l.buckets[account.Name] = b
 	}
 	if b.rate != account.Rate || b.burst != burst {
 		b.fill(now)
@@ -185,9 +195,12 @@
 
 // assumeSilent takes off an even share for each instance that is silent.
 func (l *Ledger) assumeSilent(now time.Time) {
-	members := float64(len(l.peers) + 1)
+	members := 1.0
+	for _, m := range l.peers {
+		members += float64(m.stands)
+	}
 	for name, m := range l.peers {
-		quiet := now.Sub(m.heard)
+		quiet := now.Sub(m.at)
 		if quiet > forget {
 			delete(l.peers, name)
 			continue
@@ -198,11 +211,15 @@
 		span := now.Sub(m.charged).Seconds()
 		m.charged = now
 		for account, b := range l.buckets {
+			if b.rate == 0 {
+				continue
+			}
 			b.fill(now)
-			share := b.rate / members * span
+			share := b.rate * span
 			if !m.silent {
-				share += math.Max(0, b.level) / members
+				share += math.Max(0, b.level)
 			}
+			share *= float64(m.stands) / members
 			m.assumed[account] += share
 			b.draw(share, now)
 		}
@@ -227,7 +244,44 @@
 	defer l.mu.Unlock()
 	usages := make([]Usage, 0, len(l.buckets))
 	for account, b := range l.buckets {
-		usages = append(usages, Usage{Account: account, Total: b.taken, Level: b.level})
+		if b.rate > 0 {
+			usages = append(usages, Usage{Account: account, Total: b.taken, Level: b.level})
+		}
+	}
+	return usages
+}
+
+// HearGathered takes the totals of all other instances, as summed up by one
+// that gathers them. It replaces what is known of single instances, and of
+// others that gather.
+func (l *Ledger) HearGathered(from string, incarnation int64, instances int, usages []Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name := range l.peers {
+		if name != from {
+			delete(l.peers, name)
+		}
+	}
+	l.hear(from, incarnation, instances, usages)
+}
+
+// Gather returns the totals of this instance and of all it hears of, without
+// one of them, for whom they are meant.
+func (l *Ledger) Gather(without string) []Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := l.peers[without]
+	usages := make([]Usage, 0, len(l.buckets))
+	for account, b := range l.buckets {
+		u := Usage{Account: account, Total: b.taken + b.heard, Level: b.level}
+		if b.rate == 0 {
+			// The level is not known here and must not lower others'.
+			u.Level = math.MaxFloat32
+		}
+		if own != nil {
+			u.Total -= own.heard[account]
+		}
+		usages = append(usages, u)
 	}
 	return usages
 }
@@ -236,36 +290,54 @@
 func (l *Ledger) Hear(from string, incarnation int64, usages []Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.hear(from, incarnation, 1, usages)
+}
+
+// hear takes totals that stand for some instances; l.mu is held.
+func (l *Ledger) hear(from string, incarnation int64, stands int, usages []Usage) {
 	now := l.clock.Now()
 	m := l.peers[from]
 	if m == nil || m.incarnation != incarnation {
-		l.join(from, m, incarnation, usages, now)
+		l.join(from, m, incarnation, stands, usages, now)
 		return
 	}
+	m.stands = stands
 	for _, u := range usages {
-		delta := u.Total - m.totals[u.Account] - m.assumed[u.Account]
+		delta := u.Total - m.totals[u.Account]
 		m.totals[u.Account] = u.Total
-		if b := l.buckets[u.Account]; b != nil {
-			b.draw(delta, now)
+		m.heard[u.Account] += delta
+		b := l.reported(u.Account)
+		b.heard += delta
+		if b.rate > 0 {
+			b.draw(delta-m.assumed[u.Account], now)
 			l.takeOver(b, u.Level, now)
 		}
 	}
 	clear(m.assumed)
-	m.heard, m.charged, m.silent = now, now, false
+	m.at, m.charged, m.silent = now, now, false
 }
 
 // join starts to follow an instance. What it took before is unknown unless it
 // is a restarted one, whose totals began at 0.
-func (l *Ledger) join(from string, old *member, incarnation int64, usages []Usage, now time.Time) {
+func (l *Ledger) join(
+	from string, old *member, incarnation int64, stands int, usages []Usage, now time.Time,
+) {
 	m := &member{
-		incarnation: incarnation, heard: now, charged: now,
-		totals: make(map[string]float64), assumed: make(map[string]float64),
+		incarnation: incarnation, at: now, charged: now, stands: stands,
+		totals: make(map[string]float64), assumed: make(map[string]float64), heard: make(map[string]float64),
+	}
+	if old != nil {
+		m.heard = old.heard
 	}
 	l.peers[from] = m
 	for _, u := range usages {
 		m.totals[u.Account] = u.Total
-		b := l.buckets[u.Account]
-		if b == nil {
+		b := l.reported(u.Account)
+		if old != nil {
+			m.heard[u.Account] += u.Total
+			b.heard += u.Total
+		}
+		if b.rate == 0 {
 			continue
 		}
 		if old != nil {
@@ -275,6 +347,16 @@
 	}
 }
 
+// reported returns the bucket of an account that another instance names.
+func (l *Ledger) reported(account string) *bucket {
+	b := l.buckets[account]
+	if b == nil {
+		b = &bucket{}
+		l.buckets[account] = b
+	}
+	return b
+}
+
 // takeOver lowers a level shortly after the start to what others have heard.
 func (l *Ledger) takeOver(b *bucket, level float64, now time.Time) {
 	if now.Sub(l.started) < settleTime {
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -58,6 +58,8 @@
 	loads  map[uint32]TargetLoad
 	queues []ServiceQueue
 	at     time.Time
+	// counted is set while the loads are part of the targets' sums.
+	counted bool
 }
 
 // Hash names targets and services in reports.
@@ -149,66 +151,155 @@
 // News is signalled when Changes has something to report.
 func (s *Scheduler) News() <-chan struct{} { return s.news }
 
+// gathered is the name under which the sum of all other instances is kept, as
+// told by an instance that gathers reports.
+const gathered = ""
+
 // Hear takes the report of another instance.
 func (s *Scheduler) Hear(from string, report *Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.take(from, report)
+	s.pumpAll()
+}
+
+// HearGathered takes the sum of the reports of all other instances. While it
+// is fresh, it stands in for the reports of single ones.
+func (s *Scheduler) HearGathered(report *Report) { s.Hear(gathered, report) }
+
+// take replaces what is known of an instance. The lock is held.
+func (s *Scheduler) take(from string, report *Report) {
 	now := s.clock.Now()
 	p := s.peers[from]
 	if p == nil {
 		p = &peerLoad{loads: make(map[uint32]TargetLoad)}
 		s.peers[from] = p
 	}
+	s.count(p, false)
 	p.at = now
 	if !report.Partial {
 		clear(p.loads)
 	}
 	for _, load := range report.Loads {
 		p.loads[load.Target] = load
+		if t := s.byHash[load.Target]; t != nil && load.PerToken > 0 && !t.perToken.known() {
+			t.perToken.observe(time.Duration(load.PerToken) * paceUnit)
+		}
 	}
 	p.queues = report.Queues
-	s.applyReports(now)
-	s.pumpAll()
+	s.recount(now)
 }
 
-// applyReports adds up what the other instances run. The lock is held.
-func (s *Scheduler) applyReports(now time.Time) {
-	for _, t := range s.targets {
-		t.others, t.othersPrefilling = 0, 0
-	}
-	for _, sv := range s.services {
-		sv.elsewhere = [PriorityCount]int{}
-	}
+// recount drops instances that are silent and lets those count that should.
+// The lock is held.
+func (s *Scheduler) recount(now time.Time) {
 	for from, p := range s.peers {
 		if now.Sub(p.at) > reportLife {
+			s.count(p, false)
 			delete(s.peers, from)
-			continue
 		}
-		for _, t := range s.targets {
-			if load, ok := p.loads[t.hash]; ok {
-				t.hear(load)
-			}
+	}
+	sum := s.peers[gathered]
+	for from, p := range s.peers {
+		s.count(p, sum == nil || from == gathered)
+	}
+}
+
+// count adds a report to the sums of the targets and queues, or takes it off.
+// The lock is held.
+func (s *Scheduler) count(p *peerLoad, counted bool) {
+	if p.counted == counted {
+		return
+	}
+	p.counted = counted
+	sign := 1
+	if !counted {
+		sign = -1
+	}
+	for hash, load := range p.loads {
+		if t := s.byHash[hash]; t != nil {
+			t.others += sign * int(load.Running)
+			t.othersPrefilling += sign * int(load.Prefilling) * prefillUnit
 		}
-		for _, queue := range p.queues {
-			for name, sv := range s.services {
-				if Hash(name) == queue.Service {
-					sv.hear(&queue)
-				}
+	}
+	for _, queue := range p.queues {
+		if sv := s.serviceByHash[queue.Service]; sv != nil {
+			for priority, n := range queue.Waiting {
+				sv.elsewhere[priority] += sign * int(n)
 			}
 		}
 	}
 }
 
-func (t *target) hear(load TargetLoad) {
-	t.others += int(load.Running)
-	t.othersPrefilling += int(load.Prefilling) * prefillUnit
-	if load.PerToken > 0 && !t.perToken.known() {
-		t.perToken.observe(time.Duration(load.PerToken) * paceUnit)
+// recountAll builds the sums anew, as after a change of the targets. The lock
+// is held.
+func (s *Scheduler) recountAll() {
+	s.byHash = make(map[uint32]*target, len(s.targets))
+	for _, t := range s.targets {
+		t.others, t.othersPrefilling = 0, 0
+		s.byHash[t.hash] = t
+	}
+	s.serviceByHash = make(map[uint32]*service, len(s.services))
+	for name, sv := range s.services {
+		sv.elsewhere = [PriorityCount]int{}
+		s.serviceByHash[Hash(name)] = sv
 	}
+	for _, p := range s.peers {
+		p.counted = false
+	}
+	s.recount(s.clock.Now())
 }
 
-func (sv *service) hear(queue *ServiceQueue) {
-	for p, n := range queue.Waiting {
-		sv.elsewhere[p] += int(n)
+// Gather returns the sum of this instance's load and that of all it hears of,
+// without one of them, for whom it is meant. It is empty while this instance
+// itself lives by a gathered sum.
+func (s *Scheduler) Gather(without string) *Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.peers[without]
+	report := &Report{}
+	for hash, t := range s.byHash {
+		load := TargetLoad{Target: hash}
+		running, prefilling := t.running(), t.reading()
+		if own != nil && own.counted {
+			running -= int(own.loads[hash].Running)
+			prefilling -= int(own.loads[hash].Prefilling) * prefillUnit
+		}
+		if running <= 0 && prefilling <= 0 {
+			continue
+		}
+		load.Running = uint16(max(0, running))
+		load.Prefilling = uint16(min(max(0, prefilling)/prefillUnit, 1<<16-1))
+		load.PerToken = uint16(min(t.perToken.duration()/paceUnit, 1<<16-1))
+		report.Loads = append(report.Loads, load)
 	}
+	report.Queues = s.gatherQueues(own)
+	return report
+}
+
+func (s *Scheduler) gatherQueues(without *peerLoad) []ServiceQueue {
+	sums := make(map[uint32]*ServiceQueue)
+	add := func(queues []ServiceQueue) {
+		for _, queue := range queues {
+			sum := sums[queue.Service]
+			if sum == nil {
+				sum = &ServiceQueue{Service: queue.Service}
+				sums[queue.Service] = sum
+			}
+			for priority, n := range queue.Waiting {
+				sum.Waiting[priority] += n
+			}
+		}
+	}
+	add(s.queues())
+	for _, p := range s.peers {
+		if p != without && p.counted {
+			add(p.queues)
+		}
+	}
+	queues := make([]ServiceQueue, 0, len(sums))
+	for _, sum := range sums {
+		queues = append(queues, *sum)
+	}
+	return queues
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -25,6 +25,9 @@
 	random   *rand.Rand
 	services map[string]*service
 	targets  map[catalog.TargetKey]*target
+	// byHash and serviceByHash find what reports name.
+	byHash        map[uint32]*target
+	serviceByHash map[uint32]*service
 	// changed are the targets for Changes.
 	changed map[*target]struct{}
 	// peers are what other instances said last, by their name.
@@ -104,7 +107,7 @@
 		}
 	}
 	s.regroup()
-	s.applyReports(s.clock.Now())
+	s.recountAll()
 	s.pumpAll()
 }
 
@@ -457,6 +460,7 @@
 	s.tell(g.target, 0)
 	if g.target.withdrawn && g.target.own == 0 {
 		delete(s.targets, g.target.info.Key())
+		s.recountAll()
 	}
 	s.pump(s.service(g.request.Service))
 }
