Let two instances watch the operator's declarations for all

Change: the messages tell how old an instance's last answered watch is. An instance before which two others watch reads only when it hears of a newer version, and watches itself when theirs are older than 2.3 s or have failed.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -44,12 +44,32 @@
 	d.lost = err != nil
 }
 
-// followDeclared keeps the configuration up to date until the context ends.
+const (
+	// watchers is the number of instances that watch the operator's
+	// declarations for all.
+	watchers = 2
+	// watchFresh is how old the last answer to another's watch may be, for it
+	// to be relied on: a little more than the time that a quiet watch takes.
+	watchFresh = 2300 * time.Millisecond
+	// watchCheck is the time between looks whether others still watch.
+	watchCheck = 200 * time.Millisecond
+)
+
+// followDeclared keeps the configuration up to date until the context ends:
+// the first instances in the order of names watch, the others read when they
+// hear of a newer version.
 func (n *Node) followDeclared(ctx context.Context) {
 	wait := backoff.New(retry, n.random())
 	state := dependency{name: "operator's declarations", logger: n.logger}
 	var position uint64
 	for ctx.Err() == nil {
+		if position > 0 && n.othersWatch() {
+			if !n.newerElsewhere() {
+				n.awaitNews(ctx)
+				continue
+			}
+			position = 0
+		}
 		var watched Watched
 		var err error
 		if position == 0 {
@@ -62,11 +82,13 @@
 		}
 		state.report(err)
 		if err != nil {
+			n.ownWatch.Store(0)
 			position = 0
 			_ = backoff.Wait(ctx, n.clock, wait.Next())
 			continue
 		}
 		wait.Reset()
+		n.ownWatch.Store(n.clock.Since(n.started).Nanoseconds())
 		position = watched.Position
 		if watched.Configuration != nil {
 			n.adopt(watched.Configuration, "control plane")
@@ -74,6 +96,32 @@
 	}
 }
 
+// othersWatch reports whether enough others watch for this instance too.
+func (n *Node) othersWatch() bool {
+	fresh := 0
+	for _, p := range n.peers.live() {
+		if p.name < n.settings.Name && n.clock.Since(p.watchedAt) < watchFresh {
+			fresh++
+		}
+	}
+	return fresh >= watchers
+}
+
+// newerElsewhere reports whether another instance has a newer configuration.
+func (n *Node) newerElsewhere() bool {
+	live := n.peers.live()
+	return len(live) > 0 && live[0].config > n.holder.Version()
+}
+
+// awaitNews waits until another instance may have a newer configuration.
+func (n *Node) awaitNews(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.newerDeclared:
+	case <-n.clock.After(watchCheck):
+	}
+}
+
 // adopt puts a configuration in force if it is newer.
 func (n *Node) adopt(c *catalog.Configuration, source string) {
 	before := n.holder.Version()
@@ -158,12 +206,10 @@
 	wait := backoff.New(retry, n.random())
 	state := dependency{name: "list of instances", logger: n.logger}
 	for ctx.Err() == nil {
-		err := n.control.Announce(ctx, Member{Name: n.settings.Name, Address: n.settings.Peers})
+		members, err := n.control.Members(ctx)
 		if err == nil {
-			var members []Member
-			if members, err = n.control.Members(ctx); err == nil {
-				n.peers.introduce(members)
-			}
+			n.peers.introduce(members)
+			err = n.control.Announce(ctx, Member{Name: n.settings.Name, Address: n.settings.Peers})
 		}
 		if ctx.Err() != nil {
 			return
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -71,6 +72,9 @@
 	// TargetsAgeMs is the time since this instance itself read them; noRead if
 	// it has not.
 	TargetsAgeMs uint32
+	// WatchAgeMs is the time since its last watch of the operator's
+	// declarations was answered; noRead if it does not watch.
+	WatchAgeMs uint32
 }
 
 // noRead stands for the age of a read that was never made.
@@ -128,6 +132,7 @@
 		Members: uint16(n.sharers.Load()),
 	}
 	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
+	m.WatchAgeMs = n.age(&n.ownWatch)
 	if turn%introduceEvery == 0 {
 		for _, p := range n.peers.live() {
 			m.Known = append(m.Known, p.address)
@@ -191,10 +196,16 @@
 		return
 	}
 	if m.Name != "" {
-		if n.peers.heard(from, m.Name, m.Incarnation, m.Config) {
+		if n.peers.heard(from, &m) {
 			n.logger.Info("instance heard", zap.String("instance", m.Name), zap.String("address", from),
 				zap.Int64("incarnation", m.Incarnation))
 		}
+		if m.Config > n.holder.Version() {
+			select {
+			case n.newerDeclared <- struct{}{}:
+			default:
+			}
+		}
 		n.peers.introduceAddresses(m.Known)
 		n.hearTargets(from, &m)
 	}
@@ -231,12 +242,18 @@
 func (n *Node) describeTargets() (digest uint32, position uint64, ageMs uint32) {
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
-	read := n.ownRead.Load()
-	if read == 0 {
-		return n.targets.digest(), n.targets.position, noRead
+	return n.targets.digest(), n.targets.position, n.age(&n.ownRead)
+}
+
+// age returns the milliseconds since a moment that is kept as nanoseconds since
+// the start; noRead for none.
+func (n *Node) age(moment *atomic.Int64) uint32 {
+	at := moment.Load()
+	if at == 0 {
+		return noRead
 	}
-	age := n.clock.Since(n.started) - time.Duration(read)
-	return n.targets.digest(), n.targets.position, uint32(min(age.Milliseconds(), noRead-1))
+	age := n.clock.Since(n.started) - time.Duration(at)
+	return uint32(min(age.Milliseconds(), noRead-1))
 }
 
 // hearTargets takes another instance's recent read for an own one where it
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,12 @@
 	ownRead atomic.Int64
 	// gatherTurns counts the sums sent to others.
 	gatherTurns atomic.Int64
+	// ownWatch is the same for the operator's declarations; 0 also after a
+	// failure.
+	ownWatch atomic.Int64
+	// newerDeclared is signalled when another instance has a newer
+	// configuration.
+	newerDeclared chan struct{}
 	// newerTargets takes the addresses of instances that know newer targets.
 	newerTargets chan string
 
@@ -109,7 +115,7 @@
 		incarnation: o.Clock.Now().UnixNano() ^ int64(rand.Uint32()),
 		holder:      &catalog.Holder{}, budgets: make(map[string]*routing.WindowBudget),
 	}
-	n.started, n.newerTargets = o.Clock.Now(), make(chan string, 1)
+	n.started, n.newerTargets, n.newerDeclared = o.Clock.Now(), make(chan string, 1), make(chan struct{}, 1)
 	n.sharers.Store(1)
 	n.serviceAt.Store(&map[string]string{})
 	n.LimitMemory(o.Settings.MemoryBytes)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -36,6 +36,9 @@
 	introduced, heard time.Time
 	incarnation       int64
 	config            uint64
+	// watchedAt is when the instance's last watch of the operator's
+	// declarations was answered; zero if it does not watch.
+	watchedAt time.Time
 	// askedAt is when the instance was first asked to gather; zero if not.
 	askedAt time.Time
 	// passedUntil is until when it is not asked to gather.
@@ -75,16 +78,20 @@
 
 // heard notes a message. Fresh tells that its sender has restarted or was not
 // known.
-func (p *peerTable) heard(address, name string, incarnation int64, config uint64) (fresh bool) {
+func (p *peerTable) heard(address string, m *message) (fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state := p.add(address)
 	if state == nil {
 		return false
 	}
-	fresh = state.incarnation != incarnation
-	state.name, state.incarnation, state.config = name, incarnation, config
+	fresh = state.incarnation != m.Incarnation
+	state.name, state.incarnation, state.config = m.Name, m.Incarnation, m.Config
 	state.heard = p.clock.Now()
+	state.watchedAt = time.Time{}
+	if m.WatchAgeMs != noRead {
+		state.watchedAt = state.heard.Add(-time.Duration(m.WatchAgeMs) * time.Millisecond)
+	}
 	return fresh
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -64,10 +64,10 @@
 	Watch(ctx context.Context, after uint64) (Watched, error)
 	// Targets reads all targets, with the position of the answer.
 	Targets(ctx context.Context) ([]*catalog.Target, uint64, error)
-	// Announce lists an instance.
-	Announce(ctx context.Context, member Member) error
 	// Members reads the instances that have announced themselves lately.
 	Members(ctx context.Context) ([]Member, error)
+	// Announce lists an instance; call it after Members.
+	Announce(ctx context.Context, member Member) error
 	// Decode reads a configuration that another instance has passed on.
 	Decode(source []byte) (*catalog.Configuration, error)
 }
