Leave silent targets where the request may be repeated

Cause: a target that goes dark holds its requests until the caller's deadline.

Change: a request that may be repeated is sent elsewhere when no first part comes within 2.5 times the objective, and a stream that may be resumed when no event comes within three times the allowed pause. The topology of reports has its own file; ranks follow addresses, as the gathering instances do.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -42,6 +42,9 @@
 	// Careful demands a new connection or one used lately, since a connection
 	// that is closed meanwhile leaves open whether the request ran.
 	Careful bool
+	// Patience bounds the wait for the answer's header; 0 leaves it to the
+	// context.
+	Patience time.Duration
 	// Mine tells whether an answer belongs to the request.
 	Mine func(http.Header) bool
 }
@@ -92,6 +95,9 @@
 // although the request could not be written to its end.
 func (x *Exchange) run(l *link) (*Reply, error) {
 	writeErr := x.write(l)
+	if x.Patience > 0 {
+		_ = l.conn.SetReadDeadline(time.Now().Add(x.Patience))
+	}
 	for range maxStrays {
 		response, err := readHead(l.reader, x.Method)
 		if err != nil {
@@ -190,6 +196,15 @@
 	return n, err
 }
 
+// Expect bounds the wait for the next bytes of the body; 0 sets no bound.
+func (r *Reply) Expect(wait time.Duration) {
+	var until time.Time
+	if wait > 0 {
+		until = time.Now().Add(wait)
+	}
+	_ = r.link.conn.SetReadDeadline(until)
+}
+
 // Close ends the exchange. The connection is kept if the answer was read to
 // its end and nothing came after it; otherwise it is closed, at which the
 // target drops what it still runs.
@@ -201,5 +216,6 @@
 		r.link.close()
 		return
 	}
+	r.Expect(0)
 	r.pool.put(r.link, r.keep)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -304,8 +304,9 @@
 	}
 	return &dispatch.Exchange{
 		Address: target.Address, Method: r.call.Method, URI: r.call.URI, Body: r.call.Body,
-		Header:  append(r.Protocol.WriteTarget(addressed), r.call.Header...),
-		Careful: !r.route.Repeatable(),
+		Header:   append(r.Protocol.WriteTarget(addressed), r.call.Header...),
+		Careful:  !r.route.Repeatable(),
+		Patience: r.patience(),
 		Mine: func(header http.Header) bool {
 			id := r.Protocol.ReadTarget(header).ID
 			return id == "" || id == r.call.ID
@@ -313,6 +314,36 @@
 	}
 }
 
+const (
+	// silentObjectives is how many times the objective a target may be silent
+	// before a request that may be repeated is sent elsewhere; minSilence bounds
+	// it from below. Both leave time for another target within the patience of
+	// callers, who leave a stream after four times the objective.
+	silentObjectives = 2.5
+	minSilence       = time.Second
+	// silentGaps and minGapSilence are the same for pauses between events.
+	silentGaps    = 3
+	minGapSilence = 800 * time.Millisecond
+)
+
+// patience returns how long a target may take to the first part of an answer;
+// 0 where the request cannot be sent elsewhere.
+func (r *run) patience() time.Duration {
+	if !r.route.Repeatable() || r.route.Objective == 0 || r.sent+1 >= r.route.MaxAttempts {
+		return 0
+	}
+	return max(minSilence, time.Duration(silentObjectives*float64(r.route.Objective)))
+}
+
+// gapPatience returns how long a target may pause between events; 0 where the
+// stream cannot be resumed.
+func (r *run) gapPatience() time.Duration {
+	if !r.route.Repeatable() || r.route.EventGap == 0 || r.sent >= r.route.MaxAttempts {
+		return 0
+	}
+	return max(minGapSilence, silentGaps*r.route.EventGap)
+}
+
 // sendFailed deals with a request that got no answer's header.
 func (r *run) sendFailed(ctx context.Context, grant *schedule.Grant, err error, took time.Duration) (*Answer, bool) {
 	notSent := dispatch.IsNotSent(err)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -56,7 +56,7 @@
 )
 
 // followDeclared keeps the configuration up to date until the context ends:
-// the first instances in the order of names watch, the others read when they
+// the first instances in the order of addresses watch, the others read when they
 // hear of a newer version.
 func (n *Node) followDeclared(ctx context.Context) {
 	wait := backoff.New(retry, n.random())
@@ -100,7 +100,7 @@
 func (n *Node) othersWatch() bool {
 	fresh := 0
 	for _, p := range n.peers.live() {
-		if p.name < n.settings.Name && n.clock.Since(p.watchedAt) < watchFresh {
+		if p.address < n.settings.Peers && n.clock.Since(p.watchedAt) < watchFresh {
 			fresh++
 		}
 	}
@@ -134,8 +134,8 @@
 
 // followTargets keeps the targets up to date until the context ends. One
 // instance's read serves all that hear of it: an instance reads only when no
-// read is known that is recent enough, those earlier in the order of names
-// first.
+// read is known that is recent enough, those earlier in the order of
+// addresses first.
 func (n *Node) followTargets(ctx context.Context) {
 	wait := backoff.New(retry, n.random())
 	state := dependency{name: "list of targets", logger: n.logger}
@@ -167,7 +167,7 @@
 	if readAt.IsZero() {
 		return 0
 	}
-	rank := min(n.peers.rank(n.settings.Name), maxRank)
+	rank := min(n.peers.rank(), maxRank)
 	return targetPeriod + time.Duration(rank)*targetStagger - n.clock.Since(readAt)
 }
 
--- /dev/null
+++ b/internal/node/topology.go
@@ -0,0 +1,74 @@
+package node
+
+import "time"
+
+const (
+	// meshLimit is the number of instances up to which each writes to all
+	// others; beyond it, two instances gather the reports of all.
+	meshLimit = 12
+	// gatherers is the number of instances that gather.
+	gatherers = 2
+	// answerTime is how long one that is asked to gather may take to answer
+	// before another is asked.
+	answerTime = 500 * time.Millisecond
+	// passOver is how long one that did not answer is not asked again.
+	passOver = 4 * time.Second
+)
+
+// topology says to whom this instance reports.
+type topology struct {
+	// gather is set when there are too many instances to write to all.
+	gather bool
+	// gathers is set when this instance is one of those that gather.
+	gathers bool
+	// to are the addresses to report to; when gathering, the preferred first.
+	to []string
+}
+
+// topology chooses the gathering instances as the first in the order of
+// addresses that are believed to live.
+func (p *peerTable) topology() topology {
+	addresses := p.addresses()
+	if len(addresses)+1 <= meshLimit {
+		return topology{to: addresses}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	t := topology{gather: true}
+	chosen := 0
+	for _, address := range addresses {
+		if !t.gathers && address > p.self && chosen < gatherers {
+			t.gathers = true
+			chosen++
+		}
+		if chosen == gatherers {
+			break
+		}
+		if state := p.byAddress[address]; state.answers(now) {
+			t.to = append(t.to, address)
+			chosen++
+		}
+	}
+	for _, address := range t.to {
+		if state := p.byAddress[address]; state.askedAt.IsZero() {
+			state.askedAt = now
+		}
+	}
+	return t
+}
+
+// answers reports whether an instance may be asked to gather.
+func (s *peerState) answers(now time.Time) bool {
+	switch {
+	case now.Before(s.passedUntil):
+		return false
+	case s.askedAt.IsZero() || now.Sub(s.heard) < answerTime:
+		return true
+	case now.Sub(s.askedAt) > answerTime:
+		s.passedUntil = now.Add(passOver)
+		s.askedAt = time.Time{}
+		return false
+	}
+	return true
+}
