Test the platform path, log without blocking, and explain a request

Cause: the path on the platform had no tests of its own but for quotas; lines went straight to standard output; a refusal did not say what it rested on.

Change: stand-ins of the store and the runners in platform/platformtest, with tests of whole instances on loopback; tests of placing, queues, reports, the connection pool, targets, topology and decoding, two fuzz targets. Lines go through a bounded queue (internal/eventlog); hibiscuspost explain joins the lines of several instances; metrics go to expvar. The first test of the queue showed that an instance with few requests expected long waits, since it took the rate of its own starts for the capacity; the expected wait now follows from places and the time of an answer.

--- a/cmd/hibiscuspost/main.go
+++ b/cmd/hibiscuspost/main.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/command"
 	"github.com/hibiscuspost/hibiscuspost/internal/demo"
 	"github.com/hibiscuspost/hibiscuspost/internal/exit"
+	"github.com/hibiscuspost/hibiscuspost/internal/explain"
 	"github.com/hibiscuspost/hibiscuspost/internal/measure"
 	"github.com/hibiscuspost/hibiscuspost/internal/query"
 	"github.com/hibiscuspost/hibiscuspost/platform"
@@ -29,6 +30,7 @@
 	Instances query.Instances  `cmd:"" help:"Show the live instances."`
 	Demo      demo.Command     `cmd:"" help:"Run three instances with stand-ins on loopback."`
 	Measure   measure.Command  `cmd:"" help:"Measure the system against a naive policy, with stand-ins on loopback."`
+	Explain   explain.Command  `cmd:"" help:"Tell the story of one request from the logs of the instances."`
 	Version   command.Version  `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,41 @@
+package explain
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const log = `
+  1.5 edge-1 {"level":"info","ts":1000,"msg":"target gone","instance":"edge-1","target":"i-9"}
+  1.6 edge-1 {"level":"info","ts":1500,"msg":"target gone","instance":"edge-1","target":"i-1"}
+  1.7 edge-2 {"level":"warn","ts":1600,"msg":"dependency lost","instance":"edge-2","dependency":"x"}
+  1.8 edge-1 {"level":"warn","ts":1700,"msg":"dependency lost","instance":"edge-1","dependency":"list of targets"}
+not a line
+  2.0 edge-1 {"level":"warn","ts":2000,"msg":"request ended without an answer of a target","instance":"edge-1","request":"r1","route":"audit","account":"a","config":7,"status":502,"story":"placed at i-1; cut after 3 i-1 after 80 ms","took":0.09,"targets_age_ms":120,"instances":6,"error":"broken"}
+  2.1 edge-1 {"level":"info","ts":2100,"msg":"request answered","instance":"edge-1","request":"r2","status":200,"story":"","took":0.01}
+`
+
+func TestStoryJoinsStepsAndBeliefs(t *testing.T) {
+	lines, err := Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	assert.Equal(t, len(lines), 6)
+	var out bytes.Buffer
+	assert.Assert(t, Story(&out, lines, "r1"))
+	assert.Equal(t, out.String(), `00:00:02.000 edge-1: request ended without an answer of a target, status 502 after 90 ms
+    route audit, account a, configuration 7, targets as of 120 ms before, 6 instances
+    - placed at i-1
+    - cut after 3 i-1 after 80 ms
+    error: broken
+    500ms before: {"level":"info","ts":1500,"msg":"target gone","instance":"edge-1","target":"i-1"}
+    300ms before: {"level":"warn","ts":1700,"msg":"dependency lost","instance":"edge-1","dependency":"list of targets"}
+`)
+}
+
+func TestUnknownRequestIsSaid(t *testing.T) {
+	lines, err := Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	assert.Assert(t, !Story(&bytes.Buffer{}, lines, "r3"))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,12 +103,25 @@
 	// Draining tells that the instance shuts down.
 	Draining func() bool
 	Counters *Counters
+	// Observe takes the times of an answered request; First is zero where the
+	// answer has no first event.
+	Observe func(priority int, account string, first, whole time.Duration)
+	// Beliefs returns what a refusal rests on besides the configuration.
+	Beliefs func() Beliefs
 	// FailureDomain is the instance's own.
 	FailureDomain string
 	Clock         clockwork.Clock
 	Logger        *zap.Logger
 }
 
+// Beliefs are what an instance knows of the others and the targets.
+type Beliefs struct {
+	// TargetsAge is the time since the list of targets was read, by whomever.
+	TargetsAge time.Duration
+	// Instances counts those that share the work, with this one.
+	Instances int
+}
+
 // Gateway serves callers' requests.
 type Gateway struct{ Options }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -226,7 +226,7 @@
 	}
 	var refused *schedule.RefusedError
 	if errors.As(err, &refused) {
-		r.trail.add("refused", refused.Reason, 0)
+		r.trail.add("refused", refused.Error(), 0)
 		return nil, r.giveUp(refused.Reason, refused.ReturnAfter)
 	}
 	return nil, r.ended(ctx, "no place became free before the deadline")
@@ -427,9 +427,19 @@
 		return r.fail(http.StatusBadGateway, "the target failed"), false
 	}
 	r.Counters.Answered.Add(1)
+	r.observe(0)
 	return &Answer{Status: reply.Status, Header: endToEnd(reply.Header), Body: body}, false
 }
 
+// observe records the times of a request that has been answered.
+func (r *run) observe(first time.Duration) {
+	account := ""
+	if r.account != nil {
+		account = r.account.Name
+	}
+	r.Observe(r.route.Priority, account, first, r.Clock.Since(r.call.Received))
+}
+
 // spoiled reports whether an answer cannot be the target's own.
 func spoiled(reply *dispatch.Reply, stated Stated) bool {
 	success := reply.Status < http.StatusMultipleChoices
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -50,6 +50,9 @@
 	}
 	const firstFailure = 400
 	if status >= firstFailure {
+		beliefs := r.Beliefs()
+		fields = append(fields, zap.Int64("targets_age_ms", beliefs.TargetsAge.Milliseconds()),
+			zap.Int("instances", beliefs.Instances))
 		r.Logger.Warn("request ended without an answer of a target", fields...)
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
+	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
 	"github.com/hibiscuspost/hibiscuspost/internal/routing"
@@ -49,8 +50,13 @@
 	ReadyPath string
 	Clock     clockwork.Clock
 	Logger    *zap.Logger
+	// Logs counts dropped log lines; nil counts none.
+	Logs Logs
 }
 
+// Logs is the output of log lines; see package eventlog.
+type Logs interface{ Dropped() uint64 }
+
 // counters are the node's own.
 type counters struct{ GossipUnsent, GossipUnread atomic.Uint64 }
 
@@ -70,8 +76,11 @@
 	bus       *peer.NetBus
 	callers   *gateway.Server
 	readiness *fiber.App
-	counters  counters
-	served    gateway.Counters
+	// callersAddress and readyAddress are those in use.
+	callersAddress, readyAddress string
+	counters                     counters
+	served                       gateway.Counters
+	metrics                      *metrics.Set
 
 	// started is the origin of ownRead.
 	started time.Time
@@ -116,6 +125,7 @@
 		holder:      &catalog.Holder{}, budgets: make(map[string]*routing.WindowBudget),
 	}
 	n.started, n.newerTargets, n.newerDeclared = o.Clock.Now(), make(chan string, 1), make(chan struct{}, 1)
+	n.metrics = metrics.New(o.Settings.Name)
 	n.sharers.Store(1)
 	n.serviceAt.Store(&map[string]string{})
 	n.LimitMemory(o.Settings.MemoryBytes)
@@ -123,22 +133,34 @@
 	n.pool = dispatch.NewPool(o.Clock)
 	n.pool.BoundIdle(n.idleBound)
 	n.quota = quota.New(o.Clock, o.Settings.Quotas, o.Settings.FirstStart)
-	n.peers = newPeerTable(o.Clock, o.Settings.Peers, o.Settings.Seeds)
+	if err := n.listenPeers(); err != nil {
+		return nil, err
+	}
 	n.callers = gateway.NewServer(gateway.New(gateway.Options{
 		Protocol: o.Protocol, Catalog: n.holder, Scheduler: n.scheduler, Pool: n.pool, Quota: n.quota,
 		Budget: n.budget, Misdirected: n.misdirected, Draining: n.draining.Load, Counters: &n.served,
-		FailureDomain: o.Settings.FailureDomain, Clock: o.Clock, Logger: o.Logger,
+		Observe: n.observe, Beliefs: n.beliefs, FailureDomain: o.Settings.FailureDomain, Clock: o.Clock, Logger: o.Logger,
 	}))
 	if err := n.listen(o.ReadyPath); err != nil {
 		return nil, err
 	}
+	n.publish(o.Logs)
 	n.run()
 	n.logger.Info("instance started", zap.String("instance", o.Settings.Name),
-		zap.String("callers", o.Settings.Callers), zap.String("peers", o.Settings.Peers),
+		zap.String("callers", n.callersAddress), zap.String("peers", n.settings.Peers),
 		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", o.Settings.FirstStart))
 	return n, nil
 }
 
+// Callers is the address for callers in use, "ip:port".
+func (n *Node) Callers() string { return n.callersAddress }
+
+// Ready is the address of the balancer's questions.
+func (n *Node) Ready() string { return n.readyAddress }
+
+// Peers is the address for other instances.
+func (n *Node) Peers() string { return n.settings.Peers }
+
 // LimitMemory bounds the memory of the process; 0 sets no bound.
 func (n *Node) LimitMemory(bytes int64) {
 	if bytes > 0 {
@@ -147,7 +169,9 @@
 	debug.SetGCPercent(collectPercent)
 }
 
-func (n *Node) listen(readyPath string) error {
+// listenPeers binds the address for other instances, which names this one from
+// then on.
+func (n *Node) listenPeers() error {
 	var err error
 	n.bus, err = peer.Listen(peer.Options{
 		Address: n.settings.Peers, Secret: deploymentSecret(n.settings.Deployment), Logger: n.logger,
@@ -155,8 +179,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
+	n.settings.Peers = n.bus.Address()
+	n.peers = newPeerTable(n.clock, n.settings.Peers, n.settings.Seeds)
 	n.bus.HandleDatagram(peer.KindCredit, n.hear)
 	n.handleCalls()
+	return nil
+}
+
+// listen binds the other addresses and begins to serve.
+func (n *Node) listen(readyPath string) error {
 	if err := n.bus.Start(); err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
@@ -168,6 +199,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for the balancer")
 	}
+	n.callersAddress, n.readyAddress = callers.Addr().String(), ready.Addr().String()
 	n.readiness = fiber.New(fiber.Config{DisableStartupMessage: true})
 	n.readiness.Get(readyPath, n.ready)
 	n.background.Go(func() { n.serve("callers", n.callers.Serve(callers)) })
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -31,3 +31,21 @@
 	n.logger.Info("instance stopped", zap.Duration("took", n.clock.Since(began)), zap.Error(err))
 	_ = n.logger.Sync()
 }
+
+// Kill ends the instance at once, as a crash would, and waits for its
+// goroutines.
+func (n *Node) Kill() {
+	n.draining.Store(true)
+	n.cancel()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.logger.Debug("callers cut", zap.Error(err))
+	}
+	if err := n.readiness.ShutdownWithContext(ctx); err != nil {
+		n.logger.Debug("balancer cut", zap.Error(err))
+	}
+	if err := n.bus.Close(); err != nil {
+		n.logger.Debug("instances cut", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/node/targets_test.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+)
+
+func targetsOf(ids ...string) []*catalog.Target {
+	var targets []*catalog.Target
+	for _, id := range ids {
+		targets = append(targets, &catalog.Target{ID: id, Slots: 1})
+	}
+	return targets
+}
+
+func TestTargetListDropsMissingEntriesButAfterAnOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l targetList
+	assert.Assert(t, l.apply(targetsOf("a", "b"), 1, now))
+	assert.Assert(t, l.apply(targetsOf("a"), 2, now.Add(400*time.Millisecond)))
+	assert.Equal(t, len(l.list()), 1)
+
+	// After an outage an entry may come back within a while.
+	back := now.Add(10 * time.Second)
+	assert.Assert(t, !l.apply(nil, 3, back))
+	assert.Equal(t, len(l.list()), 1)
+	assert.Assert(t, l.apply(targetsOf("b"), 4, back.Add(time.Second)))
+	assert.Equal(t, len(l.list()), 2)
+	assert.Assert(t, l.apply(targetsOf("b"), 5, back.Add(returnTime+time.Millisecond)))
+	assert.Equal(t, len(l.list()), 1)
+}
+
+func TestTargetListTakesNoOlderReadAndKnowsIncarnations(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l targetList
+	l.apply(targetsOf("a"), 5, now)
+	assert.Assert(t, !l.apply(nil, 4, now))
+	reborn := targetsOf("a")
+	reborn[0].Born = 77
+	digest := l.digest()
+	assert.Assert(t, l.apply(reborn, 6, now))
+	assert.Assert(t, l.digest() != digest)
+	assert.Equal(t, len(l.list()), 1)
+}
+
+func TestReadOfAnotherInstanceIsNoOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l targetList
+	l.apply(targetsOf("a"), 1, now)
+	l.confirm(now.Add(5 * time.Second))
+	assert.Assert(t, l.apply(nil, 2, now.Add(6*time.Second)))
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%03d:1", i) }
+
+func TestTopologyMeshesFewAndGathersMany(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	few := newPeerTable(clock, address(5), nil)
+	for i := range meshLimit {
+		few.introduceAddresses([]string{address(i)})
+	}
+	got := few.topology()
+	assert.Assert(t, !got.gather)
+	assert.Equal(t, len(got.to), meshLimit-1)
+
+	for i := range 2 * meshLimit {
+		few.introduceAddresses([]string{address(i)})
+	}
+	got = few.topology()
+	assert.Assert(t, got.gather && !got.gathers)
+	assert.DeepEqual(t, got.to, []string{address(0), address(1)})
+}
+
+func TestTopologyPassesOverThoseThatDoNotAnswer(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPeerTable(clock, address(30), nil)
+	for i := range 2 * meshLimit {
+		p.introduceAddresses([]string{address(i)})
+	}
+	assert.DeepEqual(t, p.topology().to, []string{address(0), address(1)})
+	clock.Advance(answerTime + time.Millisecond)
+	p.heard(address(1), &message{Name: "one", WatchAgeMs: noRead})
+	assert.DeepEqual(t, p.topology().to, []string{address(1), address(2)})
+}
+
+func TestFirstAddressesGather(t *testing.T) {
+	p := newPeerTable(clockwork.NewFakeClock(), address(0), nil)
+	for i := range 2 * meshLimit {
+		p.introduceAddresses([]string{address(i)})
+	}
+	got := p.topology()
+	assert.Assert(t, got.gather && got.gathers)
+	assert.DeepEqual(t, got.to, []string{address(1)})
+}
+
+func TestSilentInstancesAreForgotten(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPeerTable(clock, address(0), []string{address(1)})
+	p.heard(address(2), &message{Name: "two", Config: 4, WatchAgeMs: noRead})
+	assert.Equal(t, len(p.live()), 1)
+	assert.Equal(t, p.rank(), 0)
+	clock.Advance(peerSilence + time.Millisecond)
+	assert.Equal(t, len(p.live()), 0)
+	clock.Advance(peerForget)
+	assert.Equal(t, len(p.addresses()), 0)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -25,6 +25,7 @@
 package schedule
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
@@ -78,10 +79,17 @@
 	Reason string
 	// ReturnAfter is when the caller should try again; 0 means no advice.
 	ReturnAfter time.Duration
+	// Ahead counts the requests ahead of it, Places the places of all usable
+	// targets; Expected is the wait that follows.
+	Ahead, Places int
+	Expected      time.Duration
 }
 
 // Error implements error.
-func (e *RefusedError) Error() string { return "refused: " + e.Reason }
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s, with %d ahead at %d places and %d ms of waiting expected",
+		e.Reason, e.Ahead, e.Places, e.Expected.Milliseconds())
+}
 
 // Result tells how a started request ended at its target.
 type Result int
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -40,8 +40,9 @@
 	waiting [PriorityCount][]*waiter
 	// elsewhere counts the requests that wait at other instances.
 	elsewhere [PriorityCount]int
-	starts    rate
-	reader    reader
+	// whole is the time of a whole answer.
+	whole  pace
+	reader reader
 }
 
 type waiter struct {
@@ -173,19 +174,19 @@
 			return g, nil, nil
 		}
 	}
-	expected := sv.expectedWait(r.priority(), now)
-	if now.Add(expected).After(w.until) {
-		return nil, nil, s.refuse("the expected wait is too long", expected, r, now)
+	if now.Add(sv.expect(r.priority(), now).wait).After(w.until) {
+		return nil, nil, s.refuse(sv, "the expected wait is too long", r, now)
 	}
 	sv.waiting[r.priority()] = append(sv.waiting[r.priority()], w)
 	s.pump(sv)
 	return nil, w, nil
 }
 
-func (s *Scheduler) refuse(reason string, expected time.Duration, r *Request, now time.Time) error {
+func (s *Scheduler) refuse(sv *service, reason string, r *Request, now time.Time) error {
+	e := sv.expect(r.priority(), now)
 	return &RefusedError{
-		Reason:      reason,
-		ReturnAfter: returnAfter(expected, r.Deadline.Sub(now), s.random.Float64()),
+		Reason: reason, Ahead: e.ahead, Places: e.places, Expected: e.wait,
+		ReturnAfter: returnAfter(e.wait, r.Deadline.Sub(now), s.random.Float64()),
 	}
 }
 
@@ -209,7 +210,7 @@
 	}
 	sv.waiting[w.request.priority()] = slices.Delete(queue, at, at+1)
 	now := s.clock.Now()
-	return nil, s.refuse("no place became free in time", sv.expectedWait(w.request.priority(), now), w.request, now)
+	return nil, s.refuse(sv, "no place became free in time", w.request, now)
 }
 
 // start places the request if a target has room. The lock is held.
@@ -232,7 +233,6 @@
 	}
 	t.own++
 	t.prefilling += r.PromptTokens
-	sv.starts.add(now)
 	s.tell(t, r.PromptTokens)
 	return g
 }
@@ -356,18 +356,30 @@
 	return n
 }
 
-// expectedWait predicts the wait of a request that joins the queue now, from
-// those ahead of it and the rate at which requests have been started.
-func (sv *service) expectedWait(priority int, now time.Time) time.Duration {
-	ahead := 0
+// expectation is what a request that joins the queue has to expect.
+type expectation struct {
+	// ahead counts those that go first at all instances, places those of all
+	// usable targets.
+	ahead, places int
+	wait          time.Duration
+}
+
+// expect predicts the wait of a request that joins the queue now, from those
+// ahead of it and the rate at which places become free.
+func (sv *service) expect(priority int, now time.Time) expectation {
+	var e expectation
 	for p := 0; p <= priority; p++ {
-		ahead += len(sv.waiting[p])
+		e.ahead += len(sv.waiting[p]) + sv.elsewhere[p]
+	}
+	for _, t := range sv.targets {
+		if t.usable(now, false) {
+			e.places += t.info.Slots
+		}
 	}
-	perSecond := sv.starts.perSecond(now)
-	if ahead == 0 || perSecond == 0 {
-		return 0
+	if e.places > 0 && sv.whole.known() {
+		e.wait = time.Duration(e.ahead) * sv.whole.duration() / time.Duration(e.places)
 	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	return e
 }
 
 // pumpAll starts what waits and can be started. The lock is held.
@@ -457,6 +469,9 @@
 	g.leavePrefill()
 	g.target.own--
 	g.target.record(&o, g.request.PromptTokens, s.clock.Now())
+	if o.Result == Complete {
+		s.service(g.request.Service).whole.observe(o.Whole)
+	}
 	s.tell(g.target, 0)
 	if g.target.withdrawn && g.target.own == 0 {
 		delete(s.targets, g.target.info.Key())
--- /dev/null
+++ b/internal/schedule/snapshot.go
@@ -0,0 +1,41 @@
+package schedule
+
+// ServiceState is what the metrics say of one service.
+type ServiceState struct {
+	Targets int `json:"targets"`
+	// Places are all that the targets have, Free those taken to be free now.
+	Places int `json:"places"`
+	Free   int `json:"free"`
+	// Own and Others count the requests that run for this instance and for the
+	// others.
+	Own    int `json:"running_here"`
+	Others int `json:"running_elsewhere"`
+	// Waiting counts the requests that wait here, by priority.
+	Waiting [PriorityCount]int `json:"waiting"`
+	// Ejected counts the targets that are left alone for their failures.
+	Ejected int `json:"ejected"`
+}
+
+// Snapshot returns the state of each service.
+func (s *Scheduler) Snapshot() map[string]ServiceState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	states := make(map[string]ServiceState, len(s.services))
+	for name, sv := range s.services {
+		state := ServiceState{Targets: len(sv.targets), Free: sv.free(now)}
+		for _, t := range sv.targets {
+			state.Places += t.info.Slots
+			state.Own += t.own
+			state.Others += t.others
+			if t.ejector.Ejected(now) {
+				state.Ejected++
+			}
+		}
+		for p, waiting := range sv.waiting {
+			state.Waiting[p] = len(waiting)
+		}
+		states[name] = state
+	}
+	return states
+}
