Halve the memory at the peak

Change: read buffers of the largest header instead of twice that, released while a connection is idle; collection at a growth of 30 %.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,7 +15,7 @@
 const (
 	// maxHeaderBytes bounds a request's header; the configuration's own bound
 	// may be lower.
-	maxHeaderBytes = 32 << 10
+	maxHeaderBytes = 17 << 10
 	// maxBodyBytes bounds a request's body before a configuration is known.
 	maxBodyBytes = 16 << 20
 	// maxConnections bounds callers' connections, within the descriptors that
@@ -45,6 +45,7 @@
 		ReadBufferSize:                maxHeaderBytes,
 		MaxRequestBodySize:            maxBodyBytes,
 		Concurrency:                   maxConnections,
+		ReduceMemoryUsage:             true,
 		Logger:                        quietLogger{},
 		DisableHeaderNamesNormalizing: false,
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,7 @@
 	memoryShare = 0.75
 	// collectPercent is how much the heap may grow between two collections:
 	// memory costs more than processor time at this size.
-	collectPercent = 60
+	collectPercent = 30
 	// sweepPeriod is the time between looks for unused connections.
 	sweepPeriod = 2 * time.Second
 )
