--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,7 +24,9 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 	"github.com/hibiscuspost/hibiscuspost/internal/routing"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
@@ -97,6 +99,10 @@
 	Quota     *quota.Ledger
 	// Budget returns the budget of repeats of a service.
 	Budget func(service string) *routing.WindowBudget
+	// Rollouts follows orders to move services to new versions.
+	Rollouts *rollout.Controller
+	// Suspects remembers requests that crash targets.
+	Suspects *quarantine.Suspects
 	// Misdirected is told of a target that is not the one expected at its
 	// address.
 	Misdirected func(*catalog.Target)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -60,6 +61,8 @@
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
 	avoid    []catalog.TargetKey
+	// asks names what is asked for, the same when the caller asks again.
+	asks uint64
 	// sent counts the targets that the request was sent to, unreached those
 	// that no connection could be made to.
 	sent, unreached int
@@ -116,9 +119,20 @@
 	r.deadline = r.call.Received.Add(r.timeAllowed())
 	service := r.config.Services[r.route.Pick(uniform(r.call.ID))]
 	r.service = &service
+	r.asks = quarantine.RequestOf(r.accountName(), r.call.URI, r.call.Body)
+	if r.Suspects.Refused(r.asks) {
+		return r.refuse("the request has crashed several targets", 0)
+	}
 	return r.takeQuota()
 }
 
+func (r *run) accountName() string {
+	if r.account == nil {
+		return ""
+	}
+	return r.account.Name
+}
+
 // timeAllowed is the shorter of what the caller and the operator allow.
 func (r *run) timeAllowed() time.Duration {
 	const unstated = time.Minute
@@ -238,6 +252,7 @@
 		Service: r.service.Name, Priority: r.priority(), Arrived: r.call.Received,
 		Objective: r.route.Objective, Gap: r.route.EventGap, TokensPerEvent: r.service.TokensPerEvent, Deadline: r.deadline, FailureDomain: r.FailureDomain, Avoid: r.avoid,
 	}
+	request.Version, request.NotVersion = r.Rollouts.Versions(r.service.Name, uniform(r.call.ID))
 	if r.service.Engine {
 		request.PromptTokens = max(1, r.call.PromptTokens)
 		request.OutputTokens = r.call.LengthHint
@@ -298,9 +313,8 @@
 
 // exchange builds what is sent to the target.
 func (r *run) exchange(target *catalog.Target, after string) *dispatch.Exchange {
-	addressed := Addressed{TargetID: target.ID, TimeLeft: r.deadline.Sub(r.Clock.Now()), After: after}
-	if r.account != nil {
-		addressed.Account = r.account.Name
+	addressed := Addressed{
+		TargetID: target.ID, Account: r.accountName(), TimeLeft: r.deadline.Sub(r.Clock.Now()), After: after,
 	}
 	return &dispatch.Exchange{
 		Address: target.Address, Method: r.call.Method, URI: r.call.URI, Body: r.call.Body,
@@ -362,6 +376,7 @@
 	if notSent {
 		r.unreached++
 		r.Counters.NotReached.Add(1)
+		r.Suspects.Gone(grant.Target.ID)
 		grant.Done(schedule.Outcome{Result: schedule.Unreachable})
 		return nil, true
 	}
@@ -370,6 +385,7 @@
 		result = schedule.Cancelled
 	}
 	grant.Done(schedule.Outcome{Result: result})
+	r.judged(grant.Target, true, took)
 	return r.afterFailure("the target broke off before an answer")
 }
 
@@ -415,8 +431,10 @@
 		r.trail.err = err
 		r.avoid = append(r.avoid, grant.Target.Key())
 		grant.Done(schedule.Outcome{Result: schedule.Failed})
+		r.judged(grant.Target, true, took)
 		return r.afterFailure("the target's answer was not whole")
 	}
+	r.judged(grant.Target, reply.Status >= http.StatusInternalServerError, took)
 	result := schedule.Complete
 	if reply.Status >= http.StatusInternalServerError {
 		result = schedule.Cancelled
@@ -431,13 +449,24 @@
 	return &Answer{Status: reply.Status, Header: endToEnd(reply.Header), Body: body}, false
 }
 
+// judged counts an answer, or its lack, for or against its target's version.
+// The time is taken relative to the expected output, so that answers of unlike
+// lengths can be compared.
+func (r *run) judged(target *catalog.Target, failed bool, took time.Duration) {
+	if failed {
+		r.Suspects.Broke(r.asks, target.ID)
+	}
+	const usualTokens = 100
+	if tokens := r.request().OutputTokens; tokens > 0 {
+		took = took * usualTokens / time.Duration(usualTokens+tokens)
+	}
+	r.Rollouts.Observe(r.service.Name, target.Version, failed, took)
+}
+
 // observe records the times of a request that has been answered.
 func (r *run) observe(first time.Duration) {
-	account := ""
-	if r.account != nil {
-		account = r.account.Name
-	}
-	r.Observe(r.route.Priority, account, first, r.Clock.Since(r.call.Received))
+	r.Suspects.Finished(r.asks)
+	r.Observe(r.route.Priority, r.accountName(), first, r.Clock.Since(r.call.Received))
 }
 
 // spoiled reports whether an answer cannot be the target's own.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -90,6 +90,7 @@
 		wait.Reset()
 		n.ownWatch.Store(n.clock.Since(n.started).Nanoseconds())
 		position = watched.Position
+		n.takeOrders(watched)
 		if watched.Configuration != nil {
 			n.adopt(watched.Configuration, "control plane")
 		}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -13,7 +13,9 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -66,6 +68,12 @@
 	Usages []quota.Usage
 	// Known are addresses of instances.
 	Known []string
+	// Rollouts are the own counts of orders under way, Ended the orders that
+	// have ended.
+	Rollouts []rollout.Report
+	Ended    []rollout.Status
+	// Crashes are recent crashes of targets with the requests that ran.
+	Crashes []quarantine.Crash
 	// TargetsDigest and TargetsPosition describe the known targets.
 	TargetsDigest   uint32
 	TargetsPosition uint64
@@ -133,6 +141,13 @@
 	}
 	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
 	m.WatchAgeMs = n.age(&n.ownWatch)
+	m.Rollouts = n.rollouts.Reports()
+	m.Crashes = n.suspects.Share()
+	for _, status := range n.rollouts.Statuses() {
+		if status.State != rollout.InProgress {
+			m.Ended = append(m.Ended, status)
+		}
+	}
 	if turn%introduceEvery == 0 {
 		for _, p := range n.peers.live() {
 			m.Known = append(m.Known, p.address)
@@ -206,6 +221,13 @@
 			default:
 			}
 		}
+		n.suspects.Hear(m.Crashes)
+		for _, report := range m.Rollouts {
+			n.rollouts.HearReport(from, report)
+		}
+		for _, status := range m.Ended {
+			n.hearStatus(status, from)
+		}
 		n.peers.introduceAddresses(m.Known)
 		n.hearTargets(from, &m)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,7 +24,9 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 	"github.com/hibiscuspost/hibiscuspost/internal/routing"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
@@ -73,6 +75,8 @@
 	pool      *dispatch.Pool
 	quota     *quota.Ledger
 	peers     *peerTable
+	rollouts  *rollout.Controller
+	suspects  *quarantine.Suspects
 	bus       *peer.NetBus
 	callers   *gateway.Server
 	readiness *fiber.App
@@ -131,13 +135,15 @@
 	n.LimitMemory(o.Settings.MemoryBytes)
 	n.scheduler = schedule.New(o.Clock, n.random())
 	n.pool = dispatch.NewPool(o.Clock)
+	n.rollouts = rollout.New(o.Clock)
+	n.suspects = quarantine.NewSuspects(o.Clock)
 	n.pool.BoundIdle(n.idleBound)
 	n.quota = quota.New(o.Clock, o.Settings.Quotas, o.Settings.FirstStart)
 	if err := n.listenPeers(); err != nil {
 		return nil, err
 	}
 	n.callers = gateway.NewServer(gateway.New(gateway.Options{
-		Protocol: o.Protocol, Catalog: n.holder, Scheduler: n.scheduler, Pool: n.pool, Quota: n.quota,
+		Protocol: o.Protocol, Catalog: n.holder, Scheduler: n.scheduler, Pool: n.pool, Quota: n.quota, Rollouts: n.rollouts, Suspects: n.suspects,
 		Budget: n.budget, Misdirected: n.misdirected, Draining: n.draining.Load, Counters: &n.served,
 		Observe: n.observe, Beliefs: n.beliefs, FailureDomain: o.Settings.FailureDomain, Clock: o.Clock, Logger: o.Logger,
 	}))
@@ -240,7 +246,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	for _, work := range []func(context.Context){
-		n.followDeclared, n.followTargets, n.followMembers, n.gossip, n.catchUp, n.sweep,
+		n.followDeclared, n.followTargets, n.followMembers, n.gossip, n.catchUp, n.sweep, n.followRollouts,
 	} {
 		n.background.Go(func() { work(ctx) })
 	}
--- /dev/null
+++ b/internal/node/rollouts.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
+)
+
+const (
+	// decidePeriod is the time between looks at the evidence of orders.
+	decidePeriod = 200 * time.Millisecond
+	// reportPeriod is the time between tries to write a status.
+	reportPeriod = time.Second
+)
+
+// takeOrders takes over what the operator has ordered and what has ended.
+func (n *Node) takeOrders(w Watched) {
+	for _, order := range w.Orders {
+		n.rollouts.Take(order)
+		n.logger.Info("rollout ordered", zap.String("service", order.Service), zap.String("version", order.To),
+			zap.Duration("duration", order.Duration))
+	}
+	for _, status := range w.Ended {
+		n.hearStatus(status, "control plane")
+	}
+}
+
+// hearStatus takes an end that was decided elsewhere.
+func (n *Node) hearStatus(status rollout.Status, source string) {
+	if n.rollouts.Hear(status) {
+		n.logger.Info("rollout ended", zap.String("service", status.Service), zap.String("version", status.To),
+			zap.String("state", string(status.State)), zap.String("source", source))
+	}
+}
+
+// followRollouts decides on orders and writes their statuses until the context
+// ends. The analyzer is the first live instance in the order of addresses; a
+// second one, which may exist for a while, cannot undo an end.
+func (n *Node) followRollouts(ctx context.Context) {
+	written := make(map[rollout.Status]bool)
+	var triedAt time.Time
+	for ctx.Err() == nil {
+		analyzer := n.peers.rank() == 0
+		for _, ended := range n.rollouts.Decide(analyzer) {
+			n.logger.Info("rollout decided", zap.String("service", ended.Service), zap.String("version", ended.To),
+				zap.String("state", string(ended.State)), zap.Any("evidence", n.rollouts.Reports()))
+		}
+		if analyzer && n.clock.Since(triedAt) >= reportPeriod {
+			triedAt = n.clock.Now()
+			n.writeStatuses(ctx, written)
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.clock.After(decidePeriod):
+		}
+	}
+}
+
+// writeStatuses writes the statuses that are not written yet.
+func (n *Node) writeStatuses(ctx context.Context, written map[rollout.Status]bool) {
+	for _, status := range n.rollouts.Statuses() {
+		if written[status] {
+			continue
+		}
+		stands, err := n.control.Report(ctx, status)
+		if err != nil {
+			n.logger.Warn("rollout status not written", zap.String("service", status.Service), zap.Error(err))
+			continue
+		}
+		written[stands] = true
+		if stands != status {
+			n.hearStatus(stands, "control plane")
+		}
+	}
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 )
 
 // Settings are what an instance starts from.
@@ -51,6 +52,10 @@
 type Watched struct {
 	// Configuration is nil when it has not changed.
 	Configuration *catalog.Configuration
+	// Orders are the orders to move services that have changed, with Ended the
+	// statuses of those that have ended.
+	Orders []rollout.Order
+	Ended  []rollout.Status
 	// Position is where to continue.
 	Position uint64
 }
@@ -66,6 +71,9 @@
 	Targets(ctx context.Context) ([]*catalog.Target, uint64, error)
 	// Members reads the instances that have announced themselves lately.
 	Members(ctx context.Context) ([]Member, error)
+	// Report writes what has become of an order, unless its end is written
+	// already; it returns the status that stands then.
+	Report(ctx context.Context, status rollout.Status) (rollout.Status, error)
 	// Announce lists an instance; call it after Members.
 	Announce(ctx context.Context, member Member) error
 	// Decode reads a configuration that another instance has passed on.
--- /dev/null
+++ b/internal/quarantine/suspects_test.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+func TestRequestThatCrashesTargetsIsRefusedEverywhere(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	here, there := NewSuspects(clock), NewSuspects(clock)
+	request := RequestOf("a", "/p", []byte("body"))
+	for _, target := range []string{"one", "two"} {
+		here.Broke(request, target)
+		here.Gone(target)
+	}
+	there.Hear(here.Share())
+	there.Hear(here.Share())
+	assert.Assert(t, !here.Refused(request) && !there.Refused(request))
+	there.Broke(request, "three")
+	there.Gone("three")
+	here.Hear(there.Share())
+	assert.Assert(t, here.Refused(request) && there.Refused(request))
+	assert.Assert(t, !here.Refused(RequestOf("a", "/p", []byte("other"))))
+	clock.Advance(suspectLife + time.Second)
+	assert.Assert(t, !here.Refused(request))
+}
+
+func TestBreaksOfLivingTargetsAreNoCrashes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := NewSuspects(clock)
+	for _, target := range []string{"one", "two", "three", "four"} {
+		s.Broke(1, target)
+	}
+	assert.Assert(t, !s.Refused(1))
+	clock.Advance(confirmTime + time.Millisecond)
+	for _, target := range []string{"one", "two", "three", "four"} {
+		s.Gone(target)
+	}
+	assert.Assert(t, !s.Refused(1), "they were found gone too late")
+}
+
+func TestFinishedRequestIsInnocent(t *testing.T) {
+	s := NewSuspects(clockwork.NewFakeClock())
+	for _, target := range []string{"one", "two", "three"} {
+		s.Broke(1, target)
+		s.Gone(target)
+	}
+	assert.Assert(t, s.Refused(1))
+	s.Finished(1)
+	assert.Assert(t, !s.Refused(1))
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	s := NewSuspects(clockwork.NewFakeClock())
+	for request := range uint64(3 * maxSuspects) {
+		s.Broke(request, "one")
+	}
+	assert.Assert(t, len(s.requests) <= maxSuspects)
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,114 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+var order = Order{Service: "s", To: "v2", Duration: 12 * time.Second}
+
+// The operator's bounds: a tenth of the requests and fifty more may reach a bad
+// version.
+const (
+	allowedShare = 0.1
+	allowedSlack = 50
+)
+
+// play runs an order over a fleet of instances and returns how it ended, by how
+// many requests the new version exceeded what the operator allows, and its bad
+// answers.
+func play(seed uint64, newFailure, oldFailure float64, newTime time.Duration) (state State, excess float64, bad int) {
+	const (
+		instances  = 6
+		perStep    = 5
+		step       = 50 * time.Millisecond
+		usualTime  = 100 * time.Millisecond
+		totalSteps = 240
+	)
+	clock := clockwork.NewFakeClock()
+	random := rand.New(rand.NewPCG(seed, 9))
+	fleet := make([]*Controller, instances)
+	for i := range fleet {
+		fleet[i] = New(clock)
+		fleet[i].Take(order)
+	}
+	requests, exposed := 0, 0
+	for range totalSteps {
+		for i, c := range fleet {
+			for range perStep {
+				requests++
+				only, _ := c.Versions("s", float64(xxhash.Sum64String(fmt.Sprint(seed, requests))>>11)/(1<<53))
+				version, failure, took := "v1", oldFailure, usualTime
+				if only == "v2" {
+					version, failure, took = "v2", newFailure, newTime
+					exposed++
+				}
+				failed := random.Float64() < failure
+				if failed && version == "v2" {
+					bad++
+				}
+				c.Observe("s", version, failed, time.Duration(float64(took)*(0.5+random.Float64())))
+			}
+			for _, r := range c.Reports() {
+				fleet[0].HearReport(fmt.Sprint(i), r)
+			}
+		}
+		for _, status := range fleet[0].Decide(true) {
+			for _, c := range fleet {
+				c.Hear(status)
+			}
+			return status.State, float64(exposed) - allowedShare*float64(requests) - allowedSlack, bad
+		}
+		clock.Advance(step)
+	}
+	return InProgress, float64(exposed) - allowedShare*float64(requests) - allowedSlack, bad
+}
+
+func TestOrdersEndAsTheVersionDeserves(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		newFailure, oldFailure float64
+		newTime                time.Duration
+		want                   State
+	}{
+		{"good", 0.02, 0.02, 100 * time.Millisecond, Completed},
+		{"good while all fail often", 0.3, 0.3, 100 * time.Millisecond, Completed},
+		{"somewhat slower", 0.02, 0.02, 200 * time.Millisecond, Completed},
+		{"fails", 0.4, 0.02, 100 * time.Millisecond, TakenBack},
+		{"several times slower", 0.02, 0.02, 600 * time.Millisecond, TakenBack},
+	} {
+		for seed := range uint64(60) {
+			state, excess, bad := play(seed, c.newFailure, c.oldFailure, c.newTime)
+			assert.Equal(t, state, c.want, "%s, seed %d", c.name, seed)
+			assert.Assert(t, excess <= 0, "%s, seed %d: %.0f requests too many", c.name, seed, excess)
+			if state == TakenBack {
+				assert.Assert(t, bad < 50, "%s, seed %d: %d bad answers", c.name, seed, bad)
+			}
+		}
+	}
+}
+
+func TestEndIsNeverUndone(t *testing.T) {
+	c := New(clockwork.NewFakeClock())
+	c.Take(order)
+	assert.Assert(t, c.Hear(Status{"s", "v2", TakenBack}))
+	assert.Assert(t, !c.Hear(Status{"s", "v2", Completed}))
+	c.Take(order)
+	only, not := c.Versions("s", 0)
+	assert.Equal(t, only, "")
+	assert.Equal(t, not, "v2")
+}
+
+func TestUnknownServicesAreFree(t *testing.T) {
+	c := New(clockwork.NewFakeClock())
+	only, not := c.Versions("s", 0)
+	assert.Equal(t, only+not, "")
+	c.Observe("s", "v1", true, time.Second)
+	assert.Equal(t, len(c.Decide(true)), 0)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -56,14 +56,20 @@
 	Deadline time.Time
 	// FailureDomain is the instance's own.
 	FailureDomain string
-	// Version restricts the targets to one version; "" means any.
-	Version string
+	// Version restricts the targets to one version and NotVersion leaves one
+	// out; "" means no bound. A version without targets bounds nothing.
+	Version, NotVersion string
 	// Avoid holds targets that have failed the request already.
 	Avoid []catalog.TargetKey
 }
 
 func (r *Request) priority() int { return min(max(r.Priority, 0), PriorityCount-1) }
 
+// allows reports whether the request may go to targets of a version.
+func (r *Request) allows(version string) bool {
+	return (r.Version == "" || version == r.Version) && (r.NotVersion == "" || version != r.NotVersion)
+}
+
 func (r *Request) avoids(key catalog.TargetKey) bool {
 	for _, avoided := range r.Avoid {
 		if avoided == key {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -240,10 +240,11 @@
 // choose returns the best target with room, or nil.
 func (s *Scheduler) choose(sv *service, r *Request, now time.Time) *target {
 	ignore := sv.mostEjected(now)
+	bound := sv.hasVersionFor(r)
 	candidates := make([]Candidate, 0, len(sv.targets))
 	targets := make([]*target, 0, len(sv.targets))
 	for _, t := range sv.targets {
-		if (r.Version != "" && t.info.Version != r.Version) || r.avoids(t.info.Key()) || !t.usable(now, ignore) {
+		if (bound && !r.allows(t.info.Version)) || r.avoids(t.info.Key()) || !t.usable(now, ignore) {
 			continue
 		}
 		candidates = append(candidates, sv.candidate(t, r, now, ignore))
@@ -256,6 +257,17 @@
 	return targets[at]
 }
 
+// hasVersionFor reports whether any target is of a version that the request
+// may go to.
+func (sv *service) hasVersionFor(r *Request) bool {
+	for _, t := range sv.targets {
+		if !t.info.Draining && r.allows(t.info.Version) {
+			return true
+		}
+	}
+	return false
+}
+
 // ask describes the request to Place.
 func (r *Request) ask(now time.Time) Ask {
 	waited := now.Sub(r.Arrived)
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -212,3 +212,18 @@
 		assert.Equal(t, hub.targets[target.Key()].running(), total, target.ID)
 	}
 }
+
+func TestVersionBoundsHoldWhileTheVersionHasTargets(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	old, fresh := engine("old", 4), engine("new", 4)
+	old.Version, fresh.Version = "v1", "v2"
+	s := newScheduler(clock, old, fresh)
+	only, not := request(clock, 0, 100), request(clock, 0, 100)
+	only.Version, not.NotVersion = "v2", "v2"
+	for range 4 {
+		assert.Equal(t, acquire(t, s, only).Target.ID, "new")
+		assert.Equal(t, acquire(t, s, not).Target.ID, "old")
+	}
+	missing := newScheduler(clock, old)
+	assert.Equal(t, acquire(t, missing, only).Target.ID, "old")
+}
