Place among a sample of many targets

Change: beyond 24 targets a request is placed among eight random ones with room. Only the preferred gathering instance is asked for the sum, and changes are not sent at once where reports are gathered. Promises on the platform have a table in docs/FAULTS.md.

--- a/internal/faultmatrix/faultmatrix_test.go
+++ b/internal/faultmatrix/faultmatrix_test.go
@@ -31,6 +31,13 @@
 			assert.Equal(t, cell.States(), 1, "%s at %s", fault, step)
 		}
 	}
+	for i := range Promises {
+		assert.Equal(t, Promises[i].States(), 1, Promises[i].What)
+		if day := Promises[i].Day; day != "" {
+			_, err := os.Stat(filepath.Join("..", "..", "deploy", "days", day+".toml"))
+			assert.NilError(t, err)
+		}
+	}
 	for i := range Pairs {
 		assert.Equal(t, Pairs[i].States(), 1, "%s and %s", Pairs[i].First, Pairs[i].Second)
 	}
@@ -60,6 +67,9 @@
 			check(&cell, string(step)+", "+string(fault))
 		}
 	}
+	for i := range Promises {
+		check(&Promises[i].Cell, Promises[i].What)
+	}
 	for i := range Pairs {
 		check(&Pairs[i].Cell, string(Pairs[i].First)+" and "+string(Pairs[i].Second))
 	}
--- a/internal/faultmatrix/page.go
+++ b/internal/faultmatrix/page.go
@@ -34,9 +34,28 @@
 		p := &Pairs[i]
 		fmt.Fprintf(&b, "| %s and %s | %s |\n", p.First, p.Second, p.text())
 	}
+	b.WriteString(promisesIntro)
+	for i := range Promises {
+		p := &Promises[i]
+		day := "the bench's own"
+		if p.Day != "" {
+			day = "`" + p.Day + "`"
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", p.What, p.Mechanism, p.text(), day)
+	}
 	return b.String()
 }
 
+const promisesIntro = `
+## On the users' platform
+
+What must hold there, the mechanism, the tests, and the day in deploy/days that
+strains it.
+
+| promise | mechanism | tests | day |
+|---|---|---|---|
+`
+
 func writeCounts(b *strings.Builder) {
 	var tested, impossible, left int
 	for _, step := range Steps {
@@ -61,7 +80,7 @@
 	case len(c.Tests) > 0:
 		var names []string
 		for _, t := range c.Tests {
-			names = append(names, "`"+t.Package+"` "+t.Name)
+			names = append(names, "`"+strings.TrimPrefix(t.Package, "../")+"` "+t.Name)
 		}
 		return strings.Join(names, ", ")
 	case c.Impossible != "":
--- /dev/null
+++ b/internal/faultmatrix/promises.go
@@ -0,0 +1,103 @@
+package faultmatrix
+
+// Promise is something that must hold on the users' platform, with the
+// mechanism that keeps it and what proves it.
+type Promise struct {
+	// What must hold, in a few words.
+	What string
+	// Mechanism names the files that keep it.
+	Mechanism string
+	Cell
+	// Day is a day file in deploy/days that strains it; "" where only the
+	// bench's own days do.
+	Day string
+}
+
+// adapter is the package of the tests with whole instances on loopback.
+const adapter = "../platform"
+
+// several is a cell with tests of several packages.
+func several(cells ...Cell) Cell {
+	var c Cell
+	for _, cell := range cells {
+		c.Tests = append(c.Tests, cell.Tests...)
+	}
+	return c
+}
+
+// Promises are all promises in the order of a request's way.
+var Promises = []Promise{
+	{
+		"an answer is the target's own, whole and to this request", "gateway/run.go, dispatch/exchange.go",
+		several(
+			proved(adapter, "TestPlainAnswerIsPassedOnUnchanged"),
+			proved("dispatch", "TestAnswerToAnotherRequestIsSkipped", "TestUnfinishedBodiesAreErrors",
+				"TestConnectionWithBytesAfterTheAnswerIsNotKept", "TestBodyThatEndsWithTheConnectionIsWhole")),
+		"reused-addresses",
+	},
+	{
+		"only what a caller sent runs, for the account that holds its key", "platform/header.go, gateway/server.go",
+		proved(adapter, "TestRequestInsideABodyIsNoRequest", "TestPlainAnswerIsPassedOnUnchanged"), "",
+	},
+	{
+		"a request that may run once runs once", "gateway/run.go",
+		several(proved(adapter, "TestRequestThatMayRunOnceIsNotRepeated"), proved("../platform/soak", "TestSoak")),
+		"reused-addresses",
+	},
+	{
+		"a refusal that says not run is true", "gateway/run.go",
+		several(proved(adapter, "TestRefusedEverywhereIsToldNotRun", "TestTargetsPromiseWithoutTheMarkIsNotPassedOn"),
+			proved("gateway", "TestRefusalsPromiseOnlyWhatIsTrue")), "hot-then-everyone-returns",
+	},
+	{
+		"a stream's events are whole, in order and of one run", "gateway/stream.go, gateway/events.go",
+		several(proved(adapter, "TestCutStreamIsResumedAtAnotherTarget", "TestCutStreamThatMayRunOnceEndsWithoutItsEnd"),
+			proved("gateway", "TestEventsKeepTheirBytes", "TestStreamThatEndsInsideAnEventIsNoWholeStream")),
+		"silent-everywhere",
+	},
+	{
+		"repeats stay within the route's attempts and the shared budget", "gateway/run.go, routing/window.go",
+		several(proved(adapter, "TestRepeatableRequestIsSentElsewhereWithinItsAttempts"),
+			proved("routing", "TestWindowBudgetBoundsRepeatsAndRecovers")), "hot-then-everyone-returns",
+	},
+	{
+		"a target stops soon after the caller has gone", "gateway/conn.go",
+		several(proved(adapter, "TestTargetIsToldThatTheCallerHasGone"), proved("dispatch", "TestContextCutsAnExchange")),
+		"hot-then-everyone-returns",
+	},
+	{
+		"an account stays within its quota over all instances", "quota/quota.go",
+		proved("quota", "TestPartedInstancesStayWithinQuota", "TestNewInstanceTakesOverLevel"), "frozen-and-late",
+	},
+	{
+		"a leaving target gets nothing new, and an address reused is no target", "node/targets.go",
+		several(proved(adapter, "TestLeavingTargetGetsNothingMore", "TestAddressOfAnotherTargetIsLeftAlone"),
+			proved("node", "TestTargetListDropsMissingEntriesButAfterAnOutage")), "reused-addresses",
+	},
+	{
+		"a configuration is soon in force and never goes back", "node/follow.go, catalog/holder.go",
+		several(proved(adapter, "TestConfigurationIsInForceAndNeverGoesBack", "TestInstanceLearnsFromOthersWhileTheStoreIsDown"),
+			proved("catalog", "TestHolderNeverGoesBack")), "revoked-while-refused",
+	},
+	{
+		"an instance that stops answers what it has read", "node/shutdown.go",
+		proved(adapter, "TestShutdownAnswersWhatIsUnderWay"), "shutdown-in-outage",
+	},
+	{
+		"a bad version gets a small share and is taken back", "rollout/rollout.go",
+		several(proved("rollout", "TestOrdersEndAsTheVersionDeserves", "TestEndIsNeverUndone"),
+			proved(adapter, "TestBadVersionIsTakenBackByAllInstances", "TestGoodVersionIsCompleted")), "",
+	},
+	{
+		"a request that crashes targets is refused after three", "quarantine/suspects.go",
+		proved("quarantine", "TestRequestThatCrashesTargetsIsRefusedEverywhere", "TestBreaksOfLivingTargetsAreNoCrashes"), "",
+	},
+	{
+		"all is served again after all instances were lost", "node/follow.go, node/gossip.go",
+		proved("../platform/soak", "TestSoak"), "shutdown-in-outage",
+	},
+	{
+		"logging holds nothing up", "eventlog/eventlog.go",
+		proved("eventlog", "TestBlockedOutputHoldsNobodyUpAndWarningsOutlastTheRest"), "",
+	},
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -114,8 +114,9 @@
 	if changes == nil {
 		return
 	}
-	t := n.peers.topology()
-	n.send(t.to, &message{Incarnation: n.incarnation, Load: *changes})
+	if t := n.peers.topology(); !t.gather {
+		n.send(t.to, &message{Incarnation: n.incarnation, Load: *changes})
+	}
 }
 
 // sendState sends one round of messages.
@@ -130,6 +131,13 @@
 	if turn%usageEvery == 0 {
 		m.Usages = n.quota.Usages()
 	}
+	if m.WantOthers && len(t.to) > 1 {
+		// Only the preferred one is asked for the sum.
+		n.send(t.to[:1], m)
+		m.WantOthers = false
+		n.send(t.to[1:], m)
+		return
+	}
 	n.send(t.to, m)
 }
 
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -250,6 +250,9 @@
 		candidates = append(candidates, sv.candidate(t, r, now, ignore))
 		targets = append(targets, t)
 	}
+	if len(candidates) > sampleAbove {
+		s.sample(candidates)
+	}
 	at := Place(r.ask(now), candidates, s.random.Float64)
 	if at == Hold {
 		return nil
@@ -257,6 +260,30 @@
 	return targets[at]
 }
 
+const (
+	// sampleAbove is the number of targets above which a request is placed among
+	// a random sample of those with room. Many instances with the same picture,
+	// some hundred milliseconds old, would otherwise all choose the same few.
+	sampleAbove = 24
+	// sampleSize is the number of targets with room in a sample: enough that one
+	// of the fastest third is among them.
+	sampleSize = 8
+)
+
+// sample leaves only some of the candidates with room. The lock is held.
+func (s *Scheduler) sample(candidates []Candidate) {
+	free := make([]int, 0, len(candidates))
+	for i := range candidates {
+		if candidates[i].Free {
+			free = append(free, i)
+		}
+	}
+	s.random.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+	for at := sampleSize; at < len(free); at++ {
+		candidates[free[at]].Free = false
+	}
+}
+
 // hasVersionFor reports whether any target is of a version that the request
 // may go to.
 func (sv *service) hasVersionFor(r *Request) bool {
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -227,3 +227,31 @@
 	missing := newScheduler(clock, old)
 	assert.Equal(t, acquire(t, missing, only).Target.ID, "old")
 }
+
+// TestManyTargetsAreNotAllFilledInTheSameOrder plays instances that cannot hear
+// each other's choices in time.
+func TestManyTargetsAreNotAllFilledInTheSameOrder(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	const instances, each, targetCount, slots = 40, 3, 80, 6
+	const placed = instances * each
+	targets := make([]*catalog.Target, targetCount)
+	for i := range targets {
+		targets[i] = engine(fmt.Sprint(i), slots)
+	}
+	chosen := make(map[string]int)
+	for i := range instances {
+		s := New(clock, rand.New(rand.NewPCG(uint64(i), 5)))
+		s.SetTargets(targets)
+		for j, target := range targets {
+			s.targets[target.Key()].perToken.observe(time.Duration(3+j) * time.Millisecond)
+		}
+		for range each {
+			chosen[acquire(t, s, request(clock, 0, 100)).Target.ID]++
+		}
+	}
+	over := 0
+	for _, n := range chosen {
+		over += max(0, n-slots)
+	}
+	assert.Assert(t, 5*over <= placed, "%d of %d placed beyond the slots", over, placed)
+}
