Let instances that know few others learn of more

Sums of more than 45 loads did not fit in a packet.

Change: a report from an instance that takes the others for few is answered with addresses, once for each, never in answer to such a message. Six instances gather, each for a part of the others; what they know of watches and reads is passed on with its age. Free places are shared out by what waits.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -97,15 +97,27 @@
 	}
 }
 
-// othersWatch reports whether enough others watch for this instance too.
+// othersWatch reports whether others watch for this instance too. Those for
+// whom others gather never are among the first.
 func (n *Node) othersWatch() bool {
-	fresh := 0
+	if n.rank() < watchers {
+		return false
+	}
 	for _, p := range n.peers.live() {
-		if p.address < n.settings.Peers && n.clock.Since(p.watchedAt) < watchFresh {
-			fresh++
+		if n.clock.Since(p.watchedAt) < watchFresh {
+			return true
 		}
 	}
-	return fresh >= watchers
+	return false
+}
+
+// rank returns how many live instances come before this one; one for whom
+// others gather knows only that they do.
+func (n *Node) rank() int {
+	if t := n.peers.topology(); t.gather && !t.gathers {
+		return maxRank
+	}
+	return n.peers.rank()
 }
 
 // newerElsewhere reports whether another instance has a newer configuration.
@@ -155,7 +167,6 @@
 			continue
 		}
 		wait.Reset()
-		n.ownRead.Store(n.clock.Since(n.started).Nanoseconds())
 		n.applyTargets(targets, position)
 	}
 }
@@ -168,7 +179,7 @@
 	if readAt.IsZero() {
 		return 0
 	}
-	rank := min(n.peers.rank(), maxRank)
+	rank := min(n.rank(), maxRank)
 	return targetPeriod + time.Duration(rank)*targetStagger - n.clock.Since(readAt)
 }
 
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"math/bits"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -33,8 +35,8 @@
 	gatherEvery = 2
 	// maxKnown bounds the addresses, and loadsPerMessage the loads, of one
 	// message, so that it fits in one packet.
-	maxKnown        = 20
-	loadsPerMessage = 70
+	maxKnown        = 8
+	loadsPerMessage = 45
 	// fetchDelay is how long a newer configuration that another instance has
 	// may still come from the control plane.
 	fetchDelay = 150 * time.Millisecond
@@ -61,6 +63,9 @@
 	WantOthers bool
 	// Gathered tells that Load and Usages are such a sum.
 	Gathered bool
+	// Introduces tells that the message holds addresses and no load; it is not
+	// answered.
+	Introduces bool
 	// Members counts the instances that share the work.
 	Members uint16
 	// Config is the version in force.
@@ -77,11 +82,11 @@
 	// TargetsDigest and TargetsPosition describe the known targets.
 	TargetsDigest   uint32
 	TargetsPosition uint64
-	// TargetsAgeMs is the time since this instance itself read them; noRead if
-	// it has not.
+	// TargetsAgeMs is the time since the last read of them that this instance
+	// made or heard of; noRead if none.
 	TargetsAgeMs uint32
-	// WatchAgeMs is the time since its last watch of the operator's
-	// declarations was answered; noRead if it does not watch.
+	// WatchAgeMs is the time since a watch of the operator's declarations was
+	// last answered, its own or one that it heard of; noRead for none.
 	WatchAgeMs uint32
 }
 
@@ -126,7 +131,7 @@
 		return
 	}
 	m := n.describe(turn)
-	m.Load = *n.scheduler.Report(turn%introduceEvery == 0)
+	m.Load = *n.scheduler.Report(!t.gather && turn%introduceEvery == 0)
 	m.WantOthers = t.gather && !t.gathers
 	if turn%usageEvery == 0 {
 		m.Usages = n.quota.Usages()
@@ -148,7 +153,7 @@
 		Members: uint16(n.sharers.Load()),
 	}
 	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
-	m.WatchAgeMs = n.age(&n.ownWatch)
+	m.WatchAgeMs = n.watchAge()
 	m.Rollouts = n.rollouts.Reports()
 	m.Crashes = n.suspects.Share()
 	for _, status := range n.rollouts.Statuses() {
@@ -199,18 +204,36 @@
 
 // send sends a message to some instances.
 func (n *Node) send(addresses []string, m *message) {
-	body, err := msgpack.Marshal(m)
+	body, err := encode(m)
 	if err != nil {
 		n.logger.Error("state could not be encoded", zap.Error(err))
 		return
 	}
 	for _, address := range addresses {
 		if err := n.bus.Send(address, peer.KindCredit, body); err != nil {
-			n.counters.GossipUnsent.Add(1)
+			n.countUnsent(address, len(body), err)
 		}
 	}
 }
 
+// encode writes a message with each number as short as it is.
+func encode(m *message) ([]byte, error) {
+	var body bytes.Buffer
+	encoder := msgpack.NewEncoder(&body)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(m)
+	return body.Bytes(), err
+}
+
+// countUnsent counts messages that could not be sent, and logs ever fewer of
+// them.
+func (n *Node) countUnsent(address string, size int, err error) {
+	if count := n.counters.GossipUnsent.Add(1); bits.OnesCount64(count) == 1 {
+		n.logger.Warn("state not sent", zap.String("to", address), zap.Int("bytes", size),
+			zap.Uint64("so_far", count), zap.Error(err))
+	}
+}
+
 // hear takes another instance's state.
 func (n *Node) hear(from string, body []byte) {
 	var m message
@@ -239,6 +262,9 @@
 		n.peers.introduceAddresses(m.Known)
 		n.hearTargets(from, &m)
 	}
+	if m.Introduces {
+		return
+	}
 	if m.Gathered {
 		n.hearGathered(from, &m)
 		return
@@ -247,11 +273,22 @@
 	if len(m.Usages) > 0 {
 		n.quota.Hear(from, m.Incarnation, m.Usages)
 	}
-	if m.WantOthers {
+	switch {
+	case m.WantOthers:
 		n.gatheredFor(from)
+	case m.Name != "" && int(m.Members) < meshLimit && n.peers.topology().gather:
+		n.introduce(from)
 	}
 }
 
+// introduce tells an instance that takes the others for few of more of them,
+// until it asks one that gathers.
+func (n *Node) introduce(address string) {
+	m := n.describe(introduceEvery)
+	m.Introduces = true
+	n.send([]string{address}, m)
+}
+
 // hearGathered takes the sum of the others from the preferred instance that
 // gathers.
 func (n *Node) hearGathered(from string, m *message) {
@@ -259,10 +296,10 @@
 	if !t.gather || t.gathers || len(t.to) == 0 || t.to[0] != from {
 		return
 	}
-	n.scheduler.HearGathered(&m.Load)
 	if m.Members > 0 {
 		n.sharers.Store(int64(m.Members))
 	}
+	n.scheduler.HearGathered(&m.Load, int(n.sharers.Load()))
 	if len(m.Usages) > 0 {
 		n.quota.HearGathered(from, m.Incarnation, max(1, int(m.Members)-1), m.Usages)
 	}
@@ -272,9 +309,27 @@
 func (n *Node) describeTargets() (digest uint32, position uint64, ageMs uint32) {
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
-	return n.targets.digest(), n.targets.position, n.age(&n.ownRead)
+	ageMs = noRead
+	if !n.targets.readAt.IsZero() {
+		ageMs = toMillis(n.clock.Since(n.targets.readAt))
+	}
+	return n.targets.digest(), n.targets.position, ageMs
+}
+
+// watchAge returns the age of the freshest watch that is known. Ages only grow
+// on their way, so that nobody is believed to watch who does not.
+func (n *Node) watchAge() uint32 {
+	age := n.age(&n.ownWatch)
+	for _, p := range n.peers.live() {
+		if !p.watchedAt.IsZero() {
+			age = min(age, toMillis(n.clock.Since(p.watchedAt)))
+		}
+	}
+	return age
 }
 
+func toMillis(age time.Duration) uint32 { return uint32(min(max(0, age.Milliseconds()), noRead-1)) }
+
 // age returns the milliseconds since a moment that is kept as nanoseconds since
 // the start; noRead for none.
 func (n *Node) age(moment *atomic.Int64) uint32 {
@@ -282,8 +337,7 @@
 	if at == 0 {
 		return noRead
 	}
-	age := n.clock.Since(n.started) - time.Duration(at)
-	return uint32(min(age.Milliseconds(), noRead-1))
+	return toMillis(n.clock.Since(n.started) - time.Duration(at))
 }
 
 // hearTargets takes another instance's recent read for an own one where it
@@ -302,7 +356,7 @@
 		return
 	}
 	if m.TargetsDigest == n.targets.digest() {
-		n.targets.confirm(n.clock.Now().Add(-age))
+		n.targets.confirm(n.clock.Now().Add(-age), m.TargetsPosition)
 		return
 	}
 	select {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -56,3 +56,7 @@
 	tier := min(max(priority, 0), tables.TierCount-1)
 	n.metrics.Observe(tables.Tier(tier), account, first, whole)
 }
+
+// Instances counts the instances that share the work, with this one, as far as
+// is known here.
+func (n *Node) Instances() int { return n.beliefs().Instances }
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -43,7 +43,7 @@
 	written := make(map[rollout.Status]bool)
 	var triedAt time.Time
 	for ctx.Err() == nil {
-		analyzer := n.peers.rank() == 0
+		analyzer := n.rank() == 0
 		for _, ended := range n.rollouts.Decide(analyzer) {
 			n.logger.Info("rollout decided", zap.String("service", ended.Service), zap.String("version", ended.To),
 				zap.String("state", string(ended.State)), zap.Any("evidence", n.rollouts.Reports()))
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -56,11 +56,12 @@
 	return changed
 }
 
-// confirm takes note that another instance's read at that time gave the same
-// targets.
-func (l *targetList) confirm(readAt time.Time) {
+// confirm takes note that another instance's read at that time, or one that it
+// has heard of, gave the same targets.
+func (l *targetList) confirm(readAt time.Time, position uint64) {
 	if readAt.After(l.readAt) {
 		l.readAt = readAt
+		l.position = max(l.position, position)
 	}
 }
 
--- a/internal/node/topology.go
+++ b/internal/node/topology.go
@@ -1,13 +1,18 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// meshLimit is the number of instances up to which each writes to all
 	// others; beyond it, two instances gather the reports of all.
 	meshLimit = 12
-	// gatherers is the number of instances that gather.
-	gatherers = 2
+	// gatherers is the number of instances that gather, each for a part of the
+	// others, so that the link of none is filled by sums.
+	gatherers = 6
 	// answerTime is how long one that is asked to gather may take to answer
 	// before another is asked.
 	answerTime = 500 * time.Millisecond
@@ -50,14 +55,24 @@
 			chosen++
 		}
 	}
-	for _, address := range t.to {
-		if state := p.byAddress[address]; state.askedAt.IsZero() {
+	t.prefer(p.self)
+	if !t.gathers && len(t.to) > 0 {
+		// Only the preferred one answers.
+		if state := p.byAddress[t.to[0]]; state.askedAt.IsZero() {
 			state.askedAt = now
 		}
 	}
 	return t
 }
 
+// prefer puts first the instance that gathers for this one.
+func (t *topology) prefer(self string) {
+	if len(t.to) > 0 {
+		at := int(xxhash.Sum64String(self) % uint64(len(t.to)))
+		t.to[0], t.to[at] = t.to[at], t.to[0]
+	}
+}
+
 // answers reports whether an instance may be asked to gather.
 func (s *peerState) answers(now time.Time) bool {
 	switch {
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -164,8 +164,37 @@
 }
 
 // HearGathered takes the sum of the reports of all other instances. While it
-// is fresh, it stands in for the reports of single ones.
-func (s *Scheduler) HearGathered(report *Report) { s.Hear(gathered, report) }
+// is fresh, it stands in for the reports of single ones. Instances counts all
+// that share the work, with this one.
+func (s *Scheduler) HearGathered(report *Report, instances int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.take(gathered, report)
+	if !report.Partial {
+		now := s.clock.Now()
+		for _, sv := range s.services {
+			sv.allow(now, instances, s.random.Float64())
+		}
+	}
+	s.pumpAll()
+}
+
+// allow sets how many requests may start here until the next sum: this
+// instance's part of the places that are free now, by what waits here and
+// elsewhere. Sums are some hundred milliseconds old, and without it all
+// instances would take the same places. U is uniform in [0, 1).
+func (sv *service) allow(now time.Time, instances int, u float64) {
+	own, elsewhere := 0, 0
+	for p := range sv.waiting {
+		own += len(sv.waiting[p])
+		elsewhere += sv.elsewhere[p]
+	}
+	share := 1 / float64(max(1, instances))
+	if own > 0 {
+		share = max(share, float64(own)/float64(own+elsewhere))
+	}
+	sv.allowance = int(float64(sv.free(now))*share + u)
+}
 
 // take replaces what is known of an instance. The lock is held.
 func (s *Scheduler) take(from string, report *Report) {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -40,6 +40,9 @@
 	waiting [PriorityCount][]*waiter
 	// elsewhere counts the requests that wait at other instances.
 	elsewhere [PriorityCount]int
+	// allowance is how many requests may start here before the next sum of
+	// others' reports, where reports are gathered.
+	allowance int
 	// whole is the time of a whole answer.
 	whole  pace
 	reader reader
@@ -218,7 +221,8 @@
 	r := w.request
 	w.holding = false
 	free := sv.free(now)
-	if free <= sv.waitingElsewhereAbove(r.priority()) {
+	_, summed := s.peers[gathered]
+	if free <= sv.waitingElsewhereAbove(r.priority()) || (summed && sv.allowance <= 0) {
 		return nil
 	}
 	t := s.choose(sv, r, now)
@@ -233,6 +237,7 @@
 	}
 	t.own++
 	t.prefilling += r.PromptTokens
+	sv.allowance--
 	s.tell(t, r.PromptTokens)
 	return g
 }
@@ -508,13 +513,16 @@
 	g.leavePrefill()
 	g.target.own--
 	g.target.record(&o, g.request.PromptTokens, s.clock.Now())
+	sv := s.service(g.request.Service)
+	// A place that became free here is this instance's to use again.
+	sv.allowance = max(0, sv.allowance) + 1
 	if o.Result == Complete {
-		s.service(g.request.Service).whole.observe(o.Whole)
+		sv.whole.observe(o.Whole)
 	}
 	s.tell(g.target, 0)
 	if g.target.withdrawn && g.target.own == 0 {
 		delete(s.targets, g.target.info.Key())
 		s.recountAll()
 	}
-	s.pump(s.service(g.request.Service))
+	s.pump(sv)
 }
