Do not rely on a watch that has failed

The two instances that watch for all, pos-a-1 and pos-a-2, were refused by the store from 2.5 s. Each passed on what it had heard of the other's watch, so that both looked fresh to the others until 4.8 s.

Ruled out: a lost answer of a watch (both logged the lost dependency at 2.5017 s); peers that fetch late (they knew no newer version either).

Change: an instance relies on watches of others only as these state them; where reports are gathered, what the gathering instance hears of at first hand counts too. A watch without news is answered after 0.8 s and relied on for 1.1 s, so that silent ones are outlived within the bound as well. The test replays the messages.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -49,10 +49,12 @@
 	// declarations for all.
 	watchers = 2
 	// watchFresh is how old the last answer to another's watch may be, for it
-	// to be relied on: a little more than the time that a quiet watch takes.
-	watchFresh = 2300 * time.Millisecond
+	// to be relied on: a little more than the time that a quiet watch takes,
+	// and with watchCheck well below the time in which a configuration must be
+	// in force.
+	watchFresh = 1100 * time.Millisecond
 	// watchCheck is the time between looks whether others still watch.
-	watchCheck = 200 * time.Millisecond
+	watchCheck = 100 * time.Millisecond
 )
 
 // followDeclared keeps the configuration up to date until the context ends:
@@ -100,15 +102,8 @@
 // othersWatch reports whether others watch for this instance too. Those for
 // whom others gather never are among the first.
 func (n *Node) othersWatch() bool {
-	if n.rank() < watchers {
-		return false
-	}
-	for _, p := range n.peers.live() {
-		if n.clock.Since(p.watchedAt) < watchFresh {
-			return true
-		}
-	}
-	return false
+	t := n.peers.topology()
+	return n.rank() >= watchers && n.peers.watched(t.gather && !t.gathers)
 }
 
 // rank returns how many live instances come before this one; one for whom
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -85,9 +85,11 @@
 	// TargetsAgeMs is the time since the last read of them that this instance
 	// made or heard of; noRead if none.
 	TargetsAgeMs uint32
-	// WatchAgeMs is the time since a watch of the operator's declarations was
-	// last answered, its own or one that it heard of; noRead for none.
+	// WatchAgeMs is the time since its own watch of the operator's declarations
+	// was last answered; noRead if it does not watch or its watch has failed.
 	WatchAgeMs uint32
+	// HeardWatchAgeMs is the lowest of those that it hears of.
+	HeardWatchAgeMs uint32
 }
 
 // noRead stands for the age of a read that was never made.
@@ -153,7 +155,8 @@
 		Members: uint16(n.sharers.Load()),
 	}
 	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
-	m.WatchAgeMs = n.watchAge()
+	m.WatchAgeMs = n.age(&n.ownWatch)
+	m.HeardWatchAgeMs = n.peers.heardWatchAge()
 	m.Rollouts = n.rollouts.Reports()
 	m.Crashes = n.suspects.Share()
 	for _, status := range n.rollouts.Statuses() {
@@ -316,18 +319,6 @@
 	return n.targets.digest(), n.targets.position, ageMs
 }
 
-// watchAge returns the age of the freshest watch that is known. Ages only grow
-// on their way, so that nobody is believed to watch who does not.
-func (n *Node) watchAge() uint32 {
-	age := n.age(&n.ownWatch)
-	for _, p := range n.peers.live() {
-		if !p.watchedAt.IsZero() {
-			age = min(age, toMillis(n.clock.Since(p.watchedAt)))
-		}
-	}
-	return age
-}
-
 func toMillis(age time.Duration) uint32 { return uint32(min(max(0, age.Milliseconds()), noRead-1)) }
 
 // age returns the milliseconds since a moment that is kept as nanoseconds since
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -36,9 +36,10 @@
 	introduced, heard time.Time
 	incarnation       int64
 	config            uint64
-	// watchedAt is when the instance's last watch of the operator's
-	// declarations was answered; zero if it does not watch.
-	watchedAt time.Time
+	// watchedAt is when the instance's own watch of the operator's declarations
+	// was last answered; zero if it does not watch or its watch has failed.
+	// heardWatchAt is the same for the best of those that it hears of.
+	watchedAt, heardWatchAt time.Time
 	// askedAt is when the instance was first asked to gather; zero if not.
 	askedAt time.Time
 	// passedUntil is until when it is not asked to gather.
@@ -88,13 +89,48 @@
 	fresh = state.incarnation != m.Incarnation
 	state.name, state.incarnation, state.config = m.Name, m.Incarnation, m.Config
 	state.heard = p.clock.Now()
-	state.watchedAt = time.Time{}
-	if m.WatchAgeMs != noRead {
-		state.watchedAt = state.heard.Add(-time.Duration(m.WatchAgeMs) * time.Millisecond)
-	}
+	state.watchedAt = state.ago(m.WatchAgeMs)
+	state.heardWatchAt = state.ago(m.HeardWatchAgeMs)
 	return fresh
 }
 
+// ago returns the moment that was so many milliseconds before the instance was
+// last heard; zero for noRead.
+func (s *peerState) ago(ms uint32) time.Time {
+	if ms == noRead {
+		return time.Time{}
+	}
+	return s.heard.Add(-time.Duration(ms) * time.Millisecond)
+}
+
+// heardWatchAge returns the time since the last answer to a watch of another
+// instance, in milliseconds; noRead for none. What others have only heard of is
+// not passed on, so that the news of a failed watch is not outlived.
+func (p *peerTable) heardWatchAge() uint32 {
+	age := uint32(noRead)
+	for _, state := range p.live() {
+		if !state.watchedAt.IsZero() {
+			age = min(age, toMillis(p.clock.Since(state.watchedAt)))
+		}
+	}
+	return age
+}
+
+// watched reports whether another instance's watch was answered lately. One for
+// whom others gather relies on what they hear of, too.
+func (p *peerTable) watched(gatheredFor bool) bool {
+	for _, state := range p.live() {
+		at := state.watchedAt
+		if gatheredFor {
+			at = later(at, state.heardWatchAt)
+		}
+		if !at.IsZero() && p.clock.Since(at) < watchFresh {
+			return true
+		}
+	}
+	return false
+}
+
 // addresses returns where to send to, and drops those long silent.
 func (p *peerTable) addresses() []string {
 	p.mu.Lock()
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -105,7 +105,7 @@
 func TestSilentInstancesAreForgotten(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	p := newPeerTable(clock, address(0), []string{address(1)})
-	p.heard(address(2), &message{Name: "two", Config: 4, WatchAgeMs: noRead})
+	p.heard(address(2), &message{Name: "two", Config: 4, WatchAgeMs: noRead, HeardWatchAgeMs: noRead})
 	assert.Equal(t, len(p.live()), 1)
 	assert.Equal(t, p.rank(), 0)
 	clock.Advance(peerSilence + time.Millisecond)
@@ -113,3 +113,24 @@
 	clock.Advance(peerForget)
 	assert.Equal(t, len(p.addresses()), 0)
 }
+
+// TestFailedWatchIsNotReliedOn plays the moment at which the store refuses the
+// instances that watch for all: the others must take over at once.
+func TestFailedWatchIsNotReliedOn(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPeerTable(clock, address(9), nil)
+	watching := &message{WatchAgeMs: 100, HeardWatchAgeMs: 0}
+	p.heard(address(1), watching)
+	p.heard(address(2), watching)
+	assert.Assert(t, p.watched(false))
+	failed := &message{WatchAgeMs: noRead, HeardWatchAgeMs: 100}
+	p.heard(address(1), failed)
+	p.heard(address(2), failed)
+	assert.Assert(t, !p.watched(false), "what others have only heard of does not count")
+	assert.Equal(t, p.heardWatchAge(), uint32(noRead))
+	assert.Assert(t, p.watched(true))
+
+	p.heard(address(1), watching)
+	clock.Advance(watchFresh)
+	assert.Assert(t, !p.watched(false), "a silent watch is not relied on for long")
+}
