Log errors without their stacks

Cause: each logged error carried a stack of several kilobytes, which the volume of lines and the processor pay for; two lines named the instance twice.

Change: eventlog.Cause writes the error's text.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -179,3 +179,11 @@
 	}
 	return checked.AddCore(entry, b)
 }
+
+// Cause is the field of an error, without the stack that some errors carry.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 )
 
 const (
@@ -92,7 +93,7 @@
 	if err == fasthttp.ErrBodyTooLarge {
 		status = http.StatusRequestEntityTooLarge
 	}
-	s.gateway.Logger.Info("request unreadable", zap.Int("status", status), zap.Error(err),
+	s.gateway.Logger.Info("request unreadable", zap.Int("status", status), eventlog.Cause(err),
 		zap.Stringer("caller", ctx.RemoteAddr()))
 	ctx.Response.Reset()
 	ctx.SetStatusCode(status)
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -46,7 +47,7 @@
 	fields := append(r.fields(), zap.Int("status", status), zap.String("story", story.String()),
 		zap.Duration("took", r.Clock.Since(r.call.Received)), zap.Int("sent", r.sent))
 	if t.err != nil {
-		fields = append(fields, zap.Error(t.err))
+		fields = append(fields, eventlog.Cause(t.err))
 	}
 	const firstFailure = 400
 	if status >= firstFailure {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/backoff"
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 )
 
 const (
@@ -37,7 +38,7 @@
 func (d *dependency) report(err error) {
 	switch {
 	case err != nil && !d.lost:
-		d.logger.Warn("dependency lost", zap.String("dependency", d.name), zap.Error(err))
+		d.logger.Warn("dependency lost", zap.String("dependency", d.name), eventlog.Cause(err))
 	case err == nil && d.lost:
 		d.logger.Info("dependency regained", zap.String("dependency", d.name))
 	}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
@@ -209,7 +210,7 @@
 func (n *Node) send(addresses []string, m *message) {
 	body, err := encode(m)
 	if err != nil {
-		n.logger.Error("state could not be encoded", zap.Error(err))
+		n.logger.Error("state could not be encoded", eventlog.Cause(err))
 		return
 	}
 	for _, address := range addresses {
@@ -233,7 +234,7 @@
 func (n *Node) countUnsent(address string, size int, err error) {
 	if count := n.counters.GossipUnsent.Add(1); bits.OnesCount64(count) == 1 {
 		n.logger.Warn("state not sent", zap.String("to", address), zap.Int("bytes", size),
-			zap.Uint64("so_far", count), zap.Error(err))
+			zap.Uint64("so_far", count), eventlog.Cause(err))
 	}
 }
 
@@ -246,7 +247,7 @@
 	}
 	if m.Name != "" {
 		if n.peers.heard(from, &m) {
-			n.logger.Info("instance heard", zap.String("instance", m.Name), zap.String("address", from),
+			n.logger.Info("instance heard", zap.String("peer", m.Name), zap.String("address", from),
 				zap.Int64("incarnation", m.Incarnation))
 		}
 		if m.Config > n.holder.Version() {
@@ -425,7 +426,7 @@
 			return
 		}
 	}
-	n.logger.Warn("configuration not fetched", zap.String("from", address), zap.Error(err))
+	n.logger.Warn("configuration not fetched", zap.String("from", address), eventlog.Cause(err))
 }
 
 func (n *Node) fetchTargets(ctx context.Context, address string) {
@@ -433,7 +434,7 @@
 	defer cancel()
 	var held heldTargets
 	if err := n.bus.Call(ctx, address, methodTargets, nil, &held); err != nil {
-		n.logger.Warn("targets not fetched", zap.String("from", address), zap.Error(err))
+		n.logger.Warn("targets not fetched", zap.String("from", address), eventlog.Cause(err))
 		return
 	}
 	if len(held.Targets) > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
@@ -152,7 +153,7 @@
 	}
 	n.publish(o.Logs)
 	n.run()
-	n.logger.Info("instance started", zap.String("instance", o.Settings.Name),
+	n.logger.Info("instance started",
 		zap.String("callers", n.callersAddress), zap.String("peers", n.settings.Peers),
 		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", o.Settings.FirstStart))
 	return n, nil
@@ -230,7 +231,7 @@
 // serve logs why a server has ended, unless the instance shuts down.
 func (n *Node) serve(name string, err error) {
 	if err != nil && !n.draining.Load() {
-		n.logger.Error("server ended", zap.String("server", name), zap.Error(err))
+		n.logger.Error("server ended", zap.String("server", name), eventlog.Cause(err))
 	}
 }
 
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 )
 
@@ -67,7 +68,7 @@
 		}
 		stands, err := n.control.Report(ctx, status)
 		if err != nil {
-			n.logger.Warn("rollout status not written", zap.String("service", status.Service), zap.Error(err))
+			n.logger.Warn("rollout status not written", zap.String("service", status.Service), eventlog.Cause(err))
 			continue
 		}
 		written[stands] = true
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 )
 
 const (
@@ -28,7 +30,7 @@
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
 	n.cancel()
-	n.logger.Info("instance stopped", zap.Duration("took", n.clock.Since(began)), zap.Error(err))
+	n.logger.Info("instance stopped", zap.Duration("took", n.clock.Since(began)), eventlog.Cause(err))
 	_ = n.logger.Sync()
 }
 
@@ -40,12 +42,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
-		n.logger.Debug("callers cut", zap.Error(err))
+		n.logger.Debug("callers cut", eventlog.Cause(err))
 	}
 	if err := n.readiness.ShutdownWithContext(ctx); err != nil {
-		n.logger.Debug("balancer cut", zap.Error(err))
+		n.logger.Debug("balancer cut", eventlog.Cause(err))
 	}
 	if err := n.bus.Close(); err != nil {
-		n.logger.Debug("instances cut", zap.Error(err))
+		n.logger.Debug("instances cut", eventlog.Cause(err))
 	}
 }
