--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -55,7 +55,8 @@
 
 // message is the state of one instance.
 type message struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
 	// Name is "" in messages that hold only loads or quotas.
 	Name        string
 	Incarnation int64
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,14 +87,12 @@
 	served                       gateway.Counters
 	metrics                      *metrics.Set
 
-	// started is the origin of ownRead.
-	started time.Time
-	// ownRead is when this instance last read the targets itself, in
-	// nanoseconds since started; 0 if never.
-	ownRead atomic.Int64
 	// gatherTurns counts the sums sent to others.
 	gatherTurns atomic.Int64
-	// ownWatch is the same for the operator's declarations; 0 also after a
+	// started is the origin of ownWatch.
+	started time.Time
+	// ownWatch is when this instance's own watch of the operator's declarations
+	// was last answered, in nanoseconds since started; 0 if never and after a
 	// failure.
 	ownWatch atomic.Int64
 	// newerDeclared is signalled when another instance has a newer
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -28,7 +28,8 @@
 
 // Crash is one target's crash while it ran a request.
 type Crash struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Request uint64
 	Target  string
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -229,7 +229,8 @@
 
 // Usage is what one instance has taken from one account.
 type Usage struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Account string
 	// Total counts since the instance's start.
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -12,7 +12,8 @@
 
 // TargetLoad is what one instance runs on one target.
 type TargetLoad struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
 
 	// Target is TargetHash of the target's identity.
 	Target uint32
@@ -33,7 +34,8 @@
 
 // ServiceQueue is what waits at one instance for one service.
 type ServiceQueue struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
 
 	// Service is the hash of the service's name.
 	Service uint32
@@ -45,7 +47,8 @@
 // Report is the load of one instance. It states absolute values, so that lost
 // and repeated reports do no harm.
 type Report struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
 
 	// Partial reports hold only the targets whose load has changed.
 	Partial bool
