--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -16,6 +16,7 @@
 	writeWhole(&b, Whole(size, slopes))
 	writeSubset(&b, Subset(slopes))
 	writeMechanisms(&b, Roles(size, slopes))
+	writePlatform(&b, size)
 	writeUnsettled(&b, slopes)
 	b.WriteString(regions)
 	writeBadDay(&b, size)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,8 +79,6 @@
 	WriteTarget(Addressed) []dispatch.Field
 	// ReadTarget reads what a target's answer states.
 	ReadTarget(http.Header) Stated
-	// Unsign removes the target's signature from an answer.
-	Unsign(http.Header)
 }
 
 // Limits bound repeats over all instances.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -1,24 +1,15 @@
 package node
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"math/bits"
-	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
-	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
-	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
-	"github.com/hibiscuspost/hibiscuspost/internal/quota"
-	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -47,56 +38,6 @@
 	fetchPeriod = 100 * time.Millisecond
 )
 
-// Methods that instances call at each other.
-const (
-	methodConfiguration = "configuration"
-	methodTargets       = "targets"
-)
-
-// message is the state of one instance.
-type message struct {
-	//lint:ignore U1000 the codec reads the tag
-	_msgpack struct{} `msgpack:",as_array"`
-	// Name is "" in messages that hold only loads or quotas.
-	Name        string
-	Incarnation int64
-	Load        schedule.Report
-	// WantOthers asks for the sum of all others' states.
-	WantOthers bool
-	// Gathered tells that Load and Usages are such a sum.
-	Gathered bool
-	// Introduces tells that the message holds addresses and no load; it is not
-	// answered.
-	Introduces bool
-	// Members counts the instances that share the work.
-	Members uint16
-	// Config is the version in force.
-	Config uint64
-	Usages []quota.Usage
-	// Known are addresses of instances.
-	Known []string
-	// Rollouts are the own counts of orders under way, Ended the orders that
-	// have ended.
-	Rollouts []rollout.Report
-	Ended    []rollout.Status
-	// Crashes are recent crashes of targets with the requests that ran.
-	Crashes []quarantine.Crash
-	// TargetsDigest and TargetsPosition describe the known targets.
-	TargetsDigest   uint32
-	TargetsPosition uint64
-	// TargetsAgeMs is the time since the last read of them that this instance
-	// made or heard of; noRead if none.
-	TargetsAgeMs uint32
-	// WatchAgeMs is the time since its own watch of the operator's declarations
-	// was last answered; noRead if it does not watch or its watch has failed.
-	WatchAgeMs uint32
-	// HeardWatchAgeMs is the lowest of those that it hears of.
-	HeardWatchAgeMs uint32
-}
-
-// noRead stands for the age of a read that was never made.
-const noRead = 1<<32 - 1
-
 // gossip sends the own state to other instances until the context ends.
 func (n *Node) gossip(ctx context.Context) {
 	ticker := n.clock.NewTicker(gossipPeriod)
@@ -150,34 +91,6 @@
 	n.send(t.to, m)
 }
 
-// describe returns a message with all but the load and the quotas.
-func (n *Node) describe(turn int) *message {
-	m := &message{
-		Name: n.settings.Name, Incarnation: n.incarnation, Config: n.holder.Version(),
-		Members: uint16(n.sharers.Load()),
-	}
-	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
-	m.WatchAgeMs = n.age(&n.ownWatch)
-	m.HeardWatchAgeMs = n.peers.heardWatchAge()
-	m.Rollouts = n.rollouts.Reports()
-	m.Crashes = n.suspects.Share()
-	for _, status := range n.rollouts.Statuses() {
-		if status.State != rollout.InProgress {
-			m.Ended = append(m.Ended, status)
-		}
-	}
-	if turn%introduceEvery == 0 {
-		for _, p := range n.peers.live() {
-			m.Known = append(m.Known, p.address)
-		}
-		if len(m.Known) > maxKnown {
-			rand.Shuffle(len(m.Known), func(i, j int) { m.Known[i], m.Known[j] = m.Known[j], m.Known[i] })
-			m.Known = m.Known[:maxKnown]
-		}
-	}
-	return m
-}
-
 // gatheredFor answers an instance that does not write to all others.
 func (n *Node) gatheredFor(address string) {
 	turn := int(n.gatherTurns.Add(1))
@@ -221,15 +134,6 @@
 	}
 }
 
-// encode writes a message with each number as short as it is.
-func encode(m *message) ([]byte, error) {
-	var body bytes.Buffer
-	encoder := msgpack.NewEncoder(&body)
-	encoder.UseCompactInts(true)
-	err := encoder.Encode(m)
-	return body.Bytes(), err
-}
-
 // countUnsent counts messages that could not be sent, and logs ever fewer of
 // them.
 func (n *Node) countUnsent(address string, size int, err error) {
@@ -310,29 +214,6 @@
 	}
 }
 
-// describeTargets returns what the message says about the targets.
-func (n *Node) describeTargets() (digest uint32, position uint64, ageMs uint32) {
-	n.targetsMu.Lock()
-	defer n.targetsMu.Unlock()
-	ageMs = noRead
-	if !n.targets.readAt.IsZero() {
-		ageMs = toMillis(n.clock.Since(n.targets.readAt))
-	}
-	return n.targets.digest(), n.targets.position, ageMs
-}
-
-func toMillis(age time.Duration) uint32 { return uint32(min(max(0, age.Milliseconds()), noRead-1)) }
-
-// age returns the milliseconds since a moment that is kept as nanoseconds since
-// the start; noRead for none.
-func (n *Node) age(moment *atomic.Int64) uint32 {
-	at := moment.Load()
-	if at == 0 {
-		return noRead
-	}
-	return toMillis(n.clock.Since(n.started) - time.Duration(at))
-}
-
 // hearTargets takes another instance's recent read for an own one where it
 // brought the same, and asks for it where it brought something newer.
 func (n *Node) hearTargets(from string, m *message) {
@@ -357,88 +238,3 @@
 	default:
 	}
 }
-
-// heldConfiguration is the answer to methodConfiguration.
-type heldConfiguration struct {
-	Source []byte `json:"source,omitempty"`
-}
-
-// heldTargets is the answer to methodTargets.
-type heldTargets struct {
-	Position uint64            `json:"position"`
-	Targets  []*catalog.Target `json:"targets"`
-}
-
-func (n *Node) handleCalls() {
-	n.bus.Handle(methodConfiguration, func(context.Context, string, json.RawMessage) (any, error) {
-		if c := n.holder.Current(); c != nil {
-			return heldConfiguration{c.Source}, nil
-		}
-		return nil, errors.New("no configuration is known")
-	})
-	n.bus.Handle(methodTargets, func(context.Context, string, json.RawMessage) (any, error) {
-		n.targetsMu.Lock()
-		defer n.targetsMu.Unlock()
-		return heldTargets{n.targets.position, n.targets.list()}, nil
-	})
-}
-
-// catchUp asks other instances for what they know better, until the context
-// ends: a newer configuration, and targets when none are known.
-func (n *Node) catchUp(ctx context.Context) {
-	var behindSince time.Time
-	for ctx.Err() == nil {
-		n.catchUpOnce(ctx, &behindSince)
-		select {
-		case <-ctx.Done():
-		case from := <-n.newerTargets:
-			n.fetchTargets(ctx, from)
-		case <-n.clock.After(fetchPeriod):
-		}
-	}
-}
-
-func (n *Node) catchUpOnce(ctx context.Context, behindSince *time.Time) {
-	live := n.peers.live()
-	if len(live) == 0 {
-		return
-	}
-	if live[0].config <= n.holder.Version() {
-		*behindSince = time.Time{}
-	} else if behindSince.IsZero() {
-		*behindSince = n.clock.Now()
-	} else if n.clock.Since(*behindSince) >= fetchDelay {
-		n.fetchConfiguration(ctx, live[0].address)
-	}
-	if !n.knowsTargets.Load() {
-		n.fetchTargets(ctx, live[0].address)
-	}
-}
-
-func (n *Node) fetchConfiguration(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var held heldConfiguration
-	err := n.bus.Call(ctx, address, methodConfiguration, nil, &held)
-	if err == nil {
-		var c *catalog.Configuration
-		if c, err = n.control.Decode(held.Source); err == nil {
-			n.adopt(c, address)
-			return
-		}
-	}
-	n.logger.Warn("configuration not fetched", zap.String("from", address), eventlog.Cause(err))
-}
-
-func (n *Node) fetchTargets(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var held heldTargets
-	if err := n.bus.Call(ctx, address, methodTargets, nil, &held); err != nil {
-		n.logger.Warn("targets not fetched", zap.String("from", address), eventlog.Cause(err))
-		return
-	}
-	if len(held.Targets) > 0 {
-		n.applyTargets(held.Targets, held.Position)
-	}
-}
--- /dev/null
+++ b/internal/node/message.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
+	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
+)
+
+// message is the state of one instance.
+type message struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+	// Name is "" in messages that hold only loads or quotas.
+	Name        string
+	Incarnation int64
+	Load        schedule.Report
+	// WantOthers asks for the sum of all others' states.
+	WantOthers bool
+	// Gathered tells that Load and Usages are such a sum.
+	Gathered bool
+	// Introduces tells that the message holds addresses and no load; it is not
+	// answered.
+	Introduces bool
+	// Members counts the instances that share the work.
+	Members uint16
+	// Config is the version in force.
+	Config uint64
+	Usages []quota.Usage
+	// Known are addresses of instances.
+	Known []string
+	// Rollouts are the own counts of orders under way, Ended the orders that
+	// have ended.
+	Rollouts []rollout.Report
+	Ended    []rollout.Status
+	// Crashes are recent crashes of targets with the requests that ran.
+	Crashes []quarantine.Crash
+	// TargetsDigest and TargetsPosition describe the known targets.
+	TargetsDigest   uint32
+	TargetsPosition uint64
+	// TargetsAgeMs is the time since the last read of them that this instance
+	// made or heard of; noRead if none.
+	TargetsAgeMs uint32
+	// WatchAgeMs is the time since its own watch of the operator's declarations
+	// was last answered; noRead if it does not watch or its watch has failed.
+	WatchAgeMs uint32
+	// HeardWatchAgeMs is the lowest of those that it hears of.
+	HeardWatchAgeMs uint32
+}
+
+// noRead stands for the age of a read that was never made.
+const noRead = 1<<32 - 1
+
+// describe returns a message with all but the load and the quotas.
+func (n *Node) describe(turn int) *message {
+	m := &message{
+		Name: n.settings.Name, Incarnation: n.incarnation, Config: n.holder.Version(),
+		Members: uint16(n.sharers.Load()),
+	}
+	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.describeTargets()
+	m.WatchAgeMs = n.age(&n.ownWatch)
+	m.HeardWatchAgeMs = n.peers.heardWatchAge()
+	m.Rollouts = n.rollouts.Reports()
+	m.Crashes = n.suspects.Share()
+	for _, status := range n.rollouts.Statuses() {
+		if status.State != rollout.InProgress {
+			m.Ended = append(m.Ended, status)
+		}
+	}
+	if turn%introduceEvery == 0 {
+		for _, p := range n.peers.live() {
+			m.Known = append(m.Known, p.address)
+		}
+		if len(m.Known) > maxKnown {
+			rand.Shuffle(len(m.Known), func(i, j int) { m.Known[i], m.Known[j] = m.Known[j], m.Known[i] })
+			m.Known = m.Known[:maxKnown]
+		}
+	}
+	return m
+}
+
+// encode writes a message with each number as short as it is.
+func encode(m *message) ([]byte, error) {
+	var body bytes.Buffer
+	encoder := msgpack.NewEncoder(&body)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(m)
+	return body.Bytes(), err
+}
+
+// describeTargets returns what the message says about the targets.
+func (n *Node) describeTargets() (digest uint32, position uint64, ageMs uint32) {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	ageMs = noRead
+	if !n.targets.readAt.IsZero() {
+		ageMs = toMillis(n.clock.Since(n.targets.readAt))
+	}
+	return n.targets.digest(), n.targets.position, ageMs
+}
+
+func toMillis(age time.Duration) uint32 { return uint32(min(max(0, age.Milliseconds()), noRead-1)) }
+
+// age returns the milliseconds since a moment that is kept as nanoseconds since
+// the start; noRead for none.
+func (n *Node) age(moment *atomic.Int64) uint32 {
+	at := moment.Load()
+	if at == 0 {
+		return noRead
+	}
+	return toMillis(n.clock.Since(n.started) - time.Duration(at))
+}
