--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,7 +109,7 @@
 		result = schedule.Cancelled
 	}
 	grant.Done(schedule.Outcome{Result: result})
-	r.judged(grant.Target, true, took)
+	r.countForVersion(grant.Target, true, took)
 	return r.afterFailure("the target broke off before an answer")
 }
 
@@ -155,10 +155,10 @@
 		r.trail.err = err
 		r.avoid = append(r.avoid, grant.Target.Key())
 		grant.Done(schedule.Outcome{Result: schedule.Failed})
-		r.judged(grant.Target, true, took)
+		r.countForVersion(grant.Target, true, took)
 		return r.afterFailure("the target's answer was not whole")
 	}
-	r.judged(grant.Target, reply.Status >= http.StatusInternalServerError, took)
+	r.countForVersion(grant.Target, reply.Status >= http.StatusInternalServerError, took)
 	result := schedule.Complete
 	if reply.Status >= http.StatusInternalServerError {
 		result = schedule.Cancelled
@@ -173,10 +173,10 @@
 	return &Answer{Status: reply.Status, Header: endToEnd(reply.Header), Body: body}, false
 }
 
-// judged counts an answer, or its lack, for or against its target's version.
+// countForVersion counts an answer, or its lack, for or against its target's version.
 // The time is taken relative to the expected output, so that answers of unlike
 // lengths can be compared.
-func (r *run) judged(target *catalog.Target, failed bool, took time.Duration) {
+func (r *run) countForVersion(target *catalog.Target, failed bool, took time.Duration) {
 	if failed {
 		r.Suspects.Broke(r.asks, target.ID)
 	}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -60,9 +60,9 @@
 func TestEndToEndDropsWhatConcernsOneConnection(t *testing.T) {
 	header := http.Header{
 		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"},
-		"Transfer-Encoding": {"chunked"}, "Content-Length": {"5"}, "Response-Signature": {"s"},
+		"Transfer-Encoding": {"chunked"}, "Content-Length": {"5"}, "X-Signature": {"s"},
 	}
-	assert.DeepEqual(t, endToEnd(header), http.Header{"Response-Signature": {"s"}})
+	assert.DeepEqual(t, endToEnd(header), http.Header{"X-Signature": {"s"}})
 }
 
 func TestRefusalsPromiseOnlyWhatIsTrue(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -68,7 +68,7 @@
 	r.trail.err = err
 	r.avoid = append(r.avoid, grant.Target.Key())
 	grant.Done(schedule.Outcome{Result: schedule.Failed})
-	r.judged(grant.Target, true, took)
+	r.countForVersion(grant.Target, true, took)
 	return r.afterFailure("the target broke off before the first event")
 }
 
@@ -168,7 +168,7 @@
 func (s *stream) resume(cause error) bool {
 	r := s.run
 	s.release(schedule.Failed)
-	r.judged(s.grant.Target, true, r.Clock.Since(s.started))
+	r.countForVersion(s.grant.Target, true, r.Clock.Since(s.started))
 	r.trail.add("cut after "+s.last, s.grant.Target.ID, r.Clock.Since(s.started))
 	r.trail.err = cause
 	for r.route.Resumable && s.last != "" {
@@ -221,7 +221,7 @@
 	s.ended = true
 	s.release(schedule.Complete)
 	s.run.Counters.Answered.Add(1)
-	s.run.judged(s.grant.Target, false, s.latest.Sub(s.started))
+	s.run.countForVersion(s.grant.Target, false, s.latest.Sub(s.started))
 	s.run.observe(s.first.Sub(s.run.call.Received))
 	s.run.trail.add(fmt.Sprintf("streamed %d events, the first after %d ms, with pauses of at most %d ms, from",
 		s.count, s.first.Sub(s.started).Milliseconds(), s.gap.Milliseconds()), s.grant.Target.ID, s.latest.Sub(s.started))
