Log and count what the crash tracker learns and refuses

A noted failure, a crash, one learned from another instance and a request cleared left no line, and the request's own lines did not name its content.

Change: a line and a counter for each, with the number of failures and crashes known, and the content's hash in the lines of requests.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -315,6 +315,9 @@
 // logFields returns the fields that all log lines of the request share.
 func (r *inflightRequest) logFields() []zap.Field {
 	fields := []zap.Field{zap.String("request", r.request.AttemptID)}
+	if r.requestHash != 0 {
+		fields = append(fields, zap.Uint64("content", r.requestHash))
+	}
 	if r.route != nil {
 		fields = append(fields, zap.String("route", r.route.Name), zap.Int("priority", r.priority()))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,7 +146,7 @@
 	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
 	n.pool = dispatch.NewPool(options.Clock)
 	n.rollouts = rollout.New(options.Clock)
-	n.crashTracker = quarantine.NewCrashTracker(options.Clock)
+	n.crashTracker = quarantine.NewCrashTracker(options.Clock, options.Logger)
 	n.pool.SetMaxIdle(n.idleConnectionLimit)
 	n.quota = quota.New(options.Clock, n.newRandom(), options.Settings.QuotaTolerance, options.Settings.FirstStart)
 	if err := n.listenPeers(); err != nil {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -2,10 +2,12 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 )
 
 const (
@@ -40,7 +42,10 @@
 // no agreement is needed. A request that completes is cleared of all crashes so
 // far.
 type CrashTracker struct {
-	clock clockwork.Clock
+	clock  clockwork.Clock
+	logger *zap.Logger
+	// Counters may be read at any time.
+	Counters CrashCounters
 
 	// mu guards failures.
 	mu       sync.Mutex
@@ -55,9 +60,26 @@
 	crashed bool
 }
 
+// CrashCounters count what a CrashTracker has learned and decided.
+type CrashCounters struct {
+	// Failures counts attempts that failed here, Crashes those that were found to
+	// be crashes of the target, Learned the crashes received from other instances.
+	Failures, Crashes, Learned atomic.Uint64
+	// Refused counts the requests refused.
+	Refused atomic.Uint64
+}
+
+// Snapshot returns the counters by metric name.
+func (c *CrashCounters) Snapshot() map[string]uint64 {
+	return map[string]uint64{
+		"failures": c.Failures.Load(), "crashes": c.Crashes.Load(), "crashes_learned": c.Learned.Load(),
+		"refused": c.Refused.Load(),
+	}
+}
+
 // NewCrashTracker returns an empty tracker.
-func NewCrashTracker(clock clockwork.Clock) *CrashTracker {
-	return &CrashTracker{clock: clock, failures: make(map[uint64]map[string]*targetFailure)}
+func NewCrashTracker(clock clockwork.Clock, logger *zap.Logger) *CrashTracker {
+	return &CrashTracker{clock: clock, logger: logger, failures: make(map[uint64]map[string]*targetFailure)}
 }
 
 // RequestHash identifies a request by its content; it is the same for retries.
@@ -72,7 +94,9 @@
 func (t *CrashTracker) RecordFailure(request uint64, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.Counters.Failures.Add(1)
 	t.record(request, target, false)
+	t.logChange("attempt failed", request, target)
 }
 
 // RecordUnreachable records that a target is unreachable: requests that failed
@@ -81,9 +105,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	for _, targets := range t.failures {
-		if f := targets[target]; f != nil && now.Sub(f.failedAt) <= crashConfirmTime {
+	for request, targets := range t.failures {
+		if f := targets[target]; f != nil && !f.crashed && now.Sub(f.failedAt) <= crashConfirmTime {
 			f.crashed = true
+			t.Counters.Crashes.Add(1)
+			t.logChange("crash recorded", request, target)
 		}
 	}
 }
@@ -92,21 +118,40 @@
 func (t *CrashTracker) RecordCompletion(request uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if len(t.failures[request]) > 0 {
+		t.logChange("request cleared of crashes", request, "")
+	}
 	delete(t.failures, request)
 }
 
+// logChange logs a change of what is known about a request; t.mu must be held.
+func (t *CrashTracker) logChange(message string, request uint64, target string) {
+	t.logger.Info(message, zap.Uint64("content", request), zap.String("target", target),
+		zap.Int("failures", len(t.failures[request])), zap.Int("crashes", t.crashes(request)))
+}
+
 // ShouldRefuse reports whether the request has crashed too many targets to be
 // sent to another.
 func (t *CrashTracker) ShouldRefuse(request uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	refuse := t.crashes(request) >= minCrashesToRefuse
+	if refuse {
+		t.Counters.Refused.Add(1)
+	}
+	return refuse
+}
+
+// crashes returns the number of targets that a request has crashed recently;
+// t.mu must be held.
+func (t *CrashTracker) crashes(request uint64) int {
 	crashes := 0
 	for _, f := range t.failures[request] {
 		if f.crashed && t.clock.Since(f.failedAt) <= crashRetention {
 			crashes++
 		}
 	}
-	return crashes >= minCrashesToRefuse
+	return crashes
 }
 
 // RecentCrashes returns the recent crashes, to be sent to other instances.
@@ -129,7 +174,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range crashes {
+		if f := t.failures[c.Request][c.Target]; f != nil && f.crashed {
+			continue
+		}
 		t.record(c.Request, c.Target, true)
+		t.Counters.Learned.Add(1)
+		t.logChange("crash learned from peer", c.Request, c.Target)
 	}
 }
 
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 )
 
 func TestRequestThatCrashesTargetsIsRefusedEverywhere(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	local, remote := NewCrashTracker(clock), NewCrashTracker(clock)
+	local, remote := NewCrashTracker(clock, zap.NewNop()), NewCrashTracker(clock, zap.NewNop())
 	request := RequestHash("a", "/p", []byte("body"))
 	for _, target := range []string{"one", "two"} {
 		local.RecordFailure(request, target)
@@ -30,7 +31,7 @@
 
 func TestBreaksOfLivingTargetsAreNoCrashes(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	tracker := NewCrashTracker(clock)
+	tracker := NewCrashTracker(clock, zap.NewNop())
 	for _, target := range []string{"one", "two", "three", "four"} {
 		tracker.RecordFailure(1, target)
 	}
@@ -43,7 +44,7 @@
 }
 
 func TestCompletionClearsCrashes(t *testing.T) {
-	tracker := NewCrashTracker(clockwork.NewFakeClock())
+	tracker := NewCrashTracker(clockwork.NewFakeClock(), zap.NewNop())
 	for _, target := range []string{"one", "two", "three"} {
 		tracker.RecordFailure(1, target)
 		tracker.RecordUnreachable(target)
@@ -54,7 +55,7 @@
 }
 
 func TestCrashTrackerIsBounded(t *testing.T) {
-	tracker := NewCrashTracker(clockwork.NewFakeClock())
+	tracker := NewCrashTracker(clockwork.NewFakeClock(), zap.NewNop())
 	for request := range uint64(3 * maxTrackedRequests) {
 		tracker.RecordFailure(request, "one")
 	}
