--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -215,3 +216,11 @@
 	ID   string
 	Born int64
 }
+
+// String returns a name that is unique among all incarnations.
+func (k TargetKey) String() string {
+	if k.Born == 0 {
+		return k.ID
+	}
+	return k.ID + "@" + strconv.FormatInt(k.Born, 10)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"io"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,6 +93,10 @@
 	return errors.As(err, &notSent)
 }
 
+// IsRefused reports whether err proves that no process listens at the target's
+// address.
+func IsRefused(err error) bool { return IsNotSent(err) && errors.Is(err, syscall.ECONNREFUSED) }
+
 // Send sends the request and returns once the response header has been read.
 // The context cancels the request, also while the body is read. Errors carry
 // fault.StepDispatch and the target; IsNotSent identifies those that prove that
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -187,6 +187,10 @@
 	return 0
 }
 
+// ConnOpenedAt returns when the connection was established, possibly for an
+// earlier request.
+func (r *PooledResponse) ConnOpenedAt() time.Time { return r.conn.openedAt }
+
 // Read implements io.Reader for the body. It returns io.EOF only at the regular
 // end of the body.
 func (r *PooledResponse) Read(buffer []byte) (int, error) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -72,9 +72,9 @@
 	conn    net.Conn
 	address string
 	reader  *bufio.Reader
-	// lastUsedAt is the end of the last request, expiresAt the time after which
-	// the connection must not be used.
-	lastUsedAt, expiresAt time.Time
+	// openedAt is when the connection was established, lastUsedAt the end of the
+	// last request, expiresAt the time after which the connection must not be used.
+	openedAt, lastUsedAt, expiresAt time.Time
 	// reused is set once the connection has served a request.
 	reused bool
 }
@@ -102,7 +102,7 @@
 	p.mu.Lock()
 	p.openedConns++
 	p.mu.Unlock()
-	return &pooledConn{conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	return &pooledConn{conn: conn, address: address, openedAt: p.clock.Now(), reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
 }
 
 // popIdle removes and returns the most recently used connection, or nil if it
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -59,7 +59,7 @@
 	})
 	return executor.New(executor.Options{
 		Viewer: viewer, Tables: current, CheckReady: func() error { return nil }, Admission: controller,
-		Observe: func(evidence.Observation) {}, MarkLeaving: func(string) {}, Quarantine: quarantine.New(quarantine.Options{Rumors: membership.NewLocalRumors()}),
+		Observe: func(evidence.Observation) {}, MarkLeaving: func(string) {}, Quarantine: quarantine.New(quarantine.Options{Rumors: membership.NewLocalRumors(), AloneSuffices: true}),
 		Shards: shards, Forwards: forwards,
 		Ledger: once.NewLedger(once.LedgerOptions{Shards: shards, Forwards: forwards, Bus: bus, Viewer: viewer}),
 		Claims: once.NewClaims(once.ClaimOptions{Platform: memory, Bus: bus, Viewer: viewer}),
--- a/internal/executor/attempt.go
+++ b/internal/executor/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/handle"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/once"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
@@ -118,8 +119,8 @@
 	// chunks counts the chunks relayed: events of a stream or pieces of a body.
 	chunks     int
 	tokenUsage tokenUsage
-	// crashRecorded is true once a crash of the target has been recorded.
-	crashRecorded bool
+	// tracked records the attempt in case the request crashes the target.
+	tracked *quarantine.Attempt
 }
 
 // attempt dispatches the request once. It returns true if nothing was sent and
@@ -166,7 +167,7 @@
 	a.runningAtStart = int(counter.Add(1))
 	defer counter.Add(-1)
 	a.startedAt = time.Now()
-	e.Quarantine.RecordStart(a.job.fingerprint, a.target.Name)
+	a.tracked = e.Quarantine.Start(a.job.fingerprint, a.target.Name, 0)
 	response, err := dispatch.Send(ctx, &dispatch.Request{
 		Address: a.target.Address, ID: a.job.requestID, Method: a.job.call.Method, URI: a.job.call.URI(),
 		Header: EndToEndFields(a.job.call.Header), Body: a.job.call.Body,
@@ -216,6 +217,7 @@
 // onChunk implements progressObserver.
 func (a *attempt) onChunk(chunks int, data []byte) {
 	a.chunks = chunks
+	a.tracked.Heard(a.startedAt)
 	a.grant.ReportProgress(chunks)
 	a.tokenUsage.update(data)
 }
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -68,7 +68,7 @@
 	e.Executor = New(Options{
 		Viewer: viewer, Tables: func() *tables.Tables { return config }, CheckReady: func() error { return e.readyErr },
 		Admission: controller, Observe: func(evidence.Observation) {}, MarkLeaving: func(string) {},
-		Quarantine: quarantine.New(quarantine.Options{Rumors: membership.NewLocalRumors()}),
+		Quarantine: quarantine.New(quarantine.Options{Rumors: membership.NewLocalRumors(), AloneSuffices: true}),
 		Shards:     shards, Forwards: forwards, Claims: claims,
 		Ledger: once.NewLedger(once.LedgerOptions{Shards: shards, Forwards: forwards, Bus: bus, Viewer: viewer}),
 		Secret: testSecret, Metrics: metrics.New(t.Name()),
--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
@@ -48,7 +49,10 @@
 	e := a.executor
 	if dispatch.IsNotSent(err) {
 		e.Metrics.Add(metrics.DispatchesNotSent, 1)
-		e.Quarantine.RecordEnd(a.job.fingerprint, a.target.Name, false)
+		a.tracked.End(quarantine.NotRun)
+		if dispatch.IsRefused(err) {
+			e.Quarantine.RecordEnded(a.target.Name)
+		}
 		a.reportObservation(evidence.FailureUnreachable)
 		if ctx.Err() == nil {
 			a.grant.Finish(admission.Outcome{Kind: admission.NotSent})
@@ -78,7 +82,7 @@
 	default:
 		return false
 	}
-	e.Quarantine.RecordEnd(a.job.fingerprint, a.target.Name, false)
+	a.tracked.End(quarantine.NotRun)
 	a.grant.Finish(admission.Outcome{Kind: kind})
 	e.refuseAnswer(a.answer, notRunRefusal(fault.StepDispatch, statusUnavailable, reason))
 	return true
@@ -91,7 +95,7 @@
 		return
 	}
 	e := a.executor
-	e.Quarantine.RecordEnd(a.job.fingerprint, a.target.Name, true)
+	a.tracked.End(quarantine.Completed)
 	outcome := a.admissionOutcome(admission.Complete)
 	kind := evidence.FailureNone
 	if response.Status >= statusServerError {
@@ -112,7 +116,7 @@
 	cause := context.Cause(ctx)
 	if cause != nil {
 		a.cancelAtTarget()
-		e.Quarantine.RecordEnd(a.job.fingerprint, a.target.Name, false)
+		a.tracked.End(outcomeOfCancelled(cause))
 	}
 	refusal := &fault.Refusal{
 		Execution: fault.RanInPart, Step: fault.StepStream, Status: statusBadGateway, Reason: err.Error(),
@@ -143,7 +147,7 @@
 // counted as a crash of the target.
 func (a *attempt) handleBrokenResponse(err error, refusal *fault.Refusal) {
 	if errors.Is(err, errMissingEnd) {
-		a.executor.Quarantine.RecordEnd(a.job.fingerprint, a.target.Name, true)
+		a.tracked.End(quarantine.Completed)
 		a.reportObservation(evidence.FailureIncompleteStream)
 		return
 	}
@@ -155,15 +159,19 @@
 	a.reportObservation(evidence.FailureConnectionLost)
 }
 
-// recordCrash records, at most once, that the target crashed while the request
-// ran.
-func (a *attempt) recordCrash() {
-	if a.crashRecorded {
-		return
+// outcomeOfCancelled returns how an attempt ended that this instance cancelled. A
+// request that was preempted would have been answered.
+func outcomeOfCancelled(cause error) quarantine.Outcome {
+	if errors.Is(cause, errPreempted) {
+		return quarantine.NotRun
 	}
-	a.crashRecorded = true
-	a.executor.Quarantine.RecordCrash(a.target.Name)
-	a.executor.Quarantine.RecordEnd(a.job.fingerprint, a.target.Name, false)
+	return quarantine.Unanswered
+}
+
+// recordCrash records that the target crashed while the request ran.
+func (a *attempt) recordCrash() {
+	a.tracked.End(quarantine.Broken)
+	a.executor.Quarantine.RecordEnded(a.target.Name)
 }
 
 func (a *attempt) admissionOutcome(kind admission.OutcomeKind) admission.Outcome {
--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -105,8 +105,13 @@
 			testedBy(adapterPackage, "TestBadVersionIsTakenBackByAllInstances", "TestGoodVersionIsCompleted")), "",
 	},
 	{
-		"a request that crashes targets is refused after three", "quarantine/suspects.go",
-		testedBy("quarantine", "TestRequestThatCrashesTargetsIsRefusedEverywhere", "TestBreaksOfLivingTargetsAreNoCrashes"), "",
+		"a request that crashes targets is refused after three, and no other one", "quarantine/decision.go, quarantine/suspects.go",
+		combineTests(
+			testedBy(adapterPackage, "TestRequestThatCrashesTargetsIsStopped", "TestRequestsBesideCrashesStayServed"),
+			testedBy("quarantine", "TestRequestThatCrashesTargetsIsRefusedEverywhere", "TestRequestInFlightAtSilentTargetsIsRefused",
+				"TestBreaksOfLivingTargetsAreNoCrashes", "TestPopularRequestIsNotRefusedWhenTargetsEndTogether",
+				"TestNewInstanceLearnsOfOldCrashes")),
+		"",
 	},
 	{
 		"all is served again after all instances were lost", "node/follow.go, node/gossip.go",
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -17,22 +19,48 @@
 // is no response and another target may be tried.
 func (r *inflightRequest) attempt(ctx context.Context, grant *schedule.Grant) (response *Response, retry bool) {
 	startedAt := r.Clock.Now()
+	tracked := r.trackAttempt(grant)
 	targetResponse, err := r.Pool.Send(ctx, r.targetRequest(grant.Target, r.request.LastEventID, grant.ExpectedTimeToFirst))
 	took := r.Clock.Since(startedAt)
 	if err != nil {
+		r.endBroken(ctx, tracked, grant.Target, err)
 		return r.handleSendError(ctx, grant, err, took)
 	}
 	r.attempts++
 	r.Counters.SentToTargets.Add(1)
+	tracked.Heard(targetResponse.ConnOpenedAt())
 	metadata := r.Protocol.ParseResponse(targetResponse.Header)
 	if metadata.NotExecuted || targetResponse.Status == http.StatusMisdirectedRequest {
+		tracked.End(quarantine.NotRun)
 		return r.handleNotExecuted(grant, targetResponse, took)
 	}
 	r.mayHaveRun = true
 	if targetResponse.Status == http.StatusOK && r.route.Kind == catalog.Streaming && metadata.Signed {
-		return r.openStream(ctx, grant, targetResponse, startedAt)
+		return r.openStream(ctx, grant, tracked, targetResponse, startedAt)
+	}
+	return r.relayBuffered(ctx, grant, tracked, targetResponse, metadata, startedAt)
+}
+
+// trackAttempt records the start of an attempt, in case the request crashes the
+// target.
+func (r *inflightRequest) trackAttempt(grant *schedule.Grant) *quarantine.Attempt {
+	return r.Quarantine.Start(r.fingerprint, grant.Target.Key().String(), grant.ExpectedTimeToFirst)
+}
+
+// endBroken records the end of an attempt without a complete response.
+func (r *inflightRequest) endBroken(ctx context.Context, tracked *quarantine.Attempt, target *catalog.Target, err error) {
+	var netErr net.Error
+	switch {
+	case dispatch.IsNotSent(err):
+		tracked.End(quarantine.NotRun)
+		if dispatch.IsRefused(err) {
+			r.Quarantine.RecordEnded(target.Key().String())
+		}
+	case ctx.Err() != nil, errors.As(err, &netErr) && netErr.Timeout():
+		tracked.End(quarantine.Unanswered)
+	default:
+		tracked.End(quarantine.Broken)
 	}
-	return r.relayBuffered(ctx, grant, targetResponse, metadata, startedAt)
 }
 
 // targetRequest builds the request to a target.
@@ -104,7 +132,6 @@
 	if notSent {
 		r.unreachable++
 		r.Counters.TargetsUnreachable.Add(1)
-		r.CrashTracker.RecordUnreachable(grant.Target.ID)
 		grant.Done(schedule.Outcome{Result: schedule.Unreachable})
 		return nil, true
 	}
@@ -145,12 +172,18 @@
 
 // relayBuffered reads the complete response and returns it.
 func (r *inflightRequest) relayBuffered(
-	ctx context.Context, grant *schedule.Grant, response *dispatch.PooledResponse, metadata ResponseMetadata, startedAt time.Time,
+	ctx context.Context, grant *schedule.Grant, tracked *quarantine.Attempt, response *dispatch.PooledResponse,
+	metadata ResponseMetadata, startedAt time.Time,
 ) (*Response, bool) {
 	grant.ResponseStarted(r.Clock.Since(startedAt))
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
 	took := r.Clock.Since(startedAt)
 	response.Close()
+	if err != nil {
+		r.endBroken(ctx, tracked, grant.Target, err)
+	} else {
+		tracked.End(quarantine.Completed)
+	}
 	switch {
 	case ctx.Err() != nil:
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
@@ -174,17 +207,14 @@
 		return r.fail(http.StatusBadGateway, "the target failed"), false
 	}
 	r.Counters.Answered.Add(1)
-	r.recordCompletion(0)
+	r.observeLatency(0)
 	return &Response{Status: response.Status, Header: removeHopByHop(response.Header), Body: body}, false
 }
 
-// recordOutcome records a response, or its failure, for the target's version,
-// and a failure also for the crash tracker. The duration is scaled by the
-// expected output, so that responses of different lengths are comparable.
+// recordOutcome records a response, or its failure, for the target's version. The
+// duration is scaled by the expected output, so that responses of different
+// lengths are comparable.
 func (r *inflightRequest) recordOutcome(target *catalog.Target, failed bool, took time.Duration) {
-	if failed {
-		r.CrashTracker.RecordFailure(r.requestHash, target.ID)
-	}
 	const referenceTokens = 100
 	if tokens := r.scheduleRequest().OutputTokens; tokens > 0 {
 		took = took * referenceTokens / time.Duration(referenceTokens+tokens)
@@ -192,9 +222,8 @@
 	r.Rollouts.RecordResponse(r.service.Name, target.Version, failed, took)
 }
 
-// recordCompletion clears the request's crash record and records its latencies.
-func (r *inflightRequest) recordCompletion(firstEvent time.Duration) {
-	r.CrashTracker.RecordCompletion(r.requestHash)
+// observeLatency records the latencies of an answered request.
+func (r *inflightRequest) observeLatency(firstEvent time.Duration) {
 	r.ObserveLatency(r.route.Priority, r.accountName(), firstEvent, r.Clock.Since(r.request.ReceivedAt))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 //   - any request is retried, within the route's attempts, if the target was
 //     unreachable or reported that it did not execute the request;
 //   - after any other failure, only requests of retryable routes are retried;
+//   - a request that has crashed several targets is not sent to another one;
 //   - an interrupted stream is resumed within the same response after its last
 //     complete event, if the route is resumable.
 //
@@ -113,8 +114,8 @@
 	RetryBudget func(service string) *routing.WindowRetryBudget
 	// Rollouts tracks the orders to move services to new versions.
 	Rollouts *rollout.Controller
-	// CrashTracker records the requests that crash targets.
-	CrashTracker *quarantine.CrashTracker
+	// Quarantine detects requests that crash targets.
+	Quarantine *quarantine.Registry
 	// OnMisdirected is called with the expected target if its address belongs to
 	// another one, which answers 421.
 	OnMisdirected func(*catalog.Target)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,6 +28,8 @@
 	// expectedOutputShare is the share of the caller's output limit that is
 	// expected to be used if there is no length hint.
 	expectedOutputShare = 0.25
+	// reasonQuarantined is the reason given for requests that crash targets.
+	reasonQuarantined = "the request has crashed several targets"
 )
 
 // Request is a caller's HTTP request.
@@ -60,8 +62,8 @@
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline        time.Time
 	excludedTargets []catalog.TargetKey
-	// requestHash identifies the content; it is the same when the caller retries.
-	requestHash uint64
+	// fingerprint identifies the content; it is the same when the caller retries.
+	fingerprint quarantine.Fingerprint
 	// attempts counts the targets that the request was sent to, unreachable those
 	// that it could not be sent to.
 	attempts, unreachable int
@@ -118,9 +120,9 @@
 	r.deadline = r.request.ReceivedAt.Add(r.timeout())
 	service := r.config.Services[r.route.PickService(hashFraction(r.request.AttemptID))]
 	r.service = &service
-	r.requestHash = quarantine.RequestHash(r.accountName(), r.request.URI, r.request.Body)
-	if r.CrashTracker.ShouldRefuse(r.requestHash) {
-		return r.refuse("the request has crashed several targets", 0)
+	r.fingerprint = quarantine.NewFingerprint(r.accountName(), r.request.URI, r.request.Body)
+	if r.Quarantine.ShouldRefuse(r.fingerprint) {
+		return r.refuse(reasonQuarantined, 0)
 	}
 	return r.chargeQuota()
 }
@@ -315,8 +317,8 @@
 // logFields returns the fields that all log lines of the request share.
 func (r *inflightRequest) logFields() []zap.Field {
 	fields := []zap.Field{zap.String("request", r.request.AttemptID)}
-	if r.requestHash != 0 {
-		fields = append(fields, zap.Uint64("content", r.requestHash))
+	if r.fingerprint != "" {
+		fields = append(fields, zap.String("content", string(r.fingerprint)))
 	}
 	if r.route != nil {
 		fields = append(fields, zap.String("route", r.route.Name), zap.Int("priority", r.priority()))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -24,6 +25,7 @@
 	cancel   context.CancelFunc
 
 	grant    *schedule.Grant
+	tracked  *quarantine.Attempt
 	response *dispatch.PooledResponse
 	events   *eventReader
 
@@ -44,10 +46,10 @@
 // openStream waits for the first event and returns the stream. Until then,
 // another target can be tried without the caller noticing.
 func (r *inflightRequest) openStream(
-	ctx context.Context, grant *schedule.Grant, response *dispatch.PooledResponse, startedAt time.Time,
+	ctx context.Context, grant *schedule.Grant, tracked *quarantine.Attempt, response *dispatch.PooledResponse, startedAt time.Time,
 ) (*Response, bool) {
 	s := &stream{
-		inflight: r, ctx: ctx, grant: grant, response: response, events: newEventReader(response),
+		inflight: r, ctx: ctx, grant: grant, tracked: tracked, response: response, events: newEventReader(response),
 		startedAt: startedAt, lastEventID: r.request.LastEventID,
 	}
 	err := s.readEvents()
@@ -60,6 +62,7 @@
 	}
 	took := r.Clock.Since(startedAt)
 	response.Close()
+	r.endBroken(ctx, tracked, grant.Target, err)
 	if ctx.Err() != nil {
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		return r.contextDone(ctx, "no event came before the deadline"), false
@@ -103,6 +106,7 @@
 		s.err = s.ctx.Err()
 		return s.err
 	}
+	s.inflight.endBroken(s.ctx, s.tracked, s.grant.Target, err)
 	if resumed := s.resume(err); resumed {
 		return nil
 	}
@@ -123,6 +127,7 @@
 		if err := s.checkOrder(e); err != nil {
 			return err
 		}
+		s.tracked.Heard(s.response.ConnOpenedAt())
 		now := s.inflight.Clock.Now()
 		if s.eventCount == 0 {
 			s.firstEventAt = now
@@ -192,7 +197,7 @@
 // resumeAt requests the rest of the stream from another target.
 func (s *stream) resumeAt(grant *schedule.Grant) bool {
 	r := s.inflight
-	s.grant, s.startedAt, s.eventCount = grant, r.Clock.Now(), 0
+	s.grant, s.tracked, s.startedAt, s.eventCount = grant, r.trackAttempt(grant), r.Clock.Now(), 0
 	response, err := r.Pool.Send(s.ctx, r.targetRequest(grant.Target, s.lastEventID, grant.ExpectedTimeToFirst))
 	if dispatch.IsNotSent(err) {
 		r.unreachable++
@@ -201,6 +206,7 @@
 		r.Counters.SentToTargets.Add(1)
 	}
 	if err != nil {
+		r.endBroken(s.ctx, s.tracked, grant.Target, err)
 		r.log.addStep("resume failed", grant.Target.ID, r.Clock.Since(s.startedAt))
 		grant.Done(schedule.Outcome{Result: schedule.Failed})
 		return false
@@ -208,6 +214,7 @@
 	s.response = response
 	metadata := r.Protocol.ParseResponse(response.Header)
 	if response.Status != http.StatusOK || !metadata.Signed || metadata.NotExecuted {
+		s.tracked.End(quarantine.NotRun)
 		r.log.addStep("resume refused", grant.Target.ID, r.Clock.Since(s.startedAt))
 		s.endAttempt(schedule.Full)
 		return false
@@ -220,10 +227,11 @@
 // complete records the regular end of the stream.
 func (s *stream) complete() {
 	s.completed = true
+	s.tracked.End(quarantine.Completed)
 	s.endAttempt(schedule.Complete)
 	s.inflight.Counters.Answered.Add(1)
 	s.inflight.recordOutcome(s.grant.Target, false, s.lastEventAt.Sub(s.startedAt))
-	s.inflight.recordCompletion(s.firstEventAt.Sub(s.inflight.request.ReceivedAt))
+	s.inflight.observeLatency(s.firstEventAt.Sub(s.inflight.request.ReceivedAt))
 	s.inflight.log.addStep(fmt.Sprintf("streamed %d events, the first after %d ms, with pauses of at most %d ms, from",
 		s.eventCount, s.firstEventAt.Sub(s.startedAt).Milliseconds(), s.maxGap.Milliseconds()), s.grant.Target.ID, s.lastEventAt.Sub(s.startedAt))
 }
@@ -264,6 +272,7 @@
 		s.inflight.Counters.CallerGone.Add(1)
 	}
 	if !s.completed {
+		s.tracked.End(quarantine.Unanswered)
 		s.endAttempt(schedule.Cancelled)
 	}
 	s.cancel()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -161,7 +161,7 @@
 		i.directory.Refresh()
 		i.moves.Refresh()
 	})
-	i.quarantine = quarantine.New(quarantine.Options{Rumors: i.membership, Clock: i.clock})
+	i.quarantine = quarantine.New(quarantine.Options{Rumors: i.membership, Clock: i.clock, AloneSuffices: true})
 	i.buildScheduling()
 	i.buildExecution()
 	i.buildServers()
--- /dev/null
+++ b/internal/node/crashes.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
+)
+
+const (
+	// maxSuspects bounds the requests that are known to have been running at targets
+	// that may have crashed. Digests of them are made several times a second.
+	maxSuspects = 1024
+	// crashCheckInterval is the interval between checks for silent targets and for
+	// what became of targets whose requests got no response.
+	crashCheckInterval = 250 * time.Millisecond
+	// renewalsUntilExpiry is the number of renewals that a target's entry misses
+	// before the store removes it, expiryDelay the time until a read shows that.
+	renewalsUntilExpiry = 3
+	expiryDelay         = 2 * time.Second
+	// defaultRenewalInterval applies if the settings give none.
+	defaultRenewalInterval = 2 * time.Second
+)
+
+// watchCrashes looks for requests that crash targets until the context ends.
+func (n *Node) watchCrashes(ctx context.Context) {
+	ticker := n.clock.NewTicker(crashCheckInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.Chan():
+			n.quarantine.MarkSilent()
+			n.quarantine.Resolve(n.targetLiveness)
+		}
+	}
+}
+
+// isLeaving reports whether a target drains.
+func (n *Node) isLeaving(target string) bool {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	t := n.targets.byName[target]
+	return t != nil && t.Draining
+}
+
+// targetLiveness tells whether an incarnation of a target has renewed its entry
+// after a time.
+func (n *Node) targetLiveness(target string, after time.Time) quarantine.Liveness {
+	interval := n.settings.TargetRenewalInterval
+	if interval <= 0 {
+		interval = defaultRenewalInterval
+	}
+	expiry := renewalsUntilExpiry*interval + expiryDelay
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	return n.targets.liveness(target, after, expiry)
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -22,6 +22,9 @@
 	// knownAddressesEvery is the number of rounds per message that includes known
 	// addresses.
 	knownAddressesEvery = 10
+	// completeDigestEvery is the number of rounds per message that repeats which
+	// requests are refused because they crash targets.
+	completeDigestEvery = 10
 	// maxKnownAddresses bounds the addresses in one message, so that it fits in
 	// one datagram.
 	maxKnownAddresses = 8
@@ -60,6 +63,7 @@
 		}
 		round /= aggregatedReportEvery
 	}
+	n.sendQuarantine(t.recipients, round)
 	m := n.newMessage(round)
 	m.WantsAggregate = t.aggregated && !t.isAggregator
 	usages := n.quota.OwnUsage()
@@ -76,11 +80,22 @@
 // sendAggregate sends the quota usage of all other instances to one that does
 // not gossip with all of them.
 func (n *Node) sendAggregate(address string) {
-	m := n.newMessage(n.peers.countAggregate(address))
+	round := n.peers.countAggregate(address)
+	n.sendQuarantine([]string{address}, round)
+	m := n.newMessage(round)
 	m.IsAggregate = true
 	n.sendUsages([]string{address}, m, n.quota.AggregateUsage(address))
 }
 
+// sendQuarantine sends what is known of requests that may have crashed targets,
+// if anything is new.
+func (n *Node) sendQuarantine(recipients []string, round int) {
+	digest := n.quarantine.Digest(round%completeDigestEvery == 0)
+	if !digest.IsEmpty() {
+		n.send(recipients, &message{Incarnation: n.incarnation, Quarantine: &digest})
+	}
+}
+
 // sendUsages sends a message with quota usages, split into as many messages as
 // needed.
 func (n *Node) sendUsages(recipients []string, m *message, usages []quota.Usage) {
@@ -137,7 +152,6 @@
 			default:
 			}
 		}
-		n.crashTracker.MergeCrashes(m.Crashes)
 		for _, report := range m.RolloutReports {
 			n.rollouts.ApplyReport(from, report)
 		}
@@ -150,6 +164,10 @@
 			n.send([]string{from}, &message{Incarnation: n.incarnation, Roster: current})
 		}
 	}
+	if m.Quarantine != nil {
+		n.quarantine.Merge(from, *m.Quarantine)
+		return
+	}
 	if m.Roster != nil {
 		n.adoptRoster(m.Roster, from)
 		return
--- a/internal/node/gossip_test.go
+++ b/internal/node/gossip_test.go
@@ -26,8 +26,15 @@
 	for i := range maxKnownAddresses {
 		state.KnownAddresses = append(state.KnownAddresses, address(i))
 	}
-	for range 4 {
-		state.Crashes = append(state.Crashes, quarantine.Crash{Request: math.MaxUint64, Target: "i-0123456789"})
+	var digest quarantine.Digest
+	request := make([]byte, 12)
+	for range quarantine.MaxDigestMarks {
+		digest.Marks = append(digest.Marks, quarantine.MarkReport{
+			ID: math.MaxUint32, Request: request, Target: "i-0123456789@1700000000000", StartedAgoMs: 3600000, EndedAgoMs: 3600000, Flags: math.MaxUint8,
+		})
+	}
+	for range quarantine.MaxDigestCompletions {
+		digest.Completions = append(digest.Completions, quarantine.CompletionReport{Request: request, AgoMs: 3600000})
 	}
 	for i := range maxUsagesPerMessage {
 		state.Usages = append(state.Usages, quota.Usage{Account: fmt.Sprintf("tenant%06d", i), Total: 1e7 / 3, Level: 1e5 / 7})
@@ -39,6 +46,7 @@
 	roster, _ := (&placement.Roster{Epoch: 1000}).Next(1000, instances)
 	for name, m := range map[string]*message{
 		"state": &state, "roster": {Incarnation: math.MaxInt64, Roster: roster},
+		"quarantine": {Incarnation: math.MaxInt64, Quarantine: &digest},
 	} {
 		body, err := encodeMessage(m)
 		assert.NilError(t, err)
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -49,8 +49,9 @@
 	// EndedRollouts the statuses of those that have ended.
 	RolloutReports []rollout.Report
 	EndedRollouts  []rollout.Status
-	// Crashes are recent crashes of targets with the requests that were running.
-	Crashes []quarantine.Crash
+	// Reserved was in use by earlier versions and keeps the positions of the fields
+	// behind it.
+	Reserved []msgpack.RawMessage
 	// TargetsDigest and TargetsPosition describe the known list of targets.
 	TargetsDigest   uint32
 	TargetsPosition uint64
@@ -64,6 +65,9 @@
 	// PeerWatchAgeMs is the lowest WatchAgeMs of the live instances that this
 	// one knows.
 	PeerWatchAgeMs uint32
+	// Quarantine is what is known of requests that may have crashed targets. It is
+	// sent in messages of its own.
+	Quarantine *quarantine.Digest
 }
 
 // recentStartWindow is how long after its start an instance sets
@@ -92,7 +96,6 @@
 	m.WatchAgeMs = n.watchAgeMillis(&n.lastWatchNanos)
 	m.PeerWatchAgeMs = n.peers.lowestWatchAge()
 	m.RolloutReports = n.rollouts.Reports()
-	m.Crashes = n.crashTracker.RecentCrashes()
 	for _, status := range n.rollouts.Statuses() {
 		if status.State != rollout.InProgress {
 			m.EndedRollouts = append(m.EndedRollouts, status)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -18,7 +18,7 @@
 		_, coordinated := n.placement.Snapshot()
 		return coordinated
 	})
-	n.metrics.RegisterPart("quarantine", func() any { return n.crashTracker.Counters.Snapshot() })
+	n.metrics.RegisterPart("quarantine", func() any { return n.quarantine.Counters.Snapshot() })
 	n.metrics.RegisterPart("placement", func() any { return n.placement.Counters.Snapshot() })
 	n.metrics.RegisterPart("instance", func() any { return n.instanceState() })
 	if drops != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,7 +79,7 @@
 	quota           *quota.Limiter
 	peers           *peerTable
 	rollouts        *rollout.Controller
-	crashTracker    *quarantine.CrashTracker
+	quarantine      *quarantine.Registry
 	bus             *peer.NetBus
 	callerServer    *gateway.Server
 	readinessServer *fiber.App
@@ -146,7 +146,9 @@
 	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
 	n.pool = dispatch.NewPool(options.Clock)
 	n.rollouts = rollout.New(options.Clock)
-	n.crashTracker = quarantine.NewCrashTracker(options.Clock, options.Logger)
+	n.quarantine = quarantine.New(quarantine.Options{
+		Clock: options.Clock, Logger: options.Logger, MaxFingerprints: maxSuspects, CountsUnresolved: true, IsLeaving: n.isLeaving,
+	})
 	n.pool.SetMaxIdle(n.idleConnectionLimit)
 	n.quota = quota.New(options.Clock, n.newRandom(), options.Settings.QuotaTolerance, options.Settings.FirstStart)
 	if err := n.listenPeers(); err != nil {
@@ -154,7 +156,7 @@
 	}
 	n.divideBudgets()
 	n.callerServer = gateway.NewServer(gateway.New(gateway.Options{
-		Protocol: options.Protocol, Catalog: n.configuration, Placer: n.placement, Pool: n.pool, Quota: n.quota, Rollouts: n.rollouts, CrashTracker: n.crashTracker,
+		Protocol: options.Protocol, Catalog: n.configuration, Placer: n.placement, Pool: n.pool, Quota: n.quota, Rollouts: n.rollouts, Quarantine: n.quarantine,
 		RetryBudget: n.retryBudget, OnMisdirected: n.handleMisdirected, Draining: n.draining.Load, Counters: &n.requestCounters,
 		ObserveLatency: n.observeLatency, ClusterView: n.clusterView, FailureDomain: options.Settings.FailureDomain, Clock: options.Clock, Logger: options.Logger,
 	}))
@@ -265,7 +267,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	for _, task := range []func(context.Context){
-		n.followDeclarations, n.followTargets, n.followMembers, n.gossip, n.syncWithPeers, n.sweepIdle, n.followRollouts, n.placement.Run, n.maintainRoster,
+		n.followDeclarations, n.followTargets, n.followMembers, n.gossip, n.syncWithPeers, n.sweepIdle, n.followRollouts, n.placement.Run, n.maintainRoster, n.watchCrashes,
 	} {
 		n.background.Go(func() { task(ctx) })
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -39,6 +39,8 @@
 	Capacity int
 	// MemoryLimitBytes bounds the memory of the process; 0 means no limit.
 	MemoryLimitBytes int64
+	// TargetRenewalInterval is the interval at which targets renew their entries.
+	TargetRenewalInterval time.Duration
 	// ShutdownGrace is the time between the signal to stop and the forced stop.
 	ShutdownGrace time.Duration
 	// Retries limits retries, over all instances together.
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 )
 
 const (
@@ -22,9 +23,13 @@
 // list drops entries that their targets do not renew, which includes those of
 // live targets that cannot reach the store.
 type targetList struct {
-	present  map[catalog.TargetKey]*catalog.Target
+	present map[catalog.TargetKey]*catalog.Target
+	// byName holds the same targets by the names of their keys.
+	byName   map[string]*catalog.Target
 	position uint64
 	readAt   time.Time
+	// readSince is the time since which reads have succeeded regularly.
+	readSince time.Time
 	// graceUntil is the time until which missing entries are kept, since they
 	// may reappear.
 	graceUntil time.Time
@@ -40,6 +45,9 @@
 	if !l.readAt.IsZero() && now.Sub(l.readAt) > outageThreshold {
 		l.graceUntil = now.Add(outageGrace)
 	}
+	if now.Sub(l.readAt) > outageThreshold {
+		l.readSince = now
+	}
 	l.readAt = now
 	next := make(map[catalog.TargetKey]*catalog.Target, len(listed))
 	ids := make(map[string]bool, len(listed))
@@ -56,9 +64,32 @@
 	}
 	changed := !equalTargets(l.present, next)
 	l.present = next
+	l.byName = make(map[string]*catalog.Target, len(next))
+	for key, target := range next {
+		l.byName[key.String()] = target
+	}
 	return changed
 }
 
+// liveness tells whether a target has renewed its entry after a time, from reads
+// that go on until the entry would have expired otherwise. An entry that does not
+// state the start of its incarnation may be of a later one.
+func (l *targetList) liveness(target string, after time.Time, expiry time.Duration) quarantine.Liveness {
+	if l.readSince.After(after) {
+		after = l.readSince
+	}
+	if l.readAt.Before(after.Add(expiry)) || l.readAt.Before(l.graceUntil) {
+		return quarantine.Undecided
+	}
+	switch t := l.byName[target]; {
+	case t == nil:
+		return quarantine.Ended
+	case t.Born == 0:
+		return quarantine.Undecided
+	}
+	return quarantine.Survived
+}
+
 // confirm records that a read at the given time, by another instance or known to
 // it, returned the same targets.
 func (l *targetList) confirm(readAt time.Time, position uint64) {
--- /dev/null
+++ b/internal/quarantine/attempt.go
@@ -0,0 +1,142 @@
+package quarantine
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Outcome is how an attempt ended at its target.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Completed means that the target's response was complete, whatever its
+	// status.
+	Completed Outcome = iota
+	// NotRun means that the request was not sent, or that the target stated that
+	// it has not run it.
+	NotRun
+	// Broken means that the target broke the connection or its response was
+	// unusable.
+	Broken
+	// Unanswered means that the caller left or a timeout passed before a complete
+	// response.
+	Unanswered
+)
+
+const (
+	// silenceTime is how long nothing may arrive from a target before the requests
+	// that wait for it are marked, silenceExpected the same for one that has not
+	// responded at all, in multiples of the expected time.
+	silenceTime     = 1500 * time.Millisecond
+	silenceExpected = 2
+	// heardRecently is the time since the last part of a response within which a
+	// caller that leaves is no sign of a crash.
+	heardRecently = 100 * time.Millisecond
+	// survivalMargin is how long after an attempt something must arrive from its
+	// target to show that the target survived. It covers what was sent before a
+	// crash and read after it.
+	survivalMargin = 500 * time.Millisecond
+	// connectionMargin is by how much a connection must be older than an attempt
+	// to show that its target survived. It covers the inaccuracy of times that
+	// were received from other instances.
+	connectionMargin = 500 * time.Millisecond
+)
+
+// Attempt is a request in flight at a target. Its methods may be called from
+// several goroutines.
+type Attempt struct {
+	registry  *Registry
+	request   Fingerprint
+	runs      *targetRuns
+	target    string
+	startedAt time.Time
+	// patience is the time without a response after which the attempt is silent.
+	patience time.Duration
+	// heardAt is the time of the last part of the response in Unix nanoseconds; 0
+	// if there was none.
+	heardAt atomic.Int64
+	ended   atomic.Bool
+	// markID is the ID of the mark made while the attempt was silent; 0 if there
+	// is none.
+	markID atomic.Uint32
+}
+
+// Start records that a request is sent to a target, which is expected to respond
+// within a time; 0 if that is unknown.
+func (r *Registry) Start(fp Fingerprint, target string, expected time.Duration) *Attempt {
+	a := &Attempt{
+		registry: r, request: fp, target: target, startedAt: r.options.Clock.Now(),
+		patience: max(silenceTime, silenceExpected*expected),
+	}
+	r.running.add(a)
+	return a
+}
+
+// Heard records that a part of the response has arrived, on a connection opened
+// at the given time.
+func (a *Attempt) Heard(openedAt time.Time) {
+	now := a.registry.options.Clock.Now()
+	a.heardAt.Store(now.UnixNano())
+	a.runs.heardAt.Store(now.UnixNano())
+	if a.registry.unresolvedCount.Load() > 0 {
+		a.registry.resolveHeard(a, openedAt, now)
+	}
+}
+
+// heardWithin reports whether a part of the response has arrived within a time
+// before now.
+func (a *Attempt) heardWithin(span time.Duration, now time.Time) bool {
+	return a.heardAt.Load() > now.Add(-span).UnixNano()
+}
+
+// isSilent reports whether the attempt has waited so long that it should have
+// been heard again.
+func (a *Attempt) isSilent(now time.Time) bool {
+	if a.heardAt.Load() != 0 {
+		return !a.heardWithin(silenceTime, now)
+	}
+	return now.Sub(a.startedAt) >= a.patience
+}
+
+// End records the end of the attempt; further calls have no effect.
+func (a *Attempt) End(outcome Outcome) {
+	if !a.ended.CompareAndSwap(false, true) {
+		return
+	}
+	r := a.registry
+	r.running.remove(a)
+	now := r.options.Clock.Now()
+	switch outcome {
+	case Completed:
+		r.recordCompletion(a.request, now)
+	case Broken:
+		r.markAttempt(a, now, false)
+	case Unanswered:
+		if !a.heardWithin(heardRecently, now) {
+			r.markAttempt(a, now, true)
+		}
+	case NotRun:
+		r.withdrawMark(a)
+	}
+}
+
+// RecordEnded records that a target has ended: the requests that are marked for it
+// since endConfirmTime were running when it crashed. It must not be called for a
+// target that was merely unreachable.
+func (r *Registry) RecordEnded(target string) {
+	if r.unresolvedCount.Load() > 0 {
+		r.endMarks(target, r.options.Clock.Now())
+	}
+}
+
+// MarkSilent marks the requests that wait for targets from which nothing arrives
+// any more. Call it several times within silenceTime.
+func (r *Registry) MarkSilent() {
+	now := r.options.Clock.Now()
+	for _, a := range r.running.silent(now) {
+		if a.markID.Load() == 0 {
+			r.markAttempt(a, now, true)
+		}
+	}
+}
--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -1,17 +1,121 @@
 package quarantine
 
-import "time"
-
-// causedCrashes reports whether a request with at least two marks is to be
-// quarantined: it has unconditionalMarks marks, or there are two crashed
-// targets for which no other request is marked. r.mu must be held for reading.
-func (r *Registry) causedCrashes(fp Fingerprint) bool {
-	marks := r.validMarks(r.suspects[fp])
-	if len(marks) >= unconditionalMarks {
-		return true
-	}
-	for first := range marks {
-		for second := range marks {
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// crashSpan is the time within which marks for one target are for one crash:
+	// the attempts of several instances end at slightly different times.
+	crashSpan = time.Second
+	// silenceSpan is crashSpan for attempts that got no response. One that starts
+	// while the target is silent is not the cause of the silence.
+	silenceSpan = 10 * time.Second
+)
+
+// decide reports whether to refuse a request, and whether this newly
+// quarantines it.
+func (r *Registry) decide(fp Fingerprint) (refuse, newlyQuarantined bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	s := r.suspects[fp]
+	switch {
+	case s == nil:
+		return false, false
+	case r.withinRetention(s.quarantinedAt):
+		return true, false
+	case !r.options.AloneSuffices:
+		// Marks may still be dropped, so that there is no lasting verdict.
+		return r.crashes(s) >= minCrashes, false
+	case len(r.markedTargets(s)) < 2 && r.crashes(s) < minCrashes:
+		return false, false
+	case r.options.Clock.Since(s.lastMarkReceivedAt) < PropagationTime:
+		return true, false
+	default:
+		newlyQuarantined = r.crashes(s) >= minCrashes || r.onlySuspectAtTwo(fp, s)
+		return newlyQuarantined, newlyQuarantined
+	}
+}
+
+// quarantine records a verdict and publishes it.
+func (r *Registry) quarantine(fp Fingerprint) {
+	r.options.Logger.Warn("request quarantined", zap.String("content", string(fp)))
+	r.publish(factQuarantine, fp, "", r.options.Clock.Now())
+}
+
+// counts reports whether a mark counts; r.mu must be held for reading.
+func (r *Registry) counts(s *suspect, m *mark) bool {
+	if !r.withinRetention(m.at) || s.isInnocent(m.at) {
+		return false
+	}
+	return m.ended || (!m.survived && r.options.CountsUnresolved)
+}
+
+// isInnocent reports whether the request completed after a time, or shortly
+// before it.
+func (s *suspect) isInnocent(at time.Time) bool {
+	return !s.clearedAt.IsZero() && !at.After(s.clearedAt.Add(innocenceTime))
+}
+
+// markedTargets returns the targets with marks that count; r.mu must be held for
+// reading.
+func (r *Registry) markedTargets(s *suspect) map[string]bool {
+	targets := make(map[string]bool)
+	for _, m := range s.marks {
+		if r.counts(s, m) {
+			targets[m.target] = true
+		}
+	}
+	return targets
+}
+
+// crashes returns the number of crashes that the marks of a request stand for;
+// r.mu must be held for reading.
+func (r *Registry) crashes(s *suspect) int {
+	if len(s.marks) == 0 {
+		return 0
+	}
+	marks := slices.Clone(s.marks)
+	slices.SortFunc(marks, func(a, b *mark) int {
+		return cmp.Or(cmp.Compare(a.target, b.target), a.startedAt.Compare(b.startedAt))
+	})
+	crashes := 0
+	for i := 0; i < len(marks); {
+		end := i + 1
+		for end < len(marks) && marks[end].sameCrash(marks[i]) {
+			end++
+		}
+		if r.isCrash(s, marks[i:end]) {
+			crashes++
+		}
+		i = end
+	}
+	return crashes
+}
+
+// isCrash reports whether marks for the same end of a target count. One of them
+// that shows that the target survived does so for all of them, unless the target
+// is known to have ended; r.mu must be held for reading.
+func (r *Registry) isCrash(s *suspect, marks []*mark) bool {
+	counted, survived, ended := false, false, false
+	for _, m := range marks {
+		counted = counted || r.counts(s, m)
+		survived = survived || m.survived
+		ended = ended || m.ended
+	}
+	return counted && (ended || !survived)
+}
+
+// onlySuspectAtTwo reports whether there are two targets that only this request
+// is marked for; r.mu must be held for reading.
+func (r *Registry) onlySuspectAtTwo(fp Fingerprint, s *suspect) bool {
+	targets := r.markedTargets(s)
+	for first := range targets {
+		for second := range targets {
 			if first < second && r.onlySuspectAtBoth(fp, first, second) {
 				return true
 			}
@@ -21,18 +125,15 @@
 }
 
 // onlySuspectAtBoth reports whether no other request is marked for both
-// targets. r.mu must be held for reading.
+// targets; r.mu must be held for reading.
 func (r *Registry) onlySuspectAtBoth(fp Fingerprint, first, second string) bool {
 	for other, s := range r.suspects {
-		if other != fp && hasBoth(r.validMarks(s), first, second) {
+		if other == fp {
+			continue
+		}
+		if targets := r.markedTargets(s); targets[first] && targets[second] {
 			return false
 		}
 	}
 	return true
 }
-
-func hasBoth(marks map[string]time.Time, first, second string) bool {
-	_, one := marks[first]
-	_, two := marks[second]
-	return one && two
-}
--- /dev/null
+++ b/internal/quarantine/exchange.go
@@ -0,0 +1,245 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// shareTime is how long after a change a fact is part of each digest,
+	// learnedShareTime the same for a fact received from another instance.
+	shareTime        = 2 * time.Second
+	learnedShareTime = 500 * time.Millisecond
+	// shareDelay is how long a mark is kept back, since most targets show within
+	// that time that they have survived. It is waived for a request that is about
+	// to be refused.
+	shareDelay = survivalMargin + 100*time.Millisecond
+	// digestReuseTime is how long a digest is used again, for several recipients.
+	digestReuseTime = 50 * time.Millisecond
+	// MaxDigestMarks and MaxDigestCompletions bound the facts in one digest.
+	MaxDigestMarks       = 16
+	MaxDigestCompletions = 8
+)
+
+// Digest is the facts that an instance shares with others.
+type Digest struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Marks       []MarkReport
+	Completions []CompletionReport
+}
+
+// MarkReport states that a request may have crashed a target. Times are given as
+// ages in milliseconds when the report is sent.
+type MarkReport struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// ID identifies the mark.
+	ID uint32
+	// Request is the binary form of the fingerprint.
+	Request []byte
+	Target  string
+	// StartedAgoMs and EndedAgoMs are the ages of the start and the end of the
+	// attempt.
+	StartedAgoMs, EndedAgoMs uint32
+	Flags                    MarkFlags
+}
+
+// MarkFlags are the properties of a mark.
+type MarkFlags uint8
+
+// The properties of a mark: see mark.
+const (
+	FlagSilent MarkFlags = 1 << iota
+	FlagSurvived
+	FlagEnded
+)
+
+// CompletionReport states that a suspect has completed.
+type CompletionReport struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Request is the binary form of the fingerprint.
+	Request []byte
+	AgoMs   uint32
+}
+
+// IsEmpty reports whether the digest states nothing.
+func (d *Digest) IsEmpty() bool { return len(d.Marks) == 0 && len(d.Completions) == 0 }
+
+// timedDigest is a digest with the time at which it was made.
+type timedDigest struct {
+	digest Digest
+	at     time.Time
+}
+
+// sharedMark is a mark that is considered for a digest.
+type sharedMark struct {
+	suspect *suspect
+	mark    *mark
+	crashes int
+}
+
+// Digest returns the facts that have changed lately and, if complete is set, also
+// those about requests that are refused, as far as there is room. An instance that
+// has just started, or could not be reached, learns of the latter by it.
+func (r *Registry) Digest(complete bool) Digest {
+	var d Digest
+	if r.suspectCount.Load() == 0 {
+		return d
+	}
+	now := r.options.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !complete && now.Sub(r.changedAt) > shareTime {
+		return d
+	}
+	if last := r.digests[complete]; now.Sub(last.at) < digestReuseTime {
+		return last.digest
+	}
+	d = r.makeDigest(complete, now)
+	r.digests[complete] = timedDigest{d, now}
+	return d
+}
+
+// makeDigest makes a new digest; r.mu must be held.
+func (r *Registry) makeDigest(complete bool, now time.Time) Digest {
+	var d Digest
+	var marks []sharedMark
+	for _, s := range r.suspects {
+		if len(d.Completions) < MaxDigestCompletions && now.Sub(s.clearanceChangedAt) <= shareTime {
+			d.Completions = append(d.Completions, CompletionReport{Request: s.request.bytes(), AgoMs: ageMillis(now, s.clearedAt)})
+		}
+		marks = r.appendShared(marks, s, complete, now)
+	}
+	slices.SortFunc(marks, func(a, b sharedMark) int {
+		return cmp.Or(cmp.Compare(min(b.crashes, minCrashes), min(a.crashes, minCrashes)), a.mark.sharedAt.Compare(b.mark.sharedAt))
+	})
+	for _, shared := range marks[:min(len(marks), MaxDigestMarks)] {
+		shared.mark.sharedAt = now
+		d.Marks = append(d.Marks, shared.report(now))
+	}
+	return d
+}
+
+// appendShared appends the marks of a suspect that are to be shared; r.mu must be
+// held.
+func (r *Registry) appendShared(marks []sharedMark, s *suspect, complete bool, now time.Time) []sharedMark {
+	if len(s.marks) == 0 {
+		return marks
+	}
+	crashes := r.crashes(s)
+	refused := crashes >= minCrashes
+	for _, m := range s.marks {
+		fresh := now.Sub(m.changedAt) <= shareTime && (m.isShared() || m.ended || crashes >= minCrashes-1 || now.Sub(m.at) >= shareDelay)
+		if fresh || complete && refused && !m.survived {
+			marks = append(marks, sharedMark{s, m, crashes})
+		}
+	}
+	return marks
+}
+
+func (s sharedMark) report(now time.Time) MarkReport {
+	m := s.mark
+	report := MarkReport{
+		ID: m.id, Request: s.suspect.request.bytes(), Target: m.target,
+		StartedAgoMs: ageMillis(now, m.startedAt), EndedAgoMs: ageMillis(now, m.at),
+	}
+	for flag, set := range map[MarkFlags]bool{FlagSilent: m.silent, FlagSurvived: m.survived, FlagEnded: m.ended} {
+		if set {
+			report.Flags |= flag
+		}
+	}
+	return report
+}
+
+func ageMillis(now, at time.Time) uint32 {
+	return uint32(min(max(0, now.Sub(at).Milliseconds()), 1<<32-1))
+}
+
+// bytes returns the binary form of a fingerprint; nil if it is invalid.
+func (fp Fingerprint) bytes() []byte {
+	decoded, err := hex.DecodeString(string(fp))
+	if err != nil {
+		return nil
+	}
+	return decoded
+}
+
+// Merge adds the facts received from another instance.
+func (r *Registry) Merge(from string, d Digest) {
+	if d.IsEmpty() {
+		return
+	}
+	now := r.options.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range d.Completions {
+		if s := r.suspects[Fingerprint(hex.EncodeToString(c.Request))]; s != nil && r.clear(s, timeOfAge(now, c.AgoMs)) {
+			r.options.Logger.Info("completion of suspect request learned from peer",
+				zap.String("content", string(s.request)), zap.String("from", from), zap.Uint32("age_ms", c.AgoMs))
+		}
+	}
+	for _, report := range d.Marks {
+		if len(report.Request) == fingerprintSize {
+			r.mergeMark(from, report, now)
+		}
+	}
+}
+
+func timeOfAge(now time.Time, ageMs uint32) time.Time {
+	return now.Add(-time.Duration(ageMs) * time.Millisecond)
+}
+
+// mergeMark adds a mark received from another instance; r.mu must be held.
+func (r *Registry) mergeMark(from string, report MarkReport, now time.Time) {
+	fp := Fingerprint(hex.EncodeToString(report.Request))
+	at := timeOfAge(now, report.EndedAgoMs)
+	if !r.withinRetention(at) {
+		return
+	}
+	if r.suspects[fp] == nil && report.Flags&FlagSurvived != 0 {
+		return
+	}
+	s := r.suspectFor(fp)
+	if completedAt := r.completions.last(fp); !completedAt.IsZero() {
+		s.clearedAt = latest(s.clearedAt, completedAt)
+	}
+	if s.isInnocent(at) {
+		s.clearanceChangedAt, s.latestFactAt, r.changedAt = now, latest(s.latestFactAt, at), now
+		return
+	}
+	learned := &mark{
+		id: report.ID, target: report.Target, startedAt: timeOfAge(now, report.StartedAgoMs), at: at, sharedAt: now,
+		silent: report.Flags&FlagSilent != 0,
+	}
+	m := s.find(report.ID)
+	if m == nil {
+		m = s.findEquivalent(learned)
+	}
+	if m == nil {
+		if report.Flags&FlagSurvived != 0 && report.Flags&FlagEnded == 0 {
+			return
+		}
+		m = learned
+		r.Counters.Learned.Add(1)
+		r.storeMark(s, m, now)
+		m.changedAt = now.Add(learnedShareTime - shareTime)
+		r.options.Logger.Info("possible crash learned from peer", zap.String("content", string(fp)),
+			zap.String("target", m.target), zap.String("from", from), zap.Uint32("age_ms", report.EndedAgoMs),
+			zap.Int("crashes", r.crashes(s)))
+	}
+	if report.Flags&FlagEnded != 0 && !m.ended {
+		r.setEnded(s, m, now)
+	}
+	if report.Flags&FlagSurvived != 0 && !m.resolved() && !m.at.After(at.Add(survivalMargin)) {
+		r.setSurvived(s, m, now)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,57 +1,67 @@
 // Package quarantine detects requests that crash targets and keeps them from
 // further targets.
 //
-// Registry does so by gossip. Each instance records which of its requests run
-// on which target. When a target crashes, the instance marks those requests as
-// suspects and gossips the marks, since several instances have requests on one
-// target and a retry may arrive at any instance. A request that was running at
-// the crashes of two different targets is quarantined if it is the only one
-// marked for both; with several, the cause is still ambiguous. To resolve this
-// soon, MayDispatch keeps suspects from running on the same target. A request
-// marked for unconditionalMarks targets is always quarantined. The decision
-// requires the marks of all instances, so a request with two marks is refused
-// for PropagationTime first.
+// A target that a request crashes need not say so. It may refuse connections,
+// accept them and stay silent, or be back at once under its own or another name,
+// and the instance that sent the request may never call it again. So the evidence
+// is turned around. An attempt that ends without a complete response, for
+// whatever reason, marks its request for its target, and so does one that is in
+// flight at a target from which nothing arrives any more. A mark counts unless
+// the target is known to have survived:
 //
-// A suspect that completes is cleared: its marks up to then are ignored.
+//   - something arrived from it after the attempt, on a connection that is older
+//     than the attempt and that a crash would have broken; or
+//   - its entry in the list of targets was renewed after the attempt.
 //
-// All facts are rumors of one kind. For each subject the one with the highest
-// rank, a wall-clock time, wins, so every instance reaches the same decision
-// whatever the order of arrival. The subjects are marks "m/fingerprint/target",
-// clearances "p/fingerprint" and quarantines "q/fingerprint". A quarantine ends
-// after Retention.
+// A target that refuses connections, or whose entry has expired or begins anew,
+// has ended. Its marks count whatever else is known.
 //
-// CrashTracker does so from the lists of crashes that instances exchange: it
-// refuses a request after minCrashesToRefuse crashes.
+// A request that is marked for minCrashes crashes is refused; marks for one
+// target of about the same time are one crash. With Options.AloneSuffices, two
+// targets that have ended suffice if no other request is marked for both. A
+// request that runs to its end is innocent: the marks before it, and those within
+// innocenceTime after it, do not count. This keeps a popular request in service
+// that was running at several targets when they crashed.
+//
+// Marks and completions of suspects are facts that instances exchange, since
+// several instances have requests on one target and a retry may arrive at any
+// instance. Their order does not matter, and a fact received twice counts once.
+// They travel as rumors if Options.Rumors is given, and else as a Digest in the
+// messages of the owner. MayDispatch keeps suspects from running on the same
+// target, which resolves ambiguous cases sooner.
 package quarantine
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 )
 
 const (
-	// DefaultRetention is how long marks, clearances and quarantines are valid.
+	// DefaultRetention is how long marks, completions and quarantines are valid.
 	DefaultRetention = time.Hour
 	// DefaultMaxFingerprints bounds the number of fingerprints held.
 	DefaultMaxFingerprints = 4096
-	// unconditionalMarks is the number of crashed targets at which a request is
-	// quarantined even if other requests were running beside it each time.
-	unconditionalMarks = 3
+	// minCrashes is the number of crashes after which a request is refused even if
+	// other requests were running beside it each time.
+	minCrashes = 3
 	// PropagationTime is the time in which marks reach all instances.
 	PropagationTime = 2 * time.Second
+	// innocenceTime is how long after its last completion a request is not marked.
+	innocenceTime = 30 * time.Second
 	// fingerprintSize is the number of digest bytes in a fingerprint.
 	fingerprintSize = 12
 )
 
-// Fingerprint identifies a request by its content; it is the same for retries.
+// Fingerprint identifies a request by its content, in hexadecimal digits; it is
+// the same for retries.
 type Fingerprint string
 
 // NewFingerprint returns the fingerprint of account, path and body.
@@ -64,82 +74,105 @@
 
 // Options configure a Registry.
 type Options struct {
+	// Rumors carries the facts; if nil, the owner exchanges them with Digest and
+	// Merge.
 	Rumors membership.Rumors
 	// Clock is the wall clock; nil means the real one.
 	Clock clockwork.Clock
+	// Logger receives a line for each change of what is known; nil discards them.
+	Logger *zap.Logger
 	// Retention is how long facts are valid; 0 means DefaultRetention.
 	Retention time.Duration
 	// MaxFingerprints bounds the number of fingerprints held; 0 means
 	// DefaultMaxFingerprints.
 	MaxFingerprints int
+	// AloneSuffices quarantines a request at two crashes of targets that have
+	// ended if no other request is marked for both.
+	AloneSuffices bool
+	// CountsUnresolved counts marks whose targets are neither known to have ended
+	// nor to have survived. It requires an owner that calls Attempt.Heard and
+	// Resolve, or marks for live targets are never dropped.
+	CountsUnresolved bool
+	// IsLeaving reports whether a target is about to end as planned, in which case
+	// the end is no crash; nil means that none is.
+	IsLeaving func(target string) bool
 }
 
 // Registry holds the suspects and quarantined requests known to one instance.
 type Registry struct {
 	options Options
+	// Counters may be read at any time.
+	Counters Counters
 	// suspectCount is the size of suspects; while it is 0, requests take no lock.
 	suspectCount atomic.Int64
+	// unresolvedCount is the number of marks in unresolved.
+	unresolvedCount atomic.Int64
 
-	// running counts the requests in flight.
+	// running holds the attempts in flight.
 	running runTable
+	// completions holds the requests that have recently run to their end here.
+	completions completionLog
 
-	// mu guards suspects.
+	// mu guards the fields below.
 	mu       sync.RWMutex
 	suspects map[Fingerprint]*suspect
-}
-
-// suspect holds the facts about one fingerprint; Registry.mu guards it.
-type suspect struct {
-	// marks holds the time of the crash by target.
-	marks map[string]time.Time
-	// clearedAt is the time of the latest clearance.
-	clearedAt time.Time
-	// quarantinedAt is the time of the quarantine; zero means none.
-	quarantinedAt time.Time
-	// latestFactAt is the time of the latest fact.
-	latestFactAt time.Time
-	// lastMarkReceivedAt is when this instance last received a mark.
-	lastMarkReceivedAt time.Time
-}
-
-// New returns a registry that is subscribed to the rumors. Call it before the
-// membership starts.
+	// unresolved holds the marks that count but may still turn out to be of a
+	// target that has survived, by target.
+	unresolved map[string]map[*mark]*suspect
+	// changedAt is the time of the last change that is to be shared, sweptAt that of
+	// the last sweep.
+	changedAt, sweptAt time.Time
+	// digests holds the last digests made, by whether they are complete.
+	digests map[bool]timedDigest
+}
+
+// Counters count what a Registry has learned and decided.
+type Counters struct {
+	// Marked counts marks by own attempts, Learned those received from other
+	// instances.
+	Marked, Learned atomic.Uint64
+	// Survived and Ended count marks whose targets were found to have survived or
+	// ended.
+	Survived, Ended atomic.Uint64
+	// Cleared counts requests whose marks were dropped because they completed,
+	// Refused requests refused.
+	Cleared, Refused atomic.Uint64
+}
+
+// Snapshot returns the counters by metric name.
+func (c *Counters) Snapshot() map[string]uint64 {
+	return map[string]uint64{
+		"marked": c.Marked.Load(), "learned": c.Learned.Load(), "survived": c.Survived.Load(),
+		"ended": c.Ended.Load(), "cleared": c.Cleared.Load(), "refused": c.Refused.Load(),
+	}
+}
+
+// New returns a registry; if there are rumors, it is subscribed to them. Call it
+// before the membership starts.
 func New(options Options) *Registry {
 	if options.Clock == nil {
 		options.Clock = clockwork.NewRealClock()
 	}
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
 	if options.Retention == 0 {
 		options.Retention = DefaultRetention
 	}
 	if options.MaxFingerprints == 0 {
 		options.MaxFingerprints = DefaultMaxFingerprints
 	}
-	r := &Registry{
-		options:  options,
-		suspects: make(map[Fingerprint]*suspect),
+	if options.IsLeaving == nil {
+		options.IsLeaving = func(string) bool { return false }
 	}
-	options.Rumors.Subscribe(membership.RumorQuarantine, r.applyRumor)
-	return r
-}
-
-// RecordStart records that a request is sent to a target.
-func (r *Registry) RecordStart(fp Fingerprint, target string) { r.running.add(fp, target) }
-
-// RecordEnd records that a request has ended at a target. completed is set if
-// it ran to its end there, which clears it of earlier crashes.
-func (r *Registry) RecordEnd(fp Fingerprint, target string, completed bool) {
-	r.running.remove(fp, target)
-	if completed && r.IsSuspect(fp) {
-		r.publish(factClear, fp, "")
+	r := &Registry{
+		options: options, suspects: make(map[Fingerprint]*suspect),
+		unresolved: make(map[string]map[*mark]*suspect), digests: make(map[bool]timedDigest),
 	}
-}
-
-// RecordCrash marks the requests that were running on a target when it crashed.
-// It must not be called for a target that was merely unreachable.
-func (r *Registry) RecordCrash(target string) {
-	for _, fp := range r.running.fingerprints(target) {
-		r.publish(factMark, fp, target)
+	if options.Rumors != nil {
+		options.Rumors.Subscribe(membership.RumorQuarantine, r.applyRumor)
 	}
+	return r
 }
 
 // ShouldRefuse reports whether a request must be refused, because it is
@@ -150,30 +183,12 @@
 	}
 	refuse, newlyQuarantined := r.decide(fp)
 	if newlyQuarantined {
-		r.publish(factQuarantine, fp, "")
+		r.quarantine(fp)
 	}
-	return refuse
-}
-
-// decide reports whether to refuse a request, and whether this newly
-// quarantines it.
-func (r *Registry) decide(fp Fingerprint) (refuse, newlyQuarantined bool) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	s := r.suspects[fp]
-	switch {
-	case s == nil:
-		return false, false
-	case r.withinRetention(s.quarantinedAt):
-		return true, false
-	case len(r.validMarks(s)) < 2:
-		return false, false
-	case r.options.Clock.Since(s.lastMarkReceivedAt) < PropagationTime:
-		return true, false
-	default:
-		newlyQuarantined = r.causedCrashes(fp)
-		return newlyQuarantined, newlyQuarantined
+	if refuse {
+		r.Counters.Refused.Add(1)
 	}
+	return refuse
 }
 
 // IsSuspect reports whether a request was running when a target crashed and has
@@ -185,7 +200,7 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	s := r.suspects[fp]
-	return s != nil && len(r.validMarks(s)) > 0
+	return s != nil && len(r.markedTargets(s)) > 0
 }
 
 // MayDispatch reports whether a request may be sent to a target. A suspect must
@@ -209,115 +224,10 @@
 func (r *Registry) isMarkedFor(fp Fingerprint, target string) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	_, ok := r.validMarks(r.suspects[fp])[target]
-	return ok
-}
-
-// factKind is the first part of a rumor's subject.
-type factKind string
-
-const (
-	factMark       factKind = "m"
-	factClear      factKind = "p"
-	factQuarantine factKind = "q"
-)
-
-func (r *Registry) publish(kind factKind, fp Fingerprint, target string) {
-	subject := string(kind) + "/" + string(fp)
-	if target != "" {
-		subject += "/" + target
-	}
-	r.options.Rumors.Publish(membership.Rumor{
-		Kind: membership.RumorQuarantine, Subject: subject,
-		Rank: uint64(r.options.Clock.Now().UnixMilli()),
-	})
-}
-
-// applyRumor parses and records a fact unless it is older than the retention.
-func (r *Registry) applyRumor(rumor membership.Rumor) {
-	parts := strings.SplitN(rumor.Subject, "/", 3)
-	publishedAt := time.UnixMilli(int64(rumor.Rank))
-	if len(parts) < 2 || !r.withinRetention(publishedAt) {
-		return
-	}
-	target := ""
-	if len(parts) == 3 {
-		target = parts[2]
-	}
-	r.recordFact(factKind(parts[0]), Fingerprint(parts[1]), target, publishedAt)
-}
-
-func (r *Registry) recordFact(kind factKind, fp Fingerprint, target string, at time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.suspectFor(fp)
-	s.latestFactAt = latest(s.latestFactAt, at)
-	switch kind {
-	case factMark:
-		s.marks[target] = latest(s.marks[target], at)
-		s.lastMarkReceivedAt = r.options.Clock.Now()
-	case factClear:
-		s.clearedAt = latest(s.clearedAt, at)
-	case factQuarantine:
-		s.quarantinedAt = latest(s.quarantinedAt, at)
-	}
-}
-
-// suspectFor returns the entry of a fingerprint, adding it if necessary; r.mu
-// must be held.
-func (r *Registry) suspectFor(fp Fingerprint) *suspect {
-	if s := r.suspects[fp]; s != nil {
-		return s
-	}
-	r.evict()
-	s := &suspect{marks: make(map[string]time.Time)}
-	r.suspects[fp] = s
-	r.suspectCount.Store(int64(len(r.suspects)))
-	return s
-}
-
-// evict removes expired entries, and the oldest one while the registry is full;
-// r.mu must be held.
-func (r *Registry) evict() {
-	for len(r.suspects) >= r.options.MaxFingerprints {
-		var oldest Fingerprint
-		for fp, s := range r.suspects {
-			if !r.withinRetention(s.latestFactAt) {
-				delete(r.suspects, fp)
-				continue
-			}
-			if known := r.suspects[oldest]; known == nil || s.latestFactAt.Before(known.latestFactAt) {
-				oldest = fp
-			}
-		}
-		if len(r.suspects) >= r.options.MaxFingerprints {
-			delete(r.suspects, oldest)
-		}
-	}
+	s := r.suspects[fp]
+	return s != nil && r.markedTargets(s)[target]
 }
 
 func (r *Registry) withinRetention(at time.Time) bool {
 	return !at.IsZero() && r.options.Clock.Since(at) <= r.options.Retention
 }
-
-// validMarks returns the marks that are neither cleared nor expired; r.mu must
-// be held for reading.
-func (r *Registry) validMarks(s *suspect) map[string]time.Time {
-	marks := make(map[string]time.Time)
-	if s == nil {
-		return marks
-	}
-	for target, at := range s.marks {
-		if at.After(s.clearedAt) && r.withinRetention(at) {
-			marks[target] = at
-		}
-	}
-	return marks
-}
-
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -21,7 +21,7 @@
 	for range count {
 		rumors := membership.NewLocalRumors()
 		rumorSets = append(rumorSets, rumors)
-		registries = append(registries, New(Options{Rumors: rumors, Clock: clock, MaxFingerprints: 16}))
+		registries = append(registries, New(Options{Rumors: rumors, Clock: clock, MaxFingerprints: 16, AloneSuffices: true}))
 	}
 	membership.ConnectLocalRumors(rumorSets...)
 	return registries, clock
@@ -36,23 +36,24 @@
 // crashTarget runs requests on a target until it crashes; request i runs at
 // instance i modulo the number of instances.
 func crashTarget(registries []*Registry, clock *clockwork.FakeClock, target string, requests ...Fingerprint) {
+	var attempts []*Attempt
 	for i, fp := range requests {
-		registries[i%len(registries)].RecordStart(fp, target)
+		attempts = append(attempts, registries[i%len(registries)].Start(fp, target, 0))
 	}
 	clock.Advance(time.Second)
-	for _, r := range registries {
-		r.RecordCrash(target)
+	for _, a := range attempts {
+		a.End(Broken)
 	}
-	for i, fp := range requests {
-		registries[i%len(registries)].RecordEnd(fp, target, false)
+	for _, r := range registries {
+		r.RecordEnded(target)
 	}
 }
 
 // completeRequest runs a request to its end at a target.
 func completeRequest(r *Registry, clock *clockwork.FakeClock, fp Fingerprint, target string) {
-	r.RecordStart(fp, target)
+	a := r.Start(fp, target, 0)
 	clock.Advance(time.Millisecond)
-	r.RecordEnd(fp, target, true)
+	a.End(Completed)
 }
 
 func TestQuarantineDecision(t *testing.T) {
@@ -137,10 +138,10 @@
 	crashTarget(registries, clock, "t1", poison, harmless)
 	assert.Assert(t, !r.MayDispatch(poison, "t1"), "sent to a target that it may have crashed")
 	assert.Assert(t, r.MayDispatch(poison, "t2"))
-	r.RecordStart(harmless, "t2")
+	a := r.Start(harmless, "t2", 0)
 	assert.Assert(t, !r.MayDispatch(poison, "t2"))
 	assert.Assert(t, r.MayDispatch(other, "t2"))
-	r.RecordEnd(harmless, "t2", true)
+	a.End(Completed)
 	assert.Assert(t, r.MayDispatch(poison, "t2"))
 	assert.Assert(t, !r.IsSuspect(harmless))
 }
--- a/internal/quarantine/run_table.go
+++ b/internal/quarantine/run_table.go
@@ -2,6 +2,8 @@
 
 import (
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -9,63 +11,106 @@
 // runShards is the number of shards of a runTable.
 const runShards = 64
 
-// runTable counts the requests in flight by target and fingerprint. It is
-// sharded by target, so that requests to different targets rarely share a lock.
+// runTable holds the attempts in flight by target. It is sharded by target, so
+// that requests to different targets rarely share a lock.
 type runTable struct {
 	shards [runShards]runShard
 }
 
 // runShard holds the targets that hash to it.
 type runShard struct {
-	// mu guards byTarget.
+	// mu guards byTarget and the attempts of its entries.
 	mu       sync.Mutex
-	byTarget map[string]map[Fingerprint]int
+	byTarget map[string]*targetRuns
+}
+
+// targetRuns are the attempts in flight at one target.
+type targetRuns struct {
+	attempts map[*Attempt]struct{}
+	// heardAt is when anything last arrived from the target, in Unix nanoseconds;
+	// 0 if nothing has since there were no attempts.
+	heardAt atomic.Int64
 }
 
 func (r *runTable) shardOf(target string) *runShard {
 	return &r.shards[xxhash.Sum64String(target)%runShards]
 }
 
-// add counts a request that starts on a target.
-func (r *runTable) add(fp Fingerprint, target string) {
-	shard := r.shardOf(target)
+// add adds an attempt that starts.
+func (r *runTable) add(a *Attempt) {
+	shard := r.shardOf(a.target)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	if shard.byTarget == nil {
-		shard.byTarget = make(map[string]map[Fingerprint]int)
+		shard.byTarget = make(map[string]*targetRuns)
 	}
-	counts := shard.byTarget[target]
-	if counts == nil {
-		counts = make(map[Fingerprint]int)
-		shard.byTarget[target] = counts
+	runs := shard.byTarget[a.target]
+	if runs == nil {
+		runs = &targetRuns{attempts: make(map[*Attempt]struct{})}
+		shard.byTarget[a.target] = runs
 	}
-	counts[fp]++
+	runs.attempts[a] = struct{}{}
+	a.runs = runs
 }
 
-// remove uncounts a request that has ended; it is a no-op if none is counted.
-func (r *runTable) remove(fp Fingerprint, target string) {
-	shard := r.shardOf(target)
+// remove removes an attempt that has ended; it is a no-op if it is not held.
+func (r *runTable) remove(a *Attempt) {
+	shard := r.shardOf(a.target)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	counts := shard.byTarget[target]
-	if counts[fp] > 1 {
-		counts[fp]--
-		return
-	}
-	delete(counts, fp)
-	if len(counts) == 0 {
-		delete(shard.byTarget, target)
+	delete(a.runs.attempts, a)
+	if len(a.runs.attempts) == 0 && shard.byTarget[a.target] == a.runs {
+		delete(shard.byTarget, a.target)
 	}
 }
 
-// fingerprints returns the requests that run on a target.
-func (r *runTable) fingerprints(target string) []Fingerprint {
+// attempts returns the attempts in flight at a target.
+func (r *runTable) attempts(target string) []*Attempt {
 	shard := r.shardOf(target)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
+	runs := shard.byTarget[target]
+	if runs == nil {
+		return nil
+	}
+	attempts := make([]*Attempt, 0, len(runs.attempts))
+	for a := range runs.attempts {
+		attempts = append(attempts, a)
+	}
+	return attempts
+}
+
+// fingerprints returns the requests that run on a target, each once.
+func (r *runTable) fingerprints(target string) []Fingerprint {
+	seen := make(map[Fingerprint]bool)
 	var fingerprints []Fingerprint
-	for fp := range shard.byTarget[target] {
-		fingerprints = append(fingerprints, fp)
+	for _, a := range r.attempts(target) {
+		if !seen[a.request] {
+			seen[a.request] = true
+			fingerprints = append(fingerprints, a.request)
+		}
 	}
 	return fingerprints
 }
+
+// silent returns the silent attempts at targets from which nothing has arrived
+// for silenceTime.
+func (r *runTable) silent(now time.Time) []*Attempt {
+	var silent []*Attempt
+	for i := range r.shards {
+		shard := &r.shards[i]
+		shard.mu.Lock()
+		for _, runs := range shard.byTarget {
+			if runs.heardAt.Load() > now.Add(-silenceTime).UnixNano() {
+				continue
+			}
+			for a := range runs.attempts {
+				if a.isSilent(now) {
+					silent = append(silent, a)
+				}
+			}
+		}
+		shard.mu.Unlock()
+	}
+	return silent
+}
--- a/internal/quarantine/run_table_test.go
+++ b/internal/quarantine/run_table_test.go
@@ -7,14 +7,13 @@
 )
 
 func TestRunTableIgnoresExtraRemove(t *testing.T) {
-	var r runTable
-	r.remove("f", "t")
-	r.add("f", "t")
-	r.add("f", "t")
-	r.remove("f", "t")
-	assert.DeepEqual(t, r.fingerprints("t"), []Fingerprint{"f"})
-	r.remove("f", "t")
-	r.remove("f", "t")
-	assert.Equal(t, len(r.fingerprints("t")), 0)
-	assert.Equal(t, len(r.fingerprints("other")), 0)
+	r := New(Options{})
+	first, second := r.Start("f", "t", 0), r.Start("f", "t", 0)
+	r.running.remove(first)
+	r.running.remove(first)
+	assert.DeepEqual(t, r.running.fingerprints("t"), []Fingerprint{"f"})
+	r.running.remove(second)
+	r.running.remove(second)
+	assert.Equal(t, len(r.running.fingerprints("t")), 0)
+	assert.Equal(t, len(r.running.fingerprints("other")), 0)
 }
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -1,223 +1,399 @@
 package quarantine
 
 import (
-	"sync"
-	"sync/atomic"
+	"cmp"
+	"math/rand/v2"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 )
 
-const (
-	// minCrashesToRefuse is the number of different targets that a request must
-	// have crashed to be refused. With fewer, it may have been running there by
-	// chance.
-	minCrashesToRefuse = 3
-	// crashConfirmTime is how long after a failure the target may be found
-	// unreachable for the failure to count as its crash.
-	crashConfirmTime = 3 * time.Second
-	// crashRetention is how long crashes are remembered.
-	crashRetention = 2 * time.Minute
-	// maxTrackedRequests bounds the number of requests held.
-	maxTrackedRequests = 512
-	// crashShareTime is how long after the failure a crash is sent to other
-	// instances, maxSharedCrashes the number of crashes sent at once.
-	crashShareTime   = 5 * time.Second
-	maxSharedCrashes = 12
-)
-
-// Crash is the crash of a target while it ran a request.
-type Crash struct {
-	//lint:ignore U1000 the codec reads the tag
-	_msgpack struct{} `msgpack:",as_array"`
+// suspect holds the facts about one fingerprint; Registry.mu guards it.
+type suspect struct {
+	request Fingerprint
+	marks   []*mark
+	// clearedAt is the time of the latest completion; zero if none is known.
+	clearedAt time.Time
+	// clearanceChangedAt is when clearedAt was last found to matter to others.
+	clearanceChangedAt time.Time
+	// quarantinedAt is the time of the quarantine; zero means none.
+	quarantinedAt time.Time
+	// latestFactAt is the time of the latest fact.
+	latestFactAt time.Time
+	// lastMarkReceivedAt is when this instance last made or received a mark.
+	lastMarkReceivedAt time.Time
+}
 
-	Request uint64
-	Target  string
+// mark states that a request may have crashed a target; Registry.mu guards it.
+type mark struct {
+	// id identifies the mark among those of all instances.
+	id     uint32
+	target string
+	// startedAt and at are the start of the attempt and its end, or the time at
+	// which its silence was noticed.
+	startedAt, at time.Time
+	// silent is set if the attempt got no response, rather than a broken one.
+	silent bool
+	// survived and ended are set once the target is known to have survived the
+	// attempt or to have ended. The latter goes first.
+	survived, ended bool
+	// changedAt is the time of the last change, sharedAt that of the last digest
+	// with the mark; zero if there was none.
+	changedAt, sharedAt time.Time
 }
 
-// CrashTracker holds the requests that were running on targets that crashed.
-// Instances exchange complete facts, so a crash received twice counts once and
-// no agreement is needed. A request that completes is cleared of all crashes so
-// far.
-type CrashTracker struct {
-	clock  clockwork.Clock
-	logger *zap.Logger
-	// Counters may be read at any time.
-	Counters CrashCounters
+// isShared reports whether other instances may know of the mark.
+func (m *mark) isShared() bool { return !m.sharedAt.IsZero() }
 
-	// mu guards failures.
-	mu       sync.Mutex
-	failures map[uint64]map[string]*targetFailure
+// sameCrash reports whether two marks are for the same crash.
+func (m *mark) sameCrash(other *mark) bool {
+	earlier, later := m, other
+	if later.startedAt.Before(earlier.startedAt) {
+		earlier, later = later, earlier
+	}
+	span := crashSpan
+	if later.silent {
+		span = silenceSpan
+	}
+	return m.target == other.target && !later.startedAt.After(earlier.at.Add(span))
 }
 
-// targetFailure is a request's failure at one target; CrashTracker.mu guards
-// it.
-type targetFailure struct {
-	failedAt time.Time
-	// crashed is set once the target was found unreachable.
-	crashed bool
+// resolved reports whether it is known what became of the target.
+func (m *mark) resolved() bool { return m.survived || m.ended }
+
+// markAttempt marks the request of an attempt for its target.
+func (r *Registry) markAttempt(a *Attempt, now time.Time, silent bool) {
+	if r.options.IsLeaving(a.target) {
+		return
+	}
+	if completedAt := r.completions.last(a.request); !completedAt.IsZero() && now.Sub(completedAt) <= innocenceTime {
+		return
+	}
+	r.mu.Lock()
+	s := r.suspectFor(a.request)
+	m := s.find(a.markID.Load())
+	if m == nil {
+		m = &mark{id: max(1, rand.Uint32()), target: a.target, startedAt: a.startedAt, at: now, silent: silent}
+		if s.isInnocent(now) || s.findEquivalent(m) != nil {
+			r.mu.Unlock()
+			return
+		}
+		a.markID.Store(m.id)
+		r.Counters.Marked.Add(1)
+	}
+	m.at, m.silent, m.survived = now, silent, false
+	r.storeMark(s, m, now)
+	crashes := r.crashes(s)
+	r.mu.Unlock()
+	r.options.Logger.Info("attempt may have crashed its target", zap.String("content", string(a.request)),
+		zap.String("target", a.target), zap.Bool("silent", silent), zap.Duration("took", now.Sub(a.startedAt)),
+		zap.Int("crashes", crashes))
 }
 
-// CrashCounters count what a CrashTracker has learned and decided.
-type CrashCounters struct {
-	// Failures counts attempts that failed here, Crashes those that were found to
-	// be crashes of the target, Learned the crashes received from other instances.
-	Failures, Crashes, Learned atomic.Uint64
-	// Refused counts the requests refused.
-	Refused atomic.Uint64
+// storeMark adds a mark, or indexes it again after a change; r.mu must be held.
+func (r *Registry) storeMark(s *suspect, m *mark, now time.Time) {
+	if s.find(m.id) == nil {
+		s.marks = append(s.marks, m)
+	}
+	m.changedAt, s.lastMarkReceivedAt, r.changedAt = now, now, now
+	s.latestFactAt = latest(s.latestFactAt, m.at)
+	r.index(s, m)
 }
 
-// Snapshot returns the counters by metric name.
-func (c *CrashCounters) Snapshot() map[string]uint64 {
-	return map[string]uint64{
-		"failures": c.Failures.Load(), "crashes": c.Crashes.Load(), "crashes_learned": c.Learned.Load(),
-		"refused": c.Refused.Load(),
+// index adds a mark to unresolved or removes it, as it is; r.mu must be held.
+func (r *Registry) index(s *suspect, m *mark) {
+	marks := r.unresolved[m.target]
+	_, indexed := marks[m]
+	switch {
+	case m.resolved() && indexed:
+		delete(marks, m)
+		if len(marks) == 0 {
+			delete(r.unresolved, m.target)
+		}
+		r.unresolvedCount.Add(-1)
+	case !m.resolved() && !indexed:
+		if marks == nil {
+			marks = make(map[*mark]*suspect)
+			r.unresolved[m.target] = marks
+		}
+		marks[m] = s
+		r.unresolvedCount.Add(1)
 	}
 }
 
-// NewCrashTracker returns an empty tracker.
-func NewCrashTracker(clock clockwork.Clock, logger *zap.Logger) *CrashTracker {
-	return &CrashTracker{clock: clock, logger: logger, failures: make(map[uint64]map[string]*targetFailure)}
+// drop removes a mark; r.mu must be held.
+func (r *Registry) drop(s *suspect, m *mark) {
+	m.survived = true
+	r.index(s, m)
+	s.marks = slices.DeleteFunc(s.marks, func(other *mark) bool { return other == m })
+}
+
+// sweep removes what no longer counts and has been shared, at most once in
+// sweepInterval; r.mu must be held.
+func (r *Registry) sweep(now time.Time) {
+	if now.Sub(r.sweptAt) < sweepInterval {
+		return
+	}
+	r.sweptAt = now
+	for _, s := range r.suspects {
+		for _, m := range slices.Clone(s.marks) {
+			if now.Sub(m.changedAt) > sweepInterval && (m.survived && !m.ended || !r.withinRetention(m.at)) {
+				r.drop(s, m)
+			}
+		}
+		if len(s.marks) == 0 && now.Sub(s.latestFactAt) > innocenceTime && !r.withinRetention(s.quarantinedAt) {
+			r.remove(s)
+		}
+	}
+	r.suspectCount.Store(int64(len(r.suspects)))
 }
 
-// RequestHash identifies a request by its content; it is the same for retries.
-func RequestHash(account, path string, body []byte) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(account + "\x00" + path + "\x00")
-	_, _ = digest.Write(body)
-	return digest.Sum64()
+func (s *suspect) find(id uint32) *mark {
+	for _, m := range s.marks {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
 }
 
-// RecordFailure records that a request failed at a target.
-func (t *CrashTracker) RecordFailure(request uint64, target string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.Counters.Failures.Add(1)
-	t.record(request, target, false)
-	t.logChange("attempt failed", request, target)
+// findEquivalent returns a mark that states the same crash and is not resolved, or
+// nil. A popular request has many attempts at a target that crashes.
+func (s *suspect) findEquivalent(m *mark) *mark {
+	for _, other := range s.marks {
+		if !other.resolved() && other.sameCrash(m) {
+			return other
+		}
+	}
+	return nil
 }
 
-// RecordUnreachable records that a target is unreachable: requests that failed
-// there shortly before may have crashed it.
-func (t *CrashTracker) RecordUnreachable(target string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	for request, targets := range t.failures {
-		if f := targets[target]; f != nil && !f.crashed && now.Sub(f.failedAt) <= crashConfirmTime {
-			f.crashed = true
-			t.Counters.Crashes.Add(1)
-			t.logChange("crash recorded", request, target)
+// withdrawMark drops the mark that was made while the attempt was silent.
+func (r *Registry) withdrawMark(a *Attempt) {
+	id := a.markID.Load()
+	if id == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.suspects[a.request]; s != nil {
+		if m := s.find(id); m != nil {
+			r.setSurvived(s, m, r.options.Clock.Now())
 		}
 	}
 }
 
-// RecordCompletion clears a request that has completed.
-func (t *CrashTracker) RecordCompletion(request uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.failures[request]) > 0 {
-		t.logChange("request cleared of crashes", request, "")
+// setSurvived records that a target survived; r.mu must be held.
+func (r *Registry) setSurvived(s *suspect, m *mark, now time.Time) {
+	r.Counters.Survived.Add(1)
+	if !m.isShared() {
+		r.drop(s, m)
+		return
 	}
-	delete(t.failures, request)
+	m.survived, m.changedAt, r.changedAt = true, now, now
+	r.index(s, m)
 }
 
-// logChange logs a change of what is known about a request; t.mu must be held.
-func (t *CrashTracker) logChange(message string, request uint64, target string) {
-	t.logger.Info(message, zap.Uint64("content", request), zap.String("target", target),
-		zap.Int("failures", len(t.failures[request])), zap.Int("crashes", t.crashes(request)))
+// setEnded records that a target has ended; r.mu must be held.
+func (r *Registry) setEnded(s *suspect, m *mark, now time.Time) {
+	r.Counters.Ended.Add(1)
+	m.ended, m.changedAt, r.changedAt = true, now, now
+	r.index(s, m)
 }
 
-// ShouldRefuse reports whether the request has crashed too many targets to be
-// sent to another.
-func (t *CrashTracker) ShouldRefuse(request uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	refuse := t.crashes(request) >= minCrashesToRefuse
-	if refuse {
-		t.Counters.Refused.Add(1)
+// recordCompletion clears a request that has completed.
+func (r *Registry) recordCompletion(fp Fingerprint, at time.Time) {
+	r.completions.add(fp, at)
+	if r.suspectCount.Load() == 0 {
+		return
+	}
+	r.mu.Lock()
+	s := r.suspects[fp]
+	cleared := s != nil && r.clear(s, at)
+	r.mu.Unlock()
+	if cleared {
+		r.options.Logger.Info("suspect request completed", zap.String("content", string(fp)))
+		r.publish(factClear, fp, "", at)
 	}
-	return refuse
 }
 
-// crashes returns the number of targets that a request has crashed recently;
-// t.mu must be held.
-func (t *CrashTracker) crashes(request uint64) int {
-	crashes := 0
-	for _, f := range t.failures[request] {
-		if f.crashed && t.clock.Since(f.failedAt) <= crashRetention {
-			crashes++
+// clear records a completion, drops the marks that it refutes and reports whether
+// there were any; r.mu must be held.
+func (r *Registry) clear(s *suspect, at time.Time) bool {
+	s.clearedAt = latest(s.clearedAt, at)
+	s.latestFactAt = latest(s.latestFactAt, at)
+	refuted := false
+	for _, m := range slices.Clone(s.marks) {
+		if s.isInnocent(m.at) {
+			r.drop(s, m)
+			refuted = true
 		}
 	}
-	return crashes
+	if refuted {
+		r.Counters.Cleared.Add(1)
+		s.clearanceChangedAt = r.options.Clock.Now()
+		r.changedAt = s.clearanceChangedAt
+	}
+	return refuted
 }
 
-// RecentCrashes returns the recent crashes, to be sent to other instances.
-func (t *CrashTracker) RecentCrashes() []Crash {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var crashes []Crash
-	for request, targets := range t.failures {
-		for target, f := range targets {
-			if f.crashed && t.clock.Since(f.failedAt) <= crashShareTime && len(crashes) < maxSharedCrashes {
-				crashes = append(crashes, Crash{Request: request, Target: target})
-			}
+// sweepInterval is the interval at which entries that no longer count are removed.
+const sweepInterval = 10 * time.Second
+
+// endConfirmTime is how long after an attempt its target may be found to refuse
+// connections for this to be the end that the attempt is marked for.
+const endConfirmTime = 5 * time.Second
+
+// endMarks records for the recent marks of a target that it has ended.
+func (r *Registry) endMarks(target string, now time.Time) {
+	var ended []endedMark
+	r.mu.Lock()
+	for m, s := range r.unresolved[target] {
+		if now.Sub(m.at) <= endConfirmTime {
+			r.setEnded(s, m, now)
+			ended = append(ended, endedMark{s.request, m.at})
 		}
 	}
-	return crashes
+	r.mu.Unlock()
+	for _, m := range ended {
+		r.publish(factMark, m.request, target, m.at)
+	}
 }
 
-// MergeCrashes adds the crashes received from another instance.
-func (t *CrashTracker) MergeCrashes(crashes []Crash) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, c := range crashes {
-		if f := t.failures[c.Request][c.Target]; f != nil && f.crashed {
-			continue
+// endedMark is what is published about a mark whose target has ended.
+type endedMark struct {
+	request Fingerprint
+	at      time.Time
+}
+
+// resolveHeard records that a target has survived the attempts that began after
+// the connection on which an attempt was heard was opened, and ended well before
+// it was heard.
+func (r *Registry) resolveHeard(a *Attempt, openedAt, now time.Time) {
+	r.mu.RLock()
+	concerned := len(r.unresolved[a.target]) > 0
+	r.mu.RUnlock()
+	if !concerned {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for m, s := range r.unresolved[a.target] {
+		own := m.id == a.markID.Load()
+		if own {
+			a.markID.Store(0)
+		}
+		if own || openedAt.Add(connectionMargin).Before(m.startedAt) && now.Sub(m.at) >= survivalMargin {
+			r.setSurvived(s, m, now)
+			r.logResolution(s, m, "target survived an attempt")
 		}
-		t.record(c.Request, c.Target, true)
-		t.Counters.Learned.Add(1)
-		t.logChange("crash learned from peer", c.Request, c.Target)
 	}
 }
 
-// record adds a failure or crash; t.mu must be held.
-func (t *CrashTracker) record(request uint64, target string, crashed bool) {
-	targets := t.failures[request]
-	if targets == nil {
-		t.evict()
-		targets = make(map[string]*targetFailure)
-		t.failures[request] = targets
-	}
-	if f := targets[target]; f != nil {
-		f.crashed = f.crashed || crashed
+// Liveness is what the list of targets says about a target at a past moment.
+type Liveness int
+
+// What the list says.
+const (
+	// Undecided means that the list does not tell yet.
+	Undecided Liveness = iota
+	// Survived means that the incarnation renewed its entry after the moment.
+	Survived
+	// Ended means that the incarnation did not.
+	Ended
+)
+
+// Resolve asks, for each mark whose target is not known to have survived or
+// ended, what became of the target after the mark. What it learns is not published
+// as rumors.
+func (r *Registry) Resolve(liveness func(target string, after time.Time) Liveness) {
+	if r.suspectCount.Load() == 0 {
 		return
 	}
-	targets[target] = &targetFailure{failedAt: t.clock.Now(), crashed: crashed}
+	now := r.options.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sweep(now)
+	for target, marks := range r.unresolved {
+		for m, s := range marks {
+			switch liveness(target, m.at) {
+			case Survived:
+				r.setSurvived(s, m, now)
+				r.logResolution(s, m, "target survived an attempt")
+			case Ended:
+				r.setEnded(s, m, now)
+				r.logResolution(s, m, "target ended after an attempt")
+			case Undecided:
+			}
+		}
+	}
 }
 
-// evict removes expired failures, and arbitrary requests if the tracker is
-// still full; t.mu must be held.
-func (t *CrashTracker) evict() {
-	if len(t.failures) < maxTrackedRequests {
+func (r *Registry) logResolution(s *suspect, m *mark, message string) {
+	r.options.Logger.Info(message, zap.String("content", string(s.request)), zap.String("target", m.target),
+		zap.Duration("age", r.options.Clock.Since(m.at)), zap.Int("crashes", r.crashes(s)))
+}
+
+// suspectFor returns the entry of a fingerprint, adding it if necessary; r.mu
+// must be held.
+func (r *Registry) suspectFor(fp Fingerprint) *suspect {
+	if s := r.suspects[fp]; s != nil {
+		return s
+	}
+	r.evict()
+	s := &suspect{request: fp}
+	r.suspects[fp] = s
+	r.suspectCount.Store(int64(len(r.suspects)))
+	return s
+}
+
+// evict makes room in a full registry: it removes expired entries, and if this is
+// not enough a quarter of all, those with the fewest crashes and the oldest first;
+// r.mu must be held.
+func (r *Registry) evict() {
+	if len(r.suspects) < r.options.MaxFingerprints {
 		return
 	}
-	for request, targets := range t.failures {
-		for target, f := range targets {
-			if t.clock.Since(f.failedAt) > crashRetention {
-				delete(targets, target)
-			}
+	type candidate struct {
+		suspect *suspect
+		crashes int
+	}
+	candidates := make([]candidate, 0, len(r.suspects))
+	for _, s := range r.suspects {
+		if !r.withinRetention(s.latestFactAt) {
+			r.remove(s)
+			continue
 		}
-		if len(targets) == 0 {
-			delete(t.failures, request)
+		crashes := r.crashes(s)
+		if r.withinRetention(s.quarantinedAt) {
+			crashes = max(crashes, minCrashes)
 		}
+		candidates = append(candidates, candidate{s, crashes})
 	}
-	for request := range t.failures {
-		if len(t.failures) < maxTrackedRequests {
-			return
-		}
-		delete(t.failures, request)
+	if len(r.suspects) < r.options.MaxFingerprints {
+		return
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.suspect.latestFactAt.Compare(b.suspect.latestFactAt))
+	})
+	const removedPart = 4
+	for _, c := range candidates[:max(1, len(candidates)/removedPart)] {
+		r.remove(c.suspect)
+	}
+}
+
+// remove removes an entry with its marks; r.mu must be held.
+func (r *Registry) remove(s *suspect) {
+	for _, m := range slices.Clone(s.marks) {
+		r.drop(s, m)
+	}
+	delete(r.suspects, s.request)
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -1,63 +1,317 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 )
 
-func TestRequestThatCrashesTargetsIsRefusedEverywhere(t *testing.T) {
+// fleet is a number of registries that exchange digests.
+type fleet struct {
+	clock      *clockwork.FakeClock
+	registries []*Registry
+	// openedAt is when the connections to all targets were opened.
+	openedAt time.Time
+}
+
+func newFleet(count int) *fleet {
 	clock := clockwork.NewFakeClock()
-	local, remote := NewCrashTracker(clock, zap.NewNop()), NewCrashTracker(clock, zap.NewNop())
-	request := RequestHash("a", "/p", []byte("body"))
-	for _, target := range []string{"one", "two"} {
-		local.RecordFailure(request, target)
-		local.RecordUnreachable(target)
-	}
-	remote.MergeCrashes(local.RecentCrashes())
-	remote.MergeCrashes(local.RecentCrashes())
-	assert.Assert(t, !local.ShouldRefuse(request) && !remote.ShouldRefuse(request))
-	remote.RecordFailure(request, "three")
-	remote.RecordUnreachable("three")
-	local.MergeCrashes(remote.RecentCrashes())
-	assert.Assert(t, local.ShouldRefuse(request) && remote.ShouldRefuse(request))
-	assert.Assert(t, !local.ShouldRefuse(RequestHash("a", "/p", []byte("other"))))
-	clock.Advance(crashRetention + time.Second)
-	assert.Assert(t, !local.ShouldRefuse(request))
+	f := &fleet{clock: clock, openedAt: clock.Now()}
+	for range count {
+		f.registries = append(f.registries, New(Options{Clock: clock, CountsUnresolved: true}))
+	}
+	clock.Advance(time.Minute)
+	return f
+}
+
+// exchange advances the clock in the interval of digests and delivers those of
+// each registry to the others.
+func (f *fleet) exchange(span time.Duration, complete bool) {
+	const interval = 100 * time.Millisecond
+	for range span / interval {
+		f.clock.Advance(interval)
+		for i, sender := range f.registries {
+			d := sender.Digest(complete)
+			for j, receiver := range f.registries {
+				if i != j {
+					receiver.Merge(fmt.Sprint(i), d)
+				}
+			}
+		}
+	}
+}
+
+// fail runs a request at a target of one registry, without a response.
+func (f *fleet) fail(r *Registry, fp Fingerprint, target string, outcome Outcome) {
+	a := r.Start(fp, target, 0)
+	f.clock.Advance(10 * time.Millisecond)
+	a.End(outcome)
+}
+
+// serve runs another request at a target, which responds.
+func (f *fleet) serve(r *Registry, target string) {
+	a := r.Start(NewFingerprint("b", target, nil), target, 0)
+	a.Heard(f.openedAt)
+	a.End(Completed)
+}
+
+func (f *fleet) refusing(fp Fingerprint) int {
+	refusing := 0
+	for _, r := range f.registries {
+		if r.ShouldRefuse(fp) {
+			refusing++
+		}
+	}
+	return refusing
+}
+
+var crashing = NewFingerprint("a", "/p", []byte("body"))
+
+func TestRequestThatCrashesTargetsIsRefusedEverywhere(t *testing.T) {
+	for _, outcome := range []Outcome{Broken, Unanswered} {
+		f := newFleet(3)
+		f.fail(f.registries[0], crashing, "one", outcome)
+		f.fail(f.registries[0], crashing, "two", outcome)
+		f.exchange(time.Second, false)
+		assert.Equal(t, f.refusing(crashing), 0)
+		f.fail(f.registries[1], crashing, "three", outcome)
+		f.exchange(time.Second, false)
+		assert.Equal(t, f.refusing(crashing), 3)
+		assert.Equal(t, f.refusing(NewFingerprint("a", "/p", []byte("other"))), 0)
+		f.clock.Advance(DefaultRetention + time.Second)
+		assert.Equal(t, f.refusing(crashing), 0)
+	}
+}
+
+// A target that accepts requests and does not respond leaves attempts in flight
+// until their callers leave or their deadlines pass.
+func TestRequestInFlightAtSilentTargetsIsRefused(t *testing.T) {
+	f := newFleet(2)
+	for _, target := range []string{"one", "two", "three"} {
+		f.registries[0].Start(crashing, target, 0)
+	}
+	f.registries[0].MarkSilent()
+	assert.Equal(t, f.refusing(crashing), 0)
+	f.clock.Advance(silenceTime)
+	f.registries[0].MarkSilent()
+	f.registries[0].MarkSilent()
+	f.exchange(time.Second, false)
+	assert.Equal(t, f.refusing(crashing), 2)
+}
+
+func TestSlowTargetsAreNotSilent(t *testing.T) {
+	f := newFleet(1)
+	r := f.registries[0]
+	var waiting []*Attempt
+	for _, target := range []string{"one", "two", "three"} {
+		waiting = append(waiting, r.Start(crashing, target, 0))
+		r.Start(NewFingerprint("a", "/slow", nil), target, 2*time.Second)
+	}
+	for range 20 {
+		f.clock.Advance(silenceTime / 4)
+		for _, target := range []string{"one", "two", "three"} {
+			f.serve(r, target)
+		}
+		r.MarkSilent()
+		assert.Equal(t, r.Counters.Marked.Load(), uint64(0), "marked although the targets respond to others")
+	}
+	f.clock.Advance(silenceTime)
+	r.MarkSilent()
+	assert.Assert(t, r.ShouldRefuse(crashing))
+	for _, a := range waiting {
+		a.Heard(f.openedAt)
+	}
+	assert.Assert(t, !r.ShouldRefuse(crashing), "the responses have arrived after all")
 }
 
 func TestBreaksOfLivingTargetsAreNoCrashes(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	tracker := NewCrashTracker(clock, zap.NewNop())
-	for _, target := range []string{"one", "two", "three", "four"} {
-		tracker.RecordFailure(1, target)
+	f := newFleet(2)
+	targets := []string{"one", "two", "three", "four"}
+	for _, target := range targets {
+		f.fail(f.registries[0], crashing, target, Broken)
 	}
-	assert.Assert(t, !tracker.ShouldRefuse(1))
-	clock.Advance(crashConfirmTime + time.Millisecond)
-	for _, target := range []string{"one", "two", "three", "four"} {
-		tracker.RecordUnreachable(target)
+	f.exchange(survivalMargin, false)
+	for _, target := range targets {
+		f.serve(f.registries[1], target)
 	}
-	assert.Assert(t, !tracker.ShouldRefuse(1), "targets became unreachable after crashConfirmTime")
+	f.exchange(500*time.Millisecond, false)
+	for _, target := range targets {
+		f.serve(f.registries[1], target)
+	}
+	f.exchange(500*time.Millisecond, false)
+	assert.Equal(t, f.refusing(crashing), 0)
+}
+
+// A target that is back under the same name at once responds to others, but on
+// new connections.
+func TestResponsesOfANewIncarnationAreNoSurvival(t *testing.T) {
+	f := newFleet(1)
+	r := f.registries[0]
+	for _, target := range []string{"one", "two", "three"} {
+		f.fail(r, crashing, target, Broken)
+		f.openedAt = f.clock.Now()
+		f.clock.Advance(time.Second)
+		f.serve(r, target)
+	}
+	assert.Assert(t, r.ShouldRefuse(crashing))
+}
+
+// What was sent before a crash may be read after it.
+func TestResponsesRightAfterACrashAreNoSurvival(t *testing.T) {
+	f := newFleet(1)
+	r := f.registries[0]
+	for _, target := range []string{"one", "two", "three"} {
+		f.fail(r, crashing, target, Broken)
+		f.serve(r, target)
+		f.clock.Advance(time.Second)
+	}
+	assert.Assert(t, r.ShouldRefuse(crashing))
+}
+
+func TestListOfTargetsTellsWhatBecameOfThem(t *testing.T) {
+	for liveness, want := range map[Liveness]bool{Undecided: true, Survived: false, Ended: true} {
+		f := newFleet(1)
+		r := f.registries[0]
+		for _, target := range []string{"one", "two", "three"} {
+			f.fail(r, crashing, target, Unanswered)
+		}
+		r.Resolve(func(string, time.Time) Liveness { return liveness })
+		assert.Equal(t, r.ShouldRefuse(crashing), want, "%v", liveness)
+		if liveness == Ended {
+			f.clock.Advance(time.Second)
+			f.serve(r, "one")
+			assert.Assert(t, r.ShouldRefuse(crashing), "the end of a target goes before later signs of life")
+		}
+	}
+}
+
+func TestTargetThatEndsAsPlannedIsNotCrashed(t *testing.T) {
+	r := New(Options{CountsUnresolved: true, IsLeaving: func(target string) bool { return target == "two" }})
+	for _, target := range []string{"one", "two", "three"} {
+		r.Start(crashing, target, 0).End(Broken)
+	}
+	assert.Assert(t, !r.ShouldRefuse(crashing))
+}
+
+// A single target that comes back may be the only one there is.
+func TestCrashesOfOneTargetCountEach(t *testing.T) {
+	f := newFleet(2)
+	for range minCrashes {
+		f.fail(f.registries[0], crashing, "one", Broken)
+		f.fail(f.registries[1], crashing, "one", Broken)
+		f.exchange(crashSpan, false)
+	}
+	assert.Equal(t, f.refusing(crashing), 2)
+}
+
+func TestAttemptsOfOneCrashCountOnce(t *testing.T) {
+	f := newFleet(3)
+	for i, r := range f.registries {
+		for range 5 {
+			a, b := r.Start(crashing, "one", 0), r.Start(crashing, "silent", 0)
+			f.clock.Advance(time.Duration(i) * 10 * time.Millisecond)
+			a.End(Broken)
+			b.End(Unanswered)
+		}
+	}
+	f.exchange(time.Second, false)
+	assert.Equal(t, f.refusing(crashing), 0)
 }
 
 func TestCompletionClearsCrashes(t *testing.T) {
-	tracker := NewCrashTracker(clockwork.NewFakeClock(), zap.NewNop())
+	f := newFleet(3)
+	r := f.registries[0]
 	for _, target := range []string{"one", "two", "three"} {
-		tracker.RecordFailure(1, target)
-		tracker.RecordUnreachable(target)
+		f.fail(r, crashing, target, Broken)
 	}
-	assert.Assert(t, tracker.ShouldRefuse(1))
-	tracker.RecordCompletion(1)
-	assert.Assert(t, !tracker.ShouldRefuse(1))
+	a := f.registries[2].Start(crashing, "four", 0)
+	f.exchange(time.Second, false)
+	assert.Equal(t, f.refusing(crashing), 3)
+	a.End(Completed)
+	f.exchange(time.Second, false)
+	assert.Equal(t, f.refusing(crashing), 0)
 }
 
-func TestCrashTrackerIsBounded(t *testing.T) {
-	tracker := NewCrashTracker(clockwork.NewFakeClock(), zap.NewNop())
-	for request := range uint64(3 * maxTrackedRequests) {
-		tracker.RecordFailure(request, "one")
+// A popular request runs at several targets at once, and those may end together
+// for another reason. All instances have completed it shortly before.
+func TestPopularRequestIsNotRefusedWhenTargetsEndTogether(t *testing.T) {
+	f := newFleet(3)
+	for _, r := range f.registries {
+		a := r.Start(crashing, "four", 0)
+		f.clock.Advance(time.Millisecond)
+		a.End(Completed)
+	}
+	for range 3 {
+		for _, r := range f.registries {
+			for _, target := range []string{"one", "two", "three"} {
+				f.fail(r, crashing, target, Broken)
+			}
+		}
+		for range 10 {
+			f.exchange(100*time.Millisecond, false)
+			assert.Equal(t, f.refusing(crashing), 0)
+		}
+	}
+}
+
+// Only one instance knows that the request is innocent; it must tell the others.
+func TestInstanceThatCompletedARequestClearsItEverywhere(t *testing.T) {
+	f := newFleet(3)
+	f.registries[2].Start(crashing, "four", 0).End(Completed)
+	for _, target := range []string{"one", "two", "three"} {
+		f.fail(f.registries[0], crashing, target, Broken)
+	}
+	f.exchange(time.Second, false)
+	assert.Equal(t, f.refusing(crashing), 0)
+}
+
+// A request that used to complete may crash a new version of the targets.
+func TestOldCompletionExcusesNothing(t *testing.T) {
+	f := newFleet(1)
+	f.registries[0].Start(crashing, "four", 0).End(Completed)
+	f.clock.Advance(innocenceTime + time.Second)
+	for _, target := range []string{"one", "two", "three"} {
+		f.fail(f.registries[0], crashing, target, Broken)
+	}
+	assert.Equal(t, f.refusing(crashing), 1)
+}
+
+// An instance that has just started, or was cut off, knows nothing of crashes that
+// are not news any more.
+func TestNewInstanceLearnsOfOldCrashes(t *testing.T) {
+	f := newFleet(2)
+	const requests = 5
+	for i := range requests {
+		for _, target := range []string{"one", "two", "three"} {
+			f.fail(f.registries[0], NewFingerprint("a", fmt.Sprint(i), nil), fmt.Sprint(target, i), Broken)
+		}
+	}
+	f.exchange(10*time.Second, false)
+	f.registries = append(f.registries, New(Options{Clock: f.clock, CountsUnresolved: true}))
+	f.exchange(time.Second, true)
+	for i := range requests {
+		assert.Equal(t, f.refusing(NewFingerprint("a", fmt.Sprint(i), nil)), 3, "%d", i)
+	}
+}
+
+// Marks of many innocent requests must not drive out those of one that is refused.
+func TestFullRegistryKeepsRefusedRequests(t *testing.T) {
+	f := newFleet(1)
+	r := f.registries[0]
+	for _, target := range []string{"one", "two", "three"} {
+		f.fail(r, crashing, target, Broken)
+	}
+	for i := range 2 * DefaultMaxFingerprints {
+		r.Start(NewFingerprint("b", fmt.Sprint(i), nil), "four", 0).End(Broken)
+	}
+	assert.Assert(t, r.ShouldRefuse(crashing))
+	assert.Assert(t, len(r.suspects) <= DefaultMaxFingerprints)
+	total := 0
+	for _, marks := range r.unresolved {
+		total += len(marks)
 	}
-	assert.Assert(t, len(tracker.failures) <= maxTrackedRequests)
+	assert.Equal(t, int64(total), r.unresolvedCount.Load())
 }
