Refuse a request that was quarantined while it waited

Cause: only a request that arrived was checked. One that waited in a queue, was retried or was resumed reached another target after its content had crashed three.

Change: it is checked again once it has a place, for first attempts, retries and resumed streams alike. The place is given back and the request gets its answer: 503 if it has not run, else 502.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -236,9 +236,15 @@
 	return nil
 }
 
-// acquire waits for the scheduler to place the request.
+// acquire waits for the scheduler to place the request. A request that has
+// crashed targets since it was admitted is refused.
 func (r *inflightRequest) acquire(ctx context.Context) (*schedule.Grant, *Response) {
 	grant, err := r.Placer.Acquire(ctx, r.scheduleRequest())
+	if err == nil && r.Quarantine.ShouldRefuse(r.fingerprint) {
+		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		r.log.addStep("quarantined before it was sent to", grant.Target.ID, 0)
+		return nil, r.refuseOrFail(reasonQuarantined, 0)
+	}
 	if err == nil {
 		r.log.recordPlacement(r, grant)
 		return grant, nil
