Store which requests crash targets with the instances' announcements

After a restart of all instances nobody knew which requests crash targets, and each such request crashed three more.

Change: an announcement lists the requests whose crashes are certain, that is, whose three targets are known to have ended. Members are read at the start anyway, so no call is added there; an instance that contributed to a new verdict announces itself at once, one write for each.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -32,6 +32,12 @@
 		case <-ticker.Chan():
 			n.quarantine.MarkSilent()
 			n.quarantine.Resolve(n.targetLiveness)
+			if _, own := n.quarantine.Verdicts(); own {
+				select {
+				case n.newVerdict <- struct{}{}:
+				default:
+				}
+			}
 		}
 	}
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -223,11 +223,15 @@
 	delays := n.newRetryDelays()
 	dependency := dependencyState{name: "list of instances", logger: n.logger}
 	for ctx.Err() == nil {
-		members, err := n.controlPlane.Members(ctx)
+		members, verdicts, err := n.controlPlane.Members(ctx)
 		if err == nil {
 			n.peers.addMembers(members)
 			n.divideBudgets()
-			err = n.controlPlane.Announce(ctx, Member{Name: n.settings.Name, Address: n.settings.PeerAddress})
+			for _, v := range verdicts {
+				n.quarantine.AddVerdict(v)
+			}
+			own, _ := n.quarantine.Verdicts()
+			err = n.controlPlane.Announce(ctx, Member{Name: n.settings.Name, Address: n.settings.PeerAddress, Verdicts: own})
 		}
 		if ctx.Err() != nil {
 			return
@@ -239,6 +243,10 @@
 		} else {
 			delays.reset()
 		}
-		_ = backoff.Sleep(ctx, n.clock, delay)
+		select {
+		case <-ctx.Done():
+		case <-n.newVerdict:
+		case <-n.clock.After(delay):
+		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,10 @@
 	// of targets.
 	newerTargetsAt chan string
 
+	// newVerdict is signalled when this instance has found out that a request
+	// crashes targets, so that it is stored at once.
+	newVerdict chan struct{}
+
 	draining     atomic.Bool
 	targetsKnown atomic.Bool
 	// instanceCount is the number of instances that share the load, including
@@ -138,6 +142,7 @@
 		configuration: &catalog.Holder{}, retryBudgets: make(map[string]*routing.WindowRetryBudget),
 	}
 	n.startedAt, n.newerTargetsAt, n.newerConfiguration = options.Clock.Now(), make(chan string, 1), make(chan struct{}, 1)
+	n.newVerdict = make(chan struct{}, 1)
 	n.retryLimits = options.Settings.Retries
 	n.shutdownGrace.Store(int64(options.Settings.ShutdownGrace))
 	n.metrics = metrics.New(options.Settings.Name)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
 	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 )
@@ -53,6 +54,8 @@
 type Member struct {
 	Name    string
 	Address string
+	// Verdicts are the requests that it knows to crash targets.
+	Verdicts []quarantine.Verdict
 }
 
 // Declarations are what the operator has declared, as returned by a read or a
@@ -77,8 +80,9 @@
 	Watch(ctx context.Context, after uint64) (Declarations, error)
 	// Targets reads all targets and the position at which they were read.
 	Targets(ctx context.Context) ([]*catalog.Target, uint64, error)
-	// Members reads the instances that have announced themselves recently.
-	Members(ctx context.Context) ([]Member, error)
+	// Members reads the instances that have announced themselves recently, and the
+	// verdicts of all that ever have.
+	Members(ctx context.Context) ([]Member, []quarantine.Verdict, error)
 	// WriteRolloutStatus writes the status of a rollout, unless its end has been
 	// written already. It returns the status that is stored then.
 	WriteRolloutStatus(ctx context.Context, status rollout.Status) (rollout.Status, error)
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -23,6 +23,8 @@
 	latestFactAt time.Time
 	// lastMarkReceivedAt is when this instance last made or received a mark.
 	lastMarkReceivedAt time.Time
+	// markedHere is set if an attempt of this instance was marked.
+	markedHere bool
 }
 
 // mark states that a request may have crashed a target; Registry.mu guards it.
@@ -80,6 +82,7 @@
 			return
 		}
 		a.markID.Store(m.id)
+		s.markedHere = true
 		r.Counters.Marked.Add(1)
 	}
 	m.at, m.silent, m.survived = now, silent, false
@@ -223,7 +226,10 @@
 func (r *Registry) clear(s *suspect, at time.Time) bool {
 	s.clearedAt = latest(s.clearedAt, at)
 	s.latestFactAt = latest(s.latestFactAt, at)
-	refuted := false
+	refuted := !s.quarantinedAt.IsZero() && at.After(s.quarantinedAt)
+	if refuted {
+		s.quarantinedAt = time.Time{}
+	}
 	for _, m := range slices.Clone(s.marks) {
 		if s.isInnocent(m.at) {
 			r.drop(s, m)
