Excuse no request by a response that ends with its connection

Callers: none seen; found by reading the new detector.

Cause: a response without a length that ends with its connection looks complete also when its target crashed, and would make the request innocent for 30 s. A refused connection was taken as proof that a target has ended, which a target that is at its limit of connections may cause. Times of arrival followed the wall clock, which jumps.

Change: only a framed response of the target's own completes a request; others show nothing. Instants follow the monotonic clock.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -61,6 +61,8 @@
 	body       io.ReadCloser
 	keepAlive  time.Duration
 	stopCancel func() bool
+	// framed is set if the header determines where the body ends.
+	framed bool
 	// bodyComplete is set once the body has been read to its regular end.
 	bodyComplete, reusable bool
 }
@@ -120,6 +122,7 @@
 			Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
 			conn: conn, body: response.Body, keepAlive: keepAliveTimeout(response.Header),
 			reusable: writeErr == nil && !response.Close,
+			framed:   response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		}, nil
 	}
 	return nil, ErrResponseMismatch
@@ -187,6 +190,10 @@
 	return 0
 }
 
+// IsFramed reports whether the header determines where the body ends. If not, a
+// body that was cut off cannot be told from a complete one.
+func (r *PooledResponse) IsFramed() bool { return r.framed }
+
 // ConnOpenedAt returns when the connection was established, possibly for an
 // earlier request.
 func (r *PooledResponse) ConnOpenedAt() time.Time { return r.conn.openedAt }
--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -49,7 +49,7 @@
 	e := a.executor
 	if dispatch.IsNotSent(err) {
 		e.Metrics.Add(metrics.DispatchesNotSent, 1)
-		a.tracked.End(quarantine.NotRun)
+		a.tracked.End(quarantine.NoEvidence)
 		if dispatch.IsRefused(err) {
 			e.Quarantine.RecordEnded(a.target.Name)
 		}
@@ -82,7 +82,7 @@
 	default:
 		return false
 	}
-	a.tracked.End(quarantine.NotRun)
+	a.tracked.End(quarantine.NoEvidence)
 	a.grant.Finish(admission.Outcome{Kind: kind})
 	e.refuseAnswer(a.answer, notRunRefusal(fault.StepDispatch, statusUnavailable, reason))
 	return true
@@ -163,7 +163,7 @@
 // request that was preempted would have been answered.
 func outcomeOfCancelled(cause error) quarantine.Outcome {
 	if errors.Is(cause, errPreempted) {
-		return quarantine.NotRun
+		return quarantine.NoEvidence
 	}
 	return quarantine.Unanswered
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,7 +23,7 @@
 	targetResponse, err := r.Pool.Send(ctx, r.targetRequest(grant.Target, r.request.LastEventID, grant.ExpectedTimeToFirst))
 	took := r.Clock.Since(startedAt)
 	if err != nil {
-		r.endBroken(ctx, tracked, grant.Target, err)
+		endBroken(ctx, tracked, err)
 		return r.handleSendError(ctx, grant, err, took)
 	}
 	r.attempts++
@@ -31,7 +31,7 @@
 	tracked.Heard(targetResponse.ConnOpenedAt())
 	metadata := r.Protocol.ParseResponse(targetResponse.Header)
 	if metadata.NotExecuted || targetResponse.Status == http.StatusMisdirectedRequest {
-		tracked.End(quarantine.NotRun)
+		tracked.End(quarantine.NoEvidence)
 		return r.handleNotExecuted(grant, targetResponse, took)
 	}
 	r.mayHaveRun = true
@@ -48,14 +48,11 @@
 }
 
 // endBroken records the end of an attempt without a complete response.
-func (r *inflightRequest) endBroken(ctx context.Context, tracked *quarantine.Attempt, target *catalog.Target, err error) {
+func endBroken(ctx context.Context, tracked *quarantine.Attempt, err error) {
 	var netErr net.Error
 	switch {
 	case dispatch.IsNotSent(err):
-		tracked.End(quarantine.NotRun)
-		if dispatch.IsRefused(err) {
-			r.Quarantine.RecordEnded(target.Key().String())
-		}
+		tracked.End(quarantine.NoEvidence)
 	case ctx.Err() != nil, errors.As(err, &netErr) && netErr.Timeout():
 		tracked.End(quarantine.Unanswered)
 	default:
@@ -63,6 +60,17 @@
 	}
 }
 
+// endComplete records the end of an attempt whose response was read to its end. A
+// response that is not the target's own, or that ends with its connection as it
+// would if the target had crashed, shows nothing.
+func endComplete(tracked *quarantine.Attempt, response *dispatch.PooledResponse, trusted bool) {
+	if trusted && response.IsFramed() {
+		tracked.End(quarantine.Completed)
+	} else {
+		tracked.End(quarantine.NoEvidence)
+	}
+}
+
 // targetRequest builds the request to a target.
 func (r *inflightRequest) targetRequest(target *catalog.Target, lastEventID string, expectedTimeToFirst time.Duration) *dispatch.PooledRequest {
 	metadata := DispatchMetadata{
@@ -180,9 +188,9 @@
 	took := r.Clock.Since(startedAt)
 	response.Close()
 	if err != nil {
-		r.endBroken(ctx, tracked, grant.Target, err)
+		endBroken(ctx, tracked, err)
 	} else {
-		tracked.End(quarantine.Completed)
+		endComplete(tracked, response, !untrusted(response, metadata))
 	}
 	switch {
 	case ctx.Err() != nil:
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
@@ -60,3 +62,41 @@
 		assert.Equal(t, response.Status, want)
 	}
 }
+
+// respondWith returns a response that a target sends and ends with its
+// connection.
+func respondWith(t *testing.T, header string) *dispatch.PooledResponse {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1024))
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n" + header + "\r\nbody"))
+		_ = conn.Close()
+	}()
+	response, err := dispatch.NewPool(clockwork.NewRealClock()).Send(context.Background(), &dispatch.PooledRequest{
+		Address: l.Addr().String(), Method: http.MethodGet, URI: "/x", MatchesRequest: func(http.Header) bool { return true },
+	})
+	assert.NilError(t, err)
+	t.Cleanup(response.Close)
+	return response
+}
+
+// The connection of a target that crashes may be closed in order. A response that
+// ends with it looks complete, and would excuse the request.
+func TestResponseThatEndsWithItsConnectionIsNoCompletion(t *testing.T) {
+	for header, completes := range map[string]bool{"Content-Length: 4\r\n": true, "": false} {
+		clock := clockwork.NewFakeClock()
+		registry := quarantine.New(quarantine.Options{Clock: clock, CountsUnresolved: true})
+		request := quarantine.NewFingerprint("", "/x", nil)
+		endComplete(registry.Start(request, "four", 0), respondWith(t, header), true)
+		for _, target := range []string{"one", "two", "three"} {
+			registry.Start(request, target, 0).End(quarantine.Broken)
+		}
+		assert.Equal(t, registry.ShouldRefuse(request), !completes, "%q", header)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,7 +62,7 @@
 	}
 	took := r.Clock.Since(startedAt)
 	response.Close()
-	r.endBroken(ctx, tracked, grant.Target, err)
+	endBroken(ctx, tracked, err)
 	if ctx.Err() != nil {
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		return r.contextDone(ctx, "no event came before the deadline"), false
@@ -106,7 +106,7 @@
 		s.err = s.ctx.Err()
 		return s.err
 	}
-	s.inflight.endBroken(s.ctx, s.tracked, s.grant.Target, err)
+	endBroken(s.ctx, s.tracked, err)
 	if resumed := s.resume(err); resumed {
 		return nil
 	}
@@ -206,7 +206,7 @@
 		r.Counters.SentToTargets.Add(1)
 	}
 	if err != nil {
-		r.endBroken(s.ctx, s.tracked, grant.Target, err)
+		endBroken(s.ctx, s.tracked, err)
 		r.log.addStep("resume failed", grant.Target.ID, r.Clock.Since(s.startedAt))
 		grant.Done(schedule.Outcome{Result: schedule.Failed})
 		return false
@@ -214,7 +214,7 @@
 	s.response = response
 	metadata := r.Protocol.ParseResponse(response.Header)
 	if response.Status != http.StatusOK || !metadata.Signed || metadata.NotExecuted {
-		s.tracked.End(quarantine.NotRun)
+		s.tracked.End(quarantine.NoEvidence)
 		r.log.addStep("resume refused", grant.Target.ID, r.Clock.Since(s.startedAt))
 		s.endAttempt(schedule.Full)
 		return false
@@ -227,7 +227,7 @@
 // complete records the regular end of the stream.
 func (s *stream) complete() {
 	s.completed = true
-	s.tracked.End(quarantine.Completed)
+	endComplete(s.tracked, s.response, true)
 	s.endAttempt(schedule.Complete)
 	s.inflight.Counters.Answered.Add(1)
 	s.inflight.recordOutcome(s.grant.Target, false, s.lastEventAt.Sub(s.startedAt))
--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -13,9 +13,9 @@
 	// Completed means that the target's response was complete, whatever its
 	// status.
 	Completed Outcome = iota
-	// NotRun means that the request was not sent, or that the target stated that
-	// it has not run it.
-	NotRun
+	// NoEvidence means that the target has not run the request, or that its
+	// response does not tell whether it is complete.
+	NoEvidence
 	// Broken means that the target broke the connection or its response was
 	// unusable.
 	Broken
@@ -53,8 +53,8 @@
 	startedAt time.Time
 	// patience is the time without a response after which the attempt is silent.
 	patience time.Duration
-	// heardAt is the time of the last part of the response in Unix nanoseconds; 0
-	// if there was none.
+	// heardAt is the time of the last part of the response; see Registry.instant. It
+	// is 0 if there was none.
 	heardAt atomic.Int64
 	ended   atomic.Bool
 	// markID is the ID of the mark made while the attempt was silent; 0 if there
@@ -77,17 +77,21 @@
 // at the given time.
 func (a *Attempt) Heard(openedAt time.Time) {
 	now := a.registry.options.Clock.Now()
-	a.heardAt.Store(now.UnixNano())
-	a.runs.heardAt.Store(now.UnixNano())
+	a.heardAt.Store(a.registry.instant(now))
+	a.runs.heardAt.Store(a.registry.instant(now))
 	if a.registry.unresolvedCount.Load() > 0 {
 		a.registry.resolveHeard(a, openedAt, now)
 	}
 }
 
+// instant returns a time in nanoseconds since before the registry was made. It
+// follows the monotonic clock, and is positive for times of the registry's life.
+func (r *Registry) instant(t time.Time) int64 { return int64(t.Sub(r.origin)) }
+
 // heardWithin reports whether a part of the response has arrived within a time
 // before now.
 func (a *Attempt) heardWithin(span time.Duration, now time.Time) bool {
-	return a.heardAt.Load() > now.Add(-span).UnixNano()
+	return a.heardAt.Load() > a.registry.instant(now.Add(-span))
 }
 
 // isSilent reports whether the attempt has waited so long that it should have
@@ -116,7 +120,7 @@
 		if !a.heardWithin(heardRecently, now) {
 			r.markAttempt(a, now, true)
 		}
-	case NotRun:
+	case NoEvidence:
 		r.withdrawMark(a)
 	}
 }
@@ -134,7 +138,7 @@
 // any more. Call it several times within silenceTime.
 func (r *Registry) MarkSilent() {
 	now := r.options.Clock.Now()
-	for _, a := range r.running.silent(now) {
+	for _, a := range r.silentAttempts(now) {
 		if a.markID.Load() == 0 {
 			r.markAttempt(a, now, true)
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -101,6 +101,8 @@
 // Registry holds the suspects and quarantined requests known to one instance.
 type Registry struct {
 	options Options
+	// origin is the origin of instants.
+	origin time.Time
 	// Counters may be read at any time.
 	Counters Counters
 	// suspectCount is the size of suspects; while it is 0, requests take no lock.
@@ -166,7 +168,7 @@
 		options.IsLeaving = func(string) bool { return false }
 	}
 	r := &Registry{
-		options: options, suspects: make(map[Fingerprint]*suspect),
+		options: options, origin: options.Clock.Now().Add(-time.Second), suspects: make(map[Fingerprint]*suspect),
 		unresolved: make(map[string]map[*mark]*suspect), digests: make(map[bool]timedDigest),
 	}
 	if options.Rumors != nil {
--- a/internal/quarantine/run_table.go
+++ b/internal/quarantine/run_table.go
@@ -27,8 +27,8 @@
 // targetRuns are the attempts in flight at one target.
 type targetRuns struct {
 	attempts map[*Attempt]struct{}
-	// heardAt is when anything last arrived from the target, in Unix nanoseconds;
-	// 0 if nothing has since there were no attempts.
+	// heardAt is the instant at which anything last arrived from the target; 0 if
+	// nothing has since there were no attempts.
 	heardAt atomic.Int64
 }
 
@@ -93,15 +93,16 @@
 	return fingerprints
 }
 
-// silent returns the silent attempts at targets from which nothing has arrived
+// silentAttempts returns the silent attempts at targets from which nothing has arrived
 // for silenceTime.
-func (r *runTable) silent(now time.Time) []*Attempt {
+func (r *Registry) silentAttempts(now time.Time) []*Attempt {
 	var silent []*Attempt
-	for i := range r.shards {
-		shard := &r.shards[i]
+	since := r.instant(now.Add(-silenceTime))
+	for i := range r.running.shards {
+		shard := &r.running.shards[i]
 		shard.mu.Lock()
 		for _, runs := range shard.byTarget {
-			if runs.heardAt.Load() > now.Add(-silenceTime).UnixNano() {
+			if runs.heardAt.Load() > since {
 				continue
 			}
 			for a := range runs.attempts {
