--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -18,6 +18,9 @@
 	// before the store removes it, expiryDelay the time until a read shows that.
 	renewalsUntilExpiry = 3
 	expiryDelay         = 2 * time.Second
+	// maxRenewalDelay is the time by which a renewal may take effect late, that is,
+	// after its target has ended.
+	maxRenewalDelay = 6 * time.Second
 	// defaultRenewalInterval applies if the settings give none.
 	defaultRenewalInterval = 2 * time.Second
 )
@@ -46,8 +49,8 @@
 func (n *Node) isLeaving(target string) bool {
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
-	t := n.targets.byName[target]
-	return t != nil && t.Draining
+	t, ok := n.targets.byName[target]
+	return ok && t.Draining
 }
 
 // targetLiveness tells whether an incarnation of a target has renewed its entry
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -25,7 +25,7 @@
 type targetList struct {
 	present map[catalog.TargetKey]*catalog.Target
 	// byName holds the same targets by the names of their keys.
-	byName   map[string]*catalog.Target
+	byName   map[string]listedTarget
 	position uint64
 	readAt   time.Time
 	// readSince is the time since which reads have succeeded regularly.
@@ -35,6 +35,12 @@
 	graceUntil time.Time
 }
 
+// listedTarget is a target with the time since which it has been listed.
+type listedTarget struct {
+	*catalog.Target
+	since time.Time
+}
+
 // apply applies a read at a position and reports whether the targets have
 // changed. A read at a lower position than the last one is ignored.
 func (l *targetList) apply(listed []*catalog.Target, position uint64, now time.Time) bool {
@@ -64,27 +70,36 @@
 	}
 	changed := !equalTargets(l.present, next)
 	l.present = next
-	l.byName = make(map[string]*catalog.Target, len(next))
-	for key, target := range next {
-		l.byName[key.String()] = target
-	}
+	l.indexByName(now)
 	return changed
 }
 
+func (l *targetList) indexByName(now time.Time) {
+	previous := l.byName
+	l.byName = make(map[string]listedTarget, len(l.present))
+	for key, target := range l.present {
+		listed := listedTarget{target, now}
+		if before, ok := previous[key.String()]; ok {
+			listed.since = before.since
+		}
+		l.byName[key.String()] = listed
+	}
+}
+
 // liveness tells whether a target has renewed its entry after a time, from reads
-// that go on until the entry would have expired otherwise. An entry that does not
-// state the start of its incarnation may be of a later one.
+// that go on until the entry would have expired otherwise. An entry that comes
+// back is due to a late renewal, and one that does not state the start of its
+// incarnation may be of a later one.
 func (l *targetList) liveness(target string, after time.Time, expiry time.Duration) quarantine.Liveness {
-	if l.readSince.After(after) {
-		after = l.readSince
-	}
-	if l.readAt.Before(after.Add(expiry)) || l.readAt.Before(l.graceUntil) {
+	readFor := l.readAt.Sub(latest(after, l.readSince))
+	if readFor < expiry || l.readAt.Before(l.graceUntil) {
 		return quarantine.Undecided
 	}
-	switch t := l.byName[target]; {
-	case t == nil:
+	listed, ok := l.byName[target]
+	switch {
+	case !ok || listed.since.After(after) && listed.since.After(l.readSince):
 		return quarantine.Ended
-	case t.Born == 0:
+	case listed.Born == 0 || readFor < expiry+maxRenewalDelay:
 		return quarantine.Undecided
 	}
 	return quarantine.Survived
@@ -94,6 +109,9 @@
 // it, returned the same targets.
 func (l *targetList) confirm(readAt time.Time, position uint64) {
 	if readAt.After(l.readAt) {
+		if readAt.Sub(l.readAt) > outageThreshold {
+			l.readSince = readAt
+		}
 		l.readAt = readAt
 		l.position = max(l.position, position)
 	}
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 )
 
 func newTargets(ids ...string) []*catalog.Target {
@@ -194,3 +195,66 @@
 	const maxDelay = 300 * time.Millisecond
 	assert.Assert(t, targetReadInterval+maxRank*targetReadStagger+maxDelay < outageThreshold)
 }
+
+// readRegularly applies the same list until a time.
+func readRegularly(l *targetList, listed []*catalog.Target, from, until time.Time) {
+	for at := from; !at.After(until); at = at.Add(targetReadInterval) {
+		l.apply(listed, l.position+1, at)
+	}
+}
+
+func TestListTellsWhetherATargetSurvived(t *testing.T) {
+	const expiry = 5 * time.Second
+	start := time.Unix(1000, 0)
+	after := start.Add(10 * time.Second)
+	born := newTargets("a", "b")
+	born[0].Born = 77
+	for name, tc := range map[string]struct {
+		// listed is read from after on for a time.
+		listed []*catalog.Target
+		span   time.Duration
+		want   quarantine.Liveness
+	}{
+		"entry missing, too early":              {nil, expiry - time.Second, quarantine.Undecided},
+		"entry missing":                         {nil, expiry + time.Second, quarantine.Ended},
+		"entry present, a renewal may be late":  {born, expiry + time.Second, quarantine.Undecided},
+		"entry present":                         {born, expiry + maxRenewalDelay + time.Second, quarantine.Survived},
+		"another incarnation under the same ID": {newTargets("a"), expiry + maxRenewalDelay + time.Second, quarantine.Ended},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l targetList
+			readRegularly(&l, born, start, after)
+			readRegularly(&l, tc.listed, after, after.Add(tc.span))
+			assert.Equal(t, l.liveness("a@77", after, expiry), tc.want)
+			assert.Assert(t, l.liveness("b", after, expiry) != quarantine.Survived, "its incarnation is not known")
+		})
+	}
+}
+
+// A renewal that takes effect late lists a target that has ended.
+func TestEntryThatComesBackIsNoSurvival(t *testing.T) {
+	const expiry = 5 * time.Second
+	after := time.Unix(1000, 0)
+	born := newTargets("a")
+	born[0].Born = 77
+	var l targetList
+	readRegularly(&l, born, after.Add(-time.Second), after.Add(4*time.Second))
+	readRegularly(&l, nil, after.Add(4*time.Second), after.Add(5*time.Second))
+	readRegularly(&l, born, after.Add(5*time.Second), after.Add(expiry+maxRenewalDelay+time.Second))
+	assert.Equal(t, l.liveness("a@77", after, expiry), quarantine.Ended)
+}
+
+// Entries are not renewed during an outage of the store.
+func TestOutageTellsNothingOfTargets(t *testing.T) {
+	const expiry = 5 * time.Second
+	after := time.Unix(1000, 0)
+	born := newTargets("a")
+	born[0].Born = 77
+	var l targetList
+	readRegularly(&l, born, after.Add(-time.Second), after)
+	back := after.Add(20 * time.Second)
+	readRegularly(&l, born, back, back.Add(expiry-time.Second))
+	assert.Equal(t, l.liveness("a@77", after, expiry), quarantine.Undecided)
+	readRegularly(&l, born, back.Add(expiry), back.Add(expiry+maxRenewalDelay+time.Second))
+	assert.Equal(t, l.liveness("a@77", after, expiry), quarantine.Survived)
+}
