Take a target that resets a connection and answers at once for alive

Nothing on an older connection could show that such a target lives.

Change: a response on a connection that is newer than the attempt shows it too, within 150 ms, since no target is back from a crash so soon.

--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -41,6 +41,10 @@
 	// to show that its target survived. It covers the inaccuracy of times that
 	// were received from other instances.
 	connectionMargin = 500 * time.Millisecond
+	// minRestartTime is the time within which no target is back after a crash. One
+	// that is heard that soon on a new connection has merely reset an earlier one,
+	// for example because it has too many.
+	minRestartTime = 150 * time.Millisecond
 )
 
 // Attempt is a request in flight at a target. Its methods may be called from
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -273,9 +273,18 @@
 	at      time.Time
 }
 
-// resolveHeard records that a target has survived the attempts that began after
-// the connection on which an attempt was heard was opened, and ended well before
-// it was heard.
+// isRefutedBy reports whether the target has survived if something arrives from it
+// now, on a connection that was opened at the given time.
+func (m *mark) isRefutedBy(openedAt, now time.Time) bool {
+	age := now.Sub(m.at)
+	if openedAt.After(m.at) {
+		return age <= minRestartTime
+	}
+	return openedAt.Add(connectionMargin).Before(m.startedAt) && age >= survivalMargin
+}
+
+// resolveHeard records what the arrival of a part of a response on a connection
+// says about the marks for its target.
 func (r *Registry) resolveHeard(a *Attempt, openedAt, now time.Time) {
 	r.mu.RLock()
 	concerned := len(r.unresolved[a.target]) > 0
@@ -290,7 +299,7 @@
 		if own {
 			a.markID.Store(0)
 		}
-		if own || openedAt.Add(connectionMargin).Before(m.startedAt) && now.Sub(m.at) >= survivalMargin {
+		if own || m.isRefutedBy(openedAt, now) {
 			r.setSurvived(s, m, now)
 			r.logResolution(s, m, "target survived an attempt")
 		}
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -159,6 +159,20 @@
 	assert.Assert(t, r.ShouldRefuse(crashing))
 }
 
+// A target with too many connections resets new ones and goes on responding.
+func TestResetByABusyTargetIsNoCrash(t *testing.T) {
+	f := newFleet(1)
+	r := f.registries[0]
+	for _, target := range []string{"one", "two", "three"} {
+		f.fail(r, crashing, target, Broken)
+		f.clock.Advance(minRestartTime / 2)
+		f.openedAt = f.clock.Now()
+		f.clock.Advance(minRestartTime / 2)
+		f.serve(r, target)
+	}
+	assert.Assert(t, !r.ShouldRefuse(crashing))
+}
+
 // What was sent before a crash may be read after it.
 func TestResponsesRightAfterACrashAreNoSurvival(t *testing.T) {
 	f := newFleet(1)
