Take a target for alive only if it answers soon after the attempt began

The connections of a target that has fallen silent may break only when it is back, and it answers at once then.

Change: the time counts from the start of the attempt.

--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -42,8 +42,8 @@
 	// were received from other instances.
 	connectionMargin = 500 * time.Millisecond
 	// minRestartTime is the time within which no target is back after a crash. One
-	// that is heard that soon on a new connection has merely reset an earlier one,
-	// for example because it has too many.
+	// that is heard that soon after the start of an attempt has merely reset its
+	// connection, for example because it has too many.
 	minRestartTime = 150 * time.Millisecond
 )
 
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -276,11 +276,10 @@
 // isRefutedBy reports whether the target has survived if something arrives from it
 // now, on a connection that was opened at the given time.
 func (m *mark) isRefutedBy(openedAt, now time.Time) bool {
-	age := now.Sub(m.at)
 	if openedAt.After(m.at) {
-		return age <= minRestartTime
+		return now.Sub(m.startedAt) <= minRestartTime
 	}
-	return openedAt.Add(connectionMargin).Before(m.startedAt) && age >= survivalMargin
+	return openedAt.Add(connectionMargin).Before(m.startedAt) && now.Sub(m.at) >= survivalMargin
 }
 
 // resolveHeard records what the arrival of a part of a response on a connection
