Hold a silent target against the request in the product's own path

Callers of the product's own interface: a request under which a target fell silent was sent on.

An attempt that ended with its deadline or its caller was not noted, and a target that refused connections afterwards was not taken to have ended.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -34,6 +34,7 @@
 	*Executor
 	readyErr     error
 	serviceCalls atomic.Int64
+	backend      *httptest.Server
 }
 
 // newTestExecutor routes "/once" (non-idempotent) and all other paths to one
@@ -46,6 +47,7 @@
 		service(w, r)
 	}))
 	t.Cleanup(backend.Close)
+	e.backend = backend
 	config := &tables.Tables{
 		Version: 1,
 		Routes: []tables.Route{
@@ -221,3 +223,28 @@
 		}
 	})
 }
+
+// A target that a request crashes may accept connections and not respond until it
+// is restarted. The attempt ended with its deadline then, and was not held against
+// the request.
+func TestRequestUnderWhichATargetFellSilentIsSuspect(t *testing.T) {
+	hung := make(chan struct{})
+	e := newTestExecutor(t, 300*time.Millisecond, func(_ http.ResponseWriter, r *http.Request) {
+		close(hung)
+		<-r.Context().Done()
+	})
+	crashing := newCall("/x", "")
+	fingerprint := func(c *Call) quarantine.Fingerprint {
+		return quarantine.NewFingerprint(c.Account, c.Method+" "+c.Path, c.Body)
+	}
+	refusal := executeRefused(t, e, crashing)
+	<-hung
+	assert.Equal(t, refusal.Status, http.StatusGatewayTimeout)
+	assert.Assert(t, !e.Quarantine.IsSuspect(fingerprint(crashing)), "the target may be alive")
+	e.backend.CloseClientConnections()
+	e.backend.Close()
+	other := newCall("/y", "")
+	executeRefused(t, e, other)
+	assert.Assert(t, e.Quarantine.IsSuspect(fingerprint(crashing)))
+	assert.Assert(t, !e.Quarantine.IsSuspect(fingerprint(other)))
+}
