Pass single marks on only where they are needed, and to new instances

Cause: an instance that starts was told only of requests that are refused already, so that marks of requests with one or two were lost with the instances that made them. Marks of a target that had been silent for 1.5 s waited 0.6 s more before they were shared. And each instance passed on each mark to all others, though most requests with a mark are innocent and are never seen again: at 380 instances that would be most of the traffic.

Change: a mark is shared by the instance that made it; others pass it on only if the request has several. An instance that has just started is sent all marks. A long silence is shared at once, and a mark for 1 s instead of 2. Silent attempts at one target are one crash for 5 s instead of 10.

Evidence: TestNewInstanceLearnsOfSingleMarks, TestSingleMarksAreNotPassedOn.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
 )
 
@@ -22,9 +23,9 @@
 	// knownAddressesEvery is the number of rounds per message that includes known
 	// addresses.
 	knownAddressesEvery = 10
-	// completeDigestEvery is the number of rounds per message that repeats which
-	// requests are refused because they crash targets.
-	completeDigestEvery = 10
+	// repeatedDigestEvery is the number of rounds per message that repeats what is
+	// known of requests that may have crashed several targets.
+	repeatedDigestEvery = 10
 	// maxKnownAddresses bounds the addresses in one message, so that it fits in
 	// one datagram.
 	maxKnownAddresses = 8
@@ -63,7 +64,7 @@
 		}
 		round /= aggregatedReportEvery
 	}
-	n.sendQuarantine(t.recipients, round)
+	n.sendQuarantine(t.recipients, quarantineScope(round))
 	m := n.newMessage(round)
 	m.WantsAggregate = t.aggregated && !t.isAggregator
 	usages := n.quota.OwnUsage()
@@ -81,16 +82,25 @@
 // not gossip with all of them.
 func (n *Node) sendAggregate(address string) {
 	round := n.peers.countAggregate(address)
-	n.sendQuarantine([]string{address}, round)
+	n.sendQuarantine([]string{address}, quarantineScope(round))
 	m := n.newMessage(round)
 	m.IsAggregate = true
 	n.sendUsages([]string{address}, m, n.quota.AggregateUsage(address))
 }
 
+// quarantineScope returns what is sent in a round about requests that may have
+// crashed targets.
+func quarantineScope(round int) quarantine.Scope {
+	if round%repeatedDigestEvery == 0 {
+		return quarantine.Repeated
+	}
+	return quarantine.Changes
+}
+
 // sendQuarantine sends what is known of requests that may have crashed targets,
-// if anything is new.
-func (n *Node) sendQuarantine(recipients []string, round int) {
-	digest := n.quarantine.Digest(round%completeDigestEvery == 0)
+// if there is anything within the scope.
+func (n *Node) sendQuarantine(recipients []string, scope quarantine.Scope) {
+	digest := n.quarantine.Digest(scope)
 	if !digest.IsEmpty() {
 		n.send(recipients, &message{Incarnation: n.incarnation, Quarantine: &digest})
 	}
@@ -145,7 +155,7 @@
 		if n.peers.recordMessage(from, &m) {
 			n.logger.Info("instance heard", zap.String("peer", m.Name), zap.String("address", from),
 				zap.Int64("incarnation", m.Incarnation))
-			n.sendQuarantine([]string{from}, 0)
+			n.sendQuarantine([]string{from}, quarantine.Everything)
 		}
 		if m.ConfigVersion > n.configuration.Version() {
 			select {
--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -14,7 +14,7 @@
 	crashSpan = time.Second
 	// silenceSpan is crashSpan for attempts that got no response. One that starts
 	// while the target is silent is not the cause of the silence.
-	silenceSpan = 10 * time.Second
+	silenceSpan = 5 * time.Second
 )
 
 // decide reports whether to refuse a request, and whether this newly
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/hex"
+	"math"
 	"slices"
 	"time"
 
@@ -12,11 +13,11 @@
 const (
 	// shareTime is how long after a change a fact is part of each digest,
 	// learnedShareTime the same for a fact received from another instance.
-	shareTime        = 2 * time.Second
+	shareTime        = time.Second
 	learnedShareTime = 500 * time.Millisecond
 	// shareDelay is how long a mark is kept back, since most targets show within
 	// that time that they have survived. It is waived for a request that is about
-	// to be refused.
+	// to be refused, and for a target that has been silent for long.
 	shareDelay = survivalMargin + 100*time.Millisecond
 	// digestReuseTime is how long a digest is used again, for several recipients.
 	digestReuseTime = 50 * time.Millisecond
@@ -87,10 +88,37 @@
 	crashes int
 }
 
-// Digest returns the facts that have changed lately and, if complete is set, also
-// those about requests that are refused, as far as there is room. An instance that
-// has just started, or could not be reached, learns of the latter by it.
-func (r *Registry) Digest(complete bool) Digest {
+// Scope selects the facts of a digest.
+type Scope int
+
+const (
+	// Changes are the facts that have changed lately. A mark is passed on by others
+	// than the instance that made it only if there are others for the request: most
+	// suspects are innocent and are not seen again.
+	Changes Scope = iota
+	// Repeated are also the older facts about requests with several marks, for
+	// instances that could not be reached.
+	Repeated
+	// Everything is for an instance that has just started.
+	Everything
+)
+
+// minMarks returns the number of marks with which a request is within the scope
+// even if nothing has changed.
+func (s Scope) minMarks() int {
+	switch s {
+	case Everything:
+		return 1
+	case Repeated:
+		return minCrashes - 1
+	case Changes:
+	}
+	return math.MaxInt
+}
+
+// Digest returns the facts of a scope, as far as there is room; those about
+// requests that are refused go first.
+func (r *Registry) Digest(scope Scope) Digest {
 	var d Digest
 	if r.suspectCount.Load() == 0 {
 		return d
@@ -98,26 +126,26 @@
 	now := r.options.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !complete && now.Sub(r.changedAt) > shareTime {
+	if scope == Changes && now.Sub(r.changedAt) > shareTime {
 		return d
 	}
-	if last := r.digests[complete]; now.Sub(last.at) < digestReuseTime {
+	if last := r.digests[scope]; now.Sub(last.at) < digestReuseTime {
 		return last.digest
 	}
-	d = r.makeDigest(complete, now)
-	r.digests[complete] = timedDigest{d, now}
+	d = r.makeDigest(scope, now)
+	r.digests[scope] = timedDigest{d, now}
 	return d
 }
 
 // makeDigest makes a new digest; r.mu must be held.
-func (r *Registry) makeDigest(complete bool, now time.Time) Digest {
+func (r *Registry) makeDigest(scope Scope, now time.Time) Digest {
 	var d Digest
 	var marks []sharedMark
 	for _, s := range r.suspects {
 		if len(d.Completions) < MaxDigestCompletions && now.Sub(s.clearanceChangedAt) <= shareTime {
 			d.Completions = append(d.Completions, CompletionReport{Request: s.request.bytes(), AgoMs: ageMillis(now, s.clearedAt)})
 		}
-		marks = r.appendShared(marks, s, complete, now)
+		marks = r.appendShared(marks, s, scope, now)
 	}
 	slices.SortFunc(marks, func(a, b sharedMark) int {
 		return cmp.Or(cmp.Compare(min(b.crashes, minCrashes), min(a.crashes, minCrashes)), a.mark.sharedAt.Compare(b.mark.sharedAt))
@@ -131,15 +159,16 @@
 
 // appendShared appends the marks of a suspect that are to be shared; r.mu must be
 // held.
-func (r *Registry) appendShared(marks []sharedMark, s *suspect, complete bool, now time.Time) []sharedMark {
+func (r *Registry) appendShared(marks []sharedMark, s *suspect, scope Scope, now time.Time) []sharedMark {
 	if len(s.marks) == 0 {
 		return marks
 	}
 	crashes := r.crashes(s)
-	refused := crashes >= minCrashes
+	passedOn := len(s.marks) >= minCrashes-1
 	for _, m := range s.marks {
-		fresh := now.Sub(m.changedAt) <= shareTime && (m.isShared() || m.ended || crashes >= minCrashes-1 || now.Sub(m.at) >= shareDelay)
-		if fresh || complete && refused && !m.survived {
+		fresh := now.Sub(m.changedAt) <= shareTime && (m.madeHere || passedOn) &&
+			(m.isShared() || m.ended || m.isLongSilence() || crashes >= minCrashes-1 || now.Sub(m.at) >= shareDelay)
+		if fresh || len(s.marks) >= scope.minMarks() {
 			marks = append(marks, sharedMark{s, m, crashes})
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -124,8 +124,8 @@
 	// changedAt is the time of the last change that is to be shared, sweptAt that of
 	// the last sweep.
 	changedAt, sweptAt time.Time
-	// digests holds the last digests made, by whether they are complete.
-	digests map[bool]timedDigest
+	// digests holds the last digest made of each scope.
+	digests map[Scope]timedDigest
 }
 
 // Counters count what a Registry has learned and decided.
@@ -169,7 +169,7 @@
 	}
 	r := &Registry{
 		options: options, origin: options.Clock.Now().Add(-time.Second), suspects: make(map[Fingerprint]*suspect),
-		unresolved: make(map[string]map[*mark]*suspect), digests: make(map[bool]timedDigest),
+		unresolved: make(map[string]map[*mark]*suspect), digests: make(map[Scope]timedDigest),
 	}
 	if options.Rumors != nil {
 		options.Rumors.Subscribe(membership.RumorQuarantine, r.applyRumor)
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -40,6 +40,8 @@
 	// survived and ended are set once the target is known to have survived the
 	// attempt or to have ended. The latter goes first.
 	survived, ended bool
+	// madeHere is set if the mark is for an attempt of this instance.
+	madeHere bool
 	// changedAt is the time of the last change, sharedAt that of the last digest
 	// with the mark; zero if there was none.
 	changedAt, sharedAt time.Time
@@ -61,6 +63,9 @@
 	return m.target == other.target && !later.startedAt.After(earlier.at.Add(span))
 }
 
+// isLongSilence reports whether the attempt got no response for silenceTime.
+func (m *mark) isLongSilence() bool { return m.silent && m.at.Sub(m.startedAt) >= silenceTime }
+
 // resolved reports whether it is known what became of the target.
 func (m *mark) resolved() bool { return m.survived || m.ended }
 
@@ -76,7 +81,7 @@
 	s := r.suspectFor(a.request)
 	m := s.find(a.markID.Load())
 	if m == nil {
-		m = &mark{id: max(1, rand.Uint32()), target: a.target, startedAt: a.startedAt, at: now, silent: silent}
+		m = &mark{id: max(1, rand.Uint32()), target: a.target, startedAt: a.startedAt, at: now, silent: silent, madeHere: true}
 		if s.isInnocent(now) || s.findEquivalent(m) != nil {
 			r.mu.Unlock()
 			return
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -29,12 +29,12 @@
 
 // exchange advances the clock in the interval of digests and delivers those of
 // each registry to the others.
-func (f *fleet) exchange(span time.Duration, complete bool) {
+func (f *fleet) exchange(span time.Duration, scope Scope) {
 	const interval = 100 * time.Millisecond
 	for range span / interval {
 		f.clock.Advance(interval)
 		for i, sender := range f.registries {
-			d := sender.Digest(complete)
+			d := sender.Digest(scope)
 			for j, receiver := range f.registries {
 				if i != j {
 					receiver.Merge(fmt.Sprint(i), d)
@@ -75,10 +75,10 @@
 		f := newFleet(3)
 		f.fail(f.registries[0], crashing, "one", outcome)
 		f.fail(f.registries[0], crashing, "two", outcome)
-		f.exchange(time.Second, false)
+		f.exchange(time.Second, Changes)
 		assert.Equal(t, f.refusing(crashing), 0)
 		f.fail(f.registries[1], crashing, "three", outcome)
-		f.exchange(time.Second, false)
+		f.exchange(time.Second, Changes)
 		assert.Equal(t, f.refusing(crashing), 3)
 		assert.Equal(t, f.refusing(NewFingerprint("a", "/p", []byte("other"))), 0)
 		f.clock.Advance(DefaultRetention + time.Second)
@@ -98,7 +98,7 @@
 	f.clock.Advance(silenceTime)
 	f.registries[0].MarkSilent()
 	f.registries[0].MarkSilent()
-	f.exchange(time.Second, false)
+	f.exchange(time.Second, Changes)
 	assert.Equal(t, f.refusing(crashing), 2)
 }
 
@@ -133,15 +133,15 @@
 	for _, target := range targets {
 		f.fail(f.registries[0], crashing, target, Broken)
 	}
-	f.exchange(survivalMargin, false)
+	f.exchange(survivalMargin, Changes)
 	for _, target := range targets {
 		f.serve(f.registries[1], target)
 	}
-	f.exchange(500*time.Millisecond, false)
+	f.exchange(500*time.Millisecond, Changes)
 	for _, target := range targets {
 		f.serve(f.registries[1], target)
 	}
-	f.exchange(500*time.Millisecond, false)
+	f.exchange(500*time.Millisecond, Changes)
 	assert.Equal(t, f.refusing(crashing), 0)
 }
 
@@ -233,7 +233,7 @@
 	for range minCrashes {
 		f.fail(f.registries[0], crashing, "one", Broken)
 		f.fail(f.registries[1], crashing, "one", Broken)
-		f.exchange(crashSpan, false)
+		f.exchange(crashSpan, Changes)
 	}
 	assert.Equal(t, f.refusing(crashing), 2)
 }
@@ -248,7 +248,7 @@
 			b.End(Unanswered)
 		}
 	}
-	f.exchange(time.Second, false)
+	f.exchange(time.Second, Changes)
 	assert.Equal(t, f.refusing(crashing), 0)
 }
 
@@ -259,10 +259,10 @@
 		f.fail(r, crashing, target, Broken)
 	}
 	a := f.registries[2].Start(crashing, "four", 0)
-	f.exchange(time.Second, false)
+	f.exchange(time.Second, Changes)
 	assert.Equal(t, f.refusing(crashing), 3)
 	a.End(Completed)
-	f.exchange(time.Second, false)
+	f.exchange(time.Second, Changes)
 	assert.Equal(t, f.refusing(crashing), 0)
 }
 
@@ -282,7 +282,7 @@
 			}
 		}
 		for range 10 {
-			f.exchange(100*time.Millisecond, false)
+			f.exchange(100*time.Millisecond, Changes)
 			assert.Equal(t, f.refusing(crashing), 0)
 		}
 	}
@@ -295,7 +295,7 @@
 	for _, target := range []string{"one", "two", "three"} {
 		f.fail(f.registries[0], crashing, target, Broken)
 	}
-	f.exchange(time.Second, false)
+	f.exchange(time.Second, Changes)
 	assert.Equal(t, f.refusing(crashing), 0)
 }
 
@@ -320,14 +320,48 @@
 			f.fail(f.registries[0], NewFingerprint("a", fmt.Sprint(i), nil), fmt.Sprint(target, i), Broken)
 		}
 	}
-	f.exchange(10*time.Second, false)
+	f.exchange(10*time.Second, Changes)
 	f.registries = append(f.registries, New(Options{Clock: f.clock, CountsUnresolved: true}))
-	f.exchange(time.Second, true)
+	f.exchange(time.Second, Repeated)
 	for i := range requests {
 		assert.Equal(t, f.refusing(NewFingerprint("a", fmt.Sprint(i), nil)), 3, "%d", i)
 	}
 }
 
+// Instances that are replaced one after another must not lose what was known of a
+// request that has not been refused yet.
+func TestNewInstanceLearnsOfSingleMarks(t *testing.T) {
+	f := newFleet(1)
+	for _, target := range []string{"one", "two", "three"} {
+		f.fail(f.registries[0], crashing, target, Broken)
+		f.exchange(10*time.Second, Changes)
+		replacement := New(Options{Clock: f.clock, CountsUnresolved: true})
+		replacement.Merge("replaced", f.registries[0].Digest(Everything))
+		f.registries[0] = replacement
+	}
+	assert.Equal(t, f.refusing(crashing), 1)
+}
+
+// Most marks are of innocent requests and must not cost a message from each
+// instance to each other one.
+func TestSingleMarksAreNotPassedOn(t *testing.T) {
+	f := newFleet(3)
+	first, second, third := f.registries[0], f.registries[1], f.registries[2]
+	relay := func() {
+		for range 3 {
+			f.clock.Advance(300 * time.Millisecond)
+			second.Merge("first", first.Digest(Repeated))
+			third.Merge("second", second.Digest(Repeated))
+		}
+	}
+	f.fail(first, crashing, "one", Broken)
+	relay()
+	assert.Assert(t, second.IsSuspect(crashing) && !third.IsSuspect(crashing))
+	f.fail(first, crashing, "two", Broken)
+	relay()
+	assert.Assert(t, third.IsSuspect(crashing))
+}
+
 // Marks of many innocent requests must not drive out those of one that is refused.
 func TestFullRegistryKeepsRefusedRequests(t *testing.T) {
 	f := newFleet(1)
