Log what instances learn of targets from each other

A change of belief that came from a peer, that a target had survived or ended, had no line. Marks that a completion refutes are dropped when a mark for the same request is learned, instead of staying until they are swept.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -239,7 +239,7 @@
 	}
 	s := r.suspectFor(fp)
 	if completedAt := r.completions.last(fp); !completedAt.IsZero() {
-		s.clearedAt = latest(s.clearedAt, completedAt)
+		r.clear(s, completedAt)
 	}
 	if s.isInnocent(at) {
 		s.clearanceChangedAt, s.latestFactAt, r.changedAt = now, latest(s.latestFactAt, at), now
@@ -267,8 +267,10 @@
 	}
 	if report.Flags&FlagEnded != 0 && !m.ended {
 		r.setEnded(s, m, now)
+		r.logResolution(s, m, "end of a target learned from peer")
 	}
 	if report.Flags&FlagSurvived != 0 && !m.resolved() && !m.at.After(at.Add(survivalMargin)) {
 		r.setSurvived(s, m, now)
+		r.logResolution(s, m, "survival of a target learned from peer")
 	}
 }
