Decide about a target whose entry was spoilt once it is listed for long enough

Callers: none seen; found by reading.

Cause: an entry that was gone for a moment, as when another writer spoils it, was taken for a late renewal of a target that has ended, although the target may live.

Change: the target has survived once its entry stays for longer than a late renewal would last, counted from when it came back, and has ended if it vanishes.

Evidence: TestEntryThatComesBackIsNoSurvival, with both ends.

--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -87,22 +87,22 @@
 }
 
 // liveness tells whether a target has renewed its entry after a time, from reads
-// that go on until the entry would have expired otherwise. An entry that comes
-// back is due to a late renewal, and one that does not state the start of its
-// incarnation may be of a later one.
+// that go on until the entry would have expired otherwise, and for a target that
+// is listed, until a late renewal would have as well. An entry that does not state
+// the start of its incarnation may be of a later one.
 func (l *targetList) liveness(target string, after time.Time, expiry time.Duration) quarantine.Liveness {
-	readFor := l.readAt.Sub(latest(after, l.readSince))
-	if readFor < expiry || l.readAt.Before(l.graceUntil) {
+	if l.readAt.Before(l.graceUntil) {
 		return quarantine.Undecided
 	}
+	from := latest(after, l.readSince)
 	listed, ok := l.byName[target]
 	switch {
-	case !ok || listed.since.After(after) && listed.since.After(l.readSince):
+	case !ok && l.readAt.Sub(from) >= expiry:
 		return quarantine.Ended
-	case listed.Born == 0 || readFor < expiry+maxRenewalDelay:
-		return quarantine.Undecided
+	case ok && listed.Born != 0 && l.readAt.Sub(latest(from, listed.since)) >= expiry+maxRenewalDelay:
+		return quarantine.Survived
 	}
-	return quarantine.Survived
+	return quarantine.Undecided
 }
 
 // confirm records that a read at the given time, by another instance or known to
