Confirm only broken attempts by a broken connection

Callers: none seen; found by reading the diff.

Cause: in the product's own path a broken connection was taken for the end of the target for all its recent marks, also for those of requests whose deadlines had passed at a target that lives.

Change: a broken connection confirms marks of broken attempts, a refused one all.

Evidence: TestBrokenConnectionIsNoEndOfUnansweredAttempts.

--- a/internal/executor/attempt.go
+++ b/internal/executor/attempt.go
@@ -200,6 +200,7 @@
 			response, err := dispatch.Resume(ctx, a.target.Address, a.job.requestID, after)
 			if dispatch.IsNotSent(err) && ctx.Err() == nil {
 				a.recordCrash()
+				a.executor.Quarantine.RecordEnded(a.target.Name)
 			}
 			return response, err
 		},
--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -171,7 +171,7 @@
 // recordCrash records that the target crashed while the request ran.
 func (a *attempt) recordCrash() {
 	a.tracked.End(quarantine.Broken)
-	a.executor.Quarantine.RecordEnded(a.target.Name)
+	a.executor.Quarantine.RecordBroken(a.target.Name)
 }
 
 func (a *attempt) admissionOutcome(kind admission.OutcomeKind) admission.Outcome {
--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -133,9 +133,13 @@
 // since endConfirmTime were running when it crashed. It must not be called for a
 // target that was merely unreachable.
 func (r *Registry) RecordEnded(target string) {
-	if r.unresolvedCount.Load() > 0 {
-		r.endMarks(target, r.options.Clock.Now())
-	}
+	r.endMarks(target, func(*mark) bool { return true })
+}
+
+// RecordBroken records that a target broke a connection, which is taken for its
+// end, but not for that of attempts that got no response.
+func (r *Registry) RecordBroken(target string) {
+	r.endMarks(target, func(m *mark) bool { return !m.silent })
 }
 
 // MarkSilent marks the requests that wait for targets from which nothing arrives
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,20 +1,25 @@
 // Package quarantine detects requests that crash targets and keeps them from
 // further targets.
 //
-// A target that a request crashes need not say so. It may refuse connections,
+// A target that a request crashes need not show it. It may refuse connections,
 // accept them and stay silent, or be back at once under its own or another name,
-// and the instance that sent the request may never call it again. So the evidence
-// is turned around. An attempt that ends without a complete response, for
-// whatever reason, marks its request for its target, and so does one that is in
-// flight at a target from which nothing arrives any more. A mark counts unless
-// the target is known to have survived:
+// and the instance that sent the request may never call it again. So the registry
+// asks for evidence that a target survived, rather than that it crashed. An
+// attempt that ends without a complete response, for whatever reason, marks its
+// request for its target, and so does one that is in flight at a target from which
+// nothing arrives any more. A mark counts unless the target is known to have
+// survived:
 //
 //   - something arrived from it after the attempt, on a connection that is older
-//     than the attempt and that a crash would have broken; or
+//     than the attempt and that a crash would have broken;
+//   - it responded sooner after the start of the attempt than a target can be
+//     back; or
 //   - its entry in the list of targets was renewed after the attempt.
 //
-// A target that refuses connections, or whose entry has expired or begins anew,
-// has ended. Its marks count whatever else is known.
+// A target whose entry has expired or begins anew has ended. Its marks count
+// whatever else is known, and three of them are a Verdict, which may be stored.
+// Without Options.CountsUnresolved, only marks of targets that have ended count,
+// and the owner reports those ends.
 //
 // A request that is marked for minCrashes crashes is refused; marks for one
 // target of about the same time are one crash. With Options.AloneSuffices, two
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -256,12 +256,17 @@
 // connections for this to be the end that the attempt is marked for.
 const endConfirmTime = 5 * time.Second
 
-// endMarks records for the recent marks of a target that it has ended.
-func (r *Registry) endMarks(target string, now time.Time) {
+// endMarks records for the concerned ones of the recent marks of a target that it
+// has ended.
+func (r *Registry) endMarks(target string, concerned func(*mark) bool) {
+	if r.unresolvedCount.Load() == 0 {
+		return
+	}
+	now := r.options.Clock.Now()
 	var ended []endedMark
 	r.mu.Lock()
 	for m, s := range r.unresolved[target] {
-		if now.Sub(m.at) <= endConfirmTime {
+		if now.Sub(m.at) <= endConfirmTime && concerned(m) {
 			r.setEnded(s, m, now)
 			ended = append(ended, endedMark{s.request, m.at})
 		}
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -219,6 +219,19 @@
 	}
 }
 
+// With one connection per request, a broken one says nothing of requests whose
+// callers left or whose deadlines passed.
+func TestBrokenConnectionIsNoEndOfUnansweredAttempts(t *testing.T) {
+	r := New(Options{})
+	unanswered := NewFingerprint("a", "/unanswered", nil)
+	r.Start(unanswered, "one", 0).End(Unanswered)
+	r.Start(crashing, "one", 0).End(Broken)
+	r.RecordBroken("one")
+	assert.Assert(t, r.IsSuspect(crashing) && !r.IsSuspect(unanswered))
+	r.RecordEnded("one")
+	assert.Assert(t, r.IsSuspect(unanswered))
+}
+
 func TestTargetThatEndsAsPlannedIsNotCrashed(t *testing.T) {
 	r := New(Options{CountsUnresolved: true, IsLeaving: func(target string) bool { return target == "two" }})
 	for _, target := range []string{"one", "two", "three"} {
