Pass on the targets of the last read, not those that are kept

Cause, from its log: both attempts went to targets that had been replaced 1.7 s before. An instance that had been stalled for over 1.5 s keeps missing entries for 2.2 s, as after an outage of the store.

Change: digests and lists for other instances hold what was read. Each instance decides by itself whether to keep what is missing; one that was cut off from the store applies the list as a first read after an outage, so that it keeps it too.

Evidence: TestKeptEntryIsNotPassedOn.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -39,7 +39,7 @@
 	n.bus.Handle(methodTargets, func(context.Context, string, json.RawMessage) (any, error) {
 		n.targetsMu.Lock()
 		defer n.targetsMu.Unlock()
-		return targetsResponse{n.targets.position, n.targets.list()}, nil
+		return targetsResponse{n.targets.position, n.targets.lastRead()}, nil
 	})
 }
 
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,7 +25,9 @@
 // list drops entries that their targets do not renew, which includes those of
 // live targets that cannot reach the store.
 type targetList struct {
-	present map[catalog.TargetKey]*catalog.Target
+	// present holds the targets in use, read those of the last read. They differ
+	// while missing entries are kept.
+	present, read map[catalog.TargetKey]*catalog.Target
 	// byName holds the same targets by the names of their keys.
 	byName   map[string]listedTarget
 	position uint64
@@ -61,6 +65,7 @@
 		next[target.Key()] = target
 		ids[target.ID] = true
 	}
+	l.read = maps.Clone(next)
 	if now.Before(l.graceUntil) {
 		for key, target := range l.present {
 			if next[key] == nil && !ids[key.ID] {
@@ -117,10 +122,12 @@
 	}
 }
 
-// digest identifies the targets, independently of their order.
+// digest identifies the targets of the last read, independently of their order.
+// Entries that are kept although they are missing are not part of it: each
+// instance decides on that by itself, and others must not take them for read.
 func (l *targetList) digest() uint32 {
 	var sum uint64
-	for key, target := range l.present {
+	for key, target := range l.read {
 		identity := key.ID + "|" + target.Address + "|" + target.Version
 		if target.Draining {
 			identity += "|draining"
@@ -143,11 +150,12 @@
 	return true
 }
 
-// list returns the targets, in no particular order.
+// list returns the targets in use, in no particular order.
 func (l *targetList) list() []*catalog.Target {
-	targets := make([]*catalog.Target, 0, len(l.present))
-	for _, target := range l.present {
-		targets = append(targets, target)
-	}
-	return targets
+	return slices.Collect(maps.Values(l.present))
+}
+
+// lastRead returns the targets of the last read, in no particular order.
+func (l *targetList) lastRead() []*catalog.Target {
+	return slices.Collect(maps.Values(l.read))
 }
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -39,6 +39,20 @@
 	assert.Equal(t, len(l.list()), 1)
 }
 
+// An instance that was stalled keeps a missing entry for a while. Others, which had
+// seen it go, took it from there for a new read and used the target again.
+func TestKeptEntryIsNotPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var stalled, other targetList
+	stalled.apply(newTargets("a", "b"), 1, now)
+	other.apply(newTargets("a", "b"), 1, now)
+	other.apply(newTargets("a"), 2, now.Add(time.Second))
+	stalled.apply(newTargets("a"), 2, now.Add(outageThreshold+time.Second))
+	assert.Equal(t, len(stalled.list()), 2)
+	assert.Equal(t, len(stalled.lastRead()), 1)
+	assert.Equal(t, stalled.digest(), other.digest())
+}
+
 func TestTargetListIgnoresOlderReadsAndTracksIncarnations(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
