--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -51,6 +51,13 @@
 	a.End(outcome)
 }
 
+// crashThree breaks the attempts of the crashing request at three targets.
+func (f *fleet) crashThree(r *Registry) {
+	for _, target := range []string{"one", "two", "three"} {
+		f.fail(r, crashing, target, Broken)
+	}
+}
+
 // serve runs another request at a target, which responds.
 func (f *fleet) serve(r *Registry, target string) {
 	a := r.Start(NewFingerprint("b", target, nil), target, 0)
@@ -268,9 +275,7 @@
 func TestCompletionClearsCrashes(t *testing.T) {
 	f := newFleet(3)
 	r := f.registries[0]
-	for _, target := range []string{"one", "two", "three"} {
-		f.fail(r, crashing, target, Broken)
-	}
+	f.crashThree(r)
 	a := f.registries[2].Start(crashing, "four", 0)
 	f.exchange(time.Second, Changes)
 	assert.Equal(t, f.refusing(crashing), 3)
@@ -305,9 +310,7 @@
 func TestInstanceThatCompletedARequestClearsItEverywhere(t *testing.T) {
 	f := newFleet(3)
 	f.registries[2].Start(crashing, "four", 0).End(Completed)
-	for _, target := range []string{"one", "two", "three"} {
-		f.fail(f.registries[0], crashing, target, Broken)
-	}
+	f.crashThree(f.registries[0])
 	f.exchange(time.Second, Changes)
 	assert.Equal(t, f.refusing(crashing), 0)
 }
@@ -317,9 +320,7 @@
 	f := newFleet(1)
 	f.registries[0].Start(crashing, "four", 0).End(Completed)
 	f.clock.Advance(innocenceTime + time.Second)
-	for _, target := range []string{"one", "two", "three"} {
-		f.fail(f.registries[0], crashing, target, Broken)
-	}
+	f.crashThree(f.registries[0])
 	assert.Equal(t, f.refusing(crashing), 1)
 }
 
@@ -379,9 +380,7 @@
 func TestFullRegistryKeepsRefusedRequests(t *testing.T) {
 	f := newFleet(1)
 	r := f.registries[0]
-	for _, target := range []string{"one", "two", "three"} {
-		f.fail(r, crashing, target, Broken)
-	}
+	f.crashThree(r)
 	for i := range 2 * DefaultMaxFingerprints {
 		r.Start(NewFingerprint("b", fmt.Sprint(i), nil), "four", 0).End(Broken)
 	}
--- a/internal/quarantine/verdicts_test.go
+++ b/internal/quarantine/verdicts_test.go
@@ -10,9 +10,7 @@
 func TestVerdictNeedsTargetsThatHaveEnded(t *testing.T) {
 	f := newFleet(2)
 	r, restarted := f.registries[0], f.registries[1]
-	for _, target := range []string{"one", "two", "three"} {
-		f.fail(r, crashing, target, Broken)
-	}
+	f.crashThree(r)
 	verdicts, own := r.Verdicts()
 	assert.Assert(t, r.ShouldRefuse(crashing) && len(verdicts) == 0 && !own, "the targets may have survived")
 	r.Resolve(func(string, time.Time) Liveness { return Ended })
