--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// failedStep names the step of an attempt that failed: silent if the target sent
+// nothing for too long.
+func (r *inflightRequest) failedStep(step string, err error) string {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		r.Counters.TargetsSilent.Add(1)
+		return "silent, " + step
+	}
+	return step
+}
+
 // endComplete records the end of an attempt whose response was read to its end. A
 // response that is not the target's own, or that ends with its connection as it
 // would if the target had crashed, shows nothing.
@@ -130,11 +141,12 @@
 		r.Counters.SentToTargets.Add(1)
 		r.mayHaveRun = true
 	}
-	r.log.addStep("send failed", grant.Target.ID, took)
 	if ctx.Err() != nil {
+		r.log.addStep("send failed", grant.Target.ID, took)
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		return r.contextDone(ctx, "no answer came before the deadline"), false
 	}
+	r.log.addStep(r.failedStep("send failed", err), grant.Target.ID, took)
 	r.log.cause = err
 	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
 	if notSent {
@@ -197,7 +209,7 @@
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		return r.contextDone(ctx, "the answer was not complete before the deadline"), false
 	case err != nil, len(body) == maxBufferedBytes, untrusted(response, metadata):
-		r.log.addStep("answer unusable", grant.Target.ID, took)
+		r.log.addStep(r.failedStep("answer unusable", err), grant.Target.ID, took)
 		r.log.cause = err
 		r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
 		grant.Done(schedule.Outcome{Result: schedule.Failed})
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -7,6 +7,10 @@
 	Received, Answered, RefusedNotRun, Failed, CallerGone                   atomic.Uint64
 	SentToTargets, Retried, StreamsResumed, TargetsUnreachable, NotExecuted atomic.Uint64
 	OverQuota, Denied, TimedOut, Misdirected, Streams                       atomic.Uint64
+	// TargetsSilent counts attempts at targets that sent nothing for too long,
+	// StreamsCut the streams that ended before their end although the caller and its
+	// deadline allowed more.
+	TargetsSilent, StreamsCut atomic.Uint64
 }
 
 // Snapshot returns the counters by metric name.
@@ -17,6 +21,6 @@
 		"repeated": c.Retried.Load(), "streams": c.Streams.Load(), "streams_resumed": c.StreamsResumed.Load(),
 		"targets_not_reached": c.TargetsUnreachable.Load(), "not_executed": c.NotExecuted.Load(),
 		"misdirected": c.Misdirected.Load(), "over_quota": c.OverQuota.Load(), "denied": c.Denied.Load(),
-		"timed_out": c.TimedOut.Load(),
+		"timed_out": c.TimedOut.Load(), "targets_silent": c.TargetsSilent.Load(), "streams_cut": c.StreamsCut.Load(),
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,7 +67,7 @@
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		return r.contextDone(ctx, "no event came before the deadline"), false
 	}
-	r.log.addStep("no first event", grant.Target.ID, took)
+	r.log.addStep(r.failedStep("no first event", err), grant.Target.ID, took)
 	r.log.cause = err
 	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
 	grant.Done(schedule.Outcome{Result: schedule.Failed})
@@ -174,7 +174,7 @@
 	r := s.inflight
 	s.endAttempt(schedule.Failed)
 	r.recordOutcome(s.grant.Target, true, r.Clock.Since(s.startedAt))
-	r.log.addStep("cut after "+s.lastEventID, s.grant.Target.ID, r.Clock.Since(s.startedAt))
+	r.log.addStep(r.failedStep("cut after "+s.lastEventID, cause), s.grant.Target.ID, r.Clock.Since(s.startedAt))
 	r.log.cause = cause
 	r.receivedTokens += s.eventCount * r.service.TokensPerEvent
 	for r.route.Resumable && s.lastEventID != "" {
@@ -268,6 +268,7 @@
 		s.inflight.Counters.TimedOut.Add(1)
 	case http.StatusBadGateway:
 		s.inflight.Counters.Failed.Add(1)
+		s.inflight.Counters.StreamsCut.Add(1)
 	case statusCallerGone:
 		s.inflight.Counters.CallerGone.Add(1)
 	}
