Keep the response of a silent target until another one has begun

The class of fault: silence was taken for the end.

Change: dispatch reports silence and never ends an exchange because of it (SilenceWatch instead of ReadTimeout). The gateway looks for another target meanwhile, in a search that owns the request's state until it has ended, and whoever sends first goes on; the other exchange is cancelled (takeover). The first events of the other target, not its header, decide. An exchange (I/O) and what it means for the request (conclude) are apart now. A stream without length or chunks that ends before its first event counts as broken off.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -42,9 +42,8 @@
 	// RequireFreshConn requires a new or recently used connection, since after a
 	// close by the target it is unknown whether the request was executed.
 	RequireFreshConn bool
-	// ReadTimeout bounds the reads of the response until SetReadTimeout is called;
-	// 0 means no bound besides the context.
-	ReadTimeout time.Duration
+	// Silence is watched for until PooledResponse.WatchSilence is called.
+	Silence SilenceWatch
 	// MatchesRequest reports whether a response header belongs to the request.
 	MatchesRequest func(http.Header) bool
 }
@@ -98,9 +97,7 @@
 // arrive even if the request could not be written completely.
 func (r *PooledRequest) roundTrip(conn *pooledConn) (*PooledResponse, error) {
 	writeErr := r.write(conn)
-	if r.ReadTimeout > 0 {
-		_ = conn.conn.SetReadDeadline(time.Now().Add(r.ReadTimeout))
-	}
+	conn.watchSilence(r.Silence)
 	for range maxMismatchedResponses {
 		response, err := readHeader(conn.reader, r.Method)
 		if err != nil {
@@ -208,14 +205,8 @@
 	return n, err
 }
 
-// SetReadTimeout sets the deadline for further reads of the body; 0 removes it.
-func (r *PooledResponse) SetReadTimeout(timeout time.Duration) {
-	var deadline time.Time
-	if timeout > 0 {
-		deadline = time.Now().Add(timeout)
-	}
-	_ = r.conn.conn.SetReadDeadline(deadline)
-}
+// WatchSilence replaces the watch for silence, starting now.
+func (r *PooledResponse) WatchSilence(w SilenceWatch) { r.conn.watchSilence(w) }
 
 // Close ends the exchange. The connection is kept if the body was read to its
 // end and nothing followed it. Otherwise it is closed, which makes the target
@@ -228,6 +219,6 @@
 		r.conn.close()
 		return
 	}
-	r.SetReadTimeout(0)
+	r.WatchSilence(SilenceWatch{})
 	r.pool.release(r.conn, r.keepAlive)
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -76,7 +77,46 @@
 	// last request, expiresAt the time after which the connection must not be used.
 	openedAt, lastUsedAt, expiresAt time.Time
 	// reused is set once the connection has served a request.
-	reused bool
+	reused  bool
+	silence SilenceWatch
+}
+
+// SilenceWatch reports that a target sends nothing. It never ends the exchange: a
+// sound target may pause, and go on by itself.
+type SilenceWatch struct {
+	// After is the time without a byte after which OnSilence is called, and then
+	// again after each further such time; 0 means never.
+	After time.Duration
+	// OnSilence is called by the goroutine that reads the response, and delays it.
+	OnSilence func()
+}
+
+func (c *pooledConn) watchSilence(w SilenceWatch) {
+	c.silence = w
+	c.setSilenceDeadline()
+}
+
+// setSilenceDeadline sets the time until which a read may wait.
+func (c *pooledConn) setSilenceDeadline() {
+	var deadline time.Time
+	if c.silence.After > 0 {
+		deadline = time.Now().Add(c.silence.After)
+	}
+	// It fails on closed connections only, of which the next read tells.
+	_ = c.conn.SetReadDeadline(deadline)
+}
+
+// Read implements io.Reader. It waits through silences.
+func (c *pooledConn) Read(buffer []byte) (int, error) {
+	for {
+		n, err := c.conn.Read(buffer)
+		var netErr net.Error
+		if n > 0 || err == nil || c.silence.After == 0 || !errors.As(err, &netErr) || !netErr.Timeout() {
+			return n, err
+		}
+		c.silence.OnSilence()
+		c.setSilenceDeadline()
+	}
 }
 
 func (c *pooledConn) close() { _ = c.conn.Close() }
@@ -102,7 +142,9 @@
 	p.mu.Lock()
 	p.openedConns++
 	p.mu.Unlock()
-	return &pooledConn{conn: conn, address: address, openedAt: p.clock.Now(), reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	pooled := &pooledConn{conn: conn, address: address, openedAt: p.clock.Now()}
+	pooled.reader = bufio.NewReaderSize(pooled, readBufferBytes)
+	return pooled, nil
 }
 
 // popIdle removes and returns the most recently used connection, or nil if it
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -22,6 +22,13 @@
 	Stream io.ReadCloser
 }
 
+// discard ends a target's response that is not used.
+func (r *Response) discard() {
+	if s, ok := r.Stream.(*stream); ok && !s.completed {
+		s.leg.discard()
+	}
+}
+
 // write writes the response to ctx. onDone is called at once for a buffered body,
 // else when the stream is closed.
 func (r *Response) write(ctx *fasthttp.RequestCtx, onDone func()) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -67,8 +67,9 @@
 	// attempts counts the targets that the request was sent to, unreachable those
 	// that it could not be sent to.
 	attempts, unreachable int
-	// mayHaveRun is set once a target may have started to execute the request.
-	mayHaveRun bool
+	// possibleRuns is the number of attempts that a target may have started to
+	// execute.
+	possibleRuns int
 	// receivedTokens is the number of tokens received from targets whose streams
 	// were cut; 0 unless the stream is being resumed.
 	receivedTokens int
@@ -194,7 +195,7 @@
 
 // refuseOrFail responds to a request by whether it may have been executed.
 func (r *inflightRequest) refuseOrFail(reason string, retryAfter time.Duration) *Response {
-	if r.mayHaveRun {
+	if r.possibleRuns > 0 {
 		return r.fail(http.StatusBadGateway, reason)
 	}
 	return r.refuse(reason, retryAfter)
@@ -205,30 +206,46 @@
 func (r *inflightRequest) execute(ctx context.Context) *Response {
 	r.RetryBudget(r.service.Name).RecordRequest()
 	for {
-		grant, response := r.acquire(ctx)
-		if grant == nil {
-			return response
+		grant, err := r.place(ctx)
+		if err != nil {
+			return r.placementFailed(ctx, err)
 		}
-		response, retry := r.attempt(ctx, grant)
-		if !retry {
-			return response
+		result := r.attempt(ctx, grant, true)
+		switch {
+		case result.response != nil:
+			return r.answered(result.response)
+		case ctx.Err() != nil:
+			return r.contextDone(ctx, result.reason)
+		case !result.retry:
+			return r.fail(http.StatusBadGateway, result.reason)
 		}
-		if response := r.checkRetry(); response != nil {
-			return response
+		if err := r.takeRetry(); err != nil {
+			return r.placementFailed(ctx, err)
 		}
 	}
 }
 
-// checkRetry takes a retry from the budget and returns nil if the request may be
-// retried, else its response.
-func (r *inflightRequest) checkRetry() *Response {
+// answered counts a response of a target. A stream is counted at its end.
+func (r *inflightRequest) answered(response *Response) *Response {
+	if response.Stream != nil {
+		r.Counters.Streams.Add(1)
+		return response
+	}
+	r.Counters.Answered.Add(1)
+	r.observeLatency(0)
+	return response
+}
+
+// takeRetry takes a retry from the budget; it returns a *refusedError if the
+// request may not be tried again.
+func (r *inflightRequest) takeRetry() error {
 	switch {
 	case r.unreachable > maxUnreachableTargets:
-		return r.refuseOrFail("no target could be reached", defaultRetryAfter)
+		return &refusedError{reason: "no target could be reached", retryAfter: defaultRetryAfter}
 	case r.attempts >= max(1, r.route.MaxAttempts):
-		return r.refuseOrFail("all attempts of the route are used", defaultRetryAfter)
+		return &refusedError{reason: "all attempts of the route are used", retryAfter: defaultRetryAfter}
 	case r.attempts > 0 && !r.RetryBudget(r.service.Name).TakeRetry():
-		return r.refuseOrFail("the budget of repeats is used up", defaultRetryAfter)
+		return &refusedError{reason: "the budget of repeats is used up", retryAfter: defaultRetryAfter}
 	}
 	if r.attempts > 0 {
 		r.Counters.Retried.Add(1)
@@ -236,25 +253,45 @@
 	return nil
 }
 
-// acquire waits for the scheduler to place the request. A request that has
-// crashed targets since it was admitted is refused.
-func (r *inflightRequest) acquire(ctx context.Context) (*schedule.Grant, *Response) {
+// place waits for the scheduler to place the request. A request that has crashed
+// targets since it was admitted is refused. The error is a *refusedError, a
+// *schedule.RefusedError or the context's error.
+func (r *inflightRequest) place(ctx context.Context) (*schedule.Grant, error) {
 	grant, err := r.Placer.Acquire(ctx, r.scheduleRequest())
-	if err == nil && r.Quarantine.ShouldRefuse(r.fingerprint) {
+	if err != nil {
+		return nil, err
+	}
+	if r.Quarantine.ShouldRefuse(r.fingerprint) {
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		r.log.addStep("quarantined before it was sent to", grant.Target.ID, 0)
-		return nil, r.refuseOrFail(reasonQuarantined, 0)
+		return nil, &refusedError{reason: reasonQuarantined}
 	}
-	if err == nil {
-		r.log.recordPlacement(r, grant)
-		return grant, nil
+	r.log.recordPlacement(r, grant)
+	return grant, nil
+}
+
+// refusedError is returned for a request that the gateway does not send to a
+// target, or to no further one.
+type refusedError struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (e *refusedError) Error() string { return e.reason }
+
+// placementFailed responds to a request that was not placed.
+func (r *inflightRequest) placementFailed(ctx context.Context, err error) *Response {
+	var own *refusedError
+	if errors.As(err, &own) {
+		return r.refuseOrFail(own.reason, own.retryAfter)
 	}
 	var refused *schedule.RefusedError
 	if errors.As(err, &refused) {
 		r.log.addStep("refused", refused.Error(), 0)
-		return nil, r.refuseOrFail(refused.Reason, refused.RetryAfter)
+		return r.refuseOrFail(refused.Reason, refused.RetryAfter)
 	}
-	return nil, r.contextDone(ctx, "no place became free before the deadline")
+	return r.contextDone(ctx, "no place became free before the deadline")
 }
 
 // scheduleRequest returns the request as the scheduler sees it.
@@ -305,7 +342,7 @@
 		return nil
 	}
 	r.Counters.TimedOut.Add(1)
-	if r.mayHaveRun {
+	if r.possibleRuns > 0 {
 		return r.fail(http.StatusGatewayTimeout, reason)
 	}
 	return r.refuse(reason, defaultRetryAfter)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,92 +10,192 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
-// errOutOfOrder is returned when the event IDs of a stream are not consecutive.
-var errOutOfOrder = errors.New("stream events out of order")
+var (
+	// errOutOfOrder is returned when the event IDs of a stream are not consecutive.
+	errOutOfOrder = errors.New("stream events out of order")
+	// errNoEvents is returned for a stream that ends with its connection before its
+	// first event.
+	errNoEvents = errors.New("event stream without a framing ended before its first event")
+)
+
+// legEvents are the events of a stream that one target has sent.
+type legEvents struct {
+	reader *eventReader
+	// lastID is the ID of the last event read, initially the one after which the
+	// target was to begin.
+	lastID string
+	// unread holds the events that were read and not passed on yet.
+	unread []byte
+	count  int
+
+	firstAt, lastAt time.Time
+	// maxGap is the longest gap between events.
+	maxGap time.Duration
+}
+
+// readEvents reads the next event and those buffered behind it. It returns io.EOF
+// at the regular end of the stream.
+func (l *leg) readEvents() error {
+	events := l.events
+	if events.reader == nil {
+		events.reader = newEventReader(l.response)
+	}
+	for {
+		e, err := events.reader.next()
+		if err == io.EOF && events.count == 0 && !l.response.IsFramed() {
+			return errNoEvents
+		}
+		if err != nil {
+			return err
+		}
+		if err := events.checkOrder(e); err != nil {
+			return err
+		}
+		l.tracked.Heard(l.response.ConnOpenedAt())
+		now := l.inflight.Clock.Now()
+		if events.count == 0 {
+			l.grant.ResponseStarted(now.Sub(l.startedAt))
+		}
+		events.add(e, now)
+		if events.count == tokenReportEvents {
+			l.grant.TokensReceived(events.progress(l.inflight.service))
+		}
+		if !events.reader.hasBufferedEvent() {
+			return nil
+		}
+	}
+}
+
+// checkOrder verifies that events are consecutive, also across targets.
+func (e *legEvents) checkOrder(next event) error {
+	if next.id == "" {
+		return nil
+	}
+	if e.lastID != "" && !follows(e.lastID, next.id) {
+		return errors.Wrapf(errOutOfOrder, "%s after %s", next.id, e.lastID)
+	}
+	e.lastID = next.id
+	return nil
+}
+
+// add adds an event that was read at the given time.
+func (e *legEvents) add(next event, now time.Time) {
+	if e.count == 0 {
+		e.firstAt = now
+	} else {
+		e.maxGap = max(e.maxGap, now.Sub(e.lastAt))
+	}
+	e.count++
+	e.lastAt = now
+	e.unread = append(e.unread, next.raw...)
+}
+
+// follows reports whether next is the successor of last; IDs that are not
+// numbers are not compared.
+func follows(last, next string) bool {
+	a, errA := strconv.ParseUint(last, 10, 64)
+	b, errB := strconv.ParseUint(next, 10, 64)
+	return errA != nil || errB != nil || b == a+1
+}
 
-// stream relays the events of a response as they arrive.
+// tokenReportEvents is the number of events after which a stream reports the
+// tokens received so far, before it ends.
+const tokenReportEvents = 8
+
+// progress returns the number of tokens since the first event and the time they
+// took.
+func (e *legEvents) progress(service *catalog.Service) (tokens int, span time.Duration) {
+	return max(0, e.count-1) * service.TokensPerEvent, e.lastAt.Sub(e.firstAt)
+}
+
+// outcome returns the outcome of the target's part of the stream.
+func (l *leg) outcome(result schedule.Result) schedule.Outcome {
+	if l.events.count == 0 {
+		return schedule.Outcome{Result: result}
+	}
+	tokens, span := l.events.progress(l.inflight.service)
+	return schedule.Outcome{Result: result, TotalTime: l.events.lastAt.Sub(l.startedAt), Tokens: tokens, TokenSpan: span}
+}
+
+// stream relays the events of a response as they arrive. It goes on at another
+// target if the current one breaks off, or is silent until another one has begun.
 type stream struct {
 	inflight *inflightRequest
 	ctx      context.Context
 	cancel   context.CancelFunc
+	leg      *leg
+	// earlierEvents is the number of events from former targets.
+	earlierEvents int
+	firstEventAt  time.Time
+	// onSilence is called while the target sends nothing; nil if the stream cannot be
+	// resumed. takeover is nil unless that has happened since the last event.
+	onSilence func()
+	takeover  *takeover[*leg]
 
-	grant    *schedule.Grant
-	tracked  *quarantine.Attempt
-	response *dispatch.PooledResponse
-	events   *eventReader
-
-	startedAt, firstEventAt, lastEventAt time.Time
-	// maxGap is the longest gap between events.
-	maxGap time.Duration
-	// eventCount is the number of events from the current target.
-	eventCount int
-	// lastEventID is the ID of the last event read, initially the caller's.
-	lastEventID string
-	unread      []byte
 	// err is the error that interrupted the stream.
 	err       error
 	completed bool
 	closed    bool
 }
 
-// openStream waits for the first event and returns the stream. Until then,
+// openStream returns the stream whose first events have been read. Until then,
 // another target can be tried without the caller noticing.
-func (r *inflightRequest) openStream(
-	ctx context.Context, grant *schedule.Grant, tracked *quarantine.Attempt, response *dispatch.PooledResponse, startedAt time.Time,
-) (*Response, bool) {
-	s := &stream{
-		inflight: r, ctx: ctx, grant: grant, tracked: tracked, response: response, events: newEventReader(response),
-		startedAt: startedAt, lastEventID: r.request.LastEventID,
-	}
-	err := s.readEvents()
-	if err == nil || err == io.EOF {
-		r.Counters.Streams.Add(1)
-		if err == io.EOF {
+func (r *inflightRequest) openStream(ctx context.Context, l *leg, p reply) attemptResult {
+	if p.err == nil || p.err == io.EOF {
+		s := &stream{inflight: r, ctx: ctx, leg: l, firstEventAt: l.events.firstAt}
+		s.onSilence = s.searchTakeover
+		if p.err == io.EOF {
 			s.complete()
 		}
-		return &Response{Status: response.Status, Header: removeHopByHop(response.Header), Stream: s}, false
+		return attemptResult{response: &Response{Status: l.response.Status, Header: removeHopByHop(l.response.Header), Stream: s}}
 	}
-	took := r.Clock.Since(startedAt)
-	response.Close()
-	endBroken(ctx, tracked, err)
+	endBroken(ctx, l.tracked, p.err)
 	if ctx.Err() != nil {
-		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
-		return r.contextDone(ctx, "no event came before the deadline"), false
+		l.end(schedule.Cancelled)
+		return attemptResult{reason: "no event came before the deadline"}
 	}
-	r.log.addStep(r.failedStep("no first event", err), grant.Target.ID, took)
-	r.log.cause = err
-	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
-	grant.Done(schedule.Outcome{Result: schedule.Failed})
-	r.recordOutcome(grant.Target, true, took)
-	return r.retryOrFail("the target broke off before the first event")
+	r.log.addStep("no first event", l.grant.Target.ID, p.took)
+	r.log.cause = p.err
+	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
+	l.end(schedule.Failed)
+	r.recordOutcome(l.grant.Target, true, p.took)
+	return r.failedAttempt("the target broke off before the first event")
 }
 
 // Read implements io.Reader. Only complete events are returned before an error.
 func (s *stream) Read(buffer []byte) (int, error) {
-	for len(s.unread) == 0 {
+	for len(s.leg.events.unread) == 0 {
 		if s.completed {
 			return 0, io.EOF
 		}
 		if s.err != nil {
 			return 0, s.err
 		}
-		if err := s.advance(); err != nil && len(s.unread) == 0 {
+		if err := s.advance(); err != nil && len(s.leg.events.unread) == 0 {
 			return 0, err
 		}
 	}
-	n := copy(buffer, s.unread)
-	s.unread = s.unread[n:]
+	n := copy(buffer, s.leg.events.unread)
+	s.leg.events.unread = s.leg.events.unread[n:]
 	return n, nil
 }
 
 // advance reads the next events and handles the end of the stream.
 func (s *stream) advance() error {
-	err := s.readEvents()
+	s.leg.response.WatchSilence(dispatch.SilenceWatch{After: s.inflight.gapTimeout(), OnSilence: s.onSilence})
+	err := s.leg.readEvents()
+	t := s.takeover
+	s.takeover = nil
+	if next, replaced := t.settle(err == nil || err == io.EOF); replaced {
+		s.inflight.recordReplaced(s.leg)
+		return s.continueAt(next)
+	}
 	switch {
 	case err == nil:
 		return nil
@@ -106,153 +206,129 @@
 		s.err = s.ctx.Err()
 		return s.err
 	}
-	endBroken(s.ctx, s.tracked, err)
-	if resumed := s.resume(err); resumed {
-		return nil
+	s.recordBroken(err)
+	if next, ok := s.searchLeg(s.ctx, s.position()); ok {
+		return s.continueAt(next)
 	}
 	s.err = err
 	return err
 }
 
-// readEvents reads the next event and those buffered behind it.
-func (s *stream) readEvents() error {
-	if s.eventCount > 0 {
-		s.response.SetReadTimeout(s.inflight.gapTimeout())
-	}
-	for {
-		e, err := s.events.next()
-		if err != nil {
-			return err
-		}
-		if err := s.checkOrder(e); err != nil {
-			return err
-		}
-		s.tracked.Heard(s.response.ConnOpenedAt())
-		now := s.inflight.Clock.Now()
-		if s.eventCount == 0 {
-			s.firstEventAt = now
-			s.grant.ResponseStarted(now.Sub(s.startedAt))
-		}
-		if s.eventCount > 0 {
-			s.maxGap = max(s.maxGap, now.Sub(s.lastEventAt))
-		}
-		s.eventCount++
-		s.lastEventAt = now
-		if s.eventCount == tokenReportEvents {
-			s.grant.TokensReceived(s.progress())
-		}
-		s.unread = append(s.unread, e.raw...)
-		if !s.events.hasBufferedEvent() {
-			return nil
+// searchTakeover looks for another target while the current one is silent.
+func (s *stream) searchTakeover() {
+	if s.takeover == nil {
+		position := s.position()
+		s.takeover = &takeover[*leg]{
+			ctx: s.ctx, cancelCurrent: s.leg.cancel, onStart: s.leg.recordSilence, discard: (*leg).discard,
+			search: func(ctx context.Context) (*leg, bool) { return s.searchLeg(ctx, position) },
 		}
 	}
+	s.takeover.start()
 }
 
-// checkOrder verifies that events are consecutive, also across targets.
-func (s *stream) checkOrder(e event) error {
-	if e.id == "" {
-		return nil
-	}
-	if s.lastEventID != "" && !follows(s.lastEventID, e.id) {
-		return errors.Wrapf(errOutOfOrder, "%s after %s", e.id, s.lastEventID)
+// streamPosition is how much of a stream has been received.
+type streamPosition struct {
+	lastEventID string
+	tokens      int
+}
+
+func (s *stream) position() streamPosition {
+	events := s.earlierEvents + s.leg.events.count
+	return streamPosition{s.leg.events.lastID, events * s.inflight.service.TokensPerEvent}
+}
+
+// continueAt goes on with the stream at another target.
+func (s *stream) continueAt(next *leg) error {
+	s.earlierEvents += s.leg.events.count
+	s.leg = next
+	s.inflight.Counters.StreamsResumed.Add(1)
+	if next.ended {
+		s.complete()
+		return io.EOF
 	}
-	s.lastEventID = e.id
 	return nil
 }
 
-// follows reports whether next is the successor of last; IDs that are not
-// numbers are not compared.
-func follows(last, next string) bool {
-	a, errA := strconv.ParseUint(last, 10, 64)
-	b, errB := strconv.ParseUint(next, 10, 64)
-	return errA != nil || errB != nil || b == a+1
+// recordBroken records that the target broke off the stream.
+func (s *stream) recordBroken(cause error) {
+	r, l := s.inflight, s.leg
+	endBroken(s.ctx, l.tracked, cause)
+	l.end(schedule.Failed)
+	took := r.Clock.Since(l.startedAt)
+	r.recordOutcome(l.grant.Target, true, took)
+	r.log.addStep("cut after "+l.events.lastID, l.grant.Target.ID, took)
+	r.log.cause = cause
+	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
 }
 
-// resume continues the stream at another target after the last event read; it
-// reports whether it could.
-func (s *stream) resume(cause error) bool {
+// searchLeg asks other targets for the rest of the stream until one sends its first
+// events, or its end; see takeover.
+func (s *stream) searchLeg(ctx context.Context, from streamPosition) (*leg, bool) {
 	r := s.inflight
-	s.endAttempt(schedule.Failed)
-	r.recordOutcome(s.grant.Target, true, r.Clock.Since(s.startedAt))
-	r.log.addStep(r.failedStep("cut after "+s.lastEventID, cause), s.grant.Target.ID, r.Clock.Since(s.startedAt))
-	r.log.cause = cause
-	r.receivedTokens += s.eventCount * r.service.TokensPerEvent
-	for r.route.Resumable && s.lastEventID != "" {
-		r.excludedTargets = append(r.excludedTargets, s.grant.Target.Key())
-		if r.checkRetry() != nil {
-			return false
+	if !r.route.Resumable || from.lastEventID == "" {
+		return nil, false
+	}
+	r.receivedTokens = from.tokens
+	for r.takeRetry() == nil {
+		grant, err := r.place(ctx)
+		if err != nil {
+			break
 		}
-		grant, _ := r.acquire(s.ctx)
-		if grant == nil {
-			return false
+		if l, ok := r.resumeAt(ctx, grant, from.lastEventID); ok {
+			return l, true
 		}
-		if s.resumeAt(grant) {
-			r.Counters.StreamsResumed.Add(1)
-			return true
+		if ctx.Err() != nil {
+			break
 		}
 	}
-	return false
+	return nil, false
 }
 
-// resumeAt requests the rest of the stream from another target.
-func (s *stream) resumeAt(grant *schedule.Grant) bool {
-	r := s.inflight
-	s.grant, s.tracked, s.startedAt, s.eventCount = grant, r.trackAttempt(grant), r.Clock.Now(), 0
-	response, err := r.Pool.Send(s.ctx, r.targetRequest(grant.Target, s.lastEventID, grant.ExpectedTimeToFirst))
-	if dispatch.IsNotSent(err) {
+// resumeAt requests the rest of a stream from another target, and waits until it
+// has begun.
+func (r *inflightRequest) resumeAt(ctx context.Context, grant *schedule.Grant, after string) (*leg, bool) {
+	l := r.newLeg(ctx, grant, after)
+	p := l.exchange()
+	if dispatch.IsNotSent(p.err) {
 		r.unreachable++
 	} else {
-		r.attempts++
-		r.Counters.SentToTargets.Add(1)
+		r.countSent(l)
 	}
-	if err != nil {
-		endBroken(s.ctx, s.tracked, err)
-		r.log.addStep("resume failed", grant.Target.ID, r.Clock.Since(s.startedAt))
-		grant.Done(schedule.Outcome{Result: schedule.Failed})
-		return false
+	if p.stream && (p.err == nil || p.err == io.EOF) {
+		l.ended = p.err == io.EOF
+		r.log.addStep("resumed after "+after, grant.Target.ID, p.took)
+		return l, true
 	}
-	s.response = response
-	metadata := r.Protocol.ParseResponse(response.Header)
-	if response.Status != http.StatusOK || !metadata.Signed || metadata.NotExecuted {
-		s.tracked.End(quarantine.NoEvidence)
-		r.log.addStep("resume refused", grant.Target.ID, r.Clock.Since(s.startedAt))
-		s.endAttempt(schedule.Full)
-		return false
+	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
+	if p.err != nil {
+		endBroken(ctx, l.tracked, p.err)
+		r.log.addStep("resume failed", grant.Target.ID, p.took)
+		l.end(schedule.Failed)
+		return nil, false
 	}
-	s.events = newEventReader(response)
-	r.log.addStep("resumed after "+s.lastEventID, grant.Target.ID, r.Clock.Since(s.startedAt))
-	return true
+	l.tracked.End(quarantine.NoEvidence)
+	r.log.addStep("resume refused", grant.Target.ID, p.took)
+	l.end(schedule.Full)
+	return nil, false
+}
+
+// discard ends an exchange whose response is not used.
+func (l *leg) discard() {
+	l.tracked.End(quarantine.Unanswered)
+	l.end(schedule.Cancelled)
 }
 
 // complete records the regular end of the stream.
 func (s *stream) complete() {
 	s.completed = true
-	endComplete(s.tracked, s.response, true)
-	s.endAttempt(schedule.Complete)
-	s.inflight.Counters.Answered.Add(1)
-	s.inflight.recordOutcome(s.grant.Target, false, s.lastEventAt.Sub(s.startedAt))
-	s.inflight.observeLatency(s.firstEventAt.Sub(s.inflight.request.ReceivedAt))
-	s.inflight.log.addStep(fmt.Sprintf("streamed %d events, the first after %d ms, with pauses of at most %d ms, from",
-		s.eventCount, s.firstEventAt.Sub(s.startedAt).Milliseconds(), s.maxGap.Milliseconds()), s.grant.Target.ID, s.lastEventAt.Sub(s.startedAt))
-}
-
-// endAttempt closes the response of the current target and ends its grant.
-func (s *stream) endAttempt(result schedule.Result) {
-	s.response.Close()
-	tokens, span := s.progress()
-	s.grant.Done(schedule.Outcome{
-		Result: result, TotalTime: s.lastEventAt.Sub(s.startedAt), Tokens: tokens, TokenSpan: span,
-	})
-}
-
-// tokenReportEvents is the number of events after which a stream reports the
-// tokens received so far, before it ends.
-const tokenReportEvents = 8
-
-// progress returns the number of tokens since the first event and the time they
-// took.
-func (s *stream) progress() (tokens int, span time.Duration) {
-	return max(0, s.eventCount-1) * s.inflight.service.TokensPerEvent, s.lastEventAt.Sub(s.firstEventAt)
+	r, l, events := s.inflight, s.leg, s.leg.events
+	endComplete(l.tracked, l.response, true)
+	l.end(schedule.Complete)
+	r.Counters.Answered.Add(1)
+	r.recordOutcome(l.grant.Target, false, events.lastAt.Sub(l.startedAt))
+	r.observeLatency(s.firstEventAt.Sub(r.request.ReceivedAt))
+	r.log.addStep(fmt.Sprintf("streamed %d events, the first after %d ms, with pauses of at most %d ms, from",
+		events.count, events.firstAt.Sub(l.startedAt).Milliseconds(), events.maxGap.Milliseconds()), l.grant.Target.ID, events.lastAt.Sub(l.startedAt))
 }
 
 // Close implements io.Closer. It cancels an unfinished stream and writes the
@@ -273,8 +349,7 @@
 		s.inflight.Counters.CallerGone.Add(1)
 	}
 	if !s.completed {
-		s.tracked.End(quarantine.Unanswered)
-		s.endAttempt(schedule.Cancelled)
+		s.leg.discard()
 	}
 	s.cancel()
 	s.inflight.log.write(s.inflight, status, reason)
