Answer requests that an instance cannot finish before it has to stop

Callers saw status 499, or a closed connection, for requests that still waited for a slot, or whose target had not answered, when the grace period ended. A refusal that says that the request has not run was due to the former.

Cause: the end of the grace period cancelled requests in the same way as a disconnect of their caller does, and a request whose caller has gone gets no answer. The process then ended without waiting for the responses.

The cancellation now has a cause, by which a request is answered according to what it has done: 503 if it has not been sent to a target, else 502. Shutdown waits up to 100 ms for these responses, within the margin that is kept before the forced stop. Kill stays as abrupt as it was.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -335,9 +335,12 @@
 	return route
 }
 
-// contextDone responds to a request whose deadline has passed; it returns nil
-// if the caller has disconnected.
+// contextDone responds to a request whose deadline has passed or that the instance
+// can no longer serve since it stops; it returns nil if the caller has disconnected.
 func (r *inflightRequest) contextDone(ctx context.Context, reason string) *Response {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return r.refuseOrFail(errStopping.Error(), defaultRetryAfter)
+	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -22,21 +22,28 @@
 	// maxConnections bounds callers' connections; it is below the limit on open
 	// file descriptors of an instance.
 	maxConnections = 3000
+	// finalResponseTime bounds the writing of the responses to requests that are
+	// cancelled at the end of a shutdown.
+	finalResponseTime = 100 * time.Millisecond
 )
 
+// errStopping is the cause of the cancellation of requests at the end of a
+// shutdown.
+var errStopping = errors.New("the instance is stopping")
+
 // Server is the HTTP server of a gateway.
 type Server struct {
 	gateway *Gateway
 	server  *fasthttp.Server
 	// baseContext is the parent of all request contexts.
 	baseContext    context.Context
-	cancelRequests context.CancelFunc
+	cancelRequests context.CancelCauseFunc
 }
 
 // NewServer returns a server for the gateway.
 func NewServer(g *Gateway) *Server {
 	s := &Server{gateway: g}
-	s.baseContext, s.cancelRequests = context.WithCancel(context.Background())
+	s.baseContext, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.server = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleReadError,
@@ -67,9 +74,40 @@
 }
 
 // Shutdown stops accepting connections, closes idle ones and waits for the
-// requests in flight; it cancels them when the context ends.
+// requests in flight. When the context ends, it cancels them and waits up to
+// finalResponseTime for their responses to be written.
 func (s *Server) Shutdown(ctx context.Context) error {
-	defer context.AfterFunc(ctx, s.cancelRequests)()
+	err := s.server.ShutdownWithContext(ctx)
+	if err == nil {
+		return nil
+	}
+	s.cancelRequests(errStopping)
+	s.awaitFinalResponses()
+	return err
+}
+
+// awaitFinalResponses waits until the requests that have been cancelled are
+// answered.
+func (s *Server) awaitFinalResponses() {
+	const checkInterval = 5 * time.Millisecond
+	giveUp := time.After(finalResponseTime)
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for s.OpenConnections() > 0 {
+		select {
+		case <-giveUp:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Kill stops accepting connections and cancels the requests in flight without
+// waiting for anything.
+func (s *Server) Kill() error {
+	s.cancelRequests(nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
 	return s.server.ShutdownWithContext(ctx)
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -14,8 +14,8 @@
 	// the signal to stop: the load balancer checks readiness once a second and
 	// needs two failures.
 	deregistrationDelay = 2500 * time.Millisecond
-	// killMargin is the time kept between the end of the last request and the
-	// forced stop.
+	// killMargin is the time kept between the cancellation of the last requests and
+	// the forced stop. Their responses are written in it.
 	killMargin = 150 * time.Millisecond
 )
 
@@ -40,11 +40,11 @@
 func (n *Node) Kill() {
 	n.draining.Store(true)
 	n.cancel()
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	if err := n.callerServer.Shutdown(ctx); err != nil {
+	if err := n.callerServer.Kill(); err != nil {
 		n.logger.Debug("caller server not closed cleanly", eventlog.ErrorField(err))
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
 	if err := n.readinessServer.ShutdownWithContext(ctx); err != nil {
 		n.logger.Debug("readiness server not closed cleanly", eventlog.ErrorField(err))
 	}
