Apply lengthened idle and header timeouts to connections that wait

Callers reuse a connection within the idle timeout of the newest configuration. An instance closed it by the timeout that was in force when the connection became idle, so that a request beside such a change could meet the close and get neither an answer nor a refusal. The same held for a header that was being received.

Cause: the deadline of a read was computed once, when the read began. Now a read that has timed out goes on if the timeout in force by then has not passed. The phase in which a connection is read (idle, header, body) says which timeout that is, and the deadline for the body stays the server's.

Evidence: both cases of TestConnectionOutlivesATimeoutThatWasLengthened failed with a timeout before; 5 runs of the package with the race detector passed since, and the tests of requests beside changes.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -40,16 +43,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, timeouts: l.timeouts, idle: true}, nil
+	return &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: time.Now()}, nil
 }
 
+// connPhase is what a caller's connection is read for.
+type connPhase int
+
+const (
+	// idlePhase is the time until the first byte of a request.
+	idlePhase connPhase = iota
+	headerPhase
+	// bodyPhase is the time after the header, when the server sets the deadlines.
+	bodyPhase
+)
+
 // callerConn is a caller's connection that detects its close while a request is
 // being served, when nothing else reads from it.
 type callerConn struct {
 	net.Conn
 	timeouts timeouts
-	// idle is set between requests; only the serving goroutine accesses it.
-	idle bool
+	// phase began at phaseSince; only the serving goroutine accesses them.
+	phase      connPhase
+	phaseSince time.Time
 	// closeWatch is the background read in progress, or nil.
 	closeWatch *closeWatch
 
@@ -69,33 +84,70 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
-	c.mu.Lock()
-	if len(c.readAhead) > 0 && len(buffer) > 0 {
-		n := copy(buffer, c.readAhead)
-		c.readAhead = c.readAhead[n:]
-		c.mu.Unlock()
-		c.idle = false
-		_ = c.SetReadDeadline(time.Now().Add(c.timeouts.header()))
-		return n, nil
+	n, err := c.takeReadAhead(buffer), error(nil)
+	if n == 0 {
+		n, err = c.readWithTimeout(buffer)
 	}
-	c.mu.Unlock()
-	if c.idle {
-		_ = c.SetReadDeadline(time.Now().Add(c.timeouts.idle()))
-	}
-	n, err := c.Conn.Read(buffer)
-	if c.idle && n > 0 {
-		c.idle = false
-		_ = c.SetReadDeadline(time.Now().Add(c.timeouts.header()))
+	if c.phase == idlePhase && n > 0 {
+		c.enter(headerPhase)
 	}
 	return n, err
 }
 
+func (c *callerConn) takeReadAhead(buffer []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(buffer, c.readAhead)
+	c.readAhead = c.readAhead[n:]
+	return n
+}
+
+// readWithTimeout reads with the timeout of the phase. A timeout that has been
+// lengthened during the read applies to it.
+func (c *callerConn) readWithTimeout(buffer []byte) (int, error) {
+	for {
+		deadline, limited := c.phaseDeadline()
+		if limited {
+			_ = c.Conn.SetReadDeadline(deadline)
+		}
+		n, err := c.Conn.Read(buffer)
+		if n > 0 || !limited || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if current, _ := c.phaseDeadline(); !current.After(deadline) {
+			return n, err
+		}
+	}
+}
+
+// phaseDeadline returns when the phase ends; limited is unset if that is up to the
+// server.
+func (c *callerConn) phaseDeadline() (deadline time.Time, limited bool) {
+	switch c.phase {
+	case idlePhase:
+		return c.phaseSince.Add(c.timeouts.idle()), true
+	case headerPhase:
+		return c.phaseSince.Add(c.timeouts.header()), true
+	default:
+		return time.Time{}, false
+	}
+}
+
+func (c *callerConn) enter(phase connPhase) { c.phase, c.phaseSince = phase, time.Now() }
+
+// SetReadDeadline implements net.Conn. The server calls it when it has read a
+// header.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	c.enter(bodyPhase)
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // WatchClose calls onClose if the caller closes the connection before
 // StopWatch. It detects no close after the first byte of a further request.
 func (c *callerConn) WatchClose(onClose func()) {
 	w := &closeWatch{done: make(chan struct{})}
 	c.closeWatch = w
-	_ = c.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(w.done)
 		var buffer [1]byte
@@ -125,8 +177,8 @@
 	w.mu.Lock()
 	w.stopped = true
 	w.mu.Unlock()
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-w.done
-	_ = c.SetReadDeadline(time.Time{})
-	c.idle = true
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	c.enter(idlePhase)
 }
--- /dev/null
+++ b/internal/gateway/conn_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// acceptCaller returns both ends of a caller's connection, whose idle and header
+// timeouts are as given.
+func acceptCaller(t *testing.T, idle, header func() time.Duration) (caller net.Conn, accepted *callerConn) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, inner.Close()) })
+	caller, err = net.Dial("tcp", inner.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	conn, err := (&listener{Listener: inner, timeouts: timeouts{idle: idle, header: header}}).Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return caller, conn.(*callerConn)
+}
+
+func fixedTimeout(timeout time.Duration) func() time.Duration {
+	return func() time.Duration { return timeout }
+}
+
+// TestConnectionOutlivesATimeoutThatWasLengthened guards against the close of a
+// connection by a timeout that a newer configuration has lengthened in the meantime.
+func TestConnectionOutlivesATimeoutThatWasLengthened(t *testing.T) {
+	const short, long, pause = 100 * time.Millisecond, 10 * time.Second, 300 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		// sentBefore is sent before the timeout is lengthened.
+		sentBefore string
+	}{
+		{"idle", ""},
+		{"inside a header", "GET / HT"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			var timeout atomic.Int64
+			timeout.Store(int64(short))
+			current := func() time.Duration { return time.Duration(timeout.Load()) }
+			caller, conn := acceptCaller(t, current, current)
+			buffer := make([]byte, 64)
+			if tc.sentBefore != "" {
+				_, err := caller.Write([]byte(tc.sentBefore))
+				assert.NilError(t, err)
+				n, err := conn.Read(buffer)
+				assert.NilError(t, err)
+				assert.Equal(t, string(buffer[:n]), tc.sentBefore)
+			}
+			time.AfterFunc(short/2, func() { timeout.Store(int64(long)) })
+			time.AfterFunc(pause, func() { _, _ = caller.Write([]byte("rest")) })
+			n, err := conn.Read(buffer)
+			assert.NilError(t, err)
+			assert.Equal(t, string(buffer[:n]), "rest")
+		})
+	}
+}
+
+func TestConnectionTimesOut(t *testing.T) {
+	const short, long = 50 * time.Millisecond, 10 * time.Second
+	buffer := make([]byte, 64)
+	isTimeout := func(err error) bool {
+		var netErr net.Error
+		return err != nil && errors.As(err, &netErr) && netErr.Timeout()
+	}
+
+	_, conn := acceptCaller(t, fixedTimeout(short), fixedTimeout(long))
+	_, err := conn.Read(buffer)
+	assert.Assert(t, isTimeout(err), "idle: %v", err)
+
+	caller, conn := acceptCaller(t, fixedTimeout(long), fixedTimeout(short))
+	_, err = caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	_, err = conn.Read(buffer)
+	assert.NilError(t, err)
+	startedAt := time.Now()
+	// Each byte does not start the header's time anew.
+	for err == nil && time.Since(startedAt) < long {
+		_, _ = caller.Write([]byte("x"))
+		time.Sleep(short / 5)
+		_, err = conn.Read(buffer)
+	}
+	assert.Assert(t, isTimeout(err), "header: %v", err)
+}
+
+// The timeout of a body, which the server sets, is kept.
+func TestBodyIsReadWithTheServersTimeout(t *testing.T) {
+	caller, conn := acceptCaller(t, fixedTimeout(10*time.Second), fixedTimeout(50*time.Millisecond))
+	buffer := make([]byte, 64)
+	_, err := caller.Write([]byte("header"))
+	assert.NilError(t, err)
+	_, err = conn.Read(buffer)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	time.AfterFunc(200*time.Millisecond, func() { _, _ = caller.Write([]byte("body")) })
+	n, err := conn.Read(buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer[:n]), "body")
+}
