Bound what is read of a target before its body, in bytes and in time

Cause: the other side decided where a header ended. http.ReadResponse read lines and fields without a limit, 1xx responses were skipped without one, and a response to another request was discarded for as long as it trickled.

Change: until the header is complete, 64 KiB and eight 1xx responses are read, and it may be received for a second, of which a pause counts for 100 ms at most, since a sound target may be silent inside a header; on both request paths. Garbage on a reused connection no longer counts as a stale connection.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -129,10 +129,14 @@
 	if r.Method == fasthttp.MethodHead {
 		raw.SkipBody = true
 	}
-	if err := raw.ReadLimitBody(bufio.NewReader(conn), 0); err != nil {
+	bounds := &boundedReader{source: conn}
+	bounds.awaitHeader()
+	// The codec reads a header of at most the reader's size.
+	if err := raw.ReadLimitBody(bufio.NewReader(bounds), 0); err != nil {
 		stopCancel()
 		return nil, err
 	}
+	bounds.headerComplete()
 	response := &Response{
 		Status: raw.StatusCode(), ContentLength: raw.Header.ContentLength(),
 		conn: conn, raw: raw, stopCancel: stopCancel,
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -64,6 +64,8 @@
 	framed bool
 	// bodyComplete is set once the body has been read to its regular end.
 	bodyComplete, reusable bool
+	// reserved is the memory reserved for the body, in bytes.
+	reserved int64
 }
 
 // Send sends the request and returns once the response header has been read.
@@ -98,23 +100,25 @@
 func (r *PooledRequest) roundTrip(conn *pooledConn) (*PooledResponse, error) {
 	writeErr := r.write(conn)
 	conn.watchSilence(r.Silence)
+	conn.bounds.awaitHeader()
 	for range maxMismatchedResponses {
-		response, err := readHeader(conn.reader, r.Method)
+		response, err := conn.readHeader(r.Method)
 		if err != nil {
 			if writeErr != nil {
 				err = writeErr
 			}
-			if conn.reused {
+			if conn.reused && !conn.bounds.received {
 				err = errors.Mark(err, ErrStaleConn)
 			}
 			return nil, err
 		}
 		if !r.MatchesRequest(response.Header) {
-			if err := discardResponse(response); err != nil {
+			if err := conn.discardMismatched(response); err != nil {
 				return nil, errors.Mark(err, ErrResponseMismatch)
 			}
 			continue
 		}
+		conn.bounds.headerComplete()
 		return &PooledResponse{
 			Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
 			conn: conn, body: response.Body, keepAlive: keepAliveTimeout(response.Header),
@@ -126,26 +130,33 @@
 }
 
 // readHeader reads the next response header, skipping 1xx responses.
-func readHeader(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+func (c *pooledConn) readHeader(method string) (*http.Response, error) {
+	for range maxInformationalResponses + 1 {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
+		c.bounds.awaitNextHeader(c.reader.Buffered() > 0)
 	}
+	return nil, errors.Wrapf(ErrResponseTooLong, "more than %d informational responses", maxInformationalResponses)
 }
 
-func discardResponse(response *http.Response) error {
+// discardMismatched reads a response to another request up to the next header.
+func (c *pooledConn) discardMismatched(response *http.Response) error {
 	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return errors.New("mismatched response is delimited only by the end of the connection")
 	}
+	headerBytesLeft := c.bounds.left
+	c.bounds.left = maxMismatchedBytes
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes))
 	if err == nil && n == maxMismatchedBytes {
-		err = errors.Newf("mismatched response has at least %d bytes", maxMismatchedBytes)
+		err = errors.Wrapf(ErrResponseTooLong, "mismatched response of at least %d bytes", maxMismatchedBytes)
 	}
+	c.bounds.left = headerBytesLeft
+	c.bounds.awaitNextHeader(c.reader.Buffered() > 0)
 	return err
 }
 
@@ -212,6 +223,8 @@
 // end and nothing followed it. Otherwise it is closed, which makes the target
 // cancel the request.
 func (r *PooledResponse) Close() {
+	r.pool.bufferedBytes.Add(-r.reserved)
+	r.reserved = 0
 	if !r.stopCancel() {
 		return
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,8 @@
 type Pool struct {
 	clock  clockwork.Clock
 	dialer net.Dialer
+	// bufferedBytes is the memory reserved for bodies, in bytes.
+	bufferedBytes atomic.Int64
 
 	// mu guards the fields below.
 	mu          sync.Mutex
@@ -72,6 +75,7 @@
 type pooledConn struct {
 	conn    net.Conn
 	address string
+	bounds  boundedReader
 	reader  *bufio.Reader
 	// openedAt is when the connection was established, lastUsedAt the end of the
 	// last request, expiresAt the time after which the connection must not be used.
@@ -81,11 +85,11 @@
 	silence SilenceWatch
 }
 
-// SilenceWatch reports that a target sends nothing. It never ends the exchange: a
-// sound target may pause, and go on by itself.
+// SilenceWatch reports that a target has not sent what it is waited for. It never
+// ends the exchange: a sound target may pause, and go on by itself.
 type SilenceWatch struct {
-	// After is the time without a byte after which OnSilence is called, and then
-	// again after each further such time; 0 means never.
+	// After is the time from the start of the watch after which OnSilence is called,
+	// and then again after each further such time; 0 means never.
 	After time.Duration
 	// OnSilence is called by the goroutine that reads the response, and delays it.
 	OnSilence func()
@@ -96,7 +100,7 @@
 	c.setSilenceDeadline()
 }
 
-// setSilenceDeadline sets the time until which a read may wait.
+// setSilenceDeadline sets the time until which reads wait.
 func (c *pooledConn) setSilenceDeadline() {
 	var deadline time.Time
 	if c.silence.After > 0 {
@@ -143,7 +147,8 @@
 	p.openedConns++
 	p.mu.Unlock()
 	pooled := &pooledConn{conn: conn, address: address, openedAt: p.clock.Now()}
-	pooled.reader = bufio.NewReaderSize(pooled, readBufferBytes)
+	pooled.bounds.source = pooled
+	pooled.reader = bufio.NewReaderSize(&pooled.bounds, readBufferBytes)
 	return pooled, nil
 }
 
