Answer callers soon although a target sends without end

Cause: the body of an untrusted response was read before it was discarded, the body of a refusal up to 8 MB and for as long as it trickled. Blank lines and comments counted as events: they opened a stream, so that no other target was tried, and could go on for ever, as could events without IDs. A line that exactly filled the buffer ended its event.

Change: untrusted bodies are not read, refusals are discarded within bounds. Blank lines and comments go with the event that follows them, at most 64 KiB of them; events without IDs may have 1 MiB in sequence. A stream with 16 events more than the caller's limit on output tokens is cut and not resumed. Long bodies and events draw on the memory that dispatch bounds. Such attempts are failures of the target and no evidence that the request crashes targets.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,9 +131,12 @@
 	case l.response.Status == http.StatusOK && r.route.Kind == catalog.Streaming && p.metadata.Signed:
 		p.stream = true
 		p.err = l.readEvents()
+	case untrusted(l.response, p.metadata):
+		// The body is not read: it may come without end.
+		p.err = errUntrusted
 	default:
 		l.grant.ResponseStarted(r.Clock.Since(l.startedAt))
-		p.body, p.err = io.ReadAll(io.LimitReader(l.response, maxBufferedBytes))
+		p.body, p.err = l.response.ReadBody(maxBufferedBytes)
 	}
 	return p
 }
@@ -192,7 +195,7 @@
 func endBroken(ctx context.Context, tracked *quarantine.Attempt, err error) {
 	var netErr net.Error
 	switch {
-	case dispatch.IsNotSent(err):
+	case dispatch.IsNotSent(err), errors.IsAny(err, errUntrusted, dispatch.ErrResponseTooLong, errEndless, errTooManyEvents):
 		tracked.End(quarantine.NoEvidence)
 	case ctx.Err() != nil, errors.As(err, &netErr) && netErr.Timeout():
 		tracked.End(quarantine.Unanswered)
@@ -201,11 +204,10 @@
 	}
 }
 
-// endComplete records the end of an attempt whose response was read to its end. A
-// response that is not the target's own, or that ends with its connection as it
-// would if the target had crashed, shows nothing.
-func endComplete(tracked *quarantine.Attempt, response *dispatch.PooledResponse, trusted bool) {
-	if trusted && response.IsFramed() {
+// endComplete records the end of an attempt whose response was read to its end. One
+// that ends with its connection, as it would if the target had crashed, shows nothing.
+func endComplete(tracked *quarantine.Attempt, response *dispatch.PooledResponse) {
+	if response.IsFramed() {
 		tracked.End(quarantine.Completed)
 	} else {
 		tracked.End(quarantine.NoEvidence)
@@ -304,7 +306,7 @@
 	l.tracked.End(quarantine.NoEvidence)
 	r.countSent(l)
 	r.possibleRuns--
-	_, _ = io.Copy(io.Discard, io.LimitReader(l.response, maxBufferedBytes))
+	l.response.Discard()
 	r.Counters.NotExecuted.Add(1)
 	r.log.addStep("not executed "+http.StatusText(l.response.Status), l.grant.Target.ID, p.took)
 	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
@@ -323,13 +325,13 @@
 	if p.err != nil {
 		endBroken(ctx, l.tracked, p.err)
 	} else {
-		endComplete(l.tracked, l.response, !untrusted(l.response, p.metadata))
+		endComplete(l.tracked, l.response)
 	}
 	switch {
 	case ctx.Err() != nil:
 		l.end(schedule.Cancelled)
 		return attemptResult{reason: "the answer was not complete before the deadline"}
-	case p.err != nil, len(p.body) == maxBufferedBytes, untrusted(l.response, p.metadata):
+	case p.err != nil:
 		r.log.addStep("answer unusable", l.grant.Target.ID, p.took)
 		r.log.cause = p.err
 		r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
@@ -379,6 +381,9 @@
 	r.ObserveLatency(r.route.Priority, r.accountName(), firstEvent, r.Clock.Since(r.request.ReceivedAt))
 }
 
+// errUntrusted is returned for a response that is not the target's own.
+var errUntrusted = errors.New("response is not the target's own")
+
 // untrusted reports whether a response cannot be the target's own: a success
 // without signature or attempt ID, or any encoded content.
 func untrusted(response *dispatch.PooledResponse, metadata ResponseMetadata) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,6 +33,10 @@
 	// unread holds the events that were read and not passed on yet.
 	unread []byte
 	count  int
+	// identified is the number of events with an ID, of this target and of those
+	// before it, unidentifiedBytes the size of the events without one since the last
+	// of them.
+	identified, unidentifiedBytes int
 
 	firstAt, lastAt time.Time
 	// maxGap is the longest gap between events.
@@ -44,7 +48,7 @@
 func (l *leg) readEvents() error {
 	events := l.events
 	if events.reader == nil {
-		events.reader = newEventReader(l.response)
+		events.reader = newEventReader(l.response, l.response.Reserve)
 	}
 	for {
 		e, err := events.reader.next()
@@ -54,7 +58,7 @@
 		if err != nil {
 			return err
 		}
-		if err := events.checkOrder(e); err != nil {
+		if err := events.check(e, l.inflight.request.MaxOutputTokens); err != nil {
 			return err
 		}
 		l.tracked.Heard(l.response.ConnOpenedAt())
@@ -72,11 +76,20 @@
 	}
 }
 
-// checkOrder verifies that events are consecutive, also across targets.
-func (e *legEvents) checkOrder(next event) error {
+// check verifies that events are consecutive, also across targets, and that there
+// are no more than the caller's limit on output tokens allows; 0 means no limit.
+func (e *legEvents) check(next event, maxTokens int) error {
 	if next.id == "" {
+		if e.unidentifiedBytes += len(next.raw); e.unidentifiedBytes > maxEventBytes {
+			return errors.Wrap(errEndless, "events without IDs")
+		}
 		return nil
 	}
+	e.unidentifiedBytes = 0
+	e.identified++
+	if maxTokens > 0 && e.identified > maxTokens+maxUncountedEvents {
+		return errors.Wrapf(errTooManyEvents, "more events than %d output tokens", maxTokens)
+	}
 	if e.lastID != "" && !follows(e.lastID, next.id) {
 		return errors.Wrapf(errOutOfOrder, "%s after %s", next.id, e.lastID)
 	}
@@ -207,8 +220,10 @@
 		return s.err
 	}
 	s.recordBroken(err)
-	if next, ok := s.searchLeg(s.ctx, s.position()); ok {
-		return s.continueAt(next)
+	if !errors.Is(err, errTooManyEvents) {
+		if next, ok := s.searchLeg(s.ctx, s.position()); ok {
+			return s.continueAt(next)
+		}
 	}
 	s.err = err
 	return err
@@ -229,12 +244,13 @@
 // streamPosition is how much of a stream has been received.
 type streamPosition struct {
 	lastEventID string
-	tokens      int
+	// events is the number of events, identified that of those with an ID.
+	events, identified int
 }
 
 func (s *stream) position() streamPosition {
-	events := s.earlierEvents + s.leg.events.count
-	return streamPosition{s.leg.events.lastID, events * s.inflight.service.TokensPerEvent}
+	events := s.leg.events
+	return streamPosition{events.lastID, s.earlierEvents + events.count, events.identified}
 }
 
 // continueAt goes on with the stream at another target.
@@ -268,13 +284,13 @@
 	if !r.route.Resumable || from.lastEventID == "" {
 		return nil, false
 	}
-	r.receivedTokens = from.tokens
+	r.receivedTokens = from.events * r.service.TokensPerEvent
 	for r.takeRetry() == nil {
 		grant, err := r.place(ctx)
 		if err != nil {
 			break
 		}
-		if l, ok := r.resumeAt(ctx, grant, from.lastEventID); ok {
+		if l, ok := r.resumeAt(ctx, grant, from); ok {
 			return l, true
 		}
 		if ctx.Err() != nil {
@@ -286,8 +302,9 @@
 
 // resumeAt requests the rest of a stream from another target, and waits until it
 // has begun.
-func (r *inflightRequest) resumeAt(ctx context.Context, grant *schedule.Grant, after string) (*leg, bool) {
-	l := r.newLeg(ctx, grant, after)
+func (r *inflightRequest) resumeAt(ctx context.Context, grant *schedule.Grant, from streamPosition) (*leg, bool) {
+	l := r.newLeg(ctx, grant, from.lastEventID)
+	l.events.identified = from.identified
 	p := l.exchange()
 	if dispatch.IsNotSent(p.err) {
 		r.unreachable++
@@ -296,7 +313,7 @@
 	}
 	if p.stream && (p.err == nil || p.err == io.EOF) {
 		l.ended = p.err == io.EOF
-		r.log.addStep("resumed after "+after, grant.Target.ID, p.took)
+		r.log.addStep("resumed after "+from.lastEventID, grant.Target.ID, p.took)
 		return l, true
 	}
 	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
@@ -322,7 +339,7 @@
 func (s *stream) complete() {
 	s.completed = true
 	r, l, events := s.inflight, s.leg, s.leg.events
-	endComplete(l.tracked, l.response, true)
+	endComplete(l.tracked, l.response)
 	l.end(schedule.Complete)
 	r.Counters.Answered.Add(1)
 	r.recordOutcome(l.grant.Target, false, events.lastAt.Sub(l.startedAt))
