Bound blank lines and repeated events of engines' streams

Cause: sse.Reader skipped lines without data, and the relay events that it had recorded before, for as long as a target sent them.

Change: at most 1 MiB of lines before an event, 10000 repeated events a connection.

--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -25,6 +25,9 @@
 	resumeBackoff = 50 * time.Millisecond
 	// bodyChunkBytes is the largest chunk in which a plain body is relayed.
 	bodyChunkBytes = 32 << 10
+	// maxRepeatedEvents bounds the events of one connection that are skipped since
+	// they have been recorded before.
+	maxRepeatedEvents = 10000
 )
 
 // EventRefusal is the type of an event that ends a stream with a refusal.
@@ -161,6 +164,7 @@
 // relayEvents relays the events of one connection.
 func (r *relay) relayEvents(ctx context.Context, response *dispatch.Response) error {
 	reader := sse.NewReader(response.Body)
+	repeated := 0
 	for {
 		event, err := reader.Next()
 		if err == io.EOF {
@@ -173,6 +177,9 @@
 			return parseRefusal(event.Data)
 		}
 		if event.ID != 0 && event.ID <= r.lastID {
+			if repeated++; repeated > maxRepeatedEvents {
+				return fault.At(fault.StepStream, r.source, errors.Mark(errors.Newf("event %d came again", event.ID), errTruncated))
+			}
 			continue
 		}
 		if event.ID == 0 {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxEventBytes bounds one event and one line.
+// MaxEventBytes bounds one event, one line, and the lines before an event.
 const MaxEventBytes = 1 << 20
 
 // LastEventData is the data of the last event of a stream.
@@ -66,16 +66,21 @@
 	return &Reader{buffered: bufio.NewReader(body)}
 }
 
-// Next returns the next event that has data. At the end of the body it returns
+// Next returns the next event that has data. Lines without data before it may
+// together have MaxEventBytes. At the end of the body it returns
 // io.EOF; an incomplete last event is dropped.
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	var hasData bool
+	padding := 0
 	for {
 		line, err := r.readLine()
 		if err != nil {
 			return Event{}, err
 		}
+		if padding += len(line) + 1; !hasData && padding > MaxEventBytes {
+			return Event{}, ErrEventTooLong
+		}
 		if len(line) == 0 {
 			if hasData {
 				return event, nil
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -36,3 +36,26 @@
 		}
 	})
 }
+
+// repeatReader returns a text without end and counts the bytes read.
+type repeatReader struct {
+	text string
+	read int
+}
+
+func (r *repeatReader) Read(buffer []byte) (int, error) {
+	for i := range buffer {
+		buffer[i] = r.text[(r.read+i)%len(r.text)]
+	}
+	r.read += len(buffer)
+	return len(buffer), nil
+}
+
+func TestEndlessBytesAreNoEvent(t *testing.T) {
+	for _, text := range []string{"\n", "\r\n", ": comment\n", "id: 1\n", "event: x\n\n", "x", "data: a\n"} {
+		body := &repeatReader{text: text}
+		_, err := NewReader(body).Next()
+		assert.ErrorIs(t, err, ErrEventTooLong, "%q", text)
+		assert.Assert(t, body.read <= 8*MaxEventBytes, "%q: %d bytes", text, body.read)
+	}
+}
