Take a service's unframed stream that ends inside an event for broken off

Callers of the product's own interface got a stream of a plain service as complete although its target had ended at the header or inside an event.

Cause: the responses of plain services are relayed as bodies, and a body with neither a length nor chunks is complete at the end of its connection. For an event stream this holds only after an event. Such a stream now ends as truncated otherwise. Streams of engines have an explicit end and were not affected, nor were bodies that were reset, cut or too short.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -73,6 +73,13 @@
 	_ = r.raw.CloseBodyStream()
 }
 
+// IsFramed reports whether the header determines where the body ends. If not, a
+// body that was cut off cannot be told from a complete one.
+func (r *Response) IsFramed() bool {
+	const identity = -2
+	return r.ContentLength != identity || r.raw.BodyStream() == nil
+}
+
 // Get returns the value of a header field, or "".
 func (r *Response) Get(name string) string {
 	return string(r.raw.Header.Peek(name))
--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -85,15 +85,18 @@
 	return strings.HasPrefix(response.Get("Content-Type"), "text/event-stream")
 }
 
-// relayBody relays a plain body. A body shorter than its declared length is an
-// error.
+// relayBody relays a plain body, or a stream as one. A body shorter than its
+// declared length is an error, and so is a stream that is not framed and does not end
+// after an event.
 func (r *relay) relayBody(ctx context.Context, response *dispatch.Response) error {
 	buffer := make([]byte, bodyChunkBytes)
 	received := 0
+	var tail []byte
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			received += n
+			tail = lastBytes(append(tail, lastBytes(buffer[:n])...))
 			if err := r.appendChunk(ctx, r.lastID+1, buffer[:n], slices.Clone(buffer[:n])); err != nil {
 				return err
 			}
@@ -105,12 +108,17 @@
 			return fault.At(fault.StepStream, r.source, errors.Mark(err, errTruncated))
 		}
 	}
-	if response.ContentLength > received {
+	brokenOff := isEventStream(response) && !response.IsFramed() && !sse.EndsEvent(tail)
+	if response.ContentLength > received || brokenOff {
 		return fault.At(fault.StepStream, r.source, errTruncated)
 	}
 	return nil
 }
 
+// lastBytes returns the bytes at the end of data from which sse.EndsEvent tells how
+// it ends.
+func lastBytes(data []byte) []byte { return data[max(0, len(data)-sse.EventEndBytes):] }
+
 // relayStream relays events up to the last one. A stream that breaks off is
 // resumed after the last event recorded.
 func (r *relay) relayStream(ctx context.Context, response *dispatch.Response) error {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -135,3 +135,13 @@
 		return bytes.TrimRight(line, "\r\n"), nil
 	}
 }
+
+// EventEndBytes is the number of bytes at the end of a body from which EndsEvent
+// tells whether it ends after an event.
+const EventEndBytes = 3
+
+// EndsEvent reports whether a body with these last bytes ends after an event, rather
+// than inside one.
+func EndsEvent(tail []byte) bool {
+	return bytes.HasSuffix(tail, []byte("\n\n")) || bytes.HasSuffix(tail, []byte("\n\r\n"))
+}
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -19,6 +19,15 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
+func TestEndOfAnEventIsRecognized(t *testing.T) {
+	for text, want := range map[string]bool{
+		"data: a\n\n": true, "data: a\r\n\r\n": true, "data: a\n\r\n": true, "data: a\n": false, "data: a\r\n": false, "data: a": false, "": false,
+	} {
+		assert.Equal(t, EndsEvent([]byte(text)), want, "%q", text)
+		assert.Equal(t, EndsEvent([]byte(text)[max(0, len(text)-EventEndBytes):]), want, "%q", text)
+	}
+}
+
 func FuzzReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: x\n\ndata: [DONE]\n\n"))
 	f.Add([]byte("data:\ndata: y\n\n:c\n\nid: z\n"))
