Name the shared parts of a request's prompt in its log lines

Cause: marks and requests could not be related by their prompts, since Prefix-Hash was passed on unread. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// LastEventID is the last event that the caller received of the stream to be
 	// resumed; "" if not given.
 	LastEventID string
+	// PromptParts are the IDs of the prompt's parts, in order, without the last
+	// one, which no other request has; none if not given.
+	PromptParts []string
 }
 
 // DispatchMetadata is the metadata that the gateway sends to a target.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,6 +28,8 @@
 	// expectedOutputShare is the share of the caller's output limit that is
 	// expected to be used if there is no length hint.
 	expectedOutputShare = 0.25
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 8
 	// reasonQuarantined is the reason given for requests that crash targets.
 	reasonQuarantined = "the request has crashed several targets"
 )
@@ -366,6 +368,9 @@
 	if r.fingerprint != "" {
 		fields = append(fields, zap.String("content", string(r.fingerprint)))
 	}
+	if len(r.request.PromptParts) > 0 {
+		fields = append(fields, zap.Strings("parts", r.request.PromptParts[:min(len(r.request.PromptParts), maxLoggedParts)]))
+	}
 	if r.route != nil {
 		fields = append(fields, zap.String("route", r.route.Name), zap.Int("priority", r.priority()))
 	}
