--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -188,7 +188,7 @@
 // trackAttempt records the start of an attempt, in case the request crashes the
 // target.
 func (r *inflightRequest) trackAttempt(grant *schedule.Grant) *quarantine.Attempt {
-	return r.Quarantine.Start(r.fingerprint, grant.Target.Key().String(), grant.ExpectedTimeToFirst)
+	return r.Quarantine.Start(r.fingerprint, grant.Target.Key().String(), grant.ExpectedTimeToFirst, r.promptParts...)
 }
 
 // endBroken records the end of an attempt without a complete response.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -31,7 +31,7 @@
 	// maxLoggedParts bounds the parts of a prompt in a log line.
 	maxLoggedParts = 8
 	// reasonQuarantined is the reason given for requests that crash targets.
-	reasonQuarantined = "the request has crashed several targets"
+	reasonQuarantined = "the request or a part of its prompt has crashed several targets"
 )
 
 // Request is a caller's HTTP request.
@@ -66,6 +66,8 @@
 	excludedTargets []catalog.TargetKey
 	// fingerprint identifies the content; it is the same when the caller retries.
 	fingerprint quarantine.Fingerprint
+	// promptParts are the fingerprints of the prompt's shared parts.
+	promptParts []quarantine.Fingerprint
 	// attempts counts the targets that the request was sent to, unreachable those
 	// that it could not be sent to.
 	attempts, unreachable int
@@ -124,7 +126,8 @@
 	service := r.config.Services[r.route.PickService(hashFraction(r.request.AttemptID))]
 	r.service = &service
 	r.fingerprint = quarantine.NewFingerprint(r.accountName(), r.request.URI, r.request.Body)
-	if r.Quarantine.ShouldRefuse(r.fingerprint) {
+	r.promptParts = quarantine.NewPartFingerprints(r.request.PromptParts)
+	if r.Quarantine.ShouldRefuse(r.fingerprint, r.promptParts...) {
 		return r.refuse(reasonQuarantined, 0)
 	}
 	return r.chargeQuota()
@@ -263,7 +266,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Quarantine.ShouldRefuse(r.fingerprint) {
+	if r.Quarantine.RefuseDispatch(r.fingerprint, r.promptParts...) {
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		r.log.addStep("quarantined before it was sent to", grant.Target.ID, 0)
 		return nil, &refusedError{reason: reasonQuarantined}
--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -50,8 +50,10 @@
 // Attempt is a request in flight at a target. Its methods may be called from
 // several goroutines.
 type Attempt struct {
-	registry  *Registry
-	request   Fingerprint
+	registry *Registry
+	request  Fingerprint
+	// parts are the parts of the request's prompt.
+	parts     []Fingerprint
 	runs      *targetRuns
 	target    string
 	startedAt time.Time
@@ -66,11 +68,11 @@
 	markID atomic.Uint32
 }
 
-// Start records that a request is sent to a target, which is expected to respond
-// within a time; 0 if that is unknown.
-func (r *Registry) Start(fp Fingerprint, target string, expected time.Duration) *Attempt {
+// Start records that a request, whose prompt has the given parts, is sent to a
+// target, which is expected to respond within a time; 0 if that is unknown.
+func (r *Registry) Start(fp Fingerprint, target string, expected time.Duration, parts ...Fingerprint) *Attempt {
 	a := &Attempt{
-		registry: r, request: fp, target: target, startedAt: r.options.Clock.Now(),
+		registry: r, request: fp, parts: parts, target: target, startedAt: r.options.Clock.Now(),
 		patience: max(silenceTime, silenceExpected*expected),
 	}
 	r.running.add(a)
@@ -117,7 +119,7 @@
 	now := r.options.Clock.Now()
 	switch outcome {
 	case Completed:
-		r.recordCompletion(a.request, now)
+		r.recordCompletion(a, now)
 	case Broken:
 		r.markAttempt(a, now, false)
 	case Unanswered:
--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,7 +47,7 @@
 
 // counts reports whether a mark counts; r.mu must be held for reading.
 func (r *Registry) counts(s *suspect, m *mark) bool {
-	if !r.withinRetention(m.at) || s.isInnocent(m.at) {
+	if !r.withinRetention(m.at) || !s.isPart && s.isInnocent(m.at) {
 		return false
 	}
 	return m.ended || (!m.survived && r.options.CountsUnresolved)
@@ -73,29 +71,9 @@
 	return targets
 }
 
-// crashes returns the number of crashes that the marks of a request stand for;
+// crashes returns the number of crashes that the marks of a suspect stand for;
 // r.mu must be held for reading.
-func (r *Registry) crashes(s *suspect) int {
-	if len(s.marks) == 0 {
-		return 0
-	}
-	marks := slices.Clone(s.marks)
-	slices.SortFunc(marks, func(a, b *mark) int {
-		return cmp.Or(cmp.Compare(a.target, b.target), a.startedAt.Compare(b.startedAt))
-	})
-	crashes := 0
-	for i := 0; i < len(marks); {
-		end := i + 1
-		for end < len(marks) && marks[end].sameCrash(marks[i]) {
-			end++
-		}
-		if r.isCrash(s, marks[i:end]) {
-			crashes++
-		}
-		i = end
-	}
-	return crashes
-}
+func (r *Registry) crashes(s *suspect) int { return len(r.crashesOf(s)) }
 
 // isCrash reports whether marks for the same end of a target count. One of them
 // that shows that the target survived does so for all of them, unless the target
@@ -128,7 +106,7 @@
 // targets; r.mu must be held for reading.
 func (r *Registry) onlySuspectAtBoth(fp Fingerprint, first, second string) bool {
 	for other, s := range r.suspects {
-		if other == fp {
+		if other == fp || s.isPart {
 			continue
 		}
 		if targets := r.markedTargets(s); targets[first] && targets[second] {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -24,6 +24,10 @@
 	// MaxDigestMarks and MaxDigestCompletions bound the facts in one digest.
 	MaxDigestMarks       = 16
 	MaxDigestCompletions = 8
+	// maxReportedParts bounds the parts in one report, maxDigestParts those in one
+	// digest.
+	maxReportedParts = 8
+	maxDigestParts   = 32
 )
 
 // Digest is the facts that an instance shares with others.
@@ -43,7 +47,8 @@
 
 	// ID identifies the mark.
 	ID uint32
-	// Request is the binary form of the fingerprint.
+	// Request is the binary form of the request's fingerprint, followed by those of
+	// the parts of its prompt that the mark counts for.
 	Request []byte
 	Target  string
 	// StartedAgoMs and EndedAgoMs are the ages of the start and the end of the
@@ -62,12 +67,13 @@
 	FlagEnded
 )
 
-// CompletionReport states that a suspect has completed.
+// CompletionReport states that a suspect request has completed, or another one
+// with a suspect part.
 type CompletionReport struct {
 	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	// Request is the binary form of the fingerprint.
+	// Request is the binary form of the fingerprint of the request or part.
 	Request []byte
 	AgoMs   uint32
 }
@@ -85,6 +91,7 @@
 type sharedMark struct {
 	suspect *suspect
 	mark    *mark
+	// crashes is the largest number of crashes of the request or one of its parts.
 	crashes int
 }
 
@@ -93,10 +100,10 @@
 
 const (
 	// Changes are the facts that have changed lately. A mark is passed on by others
-	// than the instance that made it only if there are others for the request: most
-	// suspects are innocent and are not seen again.
+	// than the instance that made it only if there are others for the request or a
+	// part: most suspects are innocent and are not seen again.
 	Changes Scope = iota
-	// Repeated are also the older facts about requests with several marks, for
+	// Repeated are also the older facts about suspects with several marks, for
 	// instances that could not be reached.
 	Repeated
 	// Everything is for an instance that has just started.
@@ -141,16 +148,28 @@
 func (r *Registry) makeDigest(scope Scope, now time.Time) Digest {
 	var d Digest
 	var marks []sharedMark
+	var completed []*suspect
 	for _, s := range r.suspects {
-		if len(d.Completions) < MaxDigestCompletions && now.Sub(s.clearanceChangedAt) <= shareTime {
-			d.Completions = append(d.Completions, CompletionReport{Request: s.request.bytes(), AgoMs: ageMillis(now, s.clearedAt)})
+		if now.Sub(s.clearanceChangedAt) <= shareTime {
+			completed = append(completed, s)
 		}
-		marks = r.appendShared(marks, s, scope, now)
+		if !s.isPart {
+			marks = r.appendShared(marks, s, scope, now)
+		}
+	}
+	slices.SortFunc(completed, func(a, b *suspect) int { return cmp.Compare(b.refutedMarks, a.refutedMarks) })
+	for _, s := range completed[:min(len(completed), MaxDigestCompletions)] {
+		d.Completions = append(d.Completions, CompletionReport{Request: s.fingerprint.bytes(), AgoMs: ageMillis(now, s.clearedAt)})
 	}
 	slices.SortFunc(marks, func(a, b sharedMark) int {
 		return cmp.Or(cmp.Compare(min(b.crashes, minCrashes), min(a.crashes, minCrashes)), a.mark.sharedAt.Compare(b.mark.sharedAt))
 	})
-	for _, shared := range marks[:min(len(marks), MaxDigestMarks)] {
+	parts := 0
+	for _, shared := range marks {
+		if len(d.Marks) >= MaxDigestMarks || parts >= maxDigestParts {
+			break
+		}
+		parts += min(len(shared.mark.parts), maxReportedParts)
 		shared.mark.sharedAt = now
 		d.Marks = append(d.Marks, shared.report(now))
 	}
@@ -163,12 +182,19 @@
 	if len(s.marks) == 0 {
 		return marks
 	}
-	crashes := r.crashes(s)
-	passedOn := len(s.marks) >= minCrashes-1
+	own := r.crashes(s)
 	for _, m := range s.marks {
-		fresh := now.Sub(m.changedAt) <= shareTime && (m.madeHere || passedOn) &&
-			(m.isShared() || m.ended || m.isLongSilence() || crashes >= minCrashes-1 || now.Sub(m.at) >= shareDelay)
-		if fresh || len(s.marks) >= scope.minMarks() {
+		crashes, news := own, false
+		for _, p := range m.parts {
+			news = news || m.madeHere && !r.proven.has(p.fingerprint)
+			if len(p.marks) > crashes {
+				crashes = max(crashes, separateCrashes(r.crashesOf(p)))
+			}
+		}
+		known := max(len(s.marks), crashes)
+		fresh := now.Sub(m.changedAt) <= shareTime && (m.madeHere || known >= minCrashes-1) &&
+			(news || m.isShared() || m.ended || m.isLongSilence() || crashes >= minCrashes-1 || now.Sub(m.at) >= shareDelay)
+		if fresh || known >= scope.minMarks() {
 			marks = append(marks, sharedMark{s, m, crashes})
 		}
 	}
@@ -178,9 +204,13 @@
 func (s sharedMark) report(now time.Time) MarkReport {
 	m := s.mark
 	report := MarkReport{
-		ID: m.id, Request: s.suspect.request.bytes(), Target: m.target,
+		ID: m.id, Request: s.suspect.fingerprint.bytes(), Target: m.target,
 		StartedAgoMs: ageMillis(now, m.startedAt), EndedAgoMs: ageMillis(now, m.at),
 	}
+	parts := slices.SortedFunc(slices.Values(m.parts), func(a, b *suspect) int { return cmp.Compare(len(b.marks), len(a.marks)) })
+	for _, p := range parts[:min(len(parts), maxReportedParts)] {
+		report.Request = append(report.Request, p.fingerprint.bytes()...)
+	}
 	for flag, set := range map[MarkFlags]bool{FlagSilent: m.silent, FlagSurvived: m.survived, FlagEnded: m.ended} {
 		if set {
 			report.Flags |= flag
@@ -209,27 +239,41 @@
 	}
 	now := r.options.Clock.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	for _, c := range d.Completions {
-		if s := r.suspects[Fingerprint(hex.EncodeToString(c.Request))]; s != nil && r.clear(s, timeOfAge(now, c.AgoMs)) {
-			r.options.Logger.Info("completion of suspect request learned from peer",
-				zap.String("content", string(s.request)), zap.String("from", from), zap.Uint32("age_ms", c.AgoMs))
-		}
+		r.mergeCompletion(from, c, now)
 	}
 	for _, report := range d.Marks {
-		if len(report.Request) == fingerprintSize {
+		if len(report.Request) >= fingerprintSize && len(report.Request)%fingerprintSize == 0 {
 			r.mergeMark(from, report, now)
 		}
 	}
 }
 
+// mergeCompletion adds a completion received from another instance; r.mu must be
+// held.
+func (r *Registry) mergeCompletion(from string, c CompletionReport, now time.Time) {
+	s, at := r.suspects[Fingerprint(hex.EncodeToString(c.Request))], timeOfAge(now, c.AgoMs)
+	switch {
+	case s == nil:
+	case s.isPart:
+		if r.clearPart(s, time.Time{}, at) {
+			r.options.Logger.Debug("completion of suspect prompt part learned from peer",
+				zap.String("part", string(s.fingerprint)), zap.String("from", from), zap.Uint32("age_ms", c.AgoMs))
+		}
+	case r.clear(s, at):
+		r.options.Logger.Info("completion of suspect request learned from peer",
+			zap.String("content", string(s.fingerprint)), zap.String("from", from), zap.Uint32("age_ms", c.AgoMs))
+	}
+}
+
 func timeOfAge(now time.Time, ageMs uint32) time.Time {
 	return now.Add(-time.Duration(ageMs) * time.Millisecond)
 }
 
 // mergeMark adds a mark received from another instance; r.mu must be held.
 func (r *Registry) mergeMark(from string, report MarkReport, now time.Time) {
-	fp := Fingerprint(hex.EncodeToString(report.Request))
+	fp := Fingerprint(hex.EncodeToString(report.Request[:fingerprintSize]))
 	at := timeOfAge(now, report.EndedAgoMs)
 	if !r.withinRetention(at) {
 		return
@@ -261,6 +305,9 @@
 		r.Counters.Learned.Add(1)
 		r.storeMark(s, m, now)
 		m.changedAt = now.Add(learnedShareTime - shareTime)
+		for part := range slices.Chunk(report.Request[fingerprintSize:], fingerprintSize) {
+			r.attachPart(m, Fingerprint(hex.EncodeToString(part)), now)
+		}
 		r.options.Logger.Info("possible crash learned from peer", zap.String("content", string(fp)),
 			zap.String("target", m.target), zap.String("from", from), zap.Uint32("age_ms", report.EndedAgoMs),
 			zap.Int("crashes", r.crashes(s)))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -119,6 +119,10 @@
 	running runTable
 	// completions holds the requests that have recently run to their end here.
 	completions completionLog
+	// proven holds the parts that attempts have completed with here.
+	proven provenTable
+	// charges holds the parts that are refused; nil before the first one.
+	charges atomic.Pointer[map[Fingerprint]*charge]
 
 	// mu guards the fields below.
 	mu       sync.RWMutex
@@ -126,6 +130,10 @@
 	// unresolved holds the marks that count but may still turn out to be of a
 	// target that has survived, by target.
 	unresolved map[string]map[*mark]*suspect
+	// accused holds the parts that may have to be charged, partsChanged is set if
+	// their marks have changed since charges was stored.
+	accused      map[Fingerprint]*suspect
+	partsChanged bool
 	// changedAt is the time of the last change that is to be shared, sweptAt that of
 	// the last sweep.
 	changedAt, sweptAt time.Time
@@ -144,6 +152,10 @@
 	// Cleared counts requests whose marks were dropped because they completed,
 	// Refused requests refused.
 	Cleared, Refused atomic.Uint64
+	// PartsQuarantined and PartsReleased count parts of prompts found to crash
+	// targets, and those that no longer count as such; PartsTried counts requests
+	// sent to find out.
+	PartsQuarantined, PartsReleased, PartsTried atomic.Uint64
 }
 
 // Snapshot returns the counters by metric name.
@@ -151,6 +163,7 @@
 	return map[string]uint64{
 		"marked": c.Marked.Load(), "learned": c.Learned.Load(), "survived": c.Survived.Load(),
 		"ended": c.Ended.Load(), "cleared": c.Cleared.Load(), "refused": c.Refused.Load(),
+		"parts_quarantined": c.PartsQuarantined.Load(), "parts_released": c.PartsReleased.Load(), "parts_tried": c.PartsTried.Load(),
 	}
 }
 
@@ -175,6 +188,7 @@
 	r := &Registry{
 		options: options, origin: options.Clock.Now().Add(-time.Second), suspects: make(map[Fingerprint]*suspect),
 		unresolved: make(map[string]map[*mark]*suspect), digests: make(map[Scope]timedDigest),
+		accused: make(map[Fingerprint]*suspect),
 	}
 	if options.Rumors != nil {
 		options.Rumors.Subscribe(membership.RumorQuarantine, r.applyRumor)
@@ -182,9 +196,19 @@
 	return r
 }
 
-// ShouldRefuse reports whether a request must be refused, because it is
-// quarantined or because the decision is pending.
-func (r *Registry) ShouldRefuse(fp Fingerprint) bool {
+// ShouldRefuse reports whether a request must be refused, because it or a part of
+// its prompt is quarantined or because the decision is pending.
+func (r *Registry) ShouldRefuse(fp Fingerprint, parts ...Fingerprint) bool {
+	return r.shouldRefuse(fp, parts, false)
+}
+
+// RefuseDispatch is ShouldRefuse for a request that is sent to a target at once if
+// it is not refused.
+func (r *Registry) RefuseDispatch(fp Fingerprint, parts ...Fingerprint) bool {
+	return r.shouldRefuse(fp, parts, true)
+}
+
+func (r *Registry) shouldRefuse(fp Fingerprint, parts []Fingerprint, dispatch bool) bool {
 	if r.suspectCount.Load() == 0 {
 		return false
 	}
@@ -192,6 +216,7 @@
 	if newlyQuarantined {
 		r.quarantine(fp)
 	}
+	refuse = refuse || r.refusesParts(parts, dispatch)
 	if refuse {
 		r.Counters.Refused.Add(1)
 	}
--- a/internal/quarantine/rumors.go
+++ b/internal/quarantine/rumors.go
@@ -54,7 +54,7 @@
 
 func (r *Registry) recordFact(kind factKind, fp Fingerprint, target string, at time.Time) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	s := r.suspectFor(fp)
 	s.latestFactAt = latest(s.latestFactAt, at)
 	switch kind {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -9,14 +9,21 @@
 	"go.uber.org/zap"
 )
 
-// suspect holds the facts about one fingerprint; Registry.mu guards it.
+// suspect holds the facts about a request or a part of prompts; Registry.mu guards
+// it.
 type suspect struct {
-	request Fingerprint
-	marks   []*mark
+	fingerprint Fingerprint
+	// isPart is set for a part that is known as such.
+	isPart bool
+	marks  []*mark
+	// trial is when a part that is refused is tried next.
+	trial trial
 	// clearedAt is the time of the latest completion; zero if none is known.
 	clearedAt time.Time
 	// clearanceChangedAt is when clearedAt was last found to matter to others.
 	clearanceChangedAt time.Time
+	// refutedMarks is the number of marks that the latest completion refuted.
+	refutedMarks int
 	// quarantinedAt is the time of the quarantine; zero means none.
 	quarantinedAt time.Time
 	// latestFactAt is the time of the latest fact.
@@ -42,6 +49,8 @@
 	survived, ended bool
 	// madeHere is set if the mark is for an attempt of this instance.
 	madeHere bool
+	// parts are those of the prompt that no attempt has completed with since.
+	parts []*suspect
 	// changedAt is the time of the last change, sharedAt that of the last digest
 	// with the mark; zero if there was none.
 	changedAt, sharedAt time.Time
@@ -80,7 +89,8 @@
 	r.mu.Lock()
 	s := r.suspectFor(a.request)
 	m := s.find(a.markID.Load())
-	if m == nil {
+	isNew := m == nil
+	if isNew {
 		m = &mark{id: max(1, rand.Uint32()), target: a.target, startedAt: a.startedAt, at: now, silent: silent, madeHere: true}
 		if s.isInnocent(now) || s.findEquivalent(m) != nil {
 			r.mu.Unlock()
@@ -92,8 +102,13 @@
 	}
 	m.at, m.silent, m.survived = now, silent, false
 	r.storeMark(s, m, now)
+	if isNew {
+		for _, part := range a.parts {
+			r.attachPart(m, part, now)
+		}
+	}
 	crashes := r.crashes(s)
-	r.mu.Unlock()
+	r.unlock()
 	r.options.Logger.Info("attempt may have crashed its target", zap.String("content", string(a.request)),
 		zap.String("target", a.target), zap.Bool("silent", silent), zap.Duration("took", now.Sub(a.startedAt)),
 		zap.Int("crashes", crashes))
@@ -135,6 +150,20 @@
 	m.survived = true
 	r.index(s, m)
 	s.marks = slices.DeleteFunc(s.marks, func(other *mark) bool { return other == m })
+	for _, p := range slices.Clone(m.parts) {
+		p.detach(m)
+		r.partsChanged = true
+	}
+}
+
+// release removes a mark from a suspect; r.mu must be held.
+func (r *Registry) release(s *suspect, m *mark) {
+	if s.isPart {
+		s.detach(m)
+		r.partsChanged = true
+	} else {
+		r.drop(s, m)
+	}
 }
 
 // sweep removes what no longer counts and has been shared, at most once in
@@ -143,11 +172,11 @@
 	if now.Sub(r.sweptAt) < sweepInterval {
 		return
 	}
-	r.sweptAt = now
+	r.sweptAt, r.partsChanged = now, true
 	for _, s := range r.suspects {
 		for _, m := range slices.Clone(s.marks) {
 			if now.Sub(m.changedAt) > sweepInterval && (m.survived && !m.ended || !r.withinRetention(m.at)) {
-				r.drop(s, m)
+				r.release(s, m)
 			}
 		}
 		if len(s.marks) == 0 && now.Sub(s.latestFactAt) > innocenceTime && !r.withinRetention(s.quarantinedAt) {
@@ -184,7 +213,7 @@
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	if s := r.suspects[a.request]; s != nil {
 		if m := s.find(id); m != nil {
 			r.setSurvived(s, m, r.options.Clock.Now())
@@ -200,29 +229,36 @@
 		return
 	}
 	m.survived, m.changedAt, r.changedAt = true, now, now
+	r.partsChanged = r.partsChanged || len(m.parts) > 0
 	r.index(s, m)
 }
 
 // setEnded records that a target has ended; r.mu must be held.
 func (r *Registry) setEnded(s *suspect, m *mark, now time.Time) {
 	r.Counters.Ended.Add(1)
+	r.partsChanged = r.partsChanged || len(m.parts) > 0
 	m.ended, m.changedAt, r.changedAt = true, now, now
 	r.index(s, m)
 }
 
-// recordCompletion clears a request that has completed.
-func (r *Registry) recordCompletion(fp Fingerprint, at time.Time) {
-	r.completions.add(fp, at)
-	if r.suspectCount.Load() == 0 {
+// recordCompletion clears the request of an attempt that has completed, and the
+// parts of its prompt.
+func (r *Registry) recordCompletion(a *Attempt, at time.Time) {
+	r.completions.add(a.request, at)
+	for _, part := range a.parts {
+		r.proven.add(part, r.instant(a.startedAt))
+	}
+	if r.suspectCount.Load() == 0 || !r.isConcerned(a) {
 		return
 	}
 	r.mu.Lock()
-	s := r.suspects[fp]
+	s := r.suspects[a.request]
 	cleared := s != nil && r.clear(s, at)
-	r.mu.Unlock()
+	r.completeParts(a, at)
+	r.unlock()
 	if cleared {
-		r.options.Logger.Info("suspect request completed", zap.String("content", string(fp)))
-		r.publish(factClear, fp, "", at)
+		r.options.Logger.Info("suspect request completed", zap.String("content", string(a.request)))
+		r.publish(factClear, a.request, "", at)
 	}
 }
 
@@ -235,6 +271,7 @@
 	if refuted {
 		s.quarantinedAt = time.Time{}
 	}
+	held := len(s.marks)
 	for _, m := range slices.Clone(s.marks) {
 		if s.isInnocent(m.at) {
 			r.drop(s, m)
@@ -242,6 +279,7 @@
 		}
 	}
 	if refuted {
+		s.refutedMarks = held - len(s.marks)
 		r.Counters.Cleared.Add(1)
 		s.clearanceChangedAt = r.options.Clock.Now()
 		r.changedAt = s.clearanceChangedAt
@@ -268,10 +306,10 @@
 	for m, s := range r.unresolved[target] {
 		if now.Sub(m.at) <= endConfirmTime && concerned(m) {
 			r.setEnded(s, m, now)
-			ended = append(ended, endedMark{s.request, m.at})
+			ended = append(ended, endedMark{s.fingerprint, m.at})
 		}
 	}
-	r.mu.Unlock()
+	r.unlock()
 	for _, m := range ended {
 		r.publish(factMark, m.request, target, m.at)
 	}
@@ -302,7 +340,7 @@
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	for m, s := range r.unresolved[a.target] {
 		own := m.id == a.markID.Load()
 		if own {
@@ -337,7 +375,7 @@
 	}
 	now := r.options.Clock.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	r.sweep(now)
 	for target, marks := range r.unresolved {
 		for m, s := range marks {
@@ -355,7 +393,7 @@
 }
 
 func (r *Registry) logResolution(s *suspect, m *mark, message string) {
-	r.options.Logger.Info(message, zap.String("content", string(s.request)), zap.String("target", m.target),
+	r.options.Logger.Info(message, zap.String("content", string(s.fingerprint)), zap.String("target", m.target),
 		zap.Duration("age", r.options.Clock.Since(m.at)), zap.Int("crashes", r.crashes(s)))
 }
 
@@ -366,7 +404,7 @@
 		return s
 	}
 	r.evict()
-	s := &suspect{request: fp}
+	s := &suspect{fingerprint: fp}
 	r.suspects[fp] = s
 	r.suspectCount.Store(int64(len(r.suspects)))
 	return s
@@ -410,9 +448,10 @@
 // remove removes an entry with its marks; r.mu must be held.
 func (r *Registry) remove(s *suspect) {
 	for _, m := range slices.Clone(s.marks) {
-		r.drop(s, m)
+		r.release(s, m)
 	}
-	delete(r.suspects, s.request)
+	delete(r.suspects, s.fingerprint)
+	delete(r.accused, s.fingerprint)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -10,7 +10,7 @@
 // maxVerdicts bounds the result of Verdicts.
 const maxVerdicts = 64
 
-// Verdict states that a request has crashed targets, all of which are known to
+// Verdict states that a request, or a part of prompts, has crashed targets, all of which are known to
 // have ended. Unlike marks, it is meant to be stored: it is what instances need
 // that have all been restarted.
 type Verdict struct {
@@ -29,7 +29,7 @@
 	defer r.mu.Unlock()
 	for _, s := range r.suspects {
 		at := s.quarantinedAt
-		if r.endedTargets(s) >= minCrashes {
+		if r.endedTargets(s) >= minCrashes && (!s.isPart || r.isChargedAlone(s)) {
 			at = latest(at, s.marks[len(s.marks)-1].at)
 		}
 		if !r.withinRetention(at) {
@@ -37,7 +37,7 @@
 		}
 		own = own || s.markedHere && s.quarantinedAt.IsZero()
 		s.quarantinedAt = at
-		verdicts = append(verdicts, Verdict{s.request, at})
+		verdicts = append(verdicts, Verdict{s.fingerprint, at})
 	}
 	slices.SortFunc(verdicts, func(a, b Verdict) int { return b.At.Compare(a.At) })
 	return verdicts[:min(len(verdicts), maxVerdicts)], own
@@ -61,7 +61,7 @@
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	s := r.suspectFor(v.Request)
 	if s.clearedAt.After(v.At) || !v.At.After(s.quarantinedAt) {
 		return
@@ -71,4 +71,6 @@
 			zap.Duration("age", r.options.Clock.Since(v.At)))
 	}
 	s.quarantinedAt, s.latestFactAt = v.At, latest(s.latestFactAt, v.At)
+	// The verdict does not tell whether it is about a request or a part.
+	r.accused[v.Request], r.partsChanged = s, true
 }
