Let a late failure of a silent target not end the search for another

What callers saw: 500 or 502, although another target was about to respond. The exchange with a silent target counted as responding when it ended without a transport error, whatever it brought, and cancelled the search.

Change: only a success of the silent target, one that could be passed on, ends the search; a failure is passed on if the search finds nothing.

Before: TestFailureOfASilentTargetDoesNotEndTheSearch: 500, 502 and 502 in place of 200 (failure, unavailable, unsigned); the cases rejection and broken off held. After: all five hold with the race detector.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,7 @@
 		}}
 	}
 	reply := l.exchange()
-	if response, replaced := t.settle(reply.isUsable()); replaced {
+	if response, replaced := t.settle(l.isSuccess(reply)); replaced {
 		r.recordReplaced(l)
 		return attemptResult{response: response}
 	}
@@ -108,9 +108,13 @@
 	return metadata.NotExecuted || l.response.Status == http.StatusMisdirectedRequest
 }
 
-// isUsable reports whether the reply is one for the caller.
-func (p *reply) isUsable() bool {
-	return (p.err == nil || p.err == io.EOF) && !p.metadata.NotExecuted
+// isSuccess reports whether the reply is worth more than that of another target may
+// be.
+func (l *leg) isSuccess(p reply) bool {
+	if p.stream {
+		return p.err == nil || p.err == io.EOF
+	}
+	return p.err == nil && !p.metadata.NotExecuted && l.response.Status < http.StatusInternalServerError
 }
 
 // exchange sends the request and reads the reply. It does not change the state of
