Keep the events read before a faulty one when a stream goes on elsewhere

What callers saw: a stream with a gap, that ended as complete. Events that arrived together with one that is out of order were read, and the stream was continued after them, but they stayed with the exchange that had ended.

Change: they are passed on before those of the next target.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -222,6 +222,7 @@
 	s.recordBroken(err)
 	if !errors.Is(err, errTooManyEvents) {
 		if next, ok := s.searchLeg(s.ctx, s.position()); ok {
+			next.events.unread = append(s.leg.events.unread, next.events.unread...)
 			return s.continueAt(next)
 		}
 	}
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -272,6 +272,16 @@
 	assert.Equal(t, body, wantBody)
 }
 
+// Events that were read together with a faulty one were dropped when the stream
+// went on at another target.
+func TestEventsBeforeAFaultyOneAreKept(t *testing.T) {
+	c := newTakeoverCase(t, catalog.Streaming, 2,
+		[]scriptStep{chunkedOK + events(1), 50 * time.Millisecond, events(2, 3, 5), hang{}},
+		[]scriptStep{chunkedOK + events(4, 5) + lastChunk})
+	c.checkSend(t, rawEvents(1, 2, 3, 4, 5))
+	assert.Equal(t, c.targets[1].run(t).lastEventID, "3")
+}
+
 // A failure that a silent target sent at last ended the search for another target,
 // which was about to respond.
 func TestFailureOfASilentTargetDoesNotEndTheSearch(t *testing.T) {
