Do not count a target as failed whose search was cancelled

What callers saw: refusals may follow, since failures eject a target for a while. When a silent target went on first, the one that had been asked for the rest was recorded as failed, and excluded from further attempts of the request.

Change: an attempt to continue a stream that its context ended is cancelled.

Before: TestTargetOfACancelledSearchHasNotFailed/streaming: failed in place of cancelled (idempotent held). After: both hold.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -317,6 +317,11 @@
 		r.log.addStep("resumed after "+from.lastEventID, grant.Target.ID, p.took)
 		return l, true
 	}
+	if ctx.Err() != nil {
+		l.discard()
+		r.log.addStep("resume cancelled", grant.Target.ID, p.took)
+		return nil, false
+	}
 	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
 	if p.err != nil {
 		endBroken(ctx, l.tracked, p.err)
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -282,6 +282,22 @@
 	assert.Equal(t, c.targets[1].run(t).lastEventID, "3")
 }
 
+// A sound target was recorded as failed because the silent one went on first.
+func TestTargetOfACancelledSearchHasNotFailed(t *testing.T) {
+	for kind, scripts := range map[catalog.Kind][]scriptStep{
+		catalog.Streaming:  {chunkedOK + events(1), longPause, events(2) + lastChunk},
+		catalog.Idempotent: {longPause, plain(http.StatusOK, "first")},
+	} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			c := newTakeoverCase(t, kind, 2, scripts, []scriptStep{hang{}})
+			status, _, err := c.send()
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.DeepEqual(t, c.placer.results(), []schedule.Result{schedule.Complete, schedule.Cancelled})
+		})
+	}
+}
+
 // A failure that a silent target sent at last ended the search for another target,
 // which was about to respond.
 func TestFailureOfASilentTargetDoesNotEndTheSearch(t *testing.T) {
