Read the body of a rejection as a part of the exchange

What callers saw: 502, or an answer at the deadline, although another target was ready. If the body of a rejection stalled, it was waited for after the request's state had been given back; the silence then began a search that nobody settled, beside the one that served the request: both used its state, and the grant that the search got never ended.

Change: the body is read within the exchange, where a silence is watched for.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -132,6 +132,7 @@
 	switch {
 	case l.isRejected(p.metadata):
 		p.metadata.NotExecuted = true
+		l.response.Discard()
 	case l.response.Status == http.StatusOK && r.route.Kind == catalog.Streaming && p.metadata.Signed:
 		p.stream = true
 		p.err = l.readEvents()
@@ -310,7 +311,6 @@
 	l.tracked.End(quarantine.NoEvidence)
 	r.countSent(l)
 	r.possibleRuns--
-	l.response.Discard()
 	r.Counters.NotExecuted.Add(1)
 	r.log.addStep("not executed "+http.StatusText(l.response.Status), l.grant.Target.ID, p.took)
 	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -331,6 +331,24 @@
 	c.checkSend(t, "first")
 }
 
+// A rejection whose body stalls was read, and started a search, after the request's
+// state had been given back.
+func TestRejectionThatStallsDoesNotHoldTheRequest(t *testing.T) {
+	const stalled = "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\n"
+	for name, kind := range map[string]catalog.Kind{"stream": catalog.Streaming, "plain": catalog.Idempotent} {
+		t.Run(name, func(t *testing.T) {
+			answer, want := plain(http.StatusOK, "second"), "second"
+			if kind == catalog.Streaming {
+				answer, want = chunkedOK+events(1)+lastChunk, rawEvents(1)
+			}
+			c := newTakeoverCase(t, kind, 2, []scriptStep{stalled, hang{}}, []scriptStep{answer})
+			startedAt := time.Now()
+			c.checkSend(t, want)
+			assert.Assert(t, time.Since(startedAt) < 2*time.Second, "%v", time.Since(startedAt))
+		})
+	}
+}
+
 // The 503 of a request that was rejected by all is true, also if one stalled.
 func TestRequestRejectedAfterSilenceIsRefused(t *testing.T) {
 	const rejection = "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
