Look for further targets while the one that is to take over is silent

What callers saw: 504 or a cut stream at their deadline where the route allows three attempts and the first two targets are silent (or the first broke off the stream): only the first target of a request was watched for silence.

Change: the targets that are asked meanwhile are watched, too, within the same attempts.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,20 +24,18 @@
 }
 
 // attempt sends the request to the target of the grant. While that is silent,
-// another target is looked for if mayReplace is set.
-func (r *inflightRequest) attempt(ctx context.Context, grant *schedule.Grant, mayReplace bool) attemptResult {
+// another target is looked for.
+func (r *inflightRequest) attempt(ctx context.Context, grant *schedule.Grant) attemptResult {
 	l := r.newLeg(ctx, grant, r.request.LastEventID)
 	var t *takeover[*Response]
-	if mayReplace {
-		l.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
-			if t == nil {
-				t = &takeover[*Response]{
-					ctx: ctx, cancelCurrent: l.cancel, onStart: l.recordSilence, search: r.searchResponse, discard: (*Response).discard,
-				}
+	l.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
+		if t == nil {
+			t = &takeover[*Response]{
+				ctx: ctx, cancelCurrent: l.cancel, onStart: l.recordSilence, search: r.searchResponse, discard: (*Response).discard,
 			}
-			t.start()
-		}}
-	}
+		}
+		t.start()
+	}}
 	reply := l.exchange()
 	if response, replaced := t.settle(l.isSuccess(reply)); replaced {
 		r.recordReplaced(l)
@@ -53,7 +51,7 @@
 		if err != nil {
 			break
 		}
-		result := r.attempt(ctx, grant, false)
+		result := r.attempt(ctx, grant)
 		if result.response != nil {
 			if result.response.Status < http.StatusInternalServerError {
 				return result.response, true
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -215,7 +215,7 @@
 		if err != nil {
 			return r.placementFailed(ctx, err)
 		}
-		result := r.attempt(ctx, grant, true)
+		result := r.attempt(ctx, grant)
 		switch {
 		case result.response != nil:
 			return r.answered(result.response)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -221,7 +221,7 @@
 	}
 	s.recordBroken(err)
 	if !errors.Is(err, errTooManyEvents) {
-		if next, ok := s.searchLeg(s.ctx, s.position()); ok {
+		if next, ok := s.inflight.searchLeg(s.ctx, s.position()); ok {
 			next.events.unread = append(s.leg.events.unread, next.events.unread...)
 			return s.continueAt(next)
 		}
@@ -236,7 +236,7 @@
 		position := s.position()
 		s.takeover = &takeover[*leg]{
 			ctx: s.ctx, cancelCurrent: s.leg.cancel, onStart: s.leg.recordSilence, discard: (*leg).discard,
-			search: func(ctx context.Context) (*leg, bool) { return s.searchLeg(ctx, position) },
+			search: func(ctx context.Context) (*leg, bool) { return s.inflight.searchLeg(ctx, position) },
 		}
 	}
 	s.takeover.start()
@@ -280,8 +280,7 @@
 
 // searchLeg asks other targets for the rest of the stream until one sends its first
 // events, or its end; see takeover.
-func (s *stream) searchLeg(ctx context.Context, from streamPosition) (*leg, bool) {
-	r := s.inflight
+func (r *inflightRequest) searchLeg(ctx context.Context, from streamPosition) (*leg, bool) {
 	if !r.route.Resumable || from.lastEventID == "" {
 		return nil, false
 	}
@@ -302,11 +301,25 @@
 }
 
 // resumeAt requests the rest of a stream from another target, and waits until it
-// has begun.
+// has begun. While that is silent, too, a further one is looked for.
 func (r *inflightRequest) resumeAt(ctx context.Context, grant *schedule.Grant, from streamPosition) (*leg, bool) {
 	l := r.newLeg(ctx, grant, from.lastEventID)
 	l.events.identified = from.identified
+	var t *takeover[*leg]
+	l.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
+		if t == nil {
+			t = &takeover[*leg]{
+				ctx: ctx, cancelCurrent: l.cancel, onStart: l.recordSilence, discard: (*leg).discard,
+				search: func(ctx context.Context) (*leg, bool) { return r.searchLeg(ctx, from) },
+			}
+		}
+		t.start()
+	}}
 	p := l.exchange()
+	if next, replaced := t.settle(p.stream && (p.err == nil || p.err == io.EOF)); replaced {
+		r.recordReplaced(l)
+		return next, true
+	}
 	if dispatch.IsNotSent(p.err) {
 		r.unreachable++
 	} else {
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -358,6 +358,28 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 }
 
+// The targets tried while others are silent were one at most, and the last of them
+// was waited for until the deadline.
+func TestSilentTargetsLeaveFurtherAttempts(t *testing.T) {
+	silentStream := []scriptStep{chunkedOK + events(1), hang{}}
+	for name, tc := range map[string]struct {
+		kind  catalog.Kind
+		first []scriptStep
+		last  string
+		want  string
+	}{
+		"plain":         {kind: catalog.Idempotent, first: []scriptStep{hang{}}, last: plain(http.StatusOK, "third"), want: "third"},
+		"stream":        {kind: catalog.Streaming, first: []scriptStep{hang{}}, last: chunkedOK + events(1, 2) + lastChunk, want: rawEvents(1, 2)},
+		"in the stream": {kind: catalog.Streaming, first: silentStream, last: chunkedOK + events(2) + lastChunk, want: rawEvents(1, 2)},
+		"broken off":    {kind: catalog.Streaming, first: silentStream[:1], last: chunkedOK + events(2) + lastChunk, want: rawEvents(1, 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTakeoverCase(t, tc.kind, 3, tc.first, []scriptStep{hang{}}, []scriptStep{tc.last})
+			c.checkSend(t, tc.want)
+		})
+	}
+}
+
 // The events of a stream are those of one target at a time, however close both are.
 func TestEventsOfTwoTargetsDoNotMix(t *testing.T) {
 	const gap = minGapTimeout
