Take no retry from the budget for a search that finds no target

What callers saw: refusals and cut streams, since the retries of other requests were used up. Each search, one per timeout while a target is silent, took a retry before it was known whether there is a target.

Change: a search is placed first and takes its retry then. The silence of an attempt is counted once, as the counter states, and not once a search.

Before: TestSearchesWithoutATargetTakeNoRetries: 3 retries in 3.2 s of silence of one target without others.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,8 +46,8 @@
 
 // searchResponse tries other targets until one responds well; see takeover.
 func (r *inflightRequest) searchResponse(ctx context.Context) (*Response, bool) {
-	for r.takeRetry() == nil {
-		grant, err := r.place(ctx)
+	for {
+		grant, err := r.placeRetry(ctx)
 		if err != nil {
 			break
 		}
@@ -75,8 +75,10 @@
 	silence  dispatch.SilenceWatch
 
 	startedAt time.Time
-	// counted is set once the attempt counts as sent.
-	counted  bool
+	// counted is set once the attempt counts as sent, silent once its silence has
+	// been recorded.
+	counted, silent bool
+
 	response *dispatch.PooledResponse
 	events   *legEvents
 	// ended is set if the stream has ended without a further event.
@@ -157,6 +159,10 @@
 
 // recordSilence records that the target is silent.
 func (l *leg) recordSilence() {
+	if l.silent {
+		return
+	}
+	l.silent = true
 	r := l.inflight
 	r.countSent(l)
 	r.Counters.TargetsSilent.Add(1)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -241,15 +241,41 @@
 	return response
 }
 
-// takeRetry takes a retry from the budget; it returns a *refusedError if the
-// request may not be tried again.
-func (r *inflightRequest) takeRetry() error {
+// checkAttempts returns a *refusedError if the request has no attempt left.
+func (r *inflightRequest) checkAttempts() error {
 	switch {
 	case r.unreachable > maxUnreachableTargets:
 		return &refusedError{reason: "no target could be reached", retryAfter: defaultRetryAfter}
 	case r.attempts >= max(1, r.route.MaxAttempts):
 		return &refusedError{reason: "all attempts of the route are used", retryAfter: defaultRetryAfter}
-	case r.attempts > 0 && !r.RetryBudget(r.service.Name).TakeRetry():
+	}
+	return nil
+}
+
+// placeRetry places the request on another target and then takes a retry from the
+// budget, so that a search that finds no target takes none.
+func (r *inflightRequest) placeRetry(ctx context.Context) (*schedule.Grant, error) {
+	if err := r.checkAttempts(); err != nil {
+		return nil, err
+	}
+	grant, err := r.place(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.takeRetry(); err != nil {
+		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		return nil, err
+	}
+	return grant, nil
+}
+
+// takeRetry takes a retry from the budget; it returns a *refusedError if the
+// request may not be tried again.
+func (r *inflightRequest) takeRetry() error {
+	if err := r.checkAttempts(); err != nil {
+		return err
+	}
+	if r.attempts > 0 && !r.RetryBudget(r.service.Name).TakeRetry() {
 		return &refusedError{reason: "the budget of repeats is used up", retryAfter: defaultRetryAfter}
 	}
 	if r.attempts > 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -285,8 +285,8 @@
 		return nil, false
 	}
 	r.receivedTokens = from.events * r.service.TokensPerEvent
-	for r.takeRetry() == nil {
-		grant, err := r.place(ctx)
+	for {
+		grant, err := r.placeRetry(ctx)
 		if err != nil {
 			break
 		}
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -380,6 +380,15 @@
 	}
 }
 
+// Each search that found no target took a retry from the budget.
+func TestSearchesWithoutATargetTakeNoRetries(t *testing.T) {
+	c := newTakeoverCase(t, catalog.Streaming, 2, []scriptStep{chunkedOK + events(1), 2 * longPause, events(2) + lastChunk})
+	c.checkSend(t, rawEvents(1, 2))
+	assert.Assert(t, c.placer.searches > 2, "%d searches", c.placer.searches-1)
+	assert.Equal(t, c.Counters.Retried.Load(), uint64(0))
+	assert.Equal(t, c.Counters.TargetsSilent.Load(), uint64(1))
+}
+
 // The events of a stream are those of one target at a time, however close both are.
 func TestEventsOfTwoTargetsDoNotMix(t *testing.T) {
 	const gap = minGapTimeout
