Do not clear a suspect by a response that may have been broken off

On the product's own interface, a request under which a target ended inside an event, or before the end of an unframed response, counted as run to its end. The completion cleared it of all earlier marks, so that it was not refused however many targets it crashed in this way.

Cause: the reader of events reported an end inside an event like an end between two; a stream without its explicit end was held to be closed in order by its target, which is known only of a framed one; and a body that ends with its connection counted as a completion. These now count as broken off, and the last as no evidence, as on the platform's path.

TestReaderDropsTruncatedEvent required io.EOF for a partial event, which is the fault. Its successor requires io.ErrUnexpectedEOF for it, in three forms, and io.EOF only at the end of an event.

--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -95,7 +95,7 @@
 		return
 	}
 	e := a.executor
-	a.tracked.End(quarantine.Completed)
+	a.tracked.End(a.completionEvidence(response))
 	outcome := a.admissionOutcome(admission.Complete)
 	kind := evidence.FailureNone
 	if response.Status >= statusServerError {
@@ -109,6 +109,16 @@
 	a.answer.End(answer.Complete)
 }
 
+// completionEvidence returns what a response that has ended as complete shows. One
+// that ends with its connection would end in the same way if the target had crashed,
+// unless it is a stream with an explicit end.
+func (a *attempt) completionEvidence(response *dispatch.Response) quarantine.Outcome {
+	if response.IsFramed() || a.job.pool.Kind == tables.KindEngine && isAnswerStream(response) {
+		return quarantine.Completed
+	}
+	return quarantine.NoEvidence
+}
+
 // finishWithError ends an attempt whose request was sent but got no complete
 // response.
 func (a *attempt) finishWithError(ctx context.Context, err error) {
--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -37,8 +37,8 @@
 var (
 	// errTruncated means that a response broke off.
 	errTruncated = errors.New("answer cut before its end")
-	// errMissingEnd means that a stream was closed in order, but without its last
-	// event.
+	// errMissingEnd means that a framed stream was closed in order, but without its
+	// last event.
 	errMissingEnd = errors.New("stream ended without its explicit end")
 )
 
@@ -74,7 +74,7 @@
 
 // relay relays the whole response, as a stream or as a plain body.
 func (r *relay) relay(ctx context.Context, response *dispatch.Response) error {
-	if isEventStream(response) && response.Status == statusOK {
+	if isAnswerStream(response) {
 		return r.relayStream(ctx, response)
 	}
 	return r.relayBody(ctx, response)
@@ -85,6 +85,12 @@
 	return strings.HasPrefix(response.Get("Content-Type"), "text/event-stream")
 }
 
+// isAnswerStream reports whether the response of an engine is a stream of events
+// with an explicit end.
+func isAnswerStream(response *dispatch.Response) bool {
+	return isEventStream(response) && response.Status == statusOK
+}
+
 // relayBody relays a plain body, or a stream as one. A body shorter than its
 // declared length is an error, and so is a stream that is not framed and does not end
 // after an event.
@@ -175,7 +181,7 @@
 	repeated := 0
 	for {
 		event, err := reader.Next()
-		if err == io.EOF {
+		if err == io.EOF && response.IsFramed() {
 			return fault.At(fault.StepStream, r.source, errMissingEnd)
 		}
 		if err != nil {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -67,20 +67,24 @@
 }
 
 // Next returns the next event that has data. Lines without data before it may
-// together have MaxEventBytes. At the end of the body it returns
-// io.EOF; an incomplete last event is dropped.
+// together have MaxEventBytes. At the end of the body it returns io.EOF, or
+// io.ErrUnexpectedEOF if the body ends inside an event.
 func (r *Reader) Next() (Event, error) {
 	var event Event
-	var hasData bool
+	var hasData, inside bool
 	padding := 0
 	for {
 		line, err := r.readLine()
+		if err == io.EOF && inside {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return Event{}, err
 		}
 		if padding += len(line) + 1; !hasData && padding > MaxEventBytes {
 			return Event{}, ErrEventTooLong
 		}
+		inside = len(line) > 0
 		if len(line) == 0 {
 			if hasData {
 				return event, nil
@@ -117,7 +121,7 @@
 }
 
 // readLine reads one line without its line ending. Lines longer than MaxEventBytes
-// are rejected.
+// are rejected, and so is one that the body ends in.
 func (r *Reader) readLine() ([]byte, error) {
 	var line []byte
 	for {
@@ -129,6 +133,9 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		if err == io.EOF && len(line) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -9,14 +9,17 @@
 	"gotest.tools/v3/assert"
 )
 
-func TestReaderDropsTruncatedEvent(t *testing.T) {
-	r := NewReader(strings.NewReader(": comment\n\nid: 1\r\ndata: a\r\n\r\nid: 2\ndata: b"))
-
-	event, err := r.Next()
-	assert.NilError(t, err)
-	assert.DeepEqual(t, event, Event{ID: 1, Data: []byte("a")})
-	_, err = r.Next()
-	assert.ErrorIs(t, err, io.EOF)
+func TestReaderReportsTruncatedEvent(t *testing.T) {
+	for rest, want := range map[string]error{
+		"": io.EOF, "\n": io.EOF, "id: 2\ndata: b": io.ErrUnexpectedEOF, "id: 2\ndata: b\n": io.ErrUnexpectedEOF, "id: 2\n": io.ErrUnexpectedEOF,
+	} {
+		r := NewReader(strings.NewReader(": comment\n\nid: 1\r\ndata: a\r\n\r\n" + rest))
+		event, err := r.Next()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, event, Event{ID: 1, Data: []byte("a")})
+		_, err = r.Next()
+		assert.Equal(t, err, want, "%q", rest)
+	}
 }
 
 func TestEndOfAnEventIsRecognized(t *testing.T) {
