Drop kept entries of targets although only others read the list

Cause: after an outage, entries that are missing from the list are kept for 2.2 s. They were dropped by the next read that was applied, but an instance that hears of others' reads with the same result applies none: it only confirmed, and kept targets that had gone until the list changed.

Change: a confirmed read settles the targets in use as an own read does. TestKeptEntriesAreDroppedWithoutAnOwnRead fails without that.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -192,9 +192,15 @@
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
 	previous := n.targets.present
-	if !n.targets.apply(targets, position, n.clock.Now()) {
-		return
+	if n.targets.apply(targets, position, n.clock.Now()) {
+		n.useTargets(previous)
 	}
+}
+
+// useTargets uses the targets that are present now; previous are those in use
+// before. The caller holds targetsMu.
+func (n *Node) useTargets(previous map[catalog.TargetKey]*catalog.Target) {
+	position := n.targets.position
 	for key, target := range previous {
 		if n.targets.present[key] == nil {
 			n.pool.CloseIdle(target.Address)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -241,7 +241,10 @@
 		return
 	}
 	if m.TargetsDigest == n.targets.digest() {
-		n.targets.confirm(n.clock.Now().Add(-age), m.TargetsPosition)
+		previous := n.targets.present
+		if n.targets.confirm(n.clock.Now().Add(-age), m.TargetsPosition) {
+			n.useTargets(previous)
+		}
 		return
 	}
 	select {
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -59,13 +59,21 @@
 		l.readSince = now
 	}
 	l.readAt = now
-	next := make(map[catalog.TargetKey]*catalog.Target, len(listed))
-	ids := make(map[string]bool, len(listed))
+	l.read = make(map[catalog.TargetKey]*catalog.Target, len(listed))
 	for _, target := range listed {
-		next[target.Key()] = target
-		ids[target.ID] = true
+		l.read[target.Key()] = target
+	}
+	return l.settle(now)
+}
+
+// settle determines the targets in use from the last read, and reports whether
+// they have changed.
+func (l *targetList) settle(now time.Time) (changed bool) {
+	next := maps.Clone(l.read)
+	ids := make(map[string]bool, len(l.read))
+	for key := range l.read {
+		ids[key.ID] = true
 	}
-	l.read = maps.Clone(next)
 	if now.Before(l.graceUntil) {
 		for key, target := range l.present {
 			if next[key] == nil && !ids[key.ID] {
@@ -73,7 +81,7 @@
 			}
 		}
 	}
-	changed := !equalTargets(l.present, next)
+	changed = !equalTargets(l.present, next)
 	l.present = next
 	l.indexByName(now)
 	return changed
@@ -111,15 +119,18 @@
 }
 
 // confirm records that a read at the given time, by another instance or known to
-// it, returned the same targets.
-func (l *targetList) confirm(readAt time.Time, position uint64) {
-	if readAt.After(l.readAt) {
-		if readAt.Sub(l.readAt) > outageThreshold {
-			l.readSince = readAt
-		}
-		l.readAt = readAt
-		l.position = max(l.position, position)
+// it, returned the same targets. It reports whether the targets in use have
+// changed, as they do when the time is over for which missing entries were kept.
+func (l *targetList) confirm(readAt time.Time, position uint64) (changed bool) {
+	if !readAt.After(l.readAt) {
+		return false
+	}
+	if readAt.Sub(l.readAt) > outageThreshold {
+		l.readSince = readAt
 	}
+	l.readAt = readAt
+	l.position = max(l.position, position)
+	return !equalTargets(l.present, l.read) && l.settle(readAt)
 }
 
 // digest identifies the targets of the last read, independently of their order.
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -74,6 +74,21 @@
 	assert.Assert(t, l.apply(nil, 2, now.Add(6*time.Second)))
 }
 
+// An instance that only hears of others' reads must drop kept entries as well. It
+// kept them until the list changed.
+func TestKeptEntriesAreDroppedWithoutAnOwnRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l targetList
+	l.apply(newTargets("a", "b"), 1, now)
+	now = now.Add(outageThreshold + time.Second)
+	l.apply(newTargets("a"), 2, now)
+	assert.Equal(t, len(l.list()), 2)
+	assert.Assert(t, !l.confirm(now.Add(outageGrace/2), 2))
+	assert.Equal(t, len(l.list()), 2)
+	assert.Assert(t, l.confirm(now.Add(outageGrace+time.Millisecond), 2))
+	assert.Equal(t, len(l.list()), 1)
+}
+
 func address(i int) string { return fmt.Sprintf("10.0.0.%03d:1", i) }
 
 func TestTopologyIsMeshForFewAndAggregatedForMany(t *testing.T) {
