Follow the store after its return from a copy

Cause: the code relied on the store's versions never going back. After a return from a copy, the list of targets was ignored until the store had given out as many versions again, at each instance. A watch from a version that had been given out again skipped what had changed before it. The end of a rollout and verdicts that were acknowledged and then lost were not written again. The list of the copy was taken for news.

Change: Store-Era is decoded beside the version, as node.Position, which orders by the era first, and is sent with the position of the list of targets: between the positions of a message's fields there is room in one that earlier versions ignore, since the codec rejects a message with another number of fields. When the era rises, - reads of the era before are ignored, and a watch starts with a read of everything, - entries that are missing are kept for the grace after an outage, - for as long as the store takes to remove entries that are not renewed, a target that was known to drain stays draining; one that had gone stays out of use until its number of entries exceeds both the last one known and the first one seen in the new era; an earlier incarnation than the one in use stays out of use, - an entry is a sign of survival only from then on, - rollout statuses are written again, and verdicts announced at once, - a status written in another era than the one of its read is written again. A configuration never went back, and doesn't; there is a test now.

Before: TestInstancesFollowTheStoreAfterItsReturnFromACopy failed after 20 s (the new target ran 0 of 8 requests). After: all pass.

TestDecodeTarget expects the number of entries too, which is decoded now.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -206,6 +206,8 @@
 	Draining bool
 	// Born is the start of the incarnation in Unix milliseconds; 0 if unknown.
 	Born int64
+	// SequenceNumber rises with each entry that the incarnation writes; 0 if unknown.
+	SequenceNumber int64
 }
 
 // Key returns the identity of the incarnation.
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -26,6 +26,7 @@
 // targetsResponse is the response to methodTargets.
 type targetsResponse struct {
 	Position uint64            `json:"position"`
+	Era      uint64            `json:"era,omitempty"`
 	Targets  []*catalog.Target `json:"targets"`
 }
 
@@ -39,7 +40,8 @@
 	n.bus.Handle(methodTargets, func(context.Context, string, json.RawMessage) (any, error) {
 		n.targetsMu.Lock()
 		defer n.targetsMu.Unlock()
-		return targetsResponse{n.targets.position, n.targets.lastRead()}, nil
+		position := n.targets.position
+		return targetsResponse{position.Version, position.Era, n.targets.lastRead()}, nil
 	})
 }
 
@@ -100,6 +102,6 @@
 		return
 	}
 	if len(response.Targets) > 0 {
-		n.applyTargets(response.Targets, response.Position)
+		n.applyTargets(response.Targets, Position{Era: response.Era, Version: response.Position})
 	}
 }
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -36,10 +36,7 @@
 			n.quarantine.MarkSilent()
 			n.quarantine.Resolve(n.targetLiveness)
 			if _, own := n.quarantine.Verdicts(); own {
-				select {
-				case n.newVerdict <- struct{}{}:
-				default:
-				}
+				n.requestAnnouncement()
 			}
 		}
 	}
@@ -56,12 +53,7 @@
 // targetLiveness tells whether an incarnation of a target has renewed its entry
 // after a time.
 func (n *Node) targetLiveness(target string, after time.Time) quarantine.Liveness {
-	interval := n.settings.TargetRenewalInterval
-	if interval <= 0 {
-		interval = defaultRenewalInterval
-	}
-	expiry := renewalsUntilExpiry*interval + expiryDelay
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
-	return n.targets.liveness(target, after, expiry)
+	return n.targets.liveness(target, after, n.settings.entryExpiry())
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -68,18 +68,18 @@
 func (n *Node) followDeclarations(ctx context.Context) {
 	delays := n.newRetryDelays()
 	dependency := dependencyState{name: "operator's declarations", logger: n.logger}
-	var position uint64
+	var position Position
 	for ctx.Err() == nil {
-		if position > 0 && n.watchedByOthers() {
+		if !position.IsZero() && n.watchedByOthers() {
 			if !n.peerHasNewerConfiguration() {
 				n.awaitNewerConfiguration(ctx)
 				continue
 			}
-			position = 0
+			position = Position{}
 		}
 		var declarations Declarations
 		var err error
-		if position == 0 {
+		if position.IsZero() {
 			declarations, err = n.controlPlane.ReadDeclarations(ctx)
 		} else {
 			declarations, err = n.controlPlane.Watch(ctx, position)
@@ -90,12 +90,17 @@
 		dependency.record(err)
 		if err != nil {
 			n.lastWatchNanos.Store(0)
-			position = 0
+			position = Position{}
 			_ = backoff.Sleep(ctx, n.clock, delays.next())
 			continue
 		}
 		delays.reset()
 		n.lastWatchNanos.Store(n.clock.Since(n.startedAt).Nanoseconds())
+		n.observeEra(declarations.Position.Era)
+		if !position.IsZero() && position.Era != declarations.Position.Era {
+			position = Position{}
+			continue
+		}
 		position = declarations.Position
 		n.applyRolloutDeclarations(declarations)
 		if declarations.Configuration != nil {
@@ -188,13 +193,24 @@
 }
 
 // applyTargets applies a read of the targets at the store's position.
-func (n *Node) applyTargets(targets []*catalog.Target, position uint64) {
+func (n *Node) applyTargets(targets []*catalog.Target, position Position) {
+	n.observeEra(position.Era)
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
 	previous := n.targets.present
 	if n.targets.apply(targets, position, n.clock.Now()) {
 		n.useTargets(previous)
 	}
+	n.logHeldEntries()
+}
+
+// logHeldEntries logs the entries that are held since the last call. The caller
+// holds targetsMu.
+func (n *Node) logHeldEntries() {
+	for _, target := range n.targets.takeNewlyHeld() {
+		n.logger.Warn("entry of the store's copy is not relied on", zap.String("target", target.Key().String()),
+			zap.String("service", target.Service), zap.Int64("sequence", target.SequenceNumber))
+	}
 }
 
 // useTargets uses the targets that are present now; previous are those in use
@@ -211,7 +227,7 @@
 		if previousTarget := previous[key]; previousTarget == nil || previousTarget.Draining != target.Draining {
 			n.logger.Info("target seen", zap.String("target", key.ID), zap.String("service", target.Service),
 				zap.String("address", target.Address), zap.Bool("draining", target.Draining),
-				zap.String("version", target.Version), zap.Uint64("position", position))
+				zap.String("version", target.Version), zap.Uint64("position", position.Version), zap.Uint64("era", position.Era))
 		}
 	}
 	services := make(map[string]string, len(n.targets.present))
@@ -251,7 +267,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-n.newVerdict:
+		case <-n.announceNow:
 		case <-n.clock.After(delay):
 		}
 	}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -235,16 +235,19 @@
 	if age > targetReadInterval {
 		return
 	}
+	position := m.targetsPosition()
+	n.observeEra(position.Era)
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
-	if m.TargetsPosition < n.targets.position {
+	if position.Before(n.targets.position) {
 		return
 	}
 	if m.TargetsDigest == n.targets.digest() {
 		previous := n.targets.present
-		if n.targets.confirm(n.clock.Now().Add(-age), m.TargetsPosition) {
+		if n.targets.confirm(n.clock.Now().Add(-age), position) {
 			n.useTargets(previous)
 		}
+		n.logHeldEntries()
 		return
 	}
 	select {
--- a/internal/node/gossip_test.go
+++ b/internal/node/gossip_test.go
@@ -20,9 +20,10 @@
 	address := func(i int) string { return fmt.Sprintf("10.100.200.%d:7600", 100+i) }
 	state := message{
 		Name: "edge-some-zone-12", Incarnation: math.MaxInt64, ConfigVersion: 1000, InstanceCount: 380, Capacity: 80,
-		RosterDigest: math.MaxUint32, TargetsDigest: math.MaxUint32, TargetsPosition: 100000, TargetsAgeMs: 400,
+		RosterDigest: math.MaxUint32, TargetsDigest: math.MaxUint32, TargetsAgeMs: 400,
 		WatchAgeMs: 1800, PeerWatchAgeMs: 1800,
 	}
+	assert.NilError(t, state.setTargetsPosition(Position{Era: 1000, Version: 100000}))
 	for i := range maxKnownAddresses {
 		state.KnownAddresses = append(state.KnownAddresses, address(i))
 	}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/placement"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
@@ -15,7 +16,8 @@
 )
 
 // message is a gossip message with the state of one instance. It is encoded by
-// position: the order of the fields must not change.
+// position: neither the order nor the number of the fields must change, or instances
+// of other versions cannot decode it. New fields go into Additions.
 type message struct {
 	//lint:ignore U1000 the codec reads the tag
 	_msgpack    struct{} `msgpack:",as_array"`
@@ -49,9 +51,9 @@
 	// EndedRollouts the statuses of those that have ended.
 	RolloutReports []rollout.Report
 	EndedRollouts  []rollout.Status
-	// Reserved was in use by earlier versions and keeps the positions of the fields
-	// behind it.
-	Reserved []msgpack.RawMessage
+	// Additions are fields that earlier versions ignore. The first one is the era of
+	// TargetsPosition.
+	Additions []msgpack.RawMessage
 	// TargetsDigest and TargetsPosition describe the known list of targets.
 	TargetsDigest   uint32
 	TargetsPosition uint64
@@ -70,6 +72,27 @@
 	Quarantine *quarantine.Digest
 }
 
+// targetsPosition returns the position of the sender's list of targets. The era is
+// 0 if the sender's version does not send it.
+func (m *message) targetsPosition() Position {
+	position := Position{Version: m.TargetsPosition}
+	if len(m.Additions) > 0 && msgpack.Unmarshal(m.Additions[0], &position.Era) != nil {
+		position.Era = 0
+	}
+	return position
+}
+
+// setTargetsPosition sets the position of the list of targets.
+func (m *message) setTargetsPosition(position Position) error {
+	m.TargetsPosition, m.Additions = position.Version, nil
+	if position.Era == 0 {
+		return nil
+	}
+	era, err := msgpack.Marshal(position.Era)
+	m.Additions = []msgpack.RawMessage{era}
+	return err
+}
+
 // recentStartWindow is how long after its start an instance sets
 // RecentlyStarted; it exceeds the time until all instances have received its
 // gossip.
@@ -92,7 +115,11 @@
 		Draining: n.draining.Load(), RecentlyStarted: n.clock.Since(n.startedAt) < recentStartWindow, RosterDigest: n.placement.Roster().Digest(), ConfigVersion: n.configuration.Version(),
 		InstanceCount: uint16(n.instanceCount.Load()),
 	}
-	m.TargetsDigest, m.TargetsPosition, m.TargetsAgeMs = n.targetsState()
+	var position Position
+	m.TargetsDigest, position, m.TargetsAgeMs = n.targetsState()
+	if err := m.setTargetsPosition(position); err != nil {
+		n.logger.Error("cannot encode the era", eventlog.ErrorField(err))
+	}
 	m.WatchAgeMs = n.watchAgeMillis(&n.lastWatchNanos)
 	m.PeerWatchAgeMs = n.peers.lowestWatchAge()
 	m.RolloutReports = n.rollouts.Reports()
@@ -124,7 +151,7 @@
 
 // targetsState returns the digest, the position and the age of the list of
 // targets.
-func (n *Node) targetsState() (digest uint32, position uint64, ageMs uint32) {
+func (n *Node) targetsState() (digest uint32, position Position, ageMs uint32) {
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
 	ageMs = unknownAge
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -38,11 +38,18 @@
 	TargetConnectionsMade uint64 `json:"target_connections_made"`
 	GossipSendErrors      uint64 `json:"gossip_unsent"`
 	GossipDecodeErrors    uint64 `json:"gossip_unread"`
+	StoreEra              uint64 `json:"store_era"`
+	StoreReturns          uint64 `json:"store_returns"`
+	HeldEntries           uint64 `json:"held_entries"`
 }
 
 func (n *Node) instanceState() instanceState {
 	view := n.clusterView()
+	n.targetsMu.Lock()
+	heldEntries := n.targets.heldCount
+	n.targetsMu.Unlock()
 	return instanceState{
+		StoreEra: n.era.current(), StoreReturns: n.era.returns.Load(), HeldEntries: heldEntries,
 		ConfigVersion: n.configuration.Version(), Draining: n.draining.Load(), InstanceCount: view.Instances,
 		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos),
 		CallerConnections: n.callerServer.OpenConnections(), TargetConnectionsMade: n.pool.OpenedConns(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,9 +103,10 @@
 	// of targets.
 	newerTargetsAt chan string
 
-	// newVerdict is signalled when this instance has found out that a request
-	// crashes targets, so that it is stored at once.
-	newVerdict chan struct{}
+	// announceNow is signalled when the announcement must be written at once,
+	// because of new verdicts or of lost ones.
+	announceNow chan struct{}
+	era         storeEra
 
 	draining     atomic.Bool
 	targetsKnown atomic.Bool
@@ -142,7 +143,8 @@
 		configuration: &catalog.Holder{}, retryBudgets: make(map[string]*routing.WindowRetryBudget),
 	}
 	n.startedAt, n.newerTargetsAt, n.newerConfiguration = options.Clock.Now(), make(chan string, 1), make(chan struct{}, 1)
-	n.newVerdict = make(chan struct{}, 1)
+	n.announceNow = make(chan struct{}, 1)
+	n.targets.holdTime = n.settings.entryExpiry()
 	n.retryLimits = options.Settings.Retries
 	n.shutdownGrace.Store(int64(options.Settings.ShutdownGrace))
 	n.metrics = metrics.New(options.Settings.Name)
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -43,7 +43,8 @@
 // ends. The first live instance in address order is the analyzer. For a while
 // there may be two; neither can undo an end that the other has decided.
 func (n *Node) followRollouts(ctx context.Context) {
-	written := make(map[rollout.Status]bool)
+	// written holds the era in which each status was stored.
+	written := make(map[rollout.Status]uint64)
 	var attemptedAt time.Time
 	for ctx.Err() == nil {
 		isAnalyzer := n.rank() == 0
@@ -63,18 +64,19 @@
 	}
 }
 
-// writeStatuses writes the statuses that have not been written yet.
-func (n *Node) writeStatuses(ctx context.Context, written map[rollout.Status]bool) {
+// writeStatuses writes the statuses that have not been written in the store's
+// current era. Those of an earlier one may be lost.
+func (n *Node) writeStatuses(ctx context.Context, written map[rollout.Status]uint64) {
 	for _, status := range n.rollouts.Statuses() {
-		if written[status] {
+		if era, ok := written[status]; ok && era >= n.era.current() {
 			continue
 		}
-		current, err := n.controlPlane.WriteRolloutStatus(ctx, status)
+		current, era, err := n.controlPlane.WriteRolloutStatus(ctx, status)
 		if err != nil {
 			n.logger.Warn("cannot write rollout status", zap.String("service", status.Service), eventlog.ErrorField(err))
 			continue
 		}
-		written[current] = true
+		written[current] = era
 		if current != status {
 			n.applyRolloutStatus(current, "control plane")
 		}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -10,6 +10,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -50,6 +51,16 @@
 	QuotaTolerance quota.Tolerance
 }
 
+// entryExpiry returns the time after which the entry of a target that no longer
+// renews it is known to be gone.
+func (s *Settings) entryExpiry() time.Duration {
+	interval := s.TargetRenewalInterval
+	if interval <= 0 {
+		interval = defaultRenewalInterval
+	}
+	return renewalsUntilExpiry*interval + expiryDelay
+}
+
 // Member is an instance as listed by the control plane.
 type Member struct {
 	Name    string
@@ -67,8 +78,26 @@
 	// statuses of rollouts that have ended.
 	RolloutOrders []rollout.Order
 	EndedRollouts []rollout.Status
-	// Position is the position to continue the watch from.
-	Position uint64
+	// Position is the position to continue the watch from. If it is not in the era
+	// that was asked for, the declarations must be read anew.
+	Position Position
+}
+
+// Position is a state of the platform's store.
+type Position struct {
+	// Era counts the store's returns from an earlier copy. Each loses what was
+	// written since that copy.
+	Era uint64
+	// Version rises with each change within an era.
+	Version uint64
+}
+
+// IsZero reports whether nothing has been read yet.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Before reports whether the state precedes the other.
+func (p Position) Before(other Position) bool {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Version, other.Version)) < 0
 }
 
 // ControlPlane is the platform's persistent state. An error means that the call
@@ -77,15 +106,16 @@
 	// ReadDeclarations reads the operator's current declarations.
 	ReadDeclarations(ctx context.Context) (Declarations, error)
 	// Watch waits for changes of the declarations after a position.
-	Watch(ctx context.Context, after uint64) (Declarations, error)
+	Watch(ctx context.Context, after Position) (Declarations, error)
 	// Targets reads all targets and the position at which they were read.
-	Targets(ctx context.Context) ([]*catalog.Target, uint64, error)
+	Targets(ctx context.Context) ([]*catalog.Target, Position, error)
 	// Members reads the instances that have announced themselves recently, and the
 	// verdicts of all that ever have.
 	Members(ctx context.Context) ([]Member, []quarantine.Verdict, error)
 	// WriteRolloutStatus writes the status of a rollout, unless its end has been
-	// written already. It returns the status that is stored then.
-	WriteRolloutStatus(ctx context.Context, status rollout.Status) (rollout.Status, error)
+	// written already. It returns the status that is stored then, and the era in
+	// which it is.
+	WriteRolloutStatus(ctx context.Context, status rollout.Status) (stored rollout.Status, era uint64, err error)
 	// Announce lists an instance; it must be called after Members.
 	Announce(ctx context.Context, member Member) error
 	// DecodeConfiguration decodes a configuration received from another
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -30,13 +30,14 @@
 	present, read map[catalog.TargetKey]*catalog.Target
 	// byName holds the same targets by the names of their keys.
 	byName   map[string]listedTarget
-	position uint64
+	position Position
 	readAt   time.Time
 	// readSince is the time since which reads have succeeded regularly.
 	readSince time.Time
 	// graceUntil is the time until which missing entries are kept, since they
 	// may reappear.
 	graceUntil time.Time
+	returnHold
 }
 
 // listedTarget is a target with the time since which it has been listed.
@@ -47,11 +48,11 @@
 
 // apply applies a read at a position and reports whether the targets have
 // changed. A read at a lower position than the last one is ignored.
-func (l *targetList) apply(listed []*catalog.Target, position uint64, now time.Time) bool {
-	if position < l.position {
+func (l *targetList) apply(listed []*catalog.Target, position Position, now time.Time) bool {
+	if position.Before(l.position) {
 		return false
 	}
-	l.position = position
+	l.advance(position, now)
 	if !l.readAt.IsZero() && now.Sub(l.readAt) > outageThreshold {
 		l.graceUntil = now.Add(outageGrace)
 	}
@@ -69,10 +70,13 @@
 // settle determines the targets in use from the last read, and reports whether
 // they have changed.
 func (l *targetList) settle(now time.Time) (changed bool) {
-	next := maps.Clone(l.read)
+	next := make(map[catalog.TargetKey]*catalog.Target, len(l.read))
 	ids := make(map[string]bool, len(l.read))
-	for key := range l.read {
-		ids[key.ID] = true
+	for key, target := range l.read {
+		if target = l.recall(target, now); target != nil {
+			next[key] = target
+			ids[key.ID] = true
+		}
 	}
 	if now.Before(l.graceUntil) {
 		for key, target := range l.present {
@@ -81,12 +85,24 @@
 			}
 		}
 	}
+	l.recordGone(l.present, next, l.position.Era, now)
 	changed = !equalTargets(l.present, next)
 	l.present = next
 	l.indexByName(now)
 	return changed
 }
 
+// advance moves to a position that is not before the current one. In a new era, the
+// list may be some seconds older than what is known: missing entries may reappear
+// as after an outage, and others are held against what is known.
+func (l *targetList) advance(position Position, now time.Time) {
+	if position.Era > l.position.Era && !l.position.IsZero() {
+		l.graceUntil, l.readSince = now.Add(outageGrace), now
+		l.begin(now)
+	}
+	l.position = position
+}
+
 func (l *targetList) indexByName(now time.Time) {
 	previous := l.byName
 	l.byName = make(map[string]listedTarget, len(l.present))
@@ -120,8 +136,8 @@
 
 // confirm records that a read at the given time, by another instance or known to
 // it, returned the same targets. It reports whether the targets in use have
-// changed, as they do when the time is over for which missing entries were kept.
-func (l *targetList) confirm(readAt time.Time, position uint64) (changed bool) {
+// changed, as they do when the time is over for which entries were kept or held.
+func (l *targetList) confirm(readAt time.Time, position Position) (changed bool) {
 	if !readAt.After(l.readAt) {
 		return false
 	}
@@ -129,7 +145,9 @@
 		l.readSince = readAt
 	}
 	l.readAt = readAt
-	l.position = max(l.position, position)
+	if l.position.Before(position) {
+		l.advance(position, readAt)
+	}
 	return !equalTargets(l.present, l.read) && l.settle(readAt)
 }
 
@@ -148,13 +166,19 @@
 	return uint32(sum)
 }
 
+// equalTargets compares all but the sequence numbers, which rise with each renewal.
 func equalTargets(a, b map[catalog.TargetKey]*catalog.Target) bool {
 	if len(a) != len(b) {
 		return false
 	}
 	for key, target := range a {
 		other := b[key]
-		if other == nil || *other != *target {
+		if other == nil {
+			return false
+		}
+		renewed := *other
+		renewed.SequenceNumber = target.SequenceNumber
+		if renewed != *target {
 			return false
 		}
 	}
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -22,20 +22,23 @@
 	return targets
 }
 
+// at returns the position of a version in the first era.
+func at(version uint64) Position { return Position{Version: version} }
+
 func TestTargetListDropsMissingEntriesButAfterAnOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
-	assert.Assert(t, l.apply(newTargets("a", "b"), 1, now))
-	assert.Assert(t, l.apply(newTargets("a"), 2, now.Add(400*time.Millisecond)))
+	assert.Assert(t, l.apply(newTargets("a", "b"), at(1), now))
+	assert.Assert(t, l.apply(newTargets("a"), at(2), now.Add(400*time.Millisecond)))
 	assert.Equal(t, len(l.list()), 1)
 
 	// After an outage, an entry may reappear within outageGrace.
 	afterOutage := now.Add(10 * time.Second)
-	assert.Assert(t, !l.apply(nil, 3, afterOutage))
+	assert.Assert(t, !l.apply(nil, at(3), afterOutage))
 	assert.Equal(t, len(l.list()), 1)
-	assert.Assert(t, l.apply(newTargets("b"), 4, afterOutage.Add(time.Second)))
+	assert.Assert(t, l.apply(newTargets("b"), at(4), afterOutage.Add(time.Second)))
 	assert.Equal(t, len(l.list()), 2)
-	assert.Assert(t, l.apply(newTargets("b"), 5, afterOutage.Add(outageGrace+time.Millisecond)))
+	assert.Assert(t, l.apply(newTargets("b"), at(5), afterOutage.Add(outageGrace+time.Millisecond)))
 	assert.Equal(t, len(l.list()), 1)
 }
 
@@ -44,10 +47,10 @@
 func TestKeptEntryIsNotPassedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var stalled, other targetList
-	stalled.apply(newTargets("a", "b"), 1, now)
-	other.apply(newTargets("a", "b"), 1, now)
-	other.apply(newTargets("a"), 2, now.Add(time.Second))
-	stalled.apply(newTargets("a"), 2, now.Add(outageThreshold+time.Second))
+	stalled.apply(newTargets("a", "b"), at(1), now)
+	other.apply(newTargets("a", "b"), at(1), now)
+	other.apply(newTargets("a"), at(2), now.Add(time.Second))
+	stalled.apply(newTargets("a"), at(2), now.Add(outageThreshold+time.Second))
 	assert.Equal(t, len(stalled.list()), 2)
 	assert.Equal(t, len(stalled.lastRead()), 1)
 	assert.Equal(t, stalled.digest(), other.digest())
@@ -56,12 +59,12 @@
 func TestTargetListIgnoresOlderReadsAndTracksIncarnations(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
-	l.apply(newTargets("a"), 5, now)
-	assert.Assert(t, !l.apply(nil, 4, now))
+	l.apply(newTargets("a"), at(5), now)
+	assert.Assert(t, !l.apply(nil, at(4), now))
 	restarted := newTargets("a")
 	restarted[0].Born = 77
 	digest := l.digest()
-	assert.Assert(t, l.apply(restarted, 6, now))
+	assert.Assert(t, l.apply(restarted, at(6), now))
 	assert.Assert(t, l.digest() != digest)
 	assert.Equal(t, len(l.list()), 1)
 }
@@ -69,9 +72,9 @@
 func TestReadByPeerIsNoOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
-	l.apply(newTargets("a"), 1, now)
-	l.confirm(now.Add(5*time.Second), 1)
-	assert.Assert(t, l.apply(nil, 2, now.Add(6*time.Second)))
+	l.apply(newTargets("a"), at(1), now)
+	l.confirm(now.Add(5*time.Second), at(1))
+	assert.Assert(t, l.apply(nil, at(2), now.Add(6*time.Second)))
 }
 
 // An instance that only hears of others' reads must drop kept entries as well. It
@@ -79,13 +82,13 @@
 func TestKeptEntriesAreDroppedWithoutAnOwnRead(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
-	l.apply(newTargets("a", "b"), 1, now)
+	l.apply(newTargets("a", "b"), at(1), now)
 	now = now.Add(outageThreshold + time.Second)
-	l.apply(newTargets("a"), 2, now)
+	l.apply(newTargets("a"), at(2), now)
 	assert.Equal(t, len(l.list()), 2)
-	assert.Assert(t, !l.confirm(now.Add(outageGrace/2), 2))
+	assert.Assert(t, !l.confirm(now.Add(outageGrace/2), at(2)))
 	assert.Equal(t, len(l.list()), 2)
-	assert.Assert(t, l.confirm(now.Add(outageGrace+time.Millisecond), 2))
+	assert.Assert(t, l.confirm(now.Add(outageGrace+time.Millisecond), at(2)))
 	assert.Equal(t, len(l.list()), 1)
 }
 
@@ -206,9 +209,9 @@
 		list := &targetList{}
 		for _, index := range order {
 			now = now.Add(outageThreshold / 20)
-			list.apply(reads[index], uint64(index+1), now)
+			list.apply(reads[index], at(uint64(index+1)), now)
 			newest = max(newest, index)
-			assert.Equal(t, list.position, uint64(newest+1))
+			assert.Equal(t, list.position, at(uint64(newest+1)))
 			assert.Equal(t, len(list.present), len(reads[newest]))
 			for _, target := range reads[newest] {
 				assert.DeepEqual(t, list.present[target.Key()], target)
@@ -227,8 +230,8 @@
 
 // readRegularly applies the same list until a time.
 func readRegularly(l *targetList, listed []*catalog.Target, from, until time.Time) {
-	for at := from; !at.After(until); at = at.Add(targetReadInterval) {
-		l.apply(listed, l.position+1, at)
+	for readAt := from; !readAt.After(until); readAt = readAt.Add(targetReadInterval) {
+		l.apply(listed, at(l.position.Version+1), readAt)
 	}
 }
 
