Count a stream as answered when it has been passed on

What was seen: nothing at callers; 'answered' and the observed latencies counted a whole stream of the other target even if the silent one went on and it was discarded.

Change: both are recorded when a stream is closed, as the other ends are.

Before: TestUnusedStreamIsNotAnswered: 1 answered for a discarded stream.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -360,9 +360,7 @@
 	r, l, events := s.inflight, s.leg, s.leg.events
 	endComplete(l.tracked, l.response)
 	l.end(schedule.Complete)
-	r.Counters.Answered.Add(1)
 	r.recordOutcome(l.grant.Target, false, events.lastAt.Sub(l.startedAt))
-	r.observeLatency(s.firstEventAt.Sub(r.request.ReceivedAt))
 	r.log.addStep(fmt.Sprintf("streamed %d events, the first after %d ms, with pauses of at most %d ms, from",
 		events.count, events.firstAt.Sub(l.startedAt).Milliseconds(), events.maxGap.Milliseconds()), l.grant.Target.ID, events.lastAt.Sub(l.startedAt))
 }
@@ -376,6 +374,9 @@
 	s.closed = true
 	status, reason := s.finalStatus()
 	switch status {
+	case http.StatusOK:
+		s.inflight.Counters.Answered.Add(1)
+		s.inflight.observeLatency(s.firstEventAt.Sub(s.inflight.request.ReceivedAt))
 	case http.StatusGatewayTimeout:
 		s.inflight.Counters.TimedOut.Add(1)
 	case http.StatusBadGateway:
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -389,6 +389,19 @@
 	assert.Equal(t, c.Counters.TargetsSilent.Load(), uint64(1))
 }
 
+// The whole stream of a target that is not used was counted as answered.
+func TestUnusedStreamIsNotAnswered(t *testing.T) {
+	whole := []scriptStep{chunkedOK + events(1) + lastChunk}
+	c := newTakeoverCase(t, catalog.Streaming, 2, whole)
+	response, ok := c.request.searchResponse(context.Background())
+	assert.Assert(t, ok)
+	response.discard()
+	assert.Equal(t, c.Counters.Answered.Load(), uint64(0))
+	used := newTakeoverCase(t, catalog.Streaming, 2, whole)
+	used.checkSend(t, rawEvents(1))
+	assert.Equal(t, used.Counters.Answered.Load(), uint64(1))
+}
+
 // The events of a stream are those of one target at a time, however close both are.
 func TestEventsOfTwoTargetsDoNotMix(t *testing.T) {
 	const gap = minGapTimeout
