--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -253,8 +253,16 @@
 func (c *takeoverCase) send() (status int, body string, err error) {
 	ctx, cancel := context.WithDeadline(context.Background(), c.request.deadline)
 	defer cancel()
+	return c.sendWith(ctx, cancel)
+}
+
+// sendWith is send with a context of the test; a status of 0 means no response.
+func (c *takeoverCase) sendWith(ctx context.Context, cancel context.CancelFunc) (status int, body string, err error) {
 	response := c.request.execute(ctx)
-	if response.Stream == nil {
+	switch {
+	case response == nil:
+		return 0, "", nil
+	case response.Stream == nil:
 		return response.Status, string(response.Body), nil
 	}
 	response.Stream.(*stream).cancel = cancel
@@ -422,3 +430,38 @@
 		[]scriptStep{unframedOK + rawEvents(1, 2), hang{}}, []scriptStep{unframedOK + rawEvents(3, 4)})
 	c.checkSend(t, rawEvents(1, 2, 3, 4))
 }
+
+// Whenever a caller leaves, or its deadline passes, both targets are stopped soon and
+// nothing is left behind.
+func TestCallerThatLeavesEndsBothExchanges(t *testing.T) {
+	const maxDelay = 200 * time.Millisecond
+	beforeTheFirst, inTheStream := []scriptStep{hang{}}, []scriptStep{chunkedOK + events(1), hang{}}
+	for name, script := range map[string][]scriptStep{"before the first event": beforeTheFirst, "in the stream": inTheStream} {
+		for _, after := range []time.Duration{200 * time.Millisecond, minGapTimeout, minResponseTimeout, longPause} {
+			for _, deadline := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %v, deadline %v", name, after, deadline), func(t *testing.T) {
+					c := newTakeoverCase(t, catalog.Streaming, 2, script, []scriptStep{hang{}})
+					ctx, cancel := context.WithCancel(context.Background())
+					if deadline {
+						ctx, cancel = context.WithTimeout(context.Background(), after)
+					} else {
+						time.AfterFunc(after, cancel)
+					}
+					defer cancel()
+					startedAt := time.Now()
+					_, _, _ = c.sendWith(ctx, cancel)
+					took := time.Since(startedAt)
+					assert.Assert(t, took >= after && took < after+maxDelay, "%v", took)
+					time.Sleep(maxDelay)
+					for _, target := range c.targets {
+						target.mu.Lock()
+						for _, run := range target.runs {
+							assert.Check(t, !run.closedAt.IsZero() && run.closedAt.Before(startedAt.Add(after+maxDelay)), "%+v", run)
+						}
+						target.mu.Unlock()
+					}
+				})
+			}
+		}
+	}
+}
