--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -114,8 +114,7 @@
 func (c *pooledConn) Read(buffer []byte) (int, error) {
 	for {
 		n, err := c.conn.Read(buffer)
-		var netErr net.Error
-		if n > 0 || err == nil || c.silence.After == 0 || !errors.As(err, &netErr) || !netErr.Timeout() {
+		if n > 0 || err == nil || c.silence.After == 0 || !isTimeout(err) {
 			return n, err
 		}
 		c.silence.OnSilence()
@@ -123,6 +122,11 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 func (c *pooledConn) close() { _ = c.conn.Close() }
 
 // acquire returns an idle connection that is still open and has no pending
