--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -105,3 +105,57 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(buffer[:n]), "body")
 }
+
+// What a caller sends while its connection is watched is read afterwards, also what
+// arrives at the moment at which the watch stops.
+func TestWatchLosesNothing(t *testing.T) {
+	const count = 2000
+	caller, conn := acceptCaller(t, fixedTimeout(10*time.Second), fixedTimeout(10*time.Second))
+	go func() {
+		for i := range count {
+			_, _ = caller.Write([]byte{byte(i)})
+			if i%3 == 0 {
+				time.Sleep(time.Duration(i%7) * 10 * time.Microsecond)
+			}
+		}
+	}()
+	buffer := make([]byte, 5)
+	for received := 0; received < count; {
+		conn.WatchClose(func() { t.Error("the caller has not closed the connection") })
+		time.Sleep(time.Duration(received%5) * 20 * time.Microsecond)
+		conn.StopWatch()
+		n, err := conn.Read(buffer)
+		assert.NilError(t, err)
+		for _, b := range buffer[:n] {
+			assert.Equal(t, b, byte(received))
+			received++
+		}
+	}
+}
+
+// A close of the sending side cannot be told from a close of the connection.
+func TestWatchDetectsClose(t *testing.T) {
+	for name, closeCaller := range map[string]func(*net.TCPConn) error{
+		"close": (*net.TCPConn).Close, "close of the sending side": (*net.TCPConn).CloseWrite,
+		"reset": func(c *net.TCPConn) error {
+			if err := c.SetLinger(0); err != nil {
+				return err
+			}
+			return c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			caller, conn := acceptCaller(t, fixedTimeout(10*time.Second), fixedTimeout(10*time.Second))
+			closed := make(chan struct{})
+			conn.WatchClose(func() { close(closed) })
+			assert.NilError(t, closeCaller(caller.(*net.TCPConn)))
+			select {
+			case <-closed:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the close has not been detected")
+			}
+			conn.StopWatch()
+		})
+	}
+}
