Log a stream that its instance cut at the end of a shutdown as such

It was logged and counted as left by its caller, since a request that an instance cancels and one whose caller disconnects end with the same error. The cause of the cancellation tells them apart.

Evidence: the new case of TestLogStatesWhyAStreamEnded got status 499 before instead of 502.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -216,8 +216,7 @@
 		s.complete()
 		return io.EOF
 	case s.ctx.Err() != nil:
-		s.err = s.ctx.Err()
-		return s.err
+		return s.interrupt()
 	}
 	s.recordBroken(err)
 	if !errors.Is(err, errTooManyEvents) {
@@ -230,6 +229,12 @@
 	return err
 }
 
+// interrupt records that the context ended the stream.
+func (s *stream) interrupt() error {
+	s.err = context.Cause(s.ctx)
+	return s.err
+}
+
 // searchTakeover looks for another target while the current one is silent.
 func (s *stream) searchTakeover() {
 	if s.takeover == nil {
@@ -401,6 +406,8 @@
 		return http.StatusOK, ""
 	case errors.Is(s.err, context.DeadlineExceeded):
 		return http.StatusGatewayTimeout, "the deadline passed during the stream"
+	case errors.Is(s.err, errStopping):
+		return http.StatusBadGateway, errStopping.Error()
 	case s.err == nil, errors.Is(s.err, context.Canceled):
 		return statusCallerGone, "the caller has gone"
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -27,6 +27,7 @@
 		{stream{err: errors.Wrap(context.Canceled, "read")}, statusCallerGone},
 		{stream{err: errors.Wrap(context.DeadlineExceeded, "read")}, http.StatusGatewayTimeout},
 		{stream{err: io.ErrUnexpectedEOF}, http.StatusBadGateway},
+		{stoppedStream(), http.StatusBadGateway},
 	} {
 		status, reason := tc.stream.finalStatus()
 		assert.Equal(t, status, tc.want, "%v", tc.stream.err)
@@ -34,6 +35,15 @@
 	}
 }
 
+// stoppedStream returns a stream that was interrupted by the end of its instance.
+func stoppedStream() stream {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(errStopping)
+	s := stream{ctx: ctx}
+	_ = s.interrupt()
+	return s
+}
+
 // A stream that is resumed needs a target for the rest only. With the length of
 // the whole, no target would seem to finish in time, and with the objective for
 // the first event it would be refused sooner than a new request.
