Count responses that exceed a bound

target_responses_too_long in the metrics: headers and buffered bodies that were given up because they had no end in sight. TestBodiesOfAllTargetsShareABound checks it.

--- a/internal/dispatch/bounds.go
+++ b/internal/dispatch/bounds.go
@@ -89,6 +89,11 @@
 // possible, for one of more than maxBytes, and for one that does not fit into the
 // memory for the bodies of all targets. The memory counts until Close.
 func (r *PooledResponse) ReadBody(maxBytes int) ([]byte, error) {
+	body, err := r.readBody(maxBytes)
+	return body, r.pool.countTooLong(err)
+}
+
+func (r *PooledResponse) readBody(maxBytes int) ([]byte, error) {
 	if r.ContentLength > int64(maxBytes) {
 		return nil, errors.Wrapf(ErrResponseTooLong, "body of %d bytes", r.ContentLength)
 	}
--- a/internal/dispatch/bounds_test.go
+++ b/internal/dispatch/bounds_test.go
@@ -188,6 +188,7 @@
 	assert.NilError(t, err)
 	_, err = response.ReadBody(maxBytes)
 	assert.ErrorIs(t, err, ErrResponseTooLong)
+	assert.Equal(t, p.TooLong(), uint64(1))
 	body, err := sendAndRead(p, newPooledRequest(short))
 	assert.NilError(t, err)
 	assert.Equal(t, body, "one")
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -89,7 +89,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, fault.At(fault.StepDispatch, r.Address, err)
+		return nil, fault.At(fault.StepDispatch, r.Address, p.countTooLong(err))
 	}
 	response.pool, response.stopCancel = p, stopCancel
 	return response, nil
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -38,6 +38,8 @@
 type Pool struct {
 	clock  clockwork.Clock
 	dialer net.Dialer
+	// tooLong counts the responses that exceeded a bound.
+	tooLong atomic.Uint64
 	// bufferedBytes is the memory reserved for bodies, in bytes.
 	bufferedBytes atomic.Int64
 
@@ -71,6 +73,18 @@
 	return p.openedConns
 }
 
+// TooLong returns the number of responses so far that exceeded a bound on their
+// header or buffered body.
+func (p *Pool) TooLong() uint64 { return p.tooLong.Load() }
+
+// countTooLong counts err if it is ErrResponseTooLong, and returns it.
+func (p *Pool) countTooLong(err error) error {
+	if errors.Is(err, ErrResponseTooLong) {
+		p.tooLong.Add(1)
+	}
+	return err
+}
+
 // pooledConn is a connection to a target.
 type pooledConn struct {
 	conn    net.Conn
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -36,6 +36,7 @@
 	WatchAgeMs            uint32 `json:"watch_age_ms"`
 	CallerConnections     int    `json:"caller_connections"`
 	TargetConnectionsMade uint64 `json:"target_connections_made"`
+	TargetsSentTooMuch    uint64 `json:"target_responses_too_long"`
 	GossipSendErrors      uint64 `json:"gossip_unsent"`
 	GossipDecodeErrors    uint64 `json:"gossip_unread"`
 	StoreEra              uint64 `json:"store_era"`
@@ -52,7 +53,7 @@
 		StoreEra: n.era.current(), StoreReturns: n.era.returns.Load(), HeldEntries: heldEntries,
 		ConfigVersion: n.configuration.Version(), Draining: n.draining.Load(), InstanceCount: view.Instances,
 		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos),
-		CallerConnections: n.callerServer.OpenConnections(), TargetConnectionsMade: n.pool.OpenedConns(),
+		CallerConnections: n.callerServer.OpenConnections(), TargetConnectionsMade: n.pool.OpenedConns(), TargetsSentTooMuch: n.pool.TooLong(),
 		GossipSendErrors: n.counters.SendErrors.Load(), GossipDecodeErrors: n.counters.DecodeErrors.Load(),
 	}
 }
