Let three instances announce verdicts after the store's return

All instances hold the same verdicts. With every instance announcing them at once, a large deployment would send hundreds of writes in one moment. TestVerdictsAreAnnouncedAgainAfterTheStoresReturn passes as before.

--- a/internal/node/era.go
+++ b/internal/node/era.go
@@ -7,6 +7,11 @@
 	"go.uber.org/zap"
 )
 
+// verdictAnnouncerCount is the number of instances that announce verdicts at once
+// when the store may have lost them. All instances hold the same ones; the others
+// follow with their next announcements.
+const verdictAnnouncerCount = 3
+
 // storeEra is the highest known era of the platform's store.
 type storeEra struct {
 	// mu guards era and known.
@@ -45,10 +50,11 @@
 	if !returned {
 		return
 	}
-	verdicts, _ := n.quarantine.Verdicts()
+	verdicts, own := n.quarantine.Verdicts()
+	announces := own || len(verdicts) > 0 && n.rank() < verdictAnnouncerCount
 	n.logger.Warn("store returned from an earlier copy", zap.Uint64("era", era), zap.Uint64("before", previous),
-		zap.Int("verdicts_announced", len(verdicts)))
-	if len(verdicts) > 0 {
+		zap.Int("verdicts", len(verdicts)), zap.Bool("announces", announces))
+	if announces {
 		n.requestAnnouncement()
 	}
 }
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -223,7 +223,7 @@
 
 func TestReturnIsObservedOnce(t *testing.T) {
 	n := &Node{
-		logger: zap.NewNop(), announceNow: make(chan struct{}, 1),
+		logger: zap.NewNop(), announceNow: make(chan struct{}, 1), peers: newPeerTable(clockwork.NewFakeClock(), address(0), nil),
 		quarantine: quarantine.New(quarantine.Options{Clock: clockwork.NewFakeClock(), Logger: zap.NewNop()}),
 	}
 	for _, era := range []uint64{4, 4, 5, 5, 4, 7} {
