--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -42,6 +42,23 @@
 		"only what a caller sent runs, for the account that holds its key", "platform/header.go, gateway/server.go",
 		testedBy(adapterPackage, "TestRequestInsideABodyIsNoRequest", "TestPlainAnswerIsPassedOnUnchanged"), "",
 	},
+	{
+		"a target that sends without end costs little memory and time", "dispatch/bounds.go, gateway/events.go",
+		combineTests(testedBy(adapterPackage, "TestTargetThatSendsWithoutEnd", "TestTableWithoutEndIsNotRead"),
+			testedBy("dispatch", "TestEndlessBytesBeforeABodyEndTheExchange", "TestEndlessBytesInABodyEndTheExchange",
+				"TestDiscardIsBounded", "TestBodiesOfAllTargetsShareABound", "TestLongResponsesPass"),
+			testedBy("gateway", "TestEndlessBytesEndAStreamOfEvents", "TestMoreEventsThanTheCallerAllowedEndAStream")),
+		"",
+	},
+	{
+		"what is known outlasts the store's return from a copy", "node/era.go, node/returns.go",
+		combineTests(testedBy(adapterPackage, "TestInstancesFollowTheStoreAfterItsReturnFromACopy", "TestWatchStartsAnewInANewEra",
+			"TestConfigurationDoesNotGoBackWithTheStore", "TestEndedRolloutIsWrittenAgainAfterTheStoresReturn",
+			"TestTargetThatHasLeftStaysOutOfUseOnTheWordOfACopy", "TestTargetMissingFromACopyStaysInUse",
+			"TestVerdictsAreAnnouncedAgainAfterTheStoresReturn"),
+			testedBy("node", "TestListOfACopyIsHeldAgainstWhatIsKnown"), testedBy("../platform/soak", "TestSoak")),
+		"",
+	},
 	{
 		"a request that may run once runs once", "gateway/run.go",
 		combineTests(testedBy(adapterPackage, "TestRequestThatMayRunOnceIsNotRepeated"), testedBy("../platform/soak", "TestSoak")),
