Let announced lengths of responses without a body pass

Cause: ReadBody compared the length that a response to HEAD, or a 304, announces with the bound on bodies. Such a response has no body. TestAnnouncedLengthWithoutABodyPasses failed before with 'body of bytes'.

--- a/internal/dispatch/bounds.go
+++ b/internal/dispatch/bounds.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -94,6 +95,10 @@
 }
 
 func (r *PooledResponse) readBody(maxBytes int) ([]byte, error) {
+	if r.body == http.NoBody {
+		r.bodyComplete = true
+		return []byte{}, nil
+	}
 	if r.ContentLength > int64(maxBytes) {
 		return nil, errors.Wrapf(ErrResponseTooLong, "body of %d bytes", r.ContentLength)
 	}
--- a/internal/dispatch/bounds_test.go
+++ b/internal/dispatch/bounds_test.go
@@ -218,6 +218,26 @@
 	}
 }
 
+// The length announced by a response without a body is no length of its own.
+func TestAnnouncedLengthWithoutABodyPasses(t *testing.T) {
+	for status, method := range map[string]string{"200 OK": http.MethodHead, "304 Not Modified": http.MethodGet} {
+		address, connections := startScriptedServer(t, "HTTP/1.1 "+status+"\r\nX-Id: expected\r\nContent-Length: 9000000000\r\n\r\n",
+			responseWithID("expected", ""))
+		p := NewPool(clockwork.NewRealClock())
+		request := newPooledRequest(address)
+		request.Method = method
+		for range 2 {
+			response, err := p.Send(t.Context(), request)
+			assert.NilError(t, err)
+			body, err := response.ReadBody(1 << 20)
+			assert.NilError(t, err, status)
+			assert.Equal(t, len(body), 0)
+			response.Close()
+		}
+		assert.Equal(t, connections.Load(), int32(1), status)
+	}
+}
+
 // A target may take long before it answers, and between any parts of its answer.
 func TestPausesEndNoExchange(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
