--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,7 +127,9 @@
 	if p.err != nil {
 		return p
 	}
-	l.tracked.Heard(l.response.ConnOpenedAt())
+	if l.response.Status != http.StatusMisdirectedRequest {
+		l.tracked.Heard(l.response.ConnOpenedAt())
+	}
 	p.metadata = r.Protocol.ParseResponse(l.response.Header)
 	switch {
 	case l.isRejected(p.metadata):
@@ -204,6 +206,8 @@
 func endBroken(ctx context.Context, tracked *quarantine.Attempt, err error) {
 	var netErr net.Error
 	switch {
+	case dispatch.IsRefused(err):
+		tracked.End(quarantine.Unreachable)
 	case dispatch.IsNotSent(err), errors.IsAny(err, errUntrusted, dispatch.ErrResponseTooLong, errEndless, errTooManyEvents):
 		tracked.End(quarantine.NoEvidence)
 	case ctx.Err() != nil, errors.As(err, &netErr) && netErr.Timeout():
@@ -213,13 +217,15 @@
 	}
 }
 
-// endComplete records the end of an attempt whose response was read to its end. One
-// that ends with its connection, as it would if the target had crashed, shows nothing.
+// endComplete records the end of an attempt whose response was read to its end.
 func endComplete(tracked *quarantine.Attempt, response *dispatch.PooledResponse) {
-	if response.IsFramed() {
+	switch {
+	case !response.IsFramed():
+		tracked.End(quarantine.EndedInOrder)
+	case response.Status >= http.StatusMultipleChoices:
+		tracked.End(quarantine.CompletedWithError)
+	default:
 		tracked.End(quarantine.Completed)
-	} else {
-		tracked.End(quarantine.NoEvidence)
 	}
 }
 
--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -10,12 +10,19 @@
 
 // The outcomes of an attempt.
 const (
-	// Completed means that the target's response was complete, whatever its
-	// status.
+	// Completed means that the target's response was complete.
 	Completed Outcome = iota
-	// NoEvidence means that the target has not run the request, or that its
-	// response does not tell whether it is complete.
+	// CompletedWithError means that it was complete but reported an error, so that
+	// the target may not have answered on the prompt.
+	CompletedWithError
+	// EndedInOrder means that the target's response looked complete, but ended with
+	// its connection, as it may if the target crashes.
+	EndedInOrder
+	// NoEvidence means that the target has not run the request, or that the response
+	// is not its own.
 	NoEvidence
+	// Unreachable means that no process listens at the target's address any more.
+	Unreachable
 	// Broken means that the target broke the connection or its response was
 	// unusable.
 	Broken
@@ -88,6 +95,9 @@
 	if a.registry.unresolvedCount.Load() > 0 {
 		a.registry.resolveHeard(a, openedAt, now)
 	}
+	if a.registry.suspectCount.Load() > 0 {
+		a.registry.confirmOrderlyEnds(a.target, openedAt, now)
+	}
 }
 
 // instant returns a time in nanoseconds since before the registry was made. It
@@ -119,15 +129,24 @@
 	now := r.options.Clock.Now()
 	switch outcome {
 	case Completed:
+		r.recordAnswer(a, now)
+		r.recordCompletion(a, now)
+	case CompletedWithError:
 		r.recordCompletion(a, now)
+	case EndedInOrder:
+		r.endInOrder(a, now)
 	case Broken:
 		r.markAttempt(a, now, false)
+		r.markOrderlyEnds(a.target, crashTogether, now)
 	case Unanswered:
 		if !a.heardWithin(heardRecently, now) {
 			r.markAttempt(a, now, true)
 		}
 	case NoEvidence:
 		r.withdrawMark(a)
+	case Unreachable:
+		r.withdrawMark(a)
+		r.markOrderlyEnds(a.target, endConfirmTime, now)
 	}
 }
 
--- /dev/null
+++ b/internal/quarantine/orderly.go
@@ -0,0 +1,126 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxOrderlyEnds bounds the orderly ends held for one target.
+	maxOrderlyEnds = 16
+	// crashTogether is the time within which the connections of a target that
+	// crashes end.
+	crashTogether = 300 * time.Millisecond
+	// settleTime is the time after an orderly end within which a crash of its target
+	// shows in other attempts.
+	settleTime = time.Second
+)
+
+// orderlyEnd is the end of an attempt whose response ended in order with its
+// connection. It is complete if the target has survived, and may have been cut off
+// if not.
+type orderlyEnd struct {
+	attempt *Attempt
+	at      time.Time
+}
+
+// isConfirmedBy reports whether the target has survived if something arrives from
+// it now, on a connection that was opened at the given time, and no other attempt
+// was broken.
+func (e orderlyEnd) isConfirmedBy(openedAt, now time.Time) bool {
+	age := now.Sub(e.at)
+	return age >= settleTime || openedAt.After(e.at) && age <= minRestartTime || !openedAt.After(e.at) && age >= survivalMargin
+}
+
+// addEnd records an orderly end.
+func (r *runTable) addEnd(e orderlyEnd) {
+	shard := r.shardOf(e.attempt.target)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if shard.ends == nil {
+		shard.ends = make(map[string][]orderlyEnd)
+	}
+	ends := append(shard.ends[e.attempt.target], e)
+	shard.ends[e.attempt.target] = ends[max(0, len(ends)-maxOrderlyEnds):]
+}
+
+// takeEnds removes and returns the orderly ends at a target that are concerned.
+func (r *runTable) takeEnds(target string, concerned func(orderlyEnd) bool) []orderlyEnd {
+	shard := r.shardOf(target)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	var taken []orderlyEnd
+	kept := slices.DeleteFunc(shard.ends[target], func(e orderlyEnd) bool {
+		isTaken := concerned(e)
+		if isTaken {
+			taken = append(taken, e)
+		}
+		return isTaken
+	})
+	if len(taken) > 0 {
+		shard.ends[target] = kept
+	}
+	return taken
+}
+
+// dropEnds forgets the orderly ends before a time; shard.mu must be held.
+func (s *runShard) dropEnds(before time.Time) {
+	for target, ends := range s.ends {
+		kept := slices.DeleteFunc(ends, func(e orderlyEnd) bool { return e.at.Before(before) })
+		if s.ends[target] = kept; len(kept) == 0 {
+			delete(s.ends, target)
+		}
+	}
+}
+
+// endInOrder records that the response of an attempt ended with its connection. It
+// was cut off if the target has broken others at the same time, and may have been
+// if the end came long after the rest.
+func (r *Registry) endInOrder(a *Attempt, now time.Time) {
+	switch {
+	case len(a.parts) == 0:
+		r.withdrawMark(a)
+	case a.markID.Load() != 0, !a.heardWithin(crashTogether, now), r.hasBroken(a.target, now):
+		r.markAttempt(a, now, false)
+	default:
+		r.running.addEnd(orderlyEnd{a, now})
+	}
+}
+
+// hasBroken reports whether the target has broken other attempts just before.
+func (r *Registry) hasBroken(target string, now time.Time) bool {
+	if r.unresolvedCount.Load() == 0 {
+		return false
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for m := range r.unresolved[target] {
+		if !m.silent && now.Sub(m.at) <= crashTogether {
+			return true
+		}
+	}
+	return false
+}
+
+// markOrderlyEnds marks the last attempts at a target that ended in order, if that
+// was within a time, since the target has turned out to have broken others or to be
+// gone.
+func (r *Registry) markOrderlyEnds(target string, within time.Duration, now time.Time) {
+	var last time.Time
+	for _, e := range r.running.takeEnds(target, func(e orderlyEnd) bool {
+		last = latest(last, e.at)
+		return now.Sub(e.at) <= within
+	}) {
+		if last.Sub(e.at) <= crashTogether {
+			r.markAttempt(e.attempt, e.at, false)
+		}
+	}
+}
+
+// confirmOrderlyEnds records the completions that something that arrives from a
+// target confirms.
+func (r *Registry) confirmOrderlyEnds(target string, openedAt, now time.Time) {
+	for _, e := range r.running.takeEnds(target, func(e orderlyEnd) bool { return e.isConfirmedBy(openedAt, now) }) {
+		r.recordAnswer(e.attempt, e.at)
+	}
+}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -190,26 +190,23 @@
 	return refuted
 }
 
-// completeParts clears the parts that an attempt has completed with; r.mu must be
-// held.
-func (r *Registry) completeParts(a *Attempt, now time.Time) {
+// recordAnswer clears the parts of the prompt that an attempt has answered on.
+func (r *Registry) recordAnswer(a *Attempt, at time.Time) {
 	for _, part := range a.parts {
-		if p := r.suspects[part]; p != nil && r.clearPart(p, a.startedAt, now) {
+		r.proven.add(part, r.instant(a.startedAt))
+	}
+	if !r.isSuspected(a.parts...) {
+		return
+	}
+	r.mu.Lock()
+	defer r.unlock()
+	for _, part := range a.parts {
+		if p := r.suspects[part]; p != nil && r.clearPart(p, a.startedAt, at) {
 			r.options.Logger.Debug("suspect prompt part completed", zap.String("part", string(part)))
 		}
 	}
 }
 
-// isConcerned reports whether there is anything to clear if a request completes.
-func (r *Registry) isConcerned(a *Attempt) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.suspects[a.request] != nil || slices.ContainsFunc(a.parts, func(part Fingerprint) bool {
-		p := r.suspects[part]
-		return p != nil && (len(p.marks) > 0 || !p.quarantinedAt.IsZero())
-	})
-}
-
 // separateCrashes returns the number of crashes that cannot have had one cause
 // beside the requests.
 func separateCrashes(crashes []crash) int {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -28,6 +28,14 @@
 // innocenceTime after it, do not count. This keeps a popular request in service
 // that was running at several targets when they crashed.
 //
+// A part of a prompt may crash targets in requests of which no two are alike. So a
+// mark counts for each part of the prompt that nothing has been answered on since.
+// A part with minCrashes crashes that cannot have had another common cause is
+// charged. Parts that travel with it may be charged as well; as long as another one
+// explains the crashes of a part too, only requests with both are refused, and the
+// others show which is the cause. A part that is refused is tried again by single
+// requests: soon if it has been answered on before, else late.
+//
 // Marks and completions of suspects are facts that instances exchange, since
 // several instances have requests on one target and a retry may arrive at any
 // instance. Their order does not matter, and a fact received twice counts once.
--- a/internal/quarantine/run_table.go
+++ b/internal/quarantine/run_table.go
@@ -19,9 +19,12 @@
 
 // runShard holds the targets that hash to it.
 type runShard struct {
-	// mu guards byTarget and the attempts of its entries.
+	// mu guards byTarget, the attempts of its entries, and ends.
 	mu       sync.Mutex
 	byTarget map[string]*targetRuns
+	// ends holds the orderly ends by target, as long as they may turn out to be
+	// something else.
+	ends map[string][]orderlyEnd
 }
 
 // targetRuns are the attempts in flight at one target.
@@ -101,6 +104,7 @@
 	for i := range r.running.shards {
 		shard := &r.running.shards[i]
 		shard.mu.Lock()
+		shard.dropEnds(now.Add(-endConfirmTime))
 		for _, runs := range shard.byTarget {
 			if runs.heardAt.Load() > since {
 				continue
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -241,20 +241,15 @@
 	r.index(s, m)
 }
 
-// recordCompletion clears the request of an attempt that has completed, and the
-// parts of its prompt.
+// recordCompletion clears the request of an attempt that has completed.
 func (r *Registry) recordCompletion(a *Attempt, at time.Time) {
 	r.completions.add(a.request, at)
-	for _, part := range a.parts {
-		r.proven.add(part, r.instant(a.startedAt))
-	}
-	if r.suspectCount.Load() == 0 || !r.isConcerned(a) {
+	if !r.isSuspected(a.request) {
 		return
 	}
 	r.mu.Lock()
 	s := r.suspects[a.request]
 	cleared := s != nil && r.clear(s, at)
-	r.completeParts(a, at)
 	r.unlock()
 	if cleared {
 		r.options.Logger.Info("suspect request completed", zap.String("content", string(a.request)))
@@ -262,6 +257,20 @@
 	}
 }
 
+// isSuspected reports whether anything is known about one of several requests or
+// parts.
+func (r *Registry) isSuspected(fingerprints ...Fingerprint) bool {
+	if r.suspectCount.Load() == 0 {
+		return false
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return slices.ContainsFunc(fingerprints, func(fp Fingerprint) bool {
+		s := r.suspects[fp]
+		return s != nil && (!s.isPart || len(s.marks) > 0 || !s.quarantinedAt.IsZero())
+	})
+}
+
 // clear records a completion, drops the marks that it refutes and reports whether
 // there were any; r.mu must be held.
 func (r *Registry) clear(s *suspect, at time.Time) bool {
