Blame the last orderly ends at a target only (BUDGET)

Cause: a target found to be gone had all responses of the last seconds that ended in order marked, each as a crash of its own. Change: those before an attempt that was broken are answers, since the target went on; those before a refused connection count only if they are the last ones, and if no other attempt shows when the target crashed.

--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -137,7 +137,7 @@
 		r.endInOrder(a, now)
 	case Broken:
 		r.markAttempt(a, now, false)
-		r.markOrderlyEnds(a.target, crashTogether, now)
+		r.endTogether(a, now)
 	case Unanswered:
 		if !a.heardWithin(heardRecently, now) {
 			r.markAttempt(a, now, true)
@@ -146,7 +146,7 @@
 		r.withdrawMark(a)
 	case Unreachable:
 		r.withdrawMark(a)
-		r.markOrderlyEnds(a.target, endConfirmTime, now)
+		r.endUnreachable(a.target, now)
 	}
 }
 
--- a/internal/quarantine/orderly.go
+++ b/internal/quarantine/orderly.go
@@ -80,38 +80,52 @@
 	switch {
 	case len(a.parts) == 0:
 		r.withdrawMark(a)
-	case a.markID.Load() != 0, !a.heardWithin(crashTogether, now), r.hasBroken(a.target, now):
+	case a.markID.Load() != 0, !a.heardWithin(crashTogether, now), r.hasBroken(a.target, crashTogether, now):
 		r.markAttempt(a, now, false)
 	default:
 		r.running.addEnd(orderlyEnd{a, now})
 	}
 }
 
-// hasBroken reports whether the target has broken other attempts just before.
-func (r *Registry) hasBroken(target string, now time.Time) bool {
+// hasBroken reports whether the target has broken other attempts within a time.
+func (r *Registry) hasBroken(target string, within time.Duration, now time.Time) bool {
 	if r.unresolvedCount.Load() == 0 {
 		return false
 	}
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for m := range r.unresolved[target] {
-		if !m.silent && now.Sub(m.at) <= crashTogether {
+		if !m.silent && now.Sub(m.at) <= within {
 			return true
 		}
 	}
 	return false
 }
 
-// markOrderlyEnds marks the last attempts at a target that ended in order, if that
-// was within a time, since the target has turned out to have broken others or to be
-// gone.
-func (r *Registry) markOrderlyEnds(target string, within time.Duration, now time.Time) {
-	var last time.Time
-	for _, e := range r.running.takeEnds(target, func(e orderlyEnd) bool {
-		last = latest(last, e.at)
-		return now.Sub(e.at) <= within
-	}) {
-		if last.Sub(e.at) <= crashTogether {
+// endTogether handles the orderly ends at a target that has broken an attempt:
+// those of about the same time were cut off as well, and it has survived those
+// before the attempt.
+func (r *Registry) endTogether(broken *Attempt, now time.Time) {
+	for _, e := range r.running.takeEnds(broken.target, func(orderlyEnd) bool { return true }) {
+		switch {
+		case now.Sub(e.at) <= crashTogether:
+			r.markAttempt(e.attempt, e.at, false)
+		case e.at.Before(broken.startedAt):
+			r.recordAnswer(e.attempt, e.at)
+		}
+	}
+}
+
+// endUnreachable marks the attempts that have just ended in order at a target that
+// has turned out to be gone, unless others show when it crashed.
+func (r *Registry) endUnreachable(target string, now time.Time) {
+	ends := r.running.takeEnds(target, func(orderlyEnd) bool { return true })
+	if len(ends) == 0 || r.hasBroken(target, endConfirmTime, now) {
+		return
+	}
+	last := ends[len(ends)-1].at
+	for _, e := range ends {
+		if now.Sub(e.at) <= settleTime && last.Sub(e.at) <= crashTogether {
 			r.markAttempt(e.attempt, e.at, false)
 		}
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -225,3 +225,39 @@
 		assert.Assert(t, len(s.marks) <= maxPartMarks)
 	}
 }
+
+// A response that ends with its connection is complete only if its target survives.
+func TestOrderlyEndsCountOnceTheirTargetsAreKnown(t *testing.T) {
+	for _, crashed := range []bool{true, false} {
+		p := &prompts{fleet: newFleet(1)}
+		r := p.registries[0]
+		for i := range 3 {
+			target := fmt.Sprint("target ", i)
+			suspect, other := p.attempt(r, target, "part"), p.attempt(r, target, "other")
+			suspect.Heard(p.openedAt)
+			suspect.End(EndedInOrder)
+			if crashed {
+				other.End(Broken)
+			}
+			p.exchange(settleTime, Changes)
+			if !crashed {
+				p.serve(r, target)
+				p.crash(r, "another target", nil, "part")
+				p.exchange(settleTime, Changes)
+			}
+		}
+		assert.Equal(t, p.refusing("part", "other"), map[bool]int{true: 1, false: 0}[crashed])
+	}
+}
+
+// An error is no answer on the prompt, and a target that reports one need not have
+// begun to write.
+func TestErrorsClearNoPart(t *testing.T) {
+	p := &prompts{fleet: newFleet(1)}
+	for i := range 3 {
+		p.crash(p.registries[0], fmt.Sprint("target ", i), nil, "bad")
+		p.clock.Advance(time.Second)
+		p.attempt(p.registries[0], "faulty", "bad").End(CompletedWithError)
+	}
+	assert.Equal(t, p.refusing("bad"), 1)
+}
