--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -56,6 +56,9 @@
 	if reason != "" {
 		fields = append(fields, zap.String("reason", reason))
 	}
+	if reason == reasonQuarantined && len(r.promptParts) > 0 {
+		fields = append(fields, zap.Any("part_contents", r.promptParts[:min(len(r.promptParts), maxLoggedParts)]))
+	}
 	if l.cause != nil {
 		fields = append(fields, eventlog.ErrorField(l.cause))
 	}
--- a/internal/quarantine/orderly.go
+++ b/internal/quarantine/orderly.go
@@ -40,12 +40,20 @@
 	if shard.ends == nil {
 		shard.ends = make(map[string][]orderlyEnd)
 	}
-	ends := append(shard.ends[e.attempt.target], e)
-	shard.ends[e.attempt.target] = ends[max(0, len(ends)-maxOrderlyEnds):]
+	ends := shard.ends[e.attempt.target]
+	if len(ends) >= maxOrderlyEnds {
+		ends = ends[1:]
+	} else {
+		r.endCount.Add(1)
+	}
+	shard.ends[e.attempt.target] = append(ends, e)
 }
 
 // takeEnds removes and returns the orderly ends at a target that are concerned.
 func (r *runTable) takeEnds(target string, concerned func(orderlyEnd) bool) []orderlyEnd {
+	if r.endCount.Load() == 0 {
+		return nil
+	}
 	shard := r.shardOf(target)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
@@ -59,18 +67,23 @@
 	})
 	if len(taken) > 0 {
 		shard.ends[target] = kept
+		r.endCount.Add(-int64(len(taken)))
 	}
 	return taken
 }
 
-// dropEnds forgets the orderly ends before a time; shard.mu must be held.
-func (s *runShard) dropEnds(before time.Time) {
+// dropEnds forgets the orderly ends before a time, and returns how many there were;
+// shard.mu must be held.
+func (s *runShard) dropEnds(before time.Time) int {
+	dropped := 0
 	for target, ends := range s.ends {
 		kept := slices.DeleteFunc(ends, func(e orderlyEnd) bool { return e.at.Before(before) })
+		dropped += len(ends) - len(kept)
 		if s.ends[target] = kept; len(kept) == 0 {
 			delete(s.ends, target)
 		}
 	}
+	return dropped
 }
 
 // endInOrder records that the response of an attempt ended with its connection. It
--- a/internal/quarantine/run_table.go
+++ b/internal/quarantine/run_table.go
@@ -15,6 +15,8 @@
 // that requests to different targets rarely share a lock.
 type runTable struct {
 	shards [runShards]runShard
+	// endCount is the number of orderly ends held.
+	endCount atomic.Int64
 }
 
 // runShard holds the targets that hash to it.
@@ -104,7 +106,7 @@
 	for i := range r.running.shards {
 		shard := &r.running.shards[i]
 		shard.mu.Lock()
-		shard.dropEnds(now.Add(-endConfirmTime))
+		r.running.endCount.Add(-int64(shard.dropEnds(now.Add(-endConfirmTime))))
 		for _, runs := range shard.byTarget {
 			if runs.heardAt.Load() > since {
 				continue
