Take a silence of two seconds, not one and a half, for a possible crash

What callers saw: requests refused as if they had crashed targets (503, not run), while several sound targets paused on equal requests.

Cause: the quarantine marks the requests that wait for a target from which nothing has arrived for 1.5 s, until it is heard again. A sound target may pause for so long.

Before: TestPausesOfSeveralTargetsAreNoCrashes (pauses of 1.8 s): 6 of 6 later requests refused on a route whose streams run once, in 3 of 3 runs. After: none, in 1 run. The other side, requests that silence targets: 15 of 15 ways of TestRequestThatCrashesTargetsIsStopped and all of the parts' tests, no late arrival. Pauses of over two seconds are still taken for possible crashes while they last.

--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -35,7 +35,7 @@
 	// silenceTime is how long nothing may arrive from a target before the requests
 	// that wait for it are marked, silenceExpected the same for one that has not
 	// responded at all, in multiples of the expected time.
-	silenceTime     = 1500 * time.Millisecond
+	silenceTime     = 2 * time.Second
 	silenceExpected = 2
 	// heardRecently is the time since the last part of a response within which a
 	// caller that leaves is no sign of a crash.
