Count a target's silence against it at once, not when its request ends

Cause: the exchange with a silent target goes on, so the scheduler heard of it only when another target had taken over, or never; until then it placed further requests there.

Change: silence is reported when it is noticed, to the local scheduler and to the coordinator, as a failure for the ejection; a target that is replaced later is not counted again.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -165,6 +165,7 @@
 		return
 	}
 	l.silent = true
+	l.grant.Silent()
 	r := l.inflight
 	r.countSent(l)
 	r.Counters.TargetsSilent.Add(1)
@@ -176,7 +177,7 @@
 // responded.
 func (r *inflightRequest) recordReplaced(l *leg) {
 	l.tracked.End(quarantine.Unanswered)
-	l.end(schedule.Failed)
+	l.end(schedule.Cancelled)
 	r.recordOutcome(l.grant.Target, true, r.Clock.Since(l.startedAt))
 	r.log.addStep("replaced", l.grant.Target.ID, r.Clock.Since(l.startedAt))
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -35,6 +35,7 @@
 
 func (p *crashingPlacer) ResponseStarted(time.Duration)     {}
 func (p *crashingPlacer) TokensReceived(int, time.Duration) {}
+func (p *crashingPlacer) Silent()                           {}
 func (p *crashingPlacer) Done(o schedule.Outcome)           { p.ended = o.Result }
 
 // A request was checked only when it arrived. One that was waiting for a place,
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -175,6 +175,7 @@
 
 func (g *placedGrant) ResponseStarted(time.Duration)     {}
 func (g *placedGrant) TokensReceived(int, time.Duration) {}
+func (g *placedGrant) Silent()                           {}
 
 func (g *placedGrant) Done(o schedule.Outcome) {
 	g.placer.mu.Lock()
--- a/internal/placement/execution.go
+++ b/internal/placement/execution.go
@@ -72,6 +72,14 @@
 	e.reportProgress(&progressReport{ID: e.id, Tokens: tokens, TokenSpanMicros: took.Microseconds()})
 }
 
+// Silent implements schedule.ExecutionObserver.
+func (e *execution) Silent() {
+	if e.localGrant != nil {
+		e.localGrant.Silent()
+	}
+	e.reportProgress(&progressReport{ID: e.id, Result: schedule.Failed})
+}
+
 // Done implements schedule.ExecutionObserver.
 func (e *execution) Done(o schedule.Outcome) {
 	e.mu.Lock()
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -351,6 +351,10 @@
 		grant.ResponseStarted(time.Duration(p.TimeToFirstMicros) * time.Microsecond)
 	}
 	span := time.Duration(p.TokenSpanMicros) * time.Microsecond
+	if !p.Done && p.Result == schedule.Failed {
+		grant.Silent()
+		return
+	}
 	if !p.Done {
 		grant.TokensReceived(p.Tokens, span)
 		return
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -32,6 +32,8 @@
 	ResponseStarted(after time.Duration)
 	// TokensReceived records output tokens received within the given time.
 	TokensReceived(tokens int, took time.Duration)
+	// Silent records that the target has sent nothing for too long.
+	Silent()
 	// Done ends the request at its target; further calls have no effect.
 	Done(Outcome)
 }
@@ -52,6 +54,9 @@
 	}
 }
 
+// Silent records that the target has sent nothing for too long.
+func (g *Grant) Silent() { g.observer.Silent() }
+
 // Done ends the request at its target; further calls have no effect.
 func (g *Grant) Done(o Outcome) { g.observer.Done(o) }
 
@@ -86,6 +91,15 @@
 	e.target.tokenTime.observe(took / time.Duration(tokens))
 }
 
+// Silent implements ExecutionObserver.
+func (e *execution) Silent() {
+	e.scheduler.mu.Lock()
+	defer e.scheduler.mu.Unlock()
+	if !e.ended {
+		e.target.ejector.RecordFailure(e.scheduler.clock.Now())
+	}
+}
+
 func (e *execution) endPrefill() {
 	if !e.responseStarted {
 		e.responseStarted = true
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -164,6 +164,28 @@
 	assert.Equal(t, acquire(t, s, newRequest(clock, 0, 100)).Target.ID, "bad")
 }
 
+// A target that hangs was sent requests until those that wait for it had ended.
+func TestSilentTargetIsLeftAloneWhileItsRequestsWait(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := newScheduler(clock, newEngine("silent", 8), newEngine("good", 8), newEngine("other", 8))
+	waiting := make([]*Grant, 3)
+	for i := range waiting {
+		r := newRequest(clock, 0, 100)
+		r.ExcludedTargets = []catalog.TargetKey{{ID: "good"}, {ID: "other"}}
+		waiting[i] = acquire(t, s, r)
+		waiting[i].Silent()
+	}
+	for range 16 {
+		assert.Assert(t, acquire(t, s, newRequest(clock, 0, 100)).Target.ID != "silent")
+	}
+	for _, g := range waiting {
+		g.Done(Outcome{Result: Complete})
+		g.Silent()
+	}
+	clock.Advance(2 * time.Second)
+	assert.Equal(t, acquire(t, s, newRequest(clock, 0, 100)).Target.ID, "silent")
+}
+
 func TestRemovedTargetReceivesNoRequests(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := newScheduler(clock, newEngine("one", 4))
