Test that another target is tried while one trickles without end

Bodies, and streams with blank lines, comments or an event that never ends: the request is answered by another target within 4 s.

--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -44,7 +44,7 @@
 	},
 	{
 		"a target that sends without end costs little memory and time", "dispatch/bounds.go, gateway/events.go",
-		combineTests(testedBy(adapterPackage, "TestTargetThatSendsWithoutEnd", "TestTableWithoutEndIsNotRead"),
+		combineTests(testedBy(adapterPackage, "TestTargetThatSendsWithoutEnd", "TestTargetThatTricklesWithoutEnd", "TestTableWithoutEndIsNotRead"),
 			testedBy("dispatch", "TestEndlessBytesBeforeABodyEndTheExchange", "TestEndlessBytesInABodyEndTheExchange",
 				"TestDiscardIsBounded", "TestBodiesOfAllTargetsShareABound", "TestLongResponsesPass"),
 			testedBy("gateway", "TestEndlessBytesEndAStreamOfEvents", "TestMoreEventsThanTheCallerAllowedEndAStream")),
