Bound responses of instances to operators' commands

Cause: adminclient read a response for as long as an instance sent one, up to the timeout of 30 s. Change: 64 MiB.

--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -25,6 +25,9 @@
 // when no token file is given.
 const TokenEnvVar = "HIBISCUSPOST_ADMIN_TOKEN"
 
+// maxResponseBytes bounds the body of a response.
+const maxResponseBytes = 64 << 20
+
 // RequestTimeout limits the duration of one request.
 const RequestTimeout = 30 * time.Second
 
@@ -117,7 +120,10 @@
 		return 0, nil, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errors.Newf("response of more than %d bytes", maxResponseBytes)
+	}
 	return response.StatusCode, body, err
 }
 
