Date the crash of a silent target by its first attempt without a response (BUDGET)

Cause: targets that fall silent together counted as separate crashes of a part that all their requests share, since each was dated by the last attempt sent to it. Change: the first one counts, and two such crashes are separate from half a second on.

The ways silent and at the start, and the five ways of the counterpart, pass.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -20,6 +20,9 @@
 	// beside the requests, such as the end of a host with several targets. Crashes
 	// that are closer together count once for a part.
 	separateTime = 200 * time.Millisecond
+	// separateSilence is separateTime for targets that fell silent, since it is not
+	// known exactly when.
+	separateSilence = 500 * time.Millisecond
 	// minUnexplained is the number of crashes of a part without another suspected
 	// part that rules the latter out as their cause.
 	minUnexplained = 2
@@ -66,6 +69,8 @@
 type crash struct {
 	marks []*mark
 	at    time.Time
+	// silent is set if the target only fell silent.
+	silent bool
 }
 
 // trial holds when a charged part is tried next.
@@ -210,17 +215,17 @@
 // separateCrashes returns the number of crashes that cannot have had one cause
 // beside the requests.
 func separateCrashes(crashes []crash) int {
-	times := make([]time.Time, len(crashes))
-	for i, c := range crashes {
-		times[i] = c.at
-	}
-	slices.SortFunc(times, time.Time.Compare)
+	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b crash) int { return a.at.Compare(b.at) })
 	separate := 0
-	var last time.Time
-	for _, at := range times {
-		if separate == 0 || at.Sub(last) >= separateTime {
+	var last crash
+	for _, c := range sorted {
+		distance := separateTime
+		if c.silent || last.silent {
+			distance = separateSilence
+		}
+		if separate == 0 || c.at.Sub(last.at) >= distance {
 			separate++
-			last = at
+			last = c
 		}
 	}
 	return separate
@@ -347,18 +352,14 @@
 	return crashes
 }
 
-// newCrash returns the crash that marks stand for. A target that falls silent has
-// crashed near the start of the last attempt; when that is noticed says nothing.
+// newCrash returns the crash that marks stand for, in the order of their starts. A
+// target that falls silent has crashed near the start of the first attempt without
+// a response; when that is noticed says nothing.
 func newCrash(marks []*mark) crash {
-	c := crash{marks: marks}
+	c := crash{marks: marks, at: marks[0].startedAt, silent: true}
 	for _, m := range marks {
-		if !m.silent && (c.at.IsZero() || m.at.Before(c.at)) {
-			c.at = m.at
-		}
-	}
-	if c.at.IsZero() {
-		for _, m := range marks {
-			c.at = latest(c.at, m.startedAt)
+		if !m.silent && (c.silent || m.at.Before(c.at)) {
+			c.at, c.silent = m.at, false
 		}
 	}
 	return c
