--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -28,10 +28,12 @@
 	minUnexplained = 2
 	// trialPause is the time from the last crash of a part until it is tried again,
 	// provenTrialPause the same for one that has completed here before. A failed
-	// trial multiplies it by trialBackoff.
+	// trial multiplies it by trialBackoff. A trial has minTrialTime until another one
+	// is sent.
 	trialPause       = time.Minute
 	provenTrialPause = 2 * time.Second
 	trialBackoff     = 30
+	minTrialTime     = 5 * time.Second
 )
 
 // NewPartFingerprints returns the fingerprints of the parts of a prompt, given by
@@ -77,8 +79,14 @@
 type trial struct {
 	// nextAt is an instant, see Registry.instant; 0 if the part is not charged.
 	nextAt atomic.Int64
-	// pause is the time until the next trial; Registry.mu guards it.
-	pause time.Duration
+	// pause is the time until the next trial, in nanoseconds.
+	pause atomic.Int64
+}
+
+// schedule sets the time of the next trial.
+func (t *trial) schedule(r *Registry, now time.Time, pause time.Duration) {
+	t.pause.Store(int64(pause))
+	t.nextAt.Store(r.instant(now.Add(pause)))
 }
 
 // charges returns the charged parts; nil if there are none.
@@ -126,7 +134,8 @@
 	if !claim {
 		return true
 	}
-	if !part.trial.nextAt.CompareAndSwap(next, r.instant(now.Add(trialPause))) {
+	pause := max(minTrialTime, time.Duration(part.trial.pause.Load()))
+	if !part.trial.nextAt.CompareAndSwap(next, r.instant(now.Add(pause))) {
 		return false
 	}
 	r.Counters.PartsTried.Add(1)
@@ -156,8 +165,7 @@
 		r.accused[p.fingerprint] = p
 	}
 	if r.chargedParts()[part] != nil {
-		p.trial.pause = min(trialBackoff*p.trial.pause, r.options.Retention)
-		p.trial.nextAt.Store(r.instant(now.Add(p.trial.pause)))
+		p.trial.schedule(r, now, min(trialBackoff*time.Duration(p.trial.pause.Load()), r.options.Retention))
 	}
 	r.partsChanged = true
 }
@@ -295,11 +303,11 @@
 		old := previous[part]
 		if old == nil {
 			r.Counters.PartsQuarantined.Add(1)
-			c.part.trial.pause = trialPause
+			pause := trialPause
 			if r.proven.has(part) {
-				c.part.trial.pause = provenTrialPause
+				pause = provenTrialPause
 			}
-			c.part.trial.nextAt.Store(r.instant(r.options.Clock.Now().Add(c.part.trial.pause)))
+			c.part.trial.schedule(r, r.options.Clock.Now(), pause)
 		}
 		if old == nil || !slices.Equal(old.alternatives, c.alternatives) {
 			r.options.Logger.Warn("prompt part quarantined", zap.String("part", string(part)),
