Date the end of a target that is found gone as loosely as a silence (BUDGET)

Cause: of targets that end together, each had the last response that ended in order marked, up to a second before the end, so that they counted as separate crashes of a part that all have. Seen once under the race detector: 0.6% of the sound requests refused in 'five at once, unframed'.

--- a/internal/quarantine/orderly.go
+++ b/internal/quarantine/orderly.go
@@ -14,6 +14,10 @@
 	// settleTime is the time after an orderly end within which a crash of its target
 	// shows in other attempts.
 	settleTime = time.Second
+	// goneTime is the time after an orderly end within which its target must turn
+	// out to be gone for the end to be that of the target. Targets that end together
+	// are within less than minCrashes separate crashes of each other then.
+	goneTime = (minCrashes-1)*separateSilence - 100*time.Millisecond
 )
 
 // orderlyEnd is the end of an attempt whose response ended in order with its
@@ -130,7 +134,8 @@
 }
 
 // endUnreachable marks the attempts that have just ended in order at a target that
-// has turned out to be gone, unless others show when it crashed.
+// has turned out to be gone, unless others show when it crashed. When it did is not
+// known exactly, as for targets that fall silent.
 func (r *Registry) endUnreachable(target string, now time.Time) {
 	ends := r.running.takeEnds(target, func(orderlyEnd) bool { return true })
 	if len(ends) == 0 || r.hasBroken(target, endConfirmTime, now) {
@@ -138,8 +143,8 @@
 	}
 	last := ends[len(ends)-1].at
 	for _, e := range ends {
-		if now.Sub(e.at) <= settleTime && last.Sub(e.at) <= crashTogether {
-			r.markAttempt(e.attempt, e.at, false)
+		if now.Sub(e.at) <= goneTime && last.Sub(e.at) <= crashTogether {
+			r.markAttempt(e.attempt, e.at, true)
 		}
 	}
 }
