Tell all instances of a rollout order

Cause: since instances read the operator's declarations on behalf of each other, the others read them only when a newer configuration is announced. An order does not change the configuration, so that only the two instances that watch learned of it. All others sent requests to both versions alike, recorded no responses and ignored reports and ends of the unknown order.

Reports between instances now carry the order with its duration, the time since it was given and its revision in the store; an end is applied to an order that has not been heard of. The earliest known start counts, so that an analyzer that restarts decides in time. A report of an order that has been replaced does not bring it back.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -164,7 +164,7 @@
 			}
 		}
 		for _, report := range m.RolloutReports {
-			n.rollouts.ApplyReport(from, report)
+			n.applyRolloutReport(report, from)
 		}
 		for _, status := range m.EndedRollouts {
 			n.applyRolloutStatus(status, from)
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -22,15 +22,28 @@
 // and those that have ended.
 func (n *Node) applyRolloutDeclarations(declarations Declarations) {
 	for _, order := range declarations.RolloutOrders {
-		n.rollouts.AddOrder(order)
-		n.logger.Info("rollout ordered", zap.String("service", order.Service), zap.String("version", order.To),
-			zap.Duration("duration", order.Duration))
+		if n.rollouts.AddOrder(order) {
+			n.logOrder(order.Service, order.To, order.Duration, "control plane")
+		}
 	}
 	for _, status := range declarations.EndedRollouts {
 		n.applyRolloutStatus(status, "control plane")
 	}
 }
 
+// applyRolloutReport applies the counts of another instance, and the order that
+// they belong to: only a few instances watch the declarations.
+func (n *Node) applyRolloutReport(report rollout.Report, from string) {
+	if n.rollouts.ApplyReport(from, report) {
+		n.logOrder(report.Service, report.To, report.Duration-report.Elapsed, from)
+	}
+}
+
+func (n *Node) logOrder(service, version string, left time.Duration, source string) {
+	n.logger.Info("rollout ordered", zap.String("service", service), zap.String("version", version),
+		zap.Duration("duration", left), zap.String("source", source))
+}
+
 // applyRolloutStatus applies the end of a rollout that was decided elsewhere.
 func (n *Node) applyRolloutStatus(status rollout.Status, source string) {
 	if n.rollouts.ApplyStatus(status) {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -63,6 +63,14 @@
 type Order struct {
 	Service, To string
 	Duration    time.Duration
+	// Revision orders the orders of one service.
+	Revision uint64
+}
+
+// repeats reports whether o is the same order as a known one. The duration of an
+// order is not known if only its end has been heard of.
+func (o Order) repeats(known Order) bool {
+	return o.To == known.To && (o.Duration == known.Duration || known.Duration == 0)
 }
 
 // Status is the state of the order to move a service to version To. Instances
@@ -153,26 +161,49 @@
 	return &Controller{clock: clock, trials: make(map[string]*trial)}
 }
 
-// AddOrder starts an order, which replaces another order of its service; an order
-// that is already known keeps its state.
-func (c *Controller) AddOrder(order Order) {
+// AddOrder starts an order, which replaces an earlier order of its service, and
+// reports whether it is new. An order that is already known keeps its state.
+func (c *Controller) AddOrder(order Order) (isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.trials[order.Service]; t != nil && t.order == order {
-		return
+	return c.startTrial(order, c.clock.Now())
+}
+
+// startTrial starts an order that was given at startedAt. The caller holds c.mu.
+func (c *Controller) startTrial(order Order, startedAt time.Time) (isNew bool) {
+	t := c.trials[order.Service]
+	switch {
+	case t == nil:
+	case order.repeats(t.order):
+		order.Revision = max(order.Revision, t.order.Revision)
+		t.order = order
+		if startedAt.Before(t.startedAt) {
+			t.startedAt = startedAt
+		}
+		return false
+	case order.Revision < t.order.Revision:
+		return false
 	}
 	c.trials[order.Service] = &trial{
-		order: order, state: InProgress, startedAt: c.clock.Now(), peers: make(map[string]Evidence),
+		order: order, state: InProgress, startedAt: startedAt, peers: make(map[string]Evidence),
 	}
+	return true
 }
 
-// ApplyStatus applies a status that was decided elsewhere. A final state never
-// changes.
+// ApplyStatus applies a status that was decided elsewhere, also of an order that
+// has not been heard of. A final state never changes.
 func (c *Controller) ApplyStatus(status Status) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if status.State == InProgress {
+		return false
+	}
 	t := c.trials[status.Service]
-	if t == nil || t.order.To != status.To || t.state != InProgress || status.State == InProgress {
+	if t == nil {
+		t = &trial{order: Order{Service: status.Service, To: status.To}, state: InProgress, startedAt: c.clock.Now()}
+		c.trials[status.Service] = t
+	}
+	if t.order.To != status.To || t.state != InProgress {
 		return false
 	}
 	t.state = status.State
@@ -218,11 +249,16 @@
 	}
 }
 
-// Report holds one instance's counts for an order. Its field names and those of
-// Evidence and Counts are part of the encoding between instances.
+// Report holds one instance's counts for an order, and the order itself for
+// instances that have not heard of it. Its field names and those of Evidence and
+// Counts are part of the encoding between instances.
 type Report struct {
 	Service, To string
 	Evidence    Evidence
+	// Duration and Revision are those of the order, Elapsed is the time since it
+	// was given. Duration is 0 in reports of earlier versions.
+	Duration, Elapsed time.Duration
+	Revision          uint64
 }
 
 // Reports returns this instance's counts for the orders in progress.
@@ -232,19 +268,25 @@
 	var reports []Report
 	for service, t := range c.trials {
 		if t.state == InProgress {
-			reports = append(reports, Report{service, t.order.To, t.local})
+			reports = append(reports, Report{service, t.order.To, t.local, t.order.Duration, c.clock.Since(t.startedAt), t.order.Revision})
 		}
 	}
 	return reports
 }
 
-// ApplyReport replaces the counts of another instance.
-func (c *Controller) ApplyReport(peer string, r Report) {
+// ApplyReport replaces the counts of another instance, and reports whether its
+// order is new.
+func (c *Controller) ApplyReport(peer string, r Report) (isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.trials[r.Service]; t != nil && t.order.To == r.To {
+	if r.Duration > 0 {
+		order := Order{Service: r.Service, To: r.To, Duration: r.Duration, Revision: r.Revision}
+		isNew = c.startTrial(order, c.clock.Now().Add(-r.Elapsed))
+	}
+	if t := c.trials[r.Service]; t != nil && t.order.To == r.To && t.state == InProgress {
 		t.peers[peer] = r.Evidence
 	}
+	return isNew
 }
 
 // Statuses returns the statuses of all orders.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -170,10 +170,42 @@
 	for range 40 {
 		c.RecordResponse("s", "v2", true, time.Second)
 	}
-	c.ApplyReport("peer", Report{"s", "v2", Evidence{Old: Counts{Answers: 100, Seconds: 100, SquaredSeconds: 100}}})
+	c.ApplyReport("peer", Report{Service: "s", To: "v2", Evidence: Evidence{Old: Counts{Answers: 100, Seconds: 100, SquaredSeconds: 100}}})
 	decisions := c.Decide(false)
 	assert.Equal(t, len(decisions), 1)
 	assert.Equal(t, decisions[0].Status.State, RolledBack)
 	assert.Equal(t, decisions[0].Evidence.New.Failures, uint64(40))
 	assert.Equal(t, decisions[0].Evidence.Old.Answers, uint64(100))
 }
+
+// Most instances hear of an order from others only, and some only of its end.
+func TestOrderIsLearnedFromOtherInstances(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	informed, other := New(clock), New(clock)
+	informed.AddOrder(order)
+	clock.Advance(time.Second)
+	assert.Assert(t, other.ApplyReport("informed", informed.Reports()[0]))
+	assert.Assert(t, !other.ApplyReport("informed", informed.Reports()[0]))
+	assert.Assert(t, !other.AddOrder(order))
+	_, excluded := other.VersionConstraint("s", 0.5)
+	assert.Equal(t, excluded, "v2")
+	assert.Equal(t, other.Reports()[0].Elapsed, time.Second, "a decision would be due later")
+
+	late := New(clock)
+	assert.Assert(t, late.ApplyStatus(Status{"s", "v2", RolledBack}))
+	assert.Assert(t, !late.AddOrder(order))
+	_, excluded = late.VersionConstraint("s", 0)
+	assert.Equal(t, excluded, "v2")
+}
+
+// A report, or a stale read of the store, may tell of an order that another one has
+// replaced.
+func TestEarlierOrderDoesNotReplaceALaterOne(t *testing.T) {
+	c := New(clockwork.NewFakeClock())
+	c.AddOrder(Order{Service: "s", To: "v3", Duration: time.Minute, Revision: 7})
+	assert.Assert(t, !c.ApplyReport("peer", Report{Service: "s", To: "v2", Duration: time.Minute, Revision: 5}))
+	assert.Assert(t, !c.AddOrder(Order{Service: "s", To: "v2", Duration: time.Minute, Revision: 5}))
+	assert.Equal(t, c.Statuses()[0].To, "v3")
+	assert.Assert(t, c.AddOrder(Order{Service: "s", To: "v4", Duration: time.Minute, Revision: 9}))
+	assert.Equal(t, c.Statuses()[0].To, "v4")
+}
