--- a/internal/evidence/analyzer.go
+++ b/internal/evidence/analyzer.go
@@ -20,6 +20,12 @@
 	// HistoricalControl compares the new version with the old version's past
 	// instead of its requests in the same window. Only measurements set it.
 	HistoricalControl bool
+	// WholeRequestsOnly is set if only failures and the times of whole requests are
+	// counted. The other tests then take no part of Alpha.
+	WholeRequestsOnly bool
+	// ExtraTolerance is the additional slowdown, in buckets, that is not counted
+	// against a version, for targets of one version that differ in speed.
+	ExtraTolerance int
 }
 
 // InstanceID identifies an instance that sends reports, at one incarnation of
@@ -62,6 +68,9 @@
 	selectionPenalty float64
 	totals           Totals
 	concurrency      concurrencyMeter
+	windowAges       windowAges
+	// epochDuration is the interval between two starting times of the tests.
+	epochDuration time.Duration
 }
 
 // referenceKey is a stratum at one concurrency band.
@@ -93,6 +102,10 @@
 	NewRequests int `json:"new_requests"`
 	NewFailures int `json:"new_failures"`
 	NewCrashes  int `json:"new_crashes"`
+	// Started is the number of requests of both versions that have started,
+	// NewStarted that of the new version.
+	Started    int `json:"-"`
+	NewStarted int `json:"-"`
 }
 
 // NewAnalyzer returns an Analyzer without evidence.
@@ -104,12 +117,22 @@
 		longReferences:   make(map[referenceKey]*reference),
 		excluded:         make(map[string]bool),
 		domains:          make(map[string]*domainHealth),
+		windowAges:       newWindowAges(options.PlannedDuration),
+		epochDuration:    newEpochDuration(options.PlannedDuration),
 	}
 	a.DiscardWindows()
 	a.reset()
 	return a
 }
 
+// metrics returns the metrics that are tested.
+func (a *Analyzer) metrics() []metric {
+	if a.options.WholeRequestsOnly {
+		return wholeRequestMetrics
+	}
+	return allMetrics
+}
+
 // reset restarts all tests.
 func (a *Analyzer) reset() {
 	a.pooled = metricTests{}
@@ -117,7 +140,7 @@
 	a.routes = nil
 	a.targets = make(map[string]*targetTests)
 	a.crashes = newCrashTest()
-	a.pooled.addStart(a.cumulativeStartWeight())
+	a.pooled.addStart(a.metrics(), a.cumulativeStartWeight())
 }
 
 // AddRecords adds what an instance counted since its previous report. The first
@@ -135,7 +158,7 @@
 	for i := range records {
 		r := &records[i]
 		before := counts[r.Key]
-		if r.Counts.Requests < before.Requests || r.Counts.Crashes < before.Crashes {
+		if r.Counts.Requests < before.Requests || r.Counts.started() < before.started() || r.Counts.Crashes < before.Crashes {
 			continue
 		}
 		counts[r.Key] = r.Counts
@@ -165,21 +188,24 @@
 	if after.Crashes > before.Crashes {
 		a.crashes.addCrash(key.FailureDomain, isNew, now)
 	}
-	if after.Requests == before.Requests {
+	if after.sameRequests(before) {
 		return
 	}
 	for kind := range windowKindCount {
 		a.windowFor(kind, stratumOf(key), now).addDelta(key, isNew, before, after)
 	}
 	if isNew {
-		a.countServed(key.Target, int(after.Requests-before.Requests), now)
+		a.countServed(key.Target, int(after.started()-before.started()), now)
 	}
 	a.addTotals(isNew, before, after)
 }
 
 func (a *Analyzer) addTotals(isNew bool, before, after *Counts) {
 	requests, failures := int(after.Requests-before.Requests), int(after.Failures-before.Failures)
+	started := int(after.started() - before.started())
+	a.totals.Started += started
 	if isNew {
+		a.totals.NewStarted += started
 		a.totals.NewRequests += requests
 		a.totals.NewFailures += failures
 		return
@@ -201,7 +227,7 @@
 	t := a.targets[target]
 	if t == nil {
 		t = &targetTests{}
-		t.leaveOneOut.addStart(a.cumulativeStartWeight())
+		t.leaveOneOut.addStart(a.metrics(), a.cumulativeStartWeight())
 		a.targets[target] = t
 	}
 	t.requests += requests
@@ -241,7 +267,7 @@
 	for _, s := range slices.SortedFunc(maps.Keys(windows), compareStrata) {
 		w := windows[s]
 		switch {
-		case w.ready(kind, now), w.oneSided(kind, now):
+		case w.ready(kind, a.windowAges, now), w.oneSided(kind, a.windowAges, now):
 			a.closeWindow(kind, s, w, now)
 			delete(windows, s)
 		case now.Sub(w.opened) >= maxWindowAge:
@@ -260,7 +286,7 @@
 			if ref != nil {
 				a.addIncrement(s.route, compare(kind, &c.newSample, roundedSample(ref), ref, concurrentControl))
 			}
-		case c.control.requests > 0:
+		case c.control.seen:
 			a.compareWithControl(kind, s, c)
 		default:
 			a.compareWithHistory(kind, s, c, now)
@@ -283,23 +309,25 @@
 	if kind == latencyWindow && inTransition(&c.control, &ref) {
 		return
 	}
-	inc := compare(kind, &c.newSample, &c.control, &ref, concurrentControl)
+	params := concurrentControl
+	params.toleranceBuckets += a.options.ExtraTolerance
+	inc := compare(kind, &c.newSample, &c.control, &ref, params)
 	a.addIncrement(s.route, inc)
 	for name, t := range a.targets {
-		t.leaveOneOut.multiply(incrementWithoutTarget(kind, c, name, &ref, &inc))
+		t.leaveOneOut.multiply(incrementWithoutTarget(kind, c, name, &ref, &inc, params))
 	}
 }
 
 // incrementWithoutTarget returns the increment of a comparison that leaves out
 // one target of the new version.
-func incrementWithoutTarget(kind windowKind, c *comparison, target string, ref *reference, full *increment) *increment {
+func incrementWithoutTarget(kind windowKind, c *comparison, target string, ref *reference, full *increment, params controlParams) *increment {
 	own := c.newByTarget[target]
 	if own == nil {
 		return full
 	}
 	rest := c.newSample
 	rest.subtract(own)
-	inc := compare(kind, &rest, &c.control, ref, concurrentControl)
+	inc := compare(kind, &rest, &c.control, ref, params)
 	return &inc
 }
 
@@ -318,7 +346,7 @@
 	}
 	n := float64(len(a.routes) + 1)
 	r := &routeTests{name: name, weight: 1 / (n * (n + 1))}
-	r.tests.addStart(a.cumulativeStartWeight())
+	r.tests.addStart(a.metrics(), a.cumulativeStartWeight())
 	a.routes = append(a.routes, r)
 	return r
 }
@@ -332,22 +360,35 @@
 	return r
 }
 
-// epochDuration is the interval between two starting times of the tests.
-const epochDuration = 30 * time.Second
+const (
+	// maxEpochDuration is the epoch of long moves.
+	maxEpochDuration = 30 * time.Second
+	// minEpochCount is the number of epochs that a short move is divided into.
+	minEpochCount = 10
+)
+
+// newEpochDuration returns the epoch for a move of the planned duration, 0 if it is
+// not known.
+func newEpochDuration(planned time.Duration) time.Duration {
+	if planned <= 0 {
+		return maxEpochDuration
+	}
+	return min(maxEpochDuration, planned/minEpochCount)
+}
 
 // addStartingTimes adds the starting times that have passed to all tests.
 func (a *Analyzer) addStartingTimes(now time.Time) {
-	for a.started.Add(time.Duration(a.epoch+1) * epochDuration).Before(now) {
+	for a.started.Add(time.Duration(a.epoch+1) * a.epochDuration).Before(now) {
 		a.epoch++
 		weight := a.startWeight(a.epoch)
-		a.pooled.addStart(weight)
-		a.sameDomain.tests.addStart(weight)
-		a.otherDomain.tests.addStart(weight)
+		a.pooled.addStart(a.metrics(), weight)
+		a.sameDomain.tests.addStart(a.metrics(), weight)
+		a.otherDomain.tests.addStart(a.metrics(), weight)
 		for _, r := range a.routes {
-			r.tests.addStart(weight)
+			r.tests.addStart(a.metrics(), weight)
 		}
 		for _, t := range a.targets {
-			t.leaveOneOut.addStart(weight)
+			t.leaveOneOut.addStart(a.metrics(), weight)
 		}
 	}
 }
@@ -356,7 +397,7 @@
 // spread evenly over the planned duration, half decreases with the square of
 // the epoch.
 func (a *Analyzer) startWeight(epoch int) float64 {
-	plannedEpochs := max(int(a.options.PlannedDuration/epochDuration), 1)
+	plannedEpochs := max(int(a.options.PlannedDuration/a.epochDuration), 1)
 	n := float64(epoch + 1)
 	weight := 0.5 / (n * (n + 1))
 	if epoch < plannedEpochs {
--- a/internal/evidence/counters.go
+++ b/internal/evidence/counters.go
@@ -37,6 +37,9 @@
 	// Failures counts failed requests, except those whose connection was lost or
 	// refused.
 	Failures uint32 `msgpack:"f,omitempty"`
+	// Unanswered counts requests without a response: those in flight, and those
+	// whose caller left or whose deadline passed. Requests does not count them.
+	Unanswered uint32 `msgpack:"w,omitempty"`
 	// Crashes counts the crashes seen at the target.
 	Crashes uint32 `msgpack:"b,omitempty"`
 	// BusyMillis is the sum of the requests' durations in milliseconds.
@@ -46,6 +49,19 @@
 	FirstToken [sizeBandCount]Histogram `msgpack:"p,omitempty"`
 	// PerToken is the time per output token.
 	PerToken Histogram `msgpack:"o,omitempty"`
+	// Unfinished is the time that requests without a complete response have taken
+	// so far, or until they ended, on the scale of PerToken. Requests in flight move
+	// to higher buckets.
+	Unfinished Histogram `msgpack:"u,omitempty"`
+}
+
+// started returns the number of requests with or without a response.
+func (c *Counts) started() uint32 { return c.Requests + c.Unanswered }
+
+// sameRequests reports whether both counts stem from the same requests in the same
+// state.
+func (c *Counts) sameRequests(other *Counts) bool {
+	return c.Requests == other.Requests && c.Unanswered == other.Unanswered && slices.Equal(c.Unfinished, other.Unfinished)
 }
 
 // Record holds the counters of one key.
@@ -67,6 +83,9 @@
 	busyMillis     atomic.Uint64
 	firstToken     [sizeBandCount][BucketCount]atomic.Uint32
 	perToken       [BucketCount]atomic.Uint32
+	// unanswered and unfinished leave out the requests in flight.
+	unanswered atomic.Uint32
+	unfinished [BucketCount]atomic.Uint32
 }
 
 // minCrashInterval is the minimum time between two counted crashes of one key,
@@ -91,6 +110,10 @@
 
 	// snapshots holds the counters as of the last ReadChanged, sorted by key.
 	snapshots []snapshot
+
+	// runningMu guards running, and makes the end of an attempt one step.
+	runningMu sync.Mutex
+	running   map[*Attempt]struct{}
 }
 
 // snapshot holds the counters of one key as of the last ReadChanged.
@@ -203,20 +226,27 @@
 func (c *keyCounters) counts() Counts {
 	counts := Counts{
 		Requests: c.requests.Load(), Failures: c.failures.Load(),
-		Crashes: c.crashes.Load(), BusyMillis: c.busyMillis.Load(), PerToken: packHistogram(&c.perToken),
+		Crashes: c.crashes.Load(), BusyMillis: c.busyMillis.Load(), PerToken: packHistogram(loadBuckets(&c.perToken)),
+		Unanswered: c.unanswered.Load(), Unfinished: packHistogram(loadBuckets(&c.unfinished)),
 	}
 	for band := range c.firstToken {
-		counts.FirstToken[band] = packHistogram(&c.firstToken[band])
+		counts.FirstToken[band] = packHistogram(loadBuckets(&c.firstToken[band]))
 	}
 	return counts
 }
 
-// packHistogram returns the range from the first to the last non-empty bucket.
-func packHistogram(buckets *[BucketCount]atomic.Uint32) Histogram {
+func loadBuckets(buckets *[BucketCount]atomic.Uint32) *[BucketCount]uint32 {
 	var counts [BucketCount]uint32
-	first, last := -1, -1
 	for i := range buckets {
 		counts[i] = buckets[i].Load()
+	}
+	return &counts
+}
+
+// packHistogram returns the range from the first to the last non-empty bucket.
+func packHistogram(counts *[BucketCount]uint32) Histogram {
+	first, last := -1, -1
+	for i := range counts {
 		if counts[i] == 0 {
 			continue
 		}
--- a/internal/evidence/history.go
+++ b/internal/evidence/history.go
@@ -131,8 +131,8 @@
 
 func (a *Analyzer) resetHistoryTests() {
 	a.sameDomain, a.otherDomain = historyTest{}, historyTest{}
-	a.sameDomain.tests.addStart(a.cumulativeStartWeight())
-	a.otherDomain.tests.addStart(a.cumulativeStartWeight())
+	a.sameDomain.tests.addStart(a.metrics(), a.cumulativeStartWeight())
+	a.otherDomain.tests.addStart(a.metrics(), a.cumulativeStartWeight())
 }
 
 // oldDegraded reports whether the old version is degraded in any failure domain.
--- a/internal/evidence/metrics.go
+++ b/internal/evidence/metrics.go
@@ -19,6 +19,15 @@
 	"time per token (median)", "time per token (tail)",
 }
 
+var (
+	// allMetrics are the metrics of moves, wholeRequestMetrics those of requests that
+	// only their ends are known of.
+	allMetrics = []metric{
+		metricFailures, metricFirstTokenMedian, metricFirstTokenTail, metricPerTokenMedian, metricPerTokenTail,
+	}
+	wholeRequestMetrics = []metric{metricFailures, metricPerTokenMedian, metricPerTokenTail}
+)
+
 const (
 	medianQuantile = 0.5
 	tailQuantile   = 0.9
@@ -33,19 +42,23 @@
 // metricTests holds one martingale for each metric.
 type metricTests [metricCount]martingale
 
-func (t *metricTests) addStart(weight float64) {
-	for i := range t {
-		t[i].addStart(weight)
+// addStart adds a starting time to the tests of the metrics that are tested.
+func (t *metricTests) addStart(metrics []metric, weight float64) {
+	for _, m := range metrics {
+		t[m].addStart(weight)
 	}
 }
 
-// logAverage returns the logarithm of the average over the metrics.
+// logAverage returns the logarithm of the average over the metrics that are tested.
 func (t *metricTests) logAverage() float64 {
-	sum := math.Inf(-1)
+	sum, tested := math.Inf(-1), 0
 	for i := range t {
-		sum = logAdd(sum, t[i].logAverage())
+		if t[i].started {
+			sum = logAdd(sum, t[i].logAverage())
+			tested++
+		}
 	}
-	return sum - math.Log(float64(metricCount))
+	return sum - math.Log(float64(tested))
 }
 
 // strongest returns the metric with the strongest evidence.
@@ -102,13 +115,14 @@
 		inc[metricFailures] = logLikelihoodRatios(newSample.failures, newSample.requests, control.failures, control.requests)
 		return inc
 	}
-	inc[metricPerTokenMedian] = exceedanceRatios(&newSample.perToken, &control.perToken, &ref.perToken, medianQuantile, params)
-	inc[metricPerTokenTail] = exceedanceRatios(&newSample.perToken, &control.perToken, &ref.perToken, tailQuantile, params)
+	inc[metricPerTokenMedian] = exceedanceRatios(newSample.durations(), control.durations(), &ref.perToken, medianQuantile, params)
+	inc[metricPerTokenTail] = exceedanceRatios(newSample.durations(), control.durations(), &ref.perToken, tailQuantile, params)
 	for band := range newSample.firstToken {
+		newTimes, controlTimes := durations{finished: &newSample.firstToken[band]}, durations{finished: &control.firstToken[band]}
 		addRatios(&inc[metricFirstTokenMedian],
-			exceedanceRatios(&newSample.firstToken[band], &control.firstToken[band], &ref.firstToken[band], medianQuantile, params))
+			exceedanceRatios(newTimes, controlTimes, &ref.firstToken[band], medianQuantile, params))
 		addRatios(&inc[metricFirstTokenTail],
-			exceedanceRatios(&newSample.firstToken[band], &control.firstToken[band], &ref.firstToken[band], tailQuantile, params))
+			exceedanceRatios(newTimes, controlTimes, &ref.firstToken[band], tailQuantile, params))
 	}
 	return inc
 }
@@ -119,9 +133,24 @@
 	}
 }
 
+// durations are times of requests. unfinished holds lower bounds, of requests in
+// flight or given up; nil if there are none.
+type durations struct{ finished, unfinished *[BucketCount]int }
+
+// exceeding returns the number of requests that have taken longer than the limit,
+// and the number of those that are known to have or not.
+func (d durations) exceeding(limit int) (over, all int) {
+	over, all = countAbove(d.finished, limit)
+	if d.unfinished != nil {
+		outlasted, _ := countAbove(d.unfinished, limit)
+		over, all = over+outlasted, all+outlasted
+	}
+	return over, all
+}
+
 // exceedanceRatios compares how many requests of either version exceed the
 // reference's quantile q. The new version's limit is higher by the tolerance.
-func exceedanceRatios(newBuckets, controlBuckets *[BucketCount]int, refBuckets *[BucketCount]float64, q float64, params controlParams) [len(oddsRatios)]float64 {
+func exceedanceRatios(newTimes, controlTimes durations, refBuckets *[BucketCount]float64, q float64, params controlParams) [len(oddsRatios)]float64 {
 	limit, ok := quantile(refBuckets, q, params.minWeight)
 	if !ok {
 		return [len(oddsRatios)]float64{}
@@ -130,14 +159,15 @@
 	if q == tailQuantile {
 		tolerance += tailToleranceBuckets
 	}
-	newOver, newAll := countAbove(newBuckets, limit+tolerance)
-	controlOver, controlAll := countAbove(controlBuckets, limit)
+	newOver, newAll := newTimes.exceeding(limit + tolerance)
+	controlOver, controlAll := controlTimes.exceeding(limit)
 	return logLikelihoodRatios(newOver, newAll, controlOver, controlAll)
 }
 
 // transitionFraction is the fraction of the old version's requests above the 90%
 // quantile of its recent windows, or below their median, by more than
-// toleranceBuckets, from which the pool is in transition.
+// toleranceBuckets, from which the pool is in transition. Below the median it is in
+// addition to the fraction in the recent windows.
 const transitionFraction = 0.3
 
 // inTransition reports whether the old version is slowing down, or recovering
@@ -149,13 +179,25 @@
 	if !ok {
 		return false
 	}
-	over, all := countAbove(&old.perToken, limit+toleranceBuckets)
+	over, all := old.durations().exceeding(limit + toleranceBuckets)
 	median, _ := quantile(&ref.perToken, medianQuantile, concurrentControl.minWeight)
-	notFaster, _ := countAbove(&old.perToken, median-1-toleranceBuckets)
-	recovered := float64(all - notFaster)
+	notFaster, _ := old.durations().exceeding(median - 1 - toleranceBuckets)
+	recovered := float64(all-notFaster) - float64(all)*fractionUpTo(&ref.perToken, median-1-toleranceBuckets)
 	return max(float64(over), recovered) > transitionFraction*float64(all)
 }
 
+// fractionUpTo returns the fraction of the weight in buckets up to limit.
+func fractionUpTo(buckets *[BucketCount]float64, limit int) float64 {
+	below, total := 0.0, 0.0
+	for i, count := range buckets {
+		total += count
+		if i <= limit {
+			below += count
+		}
+	}
+	return below / total
+}
+
 // roundedSample converts a reference to a sample with integer counts.
 func roundedSample(r *reference) *sample {
 	s := &sample{requests: int(r.requests), failures: int(math.Ceil(r.failures))}
--- a/internal/evidence/observation.go
+++ b/internal/evidence/observation.go
@@ -1,11 +1,14 @@
 // Package evidence holds the sequential statistical tests that decide whether a
 // canary version of a pool is worse than the version it replaces. It neither
 // assigns requests to versions nor rolls a version back: package move runs the
-// canary release (a "move") and acts on the results. Package rollout, for
-// services, has a comparison of its own, by fixed thresholds.
+// canary release (a "move") and acts on the results, and so does package rollout
+// for the services of the platform.
 //
-// Every instance counts the outcome of its requests, an Observation each, in a
-// CounterSet: cumulative counters by route, target and concurrency. About once a
+// Every instance counts the outcome of its requests in a CounterSet: cumulative
+// counters by route, target and concurrency. A request is counted when it has ended,
+// as an Observation, or from its start, as an Attempt. A request that has not ended,
+// or was given up, shows that it takes at least its time: it counts as slow once it
+// has outlasted the limit of a test, and not before. About once a
 // second it sends a report to the Analyzer of the move, in one or more
 // ReportParts, which an Assembler joins. Since the counters are cumulative, a
 // lost report does no harm: the next one covers it. The Analyzer adds the
--- a/internal/evidence/report.go
+++ b/internal/evidence/report.go
@@ -33,11 +33,11 @@
 // the header.
 const maxRecordBytes = peer.MaxDatagramBytes - 250
 
-// EncodeReport distributes the records over datagrams of at most
-// peer.MaxDatagramBytes bytes.
-func EncodeReport(header ReportPart, records []Record) ([][]byte, error) {
+// GroupRecords divides the records into groups of at most maxBytes each, encoded; at
+// least one group, which may be empty.
+func GroupRecords(records []Record, maxBytes int) ([][]Record, error) {
 	groups := [][]Record{nil}
-	roomBytes := maxRecordBytes
+	roomBytes := maxBytes
 	for _, r := range records {
 		encoded, err := msgpack.Marshal(r)
 		if err != nil {
@@ -45,11 +45,21 @@
 		}
 		if len(encoded) > roomBytes && len(groups[len(groups)-1]) > 0 {
 			groups = append(groups, nil)
-			roomBytes = maxRecordBytes
+			roomBytes = maxBytes
 		}
 		groups[len(groups)-1] = append(groups[len(groups)-1], r)
 		roomBytes -= len(encoded)
 	}
+	return groups, nil
+}
+
+// EncodeReport distributes the records over datagrams of at most
+// peer.MaxDatagramBytes bytes.
+func EncodeReport(header ReportPart, records []Record) ([][]byte, error) {
+	groups, err := GroupRecords(records, maxRecordBytes)
+	if err != nil {
+		return nil, err
+	}
 	datagrams := make([][]byte, len(groups))
 	for i, group := range groups {
 		header.Part, header.Parts, header.Records = i, len(groups), group
--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -92,6 +92,9 @@
 	for _, r := range a.routes {
 		byRoute = logAdd(byRoute, r.tests.logAverage()+math.Log(r.weight))
 	}
+	if a.options.WholeRequestsOnly {
+		return logAdd(a.pooled.logAverage(), byRoute) + math.Log(0.5)
+	}
 	metricWeight := 1 - crashWeight - historyWeight
 	byMetric := logAdd(a.pooled.logAverage(), byRoute) + math.Log(metricWeight/2)
 	return logAdd(byMetric, a.logCrashEvidence())
--- a/internal/evidence/window.go
+++ b/internal/evidence/window.go
@@ -29,6 +29,9 @@
 	failures   int
 	firstToken [sizeBandCount][BucketCount]int
 	perToken   [BucketCount]int
+	unfinished [BucketCount]int
+	// seen is set if there were requests, in whatever state.
+	seen bool
 }
 
 // add adds the counts, multiplied by sign.
@@ -39,8 +42,13 @@
 		c.FirstToken[band].addTo(&s.firstToken[band], sign)
 	}
 	c.PerToken.addTo(&s.perToken, sign)
+	c.Unfinished.addTo(&s.unfinished, sign)
+	s.seen = true
 }
 
+// durations returns the times per token, or of whole requests.
+func (s *sample) durations() durations { return durations{&s.perToken, &s.unfinished} }
+
 // merge adds the counts of other to s.
 func (s *sample) merge(other *sample) {
 	s.requests += other.requests
@@ -53,6 +61,10 @@
 	for i, count := range other.perToken {
 		s.perToken[i] += count
 	}
+	for i, count := range other.unfinished {
+		s.unfinished[i] += count
+	}
+	s.seen = s.seen || other.seen
 }
 
 // subtract removes the counts of other, which is part of s.
@@ -67,6 +79,9 @@
 	for i, count := range other.perToken {
 		s.perToken[i] -= count
 	}
+	for i, count := range other.unfinished {
+		s.unfinished[i] -= count
+	}
 }
 
 // window collects the requests of one stratum until there are enough of both
@@ -87,7 +102,7 @@
 func (w *window) addDelta(key *Key, isNew bool, before, after *Counts) {
 	load := min(int(key.LoadBand), maxLoadBand)
 	dst := &w.oldByLoad[load]
-	requests := int(after.Requests - before.Requests)
+	requests := int(after.started() - before.started())
 	if isNew {
 		dst = w.targetSample(load, key.Target)
 		w.newCount += requests
@@ -131,8 +146,8 @@
 	var all []*comparison
 	current := &comparison{newByTarget: make(map[string]*sample)}
 	for load := maxLoadBand; load >= 0; load-- {
-		if w.oldByLoad[load].requests > 0 {
-			if current.newSample.requests > 0 {
+		if w.oldByLoad[load].seen {
+			if current.newSample.seen {
 				all = append(all, current)
 				current = &comparison{newByTarget: make(map[string]*sample)}
 			}
@@ -143,14 +158,14 @@
 			current.addNew(load, name, s)
 		}
 	}
-	if current.newSample.requests > 0 {
+	if current.newSample.seen {
 		all = append(all, current)
 	}
 	return all
 }
 
 func (c *comparison) addNew(load int, target string, s *sample) {
-	if c.newSample.requests == 0 {
+	if !c.newSample.seen {
 		c.newLoad = load
 	}
 	c.newSample.merge(s)
@@ -166,39 +181,62 @@
 	// minWindowRequests is the number of requests from which a window closes at
 	// the next tick. It is also the minimum weight of a historical reference.
 	minWindowRequests = 8
-	// sparseWindowAge closes a window that has both versions but few requests, or
-	// only one version.
-	sparseWindowAge = 5 * time.Second
-	// minLatencyWindowAge is the minimum age at which a latency window closes.
-	minLatencyWindowAge = 10 * time.Second
 	// maxWindowAge discards a window with none of the old version's requests and
 	// too few of the new version's.
 	maxWindowAge = 10 * time.Minute
 )
 
+// windowAges are the ages at which windows close.
+type windowAges struct {
+	// sparse closes a window that has both versions but few requests, or only one
+	// version.
+	sparse time.Duration
+	// latency is the minimum age at which a latency window closes.
+	latency time.Duration
+}
+
+const (
+	// maxSparseAge and maxLatencyAge are the ages for long moves.
+	maxSparseAge  = 5 * time.Second
+	maxLatencyAge = 10 * time.Second
+	// minWindowCount is the number of latency windows that a short move is divided
+	// into, minSparseCount the number of sparse windows.
+	minWindowCount = 30
+	minSparseCount = 8
+)
+
+// newWindowAges returns the ages for a move of the planned duration, 0 if it is not
+// known.
+func newWindowAges(planned time.Duration) windowAges {
+	if planned <= 0 {
+		return windowAges{sparse: maxSparseAge, latency: maxLatencyAge}
+	}
+	return windowAges{sparse: min(maxSparseAge, planned/minSparseCount), latency: min(maxLatencyAge, planned/minWindowCount)}
+}
+
 // ready reports whether both versions can be compared. Latency windows stay open
 // longer: when the whole pool slows down, the version under less load completes
 // its first slow requests sooner, and would look worse in a short window.
-func (w *window) ready(kind windowKind, now time.Time) bool {
-	if kind == latencyWindow && now.Sub(w.opened) < minLatencyWindowAge {
+func (w *window) ready(kind windowKind, ages windowAges, now time.Time) bool {
+	if kind == latencyWindow && now.Sub(w.opened) < ages.latency {
 		return false
 	}
 	if w.newCount == 0 || w.oldCount == 0 {
 		return false
 	}
-	return w.newCount+w.oldCount >= minWindowRequests || now.Sub(w.opened) >= sparseWindowAge
+	return w.newCount+w.oldCount >= minWindowRequests || now.Sub(w.opened) >= ages.sparse
 }
 
 // oneSided reports whether the window closes with requests of one version only.
-func (w *window) oneSided(kind windowKind, now time.Time) bool {
+func (w *window) oneSided(kind windowKind, ages windowAges, now time.Time) bool {
 	age := now.Sub(w.opened)
-	if kind == latencyWindow && age < minLatencyWindowAge {
+	if kind == latencyWindow && age < ages.latency {
 		return false
 	}
 	if w.newCount == 0 {
-		return age >= sparseWindowAge
+		return age >= ages.sparse
 	}
-	return w.oldCount == 0 && w.newCount >= minWindowRequests && age >= sparseWindowAge
+	return w.oldCount == 0 && w.newCount >= minWindowRequests && age >= ages.sparse
 }
 
 // reference is an exponentially decayed summary of the old version's requests in
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,7 +71,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	grant    *schedule.Grant
-	tracked  *quarantine.Attempt
+	tracked  *observation
 	silence  dispatch.SilenceWatch
 
 	startedAt time.Time
@@ -88,7 +88,7 @@
 func (r *inflightRequest) newLeg(ctx context.Context, grant *schedule.Grant, lastEventID string) *leg {
 	ctx, cancel := context.WithCancel(ctx)
 	return &leg{
-		inflight: r, ctx: ctx, cancel: cancel, grant: grant, tracked: r.trackAttempt(grant), startedAt: r.Clock.Now(),
+		inflight: r, ctx: ctx, cancel: cancel, grant: grant, tracked: r.observe(grant), startedAt: r.Clock.Now(),
 		events: &legEvents{lastID: lastEventID},
 	}
 }
@@ -178,7 +178,6 @@
 func (r *inflightRequest) recordReplaced(l *leg) {
 	l.tracked.End(quarantine.Unanswered)
 	l.end(schedule.Cancelled)
-	r.recordOutcome(l.grant.Target, true, r.Clock.Since(l.startedAt))
 	r.log.addStep("replaced", l.grant.Target.ID, r.Clock.Since(l.startedAt))
 }
 
@@ -204,7 +203,8 @@
 }
 
 // endBroken records the end of an attempt without a complete response.
-func endBroken(ctx context.Context, tracked *quarantine.Attempt, err error) {
+func endBroken(ctx context.Context, tracked *observation, err error) {
+	tracked.judgeBroken(ctx, err)
 	var netErr net.Error
 	switch {
 	case dispatch.IsRefused(err):
@@ -219,7 +219,8 @@
 }
 
 // endComplete records the end of an attempt whose response was read to its end.
-func endComplete(tracked *quarantine.Attempt, response *dispatch.PooledResponse) {
+func endComplete(tracked *observation, response *dispatch.PooledResponse) {
+	tracked.judgeComplete(response)
 	switch {
 	case !response.IsFramed():
 		tracked.End(quarantine.EndedInOrder)
@@ -307,7 +308,6 @@
 		result = schedule.Cancelled
 	}
 	l.end(result)
-	r.recordOutcome(l.grant.Target, true, p.took)
 	return r.failedAttempt("the target broke off before an answer")
 }
 
@@ -351,12 +351,9 @@
 		r.log.cause = p.err
 		r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
 		l.end(schedule.Failed)
-		r.recordOutcome(l.grant.Target, true, p.took)
 		return r.failedAttempt("the target's answer was not whole")
 	}
-	failed := l.response.Status >= http.StatusInternalServerError
-	r.recordOutcome(l.grant.Target, failed, p.took)
-	if failed {
+	if l.response.Status >= http.StatusInternalServerError {
 		l.end(schedule.Cancelled)
 	} else {
 		l.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: p.took})
@@ -380,17 +377,6 @@
 	l.grant.Done(outcome)
 }
 
-// recordOutcome records a response, or its failure, for the target's version. The
-// duration is scaled by the expected output, so that responses of different
-// lengths are comparable.
-func (r *inflightRequest) recordOutcome(target *catalog.Target, failed bool, took time.Duration) {
-	const referenceTokens = 100
-	if tokens := r.scheduleRequest().OutputTokens; tokens > 0 {
-		took = took * referenceTokens / time.Duration(referenceTokens+tokens)
-	}
-	r.Rollouts.RecordResponse(r.service.Name, target.Version, failed, took)
-}
-
 // observeLatency records the latencies of an answered request.
 func (r *inflightRequest) observeLatency(firstEvent time.Duration) {
 	r.ObserveLatency(r.route.Priority, r.accountName(), firstEvent, r.Clock.Since(r.request.ReceivedAt))
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -95,7 +95,7 @@
 		clock := clockwork.NewFakeClock()
 		registry := quarantine.New(quarantine.Options{Clock: clock, CountsUnresolved: true})
 		request := quarantine.NewFingerprint("", "/x", nil)
-		endComplete(registry.Start(request, "four", 0), respondWith(t, header))
+		endComplete(&observation{Attempt: registry.Start(request, "four", 0)}, respondWith(t, header))
 		for _, target := range []string{"one", "two", "three"} {
 			registry.Start(request, target, 0).End(quarantine.Broken)
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -177,7 +177,6 @@
 	r.log.cause = p.err
 	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
 	l.end(schedule.Failed)
-	r.recordOutcome(l.grant.Target, true, p.took)
 	return r.failedAttempt("the target broke off before the first event")
 }
 
@@ -277,7 +276,6 @@
 	endBroken(s.ctx, l.tracked, cause)
 	l.end(schedule.Failed)
 	took := r.Clock.Since(l.startedAt)
-	r.recordOutcome(l.grant.Target, true, took)
 	r.log.addStep("cut after "+l.events.lastID, l.grant.Target.ID, took)
 	r.log.cause = cause
 	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
@@ -365,7 +363,6 @@
 	r, l, events := s.inflight, s.leg, s.leg.events
 	endComplete(l.tracked, l.response)
 	l.end(schedule.Complete)
-	r.recordOutcome(l.grant.Target, false, events.lastAt.Sub(l.startedAt))
 	r.log.addStep(fmt.Sprintf("streamed %d events, the first after %d ms, with pauses of at most %d ms, from",
 		events.count, events.firstAt.Sub(l.startedAt).Milliseconds(), events.maxGap.Milliseconds()), l.grant.Target.ID, events.lastAt.Sub(l.startedAt))
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -23,6 +23,8 @@
 	// knownAddressesEvery is the number of rounds per message that includes known
 	// addresses.
 	knownAddressesEvery = 10
+	// rolloutReportEvery is the number of rounds per report of a rollout.
+	rolloutReportEvery = 2
 	// repeatedDigestEvery is the number of rounds per message that repeats what is
 	// known of requests that may have crashed several targets.
 	repeatedDigestEvery = 10
@@ -66,6 +68,9 @@
 	}
 	n.sendQuarantine(t.recipients, quarantineScope(round))
 	m := n.newMessage(round)
+	if round%rolloutReportEvery == 0 {
+		n.sendRollouts(t.recipients, *m)
+	}
 	m.WantsAggregate = t.aggregated && !t.isAggregator
 	usages := n.quota.OwnUsage()
 	if !m.WantsAggregate || len(t.recipients) < 2 {
@@ -84,6 +89,9 @@
 	round := n.peers.countAggregate(address)
 	n.sendQuarantine([]string{address}, quarantineScope(round))
 	m := n.newMessage(round)
+	if round%rolloutReportEvery == 0 {
+		n.sendRollouts([]string{address}, *m)
+	}
 	m.IsAggregate = true
 	n.sendUsages([]string{address}, m, n.quota.AggregateUsage(address))
 }
@@ -164,7 +172,7 @@
 			}
 		}
 		for _, report := range m.RolloutReports {
-			n.applyRolloutReport(report, from)
+			n.applyRolloutReport(report, from, m.Incarnation)
 		}
 		for _, status := range m.EndedRollouts {
 			n.applyRolloutStatus(status, from)
--- a/internal/node/gossip_test.go
+++ b/internal/node/gossip_test.go
@@ -7,10 +7,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/placement"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 )
 
 // TestLargestMessagesFitInDatagram checks that messages with the maximum number
@@ -45,8 +47,11 @@
 		instances[i].Address = address(i)
 	}
 	roster, _ := (&placement.Roster{Epoch: 1000}).Next(1000, instances)
+	rollouts := state
+	rollouts.KnownAddresses, rollouts.Usages, rollouts.IsIntroduction = nil, nil, true
+	rollouts.RolloutReports = []rollout.Report{largestRolloutReport(t)}
 	for name, m := range map[string]*message{
-		"state": &state, "roster": {Incarnation: math.MaxInt64, Roster: roster},
+		"state": &state, "rollout": &rollouts, "roster": {Incarnation: math.MaxInt64, Roster: roster},
 		"quarantine": {Incarnation: math.MaxInt64, Quarantine: &digest},
 	} {
 		body, err := encodeMessage(m)
@@ -54,3 +59,25 @@
 		assert.Assert(t, len(body) <= peer.MaxDatagramBytes, "%s takes %d bytes", name, len(body))
 	}
 }
+
+// largestRolloutReport returns a report that uses its space for records.
+func largestRolloutReport(t *testing.T) rollout.Report {
+	counts := rollout.Counts{Answers: math.MaxUint32, Failures: math.MaxUint32, Seconds: 1e9 / 7, SquaredSeconds: 1e9 / 7}
+	histogram := evidence.Histogram{20}
+	for range 30 {
+		histogram = append(histogram, 1000)
+	}
+	var records []evidence.Record
+	for i := range 20 {
+		records = append(records, evidence.Record{
+			Key:    evidence.Key{Version: "v2", Route: fmt.Sprintf("route-%06d", i)},
+			Counts: evidence.Counts{Requests: math.MaxUint16, BusyMillis: math.MaxUint32, PerToken: histogram, Unfinished: histogram[:2+i]},
+		})
+	}
+	groups, err := evidence.GroupRecords(records, maxRolloutRecordBytes)
+	assert.NilError(t, err)
+	return rollout.Report{
+		Service: "some-service-12", To: "v2.10.3", Evidence: rollout.Evidence{Old: counts, New: counts},
+		Duration: math.MaxInt64, Elapsed: math.MaxInt64, Revision: math.MaxUint32, Records: groups[0],
+	}
+}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -122,7 +122,6 @@
 	}
 	m.WatchAgeMs = n.watchAgeMillis(&n.lastWatchNanos)
 	m.PeerWatchAgeMs = n.peers.lowestWatchAge()
-	m.RolloutReports = n.rollouts.Reports()
 	for _, status := range n.rollouts.Statuses() {
 		if status.State != rollout.InProgress {
 			m.EndedRollouts = append(m.EndedRollouts, status)
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -7,6 +7,8 @@
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 )
 
@@ -31,10 +33,29 @@
 	}
 }
 
+// maxRolloutRecordBytes is the space for the records of one rollout report in a
+// datagram; the rest is left for the instance's state.
+const maxRolloutRecordBytes = peer.MaxDatagramBytes - 600
+
+// sendRollouts sends this instance's counts for rollouts in progress, a message for
+// each report. m holds the instance's state.
+func (n *Node) sendRollouts(recipients []string, m message) {
+	reports, err := n.rollouts.Reports(maxRolloutRecordBytes)
+	if err != nil {
+		n.logger.Error("cannot encode rollout report", eventlog.ErrorField(err))
+		return
+	}
+	m.IsIntroduction, m.KnownAddresses, m.EndedRollouts = true, nil, nil
+	for _, report := range reports {
+		m.RolloutReports = []rollout.Report{report}
+		n.send(recipients, &m)
+	}
+}
+
 // applyRolloutReport applies the counts of another instance, and the order that
 // they belong to: only a few instances watch the declarations.
-func (n *Node) applyRolloutReport(report rollout.Report, from string) {
-	if n.rollouts.ApplyReport(from, report) {
+func (n *Node) applyRolloutReport(report rollout.Report, from string, incarnation int64) {
+	if n.rollouts.ApplyReport(evidence.InstanceID{Name: from, Incarnation: uint64(incarnation)}, report) {
 		n.logOrder(report.Service, report.To, report.Duration-report.Elapsed, from)
 	}
 }
@@ -64,7 +85,8 @@
 		for _, decision := range n.rollouts.Decide(isAnalyzer) {
 			ended := decision.Status
 			n.logger.Info("rollout decided", zap.String("service", ended.Service), zap.String("version", ended.To),
-				zap.String("state", string(ended.State)), zap.Any("evidence", decision.Evidence))
+				zap.String("state", string(ended.State)), zap.Float64("log_evidence", decision.LogEvidence),
+				zap.String("reason", decision.Reason), zap.Any("evidence", decision.Evidence))
 		}
 		if isAnalyzer && n.clock.Since(attemptedAt) >= statusWriteInterval {
 			attemptedAt = n.clock.Now()
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -3,50 +3,24 @@
 //
 // While an Order is in progress, a small share of the requests goes to the new
 // version (canary). Requests are selected by a hash of the request alone, so
-// that all instances together keep to the share. Each Controller counts
-// responses and failures of both versions, and instances exchange the counts as
-// Reports. A version that fails or is slow in comparison with the old one over
-// the same time is rolled back; otherwise one instance, the analyzer, completes
-// the rollout in time for the deadline. Rolling back needs no agreement: any
-// instance with sufficient Evidence stops sending to the version and publishes
-// the Status, which then becomes the operator's status.
+// that all instances together keep to the share. Each Controller counts the
+// attempts of both versions from their start, and instances exchange the counts
+// as Reports, which also tell of the order itself. Package evidence judges the
+// version. One that fails more often or is slower than the old one is rolled
+// back. Otherwise one instance, the analyzer, ends the rollout in time for the
+// deadline: it completes a version that has shown enough, and one that has shown
+// little if the evidence, as far as it goes, does not speak against it. Rolling
+// back needs no agreement: any instance with sufficient evidence stops sending to
+// the version and publishes the Status, which then becomes the operator's status.
 package rollout
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-)
 
-const (
-	// canaryShare is the share of requests sent to a version on trial; the
-	// operator allows a tenth.
-	canaryShare = 0.06
-	// trialTimeShare is the share of the order's duration after which a version
-	// without regression is completed; the rest is reserve before the deadline.
-	trialTimeShare = 0.7
-	// minResponses is the number of responses of each version required to compare
-	// their latencies.
-	minResponses = 10
-	// minFailures is the number of failures required for a rollback. It is low
-	// enough to be reached long before the operator's limit of fifty bad
-	// responses.
-	minFailures = 5
-	// minFailureMargin is the difference of failure rates required for a rollback,
-	// since the rates are compared many times.
-	minFailureMargin = 0.08
-	// minDeviations is that difference in standard deviations, for the same
-	// reason.
-	minDeviations = 4.5
-	// minLatencyDeviations is the difference of mean latencies required for a
-	// rollback, in standard deviations, so that a few stalled responses do not
-	// count as a slow version.
-	minLatencyDeviations = 3
-	// maxLatencyRatio is the allowed ratio of mean latencies. It exceeds the
-	// differences between unequal targets of one version.
-	maxLatencyRatio = 3.5
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
 )
 
 // State is the state of an order.
@@ -81,7 +55,8 @@
 	State   State
 }
 
-// Counts are the counts of one version's responses.
+// Counts are the counts of one version's responses. They serve the log, and
+// instances of earlier versions.
 type Counts struct {
 	Answers, Failures uint64
 	// Seconds is the sum of latencies, each relative to the expected length of its
@@ -95,58 +70,9 @@
 	return Counts{c.Answers + o.Answers, c.Failures + o.Failures, c.Seconds + o.Seconds, c.SquaredSeconds + o.SquaredSeconds}
 }
 
-// meanLatency returns the mean latency in seconds and the variance of that mean.
-func (c Counts) meanLatency() (mean, variance float64) {
-	n := float64(c.Answers)
-	mean = c.Seconds / n
-	return mean, math.Max(0, c.SquaredSeconds/n-mean*mean) / (n - 1)
-}
-
 // Evidence holds the counts of the old and the new version of a service.
 type Evidence struct{ Old, New Counts }
 
-// Regressed reports whether the new version is significantly worse than the old
-// one.
-func (e Evidence) Regressed() bool { return e.failsMoreOften() || e.slower() }
-
-func (e Evidence) failsMoreOften() bool {
-	if e.New.Failures < minFailures {
-		return false
-	}
-	n, o := float64(e.New.Answers), math.Max(1, float64(e.Old.Answers))
-	shareNew, shareOld := float64(e.New.Failures)/n, float64(e.Old.Failures)/o
-	pooled := float64(e.New.Failures+e.Old.Failures) / (n + o)
-	deviation := math.Sqrt(pooled * (1 - pooled) * (1/n + 1/o))
-	return shareNew-shareOld > minFailureMargin && shareNew-shareOld > minDeviations*deviation
-}
-
-func (e Evidence) slower() bool {
-	if e.New.Answers < minResponses || e.Old.Answers < minResponses || e.Old.Seconds == 0 {
-		return false
-	}
-	newMean, newVariance := e.New.meanLatency()
-	oldMean, oldVariance := e.Old.meanLatency()
-	return newMean > maxLatencyRatio*oldMean && newMean-oldMean > minLatencyDeviations*math.Sqrt(newVariance+oldVariance)
-}
-
-// trial is an order with its state and counts; Controller.mu guards it.
-type trial struct {
-	order     Order
-	state     State
-	startedAt time.Time
-	local     Evidence
-	// peers holds the counts of other instances, by instance.
-	peers map[string]Evidence
-}
-
-func (t *trial) total() Evidence {
-	sum := t.local
-	for _, e := range t.peers {
-		sum.Old, sum.New = sum.Old.add(e.Old), sum.New.add(e.New)
-	}
-	return sum
-}
-
 // Controller tracks the orders of all services. It is safe for concurrent use.
 type Controller struct {
 	clock clockwork.Clock
@@ -184,9 +110,7 @@
 	case order.Revision < t.order.Revision:
 		return false
 	}
-	c.trials[order.Service] = &trial{
-		order: order, state: InProgress, startedAt: startedAt, peers: make(map[string]Evidence),
-	}
+	c.trials[order.Service] = newTrial(order, startedAt, c.clock.Now())
 	return true
 }
 
@@ -228,25 +152,17 @@
 	}
 }
 
-// RecordResponse counts a response of a target of the version. took is relative
-// to the expected length of the response.
-func (c *Controller) RecordResponse(service, version string, failed bool, took time.Duration) {
+// Start counts an attempt of a request at a target of the version. The expected
+// number of output tokens, 0 if unknown, makes responses of different lengths
+// comparable. It returns nil if no order is in progress.
+func (c *Controller) Start(service, version, route string, outputTokens int) *Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.trials[service]
 	if t == nil || t.state != InProgress {
-		return
-	}
-	counts := &t.local.Old
-	if version == t.order.To {
-		counts = &t.local.New
-	}
-	counts.Answers++
-	counts.Seconds += took.Seconds()
-	counts.SquaredSeconds += took.Seconds() * took.Seconds()
-	if failed {
-		counts.Failures++
+		return nil
 	}
+	return t.start(c, version, route, outputTokens)
 }
 
 // Report holds one instance's counts for an order, and the order itself for
@@ -259,32 +175,48 @@
 	// was given. Duration is 0 in reports of earlier versions.
 	Duration, Elapsed time.Duration
 	Revision          uint64
+	// Records are the counters of some routes.
+	Records []evidence.Record
 }
 
-// Reports returns this instance's counts for the orders in progress.
-func (c *Controller) Reports() []Report {
+// Reports returns this instance's counts for the orders in progress. The records
+// of each report take at most maxBytes, encoded.
+func (c *Controller) Reports(maxBytes int) ([]Report, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.clock.Now()
 	var reports []Report
 	for service, t := range c.trials {
-		if t.state == InProgress {
-			reports = append(reports, Report{service, t.order.To, t.local, t.order.Duration, c.clock.Since(t.startedAt), t.order.Revision})
+		if t.state != InProgress {
+			continue
+		}
+		groups, err := evidence.GroupRecords(t.counters.Snapshot(now), maxBytes)
+		if err != nil {
+			return nil, err
+		}
+		for _, group := range groups {
+			reports = append(reports, Report{
+				Service: service, To: t.order.To, Evidence: t.local, Duration: t.order.Duration,
+				Elapsed: now.Sub(t.startedAt), Revision: t.order.Revision, Records: group,
+			})
 		}
 	}
-	return reports
+	return reports, nil
 }
 
 // ApplyReport replaces the counts of another instance, and reports whether its
 // order is new.
-func (c *Controller) ApplyReport(peer string, r Report) (isNew bool) {
+func (c *Controller) ApplyReport(peer evidence.InstanceID, r Report) (isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.clock.Now()
 	if r.Duration > 0 {
 		order := Order{Service: r.Service, To: r.To, Duration: r.Duration, Revision: r.Revision}
-		isNew = c.startTrial(order, c.clock.Now().Add(-r.Elapsed))
+		isNew = c.startTrial(order, now.Add(-r.Elapsed))
 	}
 	if t := c.trials[r.Service]; t != nil && t.order.To == r.To && t.state == InProgress {
-		t.peers[peer] = r.Evidence
+		t.peers[peer.Name] = r.Evidence
+		t.addRecords(peer, r.Records, now)
 	}
 	return isNew
 }
@@ -300,33 +232,25 @@
 	return statuses
 }
 
-// Decision is the final status of an order and the counts of all instances on
-// which it is based.
-type Decision struct {
-	Status   Status
-	Evidence Evidence
-}
-
 // Decide ends the orders that can be ended and returns the decisions. Any
-// instance rolls back if the evidence suffices; only the analyzer completes.
+// instance rolls back if the evidence suffices; only the analyzer completes, or
+// rolls back in doubt.
 func (c *Controller) Decide(analyzer bool) []Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.clock.Now()
 	var ended []Decision
 	for service, t := range c.trials {
 		if t.state != InProgress {
 			continue
 		}
-		e := t.total()
-		switch trialOver := c.clock.Since(t.startedAt) >= time.Duration(trialTimeShare*float64(t.order.Duration)); {
-		case e.Regressed():
-			t.state = RolledBack
-		case analyzer && trialOver && e.New.Answers > 0:
-			t.state = Completed
-		default:
+		verdict := t.judge(now)
+		if t.state = t.decide(&verdict, analyzer, now); t.state == InProgress {
 			continue
 		}
-		ended = append(ended, Decision{Status{service, t.order.To, t.state}, e})
+		ended = append(ended, Decision{
+			Status: Status{service, t.order.To, t.state}, Evidence: t.total(), LogEvidence: verdict.LogEvidence, Reason: verdict.Reason,
+		})
 	}
 	return ended
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,94 +12,238 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
 )
 
-var order = Order{Service: "s", To: "v2", Duration: 12 * time.Second}
+var order = Order{Service: "s", To: "v2", Duration: 15 * time.Second}
 
 // The operator's limit: a tenth of the requests plus fifty may reach a bad
 // version.
 const (
-	allowedShare = 0.1
-	allowedSlack = 50
+	operatorShare = 0.1
+	operatorSlack = 50
+	// maxBadResponses is the number of bad responses after which a version must be
+	// taken back.
+	maxBadResponses = 50
 )
 
-// simulateRollout runs an order on several instances. It returns the final
-// state, by how many requests the new version exceeded the operator's limit,
-// and the number of its bad responses.
-func simulateRollout(seed uint64, newFailureRate, oldFailureRate, stallRate float64, newLatency time.Duration) (state State, excess float64, badResponses int) {
-	const (
-		instances     = 6
-		perStep       = 5
-		step          = 50 * time.Millisecond
-		normalLatency = 100 * time.Millisecond
-		stallTime     = 4 * time.Second
-		totalSteps    = 240
-	)
+// simulation runs an order on several instances, with requests that take time.
+type simulation struct {
+	// perSecond is the number of requests a second, of all instances together.
+	perSecond float64
+	// newFailureRate and oldFailureRate are the shares of failures.
+	newFailureRate, oldFailureRate float64
+	// slowdown multiplies the times of the new version from slowFrom on, on slowRoute
+	// or, if that is "", on all routes. hangRate is the share of responses of both
+	// versions that take hangTime longer.
+	slowdown  float64
+	slowFrom  time.Duration
+	slowRoute string
+	hangRate  float64
+	// speeds are the speeds of the new version's targets, relative to those of the
+	// old one, which differ among themselves.
+	speeds []float64
+}
+
+const (
+	simulatedInstances = 6
+	simulatedStep      = 50 * time.Millisecond
+	hangTime           = 4 * time.Second
+	// callerPatience is the time after which callers give up.
+	callerPatience = 10 * time.Second
+)
+
+// oldSpeeds are the speeds of the old version's targets.
+var oldSpeeds = []float64{0.55, 1, 2.8}
+
+type simulatedAttempt struct {
+	attempt *Attempt
+	endsAt  time.Time
+	ending  evidence.Ending
+}
+
+// result is the outcome of a simulation. excess is by how many requests the new
+// version exceeded the operator's limit; late is the number of requests that it got
+// later than allowed after its 50th bad response.
+type result struct {
+	state       State
+	excess      float64
+	late        int
+	logEvidence float64
+}
+
+// The operator's time between the 50th bad response and the rollback.
+const rollbackTime = 5 * time.Second
+
+func (s *simulation) run(t *testing.T, seed uint64) result {
 	clock := clockwork.NewFakeClock()
 	random := rand.New(rand.NewPCG(seed, 9))
-	fleet := make([]*Controller, instances)
+	fleet := make([]*Controller, simulatedInstances)
 	for i := range fleet {
 		fleet[i] = New(clock)
 		fleet[i].AddOrder(order)
 	}
-	requests, newRequests := 0, 0
-	for range totalSteps {
+	startedAt := clock.Now()
+	var running []simulatedAttempt
+	var sentToNew, badEnds []time.Time
+	requests := 0
+	r := result{state: InProgress}
+	due := 0.0
+	for clock.Since(startedAt) < order.Duration {
+		clock.Advance(simulatedStep)
+		running = slices.DeleteFunc(running, func(a simulatedAttempt) bool {
+			if a.endsAt.After(clock.Now()) {
+				return false
+			}
+			a.attempt.End(a.ending)
+			return true
+		})
+		for due += s.perSecond * simulatedStep.Seconds(); due >= 1; due-- {
+			requests++
+			c := fleet[random.IntN(len(fleet))]
+			required, excluded := c.VersionConstraint("s", float64(xxhash.Sum64String(fmt.Sprint(seed, requests))>>11)/(1<<53))
+			isNew := required == "v2" || excluded == ""
+			a, bad := s.start(c, random, clock, isNew, clock.Since(startedAt))
+			running = append(running, a)
+			if !isNew {
+				continue
+			}
+			sentToNew = append(sentToNew, clock.Now())
+			if bad {
+				badEnds = append(badEnds, a.endsAt)
+			}
+		}
+		if clock.Since(startedAt)%decideEvery != 0 {
+			continue
+		}
 		for i, c := range fleet {
-			for range perStep {
-				requests++
-				required, _ := c.VersionConstraint("s", float64(xxhash.Sum64String(fmt.Sprint(seed, requests))>>11)/(1<<53))
-				version, failureRate, took := "v1", oldFailureRate, normalLatency
-				if required == "v2" {
-					version, failureRate, took = "v2", newFailureRate, newLatency
-					newRequests++
-				}
-				failed := random.Float64() < failureRate
-				if failed && version == "v2" {
-					badResponses++
-				}
-				if random.Float64() < stallRate {
-					took += stallTime
+			reports, err := c.Reports(600)
+			assert.NilError(t, err)
+			for _, report := range reports {
+				for j, other := range fleet {
+					if j != i {
+						other.ApplyReport(evidence.InstanceID{Name: fmt.Sprint(i)}, report)
+					}
 				}
-				c.RecordResponse("s", version, failed, time.Duration(float64(took)*(0.5+random.Float64())))
 			}
-			for _, r := range c.Reports() {
-				fleet[0].ApplyReport(fmt.Sprint(i), r)
+		}
+		for i, c := range fleet {
+			for _, decision := range c.Decide(i == 0) {
+				r.state, r.logEvidence = decision.Status.State, decision.LogEvidence
+				for _, other := range fleet {
+					other.ApplyStatus(decision.Status)
+				}
 			}
 		}
-		for _, decision := range fleet[0].Decide(true) {
-			for _, c := range fleet {
-				c.ApplyStatus(decision.Status)
+	}
+	r.excess = float64(len(sentToNew)) - operatorShare*float64(requests) - operatorSlack
+	if slices.SortFunc(badEnds, time.Time.Compare); len(badEnds) >= maxBadResponses {
+		for _, at := range sentToNew {
+			if at.After(badEnds[maxBadResponses-1].Add(rollbackTime)) {
+				r.late++
 			}
-			return decision.Status.State, float64(newRequests) - allowedShare*float64(requests) - allowedSlack, badResponses
 		}
-		clock.Advance(step)
 	}
-	return InProgress, float64(newRequests) - allowedShare*float64(requests) - allowedSlack, badResponses
+	return r
+}
+
+// decideEvery is the interval between reports and decisions, as in package node.
+const decideEvery = 200 * time.Millisecond
+
+// start starts a request; bad is set if its response fails or is slow.
+func (s *simulation) start(c *Controller, random *rand.Rand, clock *clockwork.FakeClock, isNew bool, since time.Duration) (a simulatedAttempt, bad bool) {
+	routes := []struct {
+		name   string
+		median time.Duration
+		tokens int
+	}{{"short", 60 * time.Millisecond, 10}, {"middle", 600 * time.Millisecond, 200}, {"long", 900 * time.Millisecond, 300}}
+	route := routes[random.IntN(len(routes))]
+	speed, failureRate, version := oldSpeeds[random.IntN(len(oldSpeeds))], s.oldFailureRate, "v1"
+	if isNew {
+		speed, failureRate, version = s.speeds[random.IntN(len(s.speeds))], s.newFailureRate, "v2"
+	}
+	const lengthSpread = 0.7
+	took := float64(route.median) * math.Exp(lengthSpread*random.NormFloat64()) / speed
+	if isNew && since >= s.slowFrom && (s.slowRoute == "" || s.slowRoute == route.name) && s.slowdown > 1 {
+		took *= s.slowdown
+		bad = true
+	}
+	if random.Float64() < s.hangRate {
+		took += float64(hangTime)
+	}
+	ending := evidence.Answered
+	if random.Float64() < failureRate {
+		ending, bad = evidence.Failed, bad || isNew
+	}
+	if time.Duration(took) > callerPatience {
+		took, ending = float64(callerPatience), evidence.GivenUp
+	}
+	return simulatedAttempt{c.Start("s", version, route.name, route.tokens), clock.Now().Add(time.Duration(took)), ending}, bad
 }
 
 func TestOrdersEndAsTheVersionDeserves(t *testing.T) {
+	const (
+		seeds             = 60
+		busy, mean, quiet = 600, 117, 6
+		// always and mostly are the shares of seeds that must end as deserved, with
+		// ample and with little evidence.
+		always, mostly = 1, 0.9
+	)
+	mixed := oldSpeeds
+	slowTargets, slowAndMiddle := []float64{0.55, 0.55, 1, 2.8}, []float64{0.55, 1}
 	for _, c := range []struct {
-		name                           string
-		newFailureRate, oldFailureRate float64
-		stallRate                      float64
-		newLatency                     time.Duration
-		want                           State
+		name string
+		simulation
+		want  State
+		share float64
 	}{
-		{"good", 0.02, 0.02, 0, 100 * time.Millisecond, Completed},
-		{"good while both versions fail often", 0.3, 0.3, 0, 100 * time.Millisecond, Completed},
-		{"good while a few responses of both versions stall", 0.02, 0.02, 0.01, 100 * time.Millisecond, Completed},
-		{"somewhat slower", 0.02, 0.02, 0, 200 * time.Millisecond, Completed},
-		{"high failure rate", 0.4, 0.02, 0, 100 * time.Millisecond, RolledBack},
-		{"several times slower", 0.02, 0.02, 0, 600 * time.Millisecond, RolledBack},
+		{"good", simulation{perSecond: busy, newFailureRate: 0.02, oldFailureRate: 0.02, speeds: mixed}, Completed, always},
+		{"good while both versions fail often", simulation{perSecond: busy, newFailureRate: 0.3, oldFailureRate: 0.3, speeds: mixed}, Completed, always},
+		{"good while responses of both versions stall", simulation{perSecond: busy, newFailureRate: 0.02, oldFailureRate: 0.02, hangRate: 0.01, speeds: mixed}, Completed, always},
+		{"good with mean traffic", simulation{perSecond: mean, speeds: mixed}, Completed, always},
+		{"good on slower targets", simulation{perSecond: mean, speeds: slowTargets}, Completed, mostly},
+		{"good without fast targets", simulation{perSecond: mean, speeds: slowAndMiddle}, Completed, mostly},
+		{"good with little traffic", simulation{perSecond: 20, speeds: mixed}, Completed, mostly},
+		{"good with hardly any traffic", simulation{perSecond: quiet, speeds: mixed}, Completed, mostly},
+		{"high failure rate", simulation{perSecond: busy, newFailureRate: 0.4, oldFailureRate: 0.02, speeds: mixed}, RolledBack, always},
+		{"several times slower", simulation{perSecond: busy, newFailureRate: 0.02, oldFailureRate: 0.02, slowdown: 6, speeds: mixed}, RolledBack, always},
+		{"high failure rate with mean traffic", simulation{perSecond: mean, newFailureRate: 0.4, oldFailureRate: 0.02, speeds: mixed}, RolledBack, always},
+		{"fails sometimes", simulation{perSecond: mean, newFailureRate: 0.15, oldFailureRate: 0.02, speeds: mixed}, RolledBack, mostly},
+		{"slower, with mean traffic", simulation{perSecond: mean, slowdown: 4, speeds: mixed}, RolledBack, always},
+		{"much slower, with mean traffic", simulation{perSecond: mean, slowdown: 8, speeds: mixed}, RolledBack, always},
+		{"slower later", simulation{perSecond: mean, slowdown: 8, slowFrom: 5 * time.Second, speeds: mixed}, RolledBack, always},
+		{"slower on one route", simulation{perSecond: mean, slowdown: 8, slowRoute: "short", speeds: mixed}, RolledBack, mostly},
 	} {
-		for seed := range uint64(60) {
-			state, excess, badResponses := simulateRollout(seed, c.newFailureRate, c.oldFailureRate, c.stallRate, c.newLatency)
-			assert.Equal(t, state, c.want, "%s, seed %d", c.name, seed)
-			assert.Assert(t, excess <= 0, "%s, seed %d: %.0f requests above the limit", c.name, seed, excess)
-			if state == RolledBack {
-				assert.Assert(t, badResponses < 50, "%s, seed %d: %d bad responses", c.name, seed, badResponses)
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			deserved := 0
+			for seed := range uint64(seeds) {
+				r := c.run(t, seed)
+				if r.state == c.want {
+					deserved++
+				}
+				if r.state == RolledBack {
+					assert.Assert(t, r.excess <= 0, "seed %d: %.0f requests above the limit", seed, r.excess)
+					assert.Equal(t, r.late, 0, "seed %d: requests after the time for the rollback", seed)
+				}
 			}
-		}
+			assert.Assert(t, float64(deserved) >= c.share*seeds, "%d of %d ended as deserved", deserved, seeds)
+		})
+	}
+}
+
+// A version that has answered nothing is neither known to work nor needed.
+func TestVersionWithoutAGoodResponseIsNotCompleted(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := New(clock)
+	c.AddOrder(order)
+	clock.Advance(order.Duration)
+	assert.Equal(t, len(c.Decide(true)), 0)
+	c.Start("s", "v2", "r", 0).End(evidence.GivenUp)
+	c.Start("s", "v2", "r", 0).End(evidence.Failed)
+	for _, d := range c.Decide(true) {
+		assert.Equal(t, d.Status.State, RolledBack)
 	}
 }
 
@@ -116,7 +262,7 @@
 	c := New(clockwork.NewFakeClock())
 	required, excluded := c.VersionConstraint("s", 0)
 	assert.Equal(t, required+excluded, "")
-	c.RecordResponse("s", "v1", true, time.Second)
+	c.Start("s", "v1", "r", 0).End(evidence.Failed)
 	assert.Equal(t, len(c.Decide(true)), 0)
 }
 
@@ -138,7 +284,8 @@
 			i := rapid.IntRange(0, instances-1).Draw(t, "instance")
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				fleet[i].RecordResponse("s", "v2", rapid.Bool().Draw(t, "failed"), time.Millisecond)
+				ending := evidence.Ending(rapid.IntRange(0, 2).Draw(t, "ending"))
+				fleet[i].Start("s", "v2", "r", 0).End(ending)
 			case 1:
 				clock.Advance(time.Second)
 				for _, decision := range fleet[i].Decide(i < 2) {
@@ -165,17 +312,21 @@
 // A decision holds the counts of all instances, since an order that has ended is
 // no longer reported.
 func TestDecisionHoldsCountsOfAllInstances(t *testing.T) {
-	c := New(clockwork.NewFakeClock())
+	clock := clockwork.NewFakeClock()
+	c := New(clock)
 	c.AddOrder(order)
+	c.ApplyReport(evidence.InstanceID{Name: "peer"}, Report{Service: "s", To: "v2", Evidence: Evidence{Old: Counts{Answers: 100}}})
+	var decisions []Decision
 	for range 40 {
-		c.RecordResponse("s", "v2", true, time.Second)
+		c.Start("s", "v2", "r", 0).End(evidence.Failed)
+		c.Start("s", "v1", "r", 0).End(evidence.Answered)
+		clock.Advance(decideEvery)
+		decisions = append(decisions, c.Decide(false)...)
 	}
-	c.ApplyReport("peer", Report{Service: "s", To: "v2", Evidence: Evidence{Old: Counts{Answers: 100, Seconds: 100, SquaredSeconds: 100}}})
-	decisions := c.Decide(false)
 	assert.Equal(t, len(decisions), 1)
 	assert.Equal(t, decisions[0].Status.State, RolledBack)
-	assert.Equal(t, decisions[0].Evidence.New.Failures, uint64(40))
-	assert.Equal(t, decisions[0].Evidence.Old.Answers, uint64(100))
+	assert.Equal(t, decisions[0].Evidence.New.Failures, decisions[0].Evidence.New.Answers)
+	assert.Equal(t, decisions[0].Evidence.Old.Answers, decisions[0].Evidence.New.Answers+100)
 }
 
 // Most instances hear of an order from others only, and some only of its end.
@@ -184,12 +335,17 @@
 	informed, other := New(clock), New(clock)
 	informed.AddOrder(order)
 	clock.Advance(time.Second)
-	assert.Assert(t, other.ApplyReport("informed", informed.Reports()[0]))
-	assert.Assert(t, !other.ApplyReport("informed", informed.Reports()[0]))
+	reports, err := informed.Reports(1000)
+	assert.NilError(t, err)
+	report := reports[0]
+	assert.Assert(t, other.ApplyReport(evidence.InstanceID{Name: "informed"}, report))
+	assert.Assert(t, !other.ApplyReport(evidence.InstanceID{Name: "informed"}, report))
 	assert.Assert(t, !other.AddOrder(order))
 	_, excluded := other.VersionConstraint("s", 0.5)
 	assert.Equal(t, excluded, "v2")
-	assert.Equal(t, other.Reports()[0].Elapsed, time.Second, "a decision would be due later")
+	reports, err = other.Reports(1000)
+	assert.NilError(t, err)
+	assert.Equal(t, reports[0].Elapsed, time.Second, "a decision would be due later")
 
 	late := New(clock)
 	assert.Assert(t, late.ApplyStatus(Status{"s", "v2", RolledBack}))
@@ -203,7 +359,7 @@
 func TestEarlierOrderDoesNotReplaceALaterOne(t *testing.T) {
 	c := New(clockwork.NewFakeClock())
 	c.AddOrder(Order{Service: "s", To: "v3", Duration: time.Minute, Revision: 7})
-	assert.Assert(t, !c.ApplyReport("peer", Report{Service: "s", To: "v2", Duration: time.Minute, Revision: 5}))
+	assert.Assert(t, !c.ApplyReport(evidence.InstanceID{Name: "peer"}, Report{Service: "s", To: "v2", Duration: time.Minute, Revision: 5}))
 	assert.Assert(t, !c.AddOrder(Order{Service: "s", To: "v2", Duration: time.Minute, Revision: 5}))
 	assert.Equal(t, c.Statuses()[0].To, "v3")
 	assert.Assert(t, c.AddOrder(Order{Service: "s", To: "v4", Duration: time.Minute, Revision: 9}))
--- /dev/null
+++ b/internal/rollout/trial.go
@@ -0,0 +1,152 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
+)
+
+// canaryShare is the share of requests sent to a version on trial; the operator
+// allows a tenth.
+const canaryShare = 0.06
+
+const (
+	// These are shares of the order's duration: trialTimeShare after which a version
+	// is completed if nothing speaks against it, doubtTimeShare after which it is
+	// rolled back if something does, and lastTimeShare after which one that has had
+	// few requests is decided on. The rest is reserve before the deadline.
+	trialTimeShare = 0.7
+	doubtTimeShare = 0.75
+	lastTimeShare  = 0.85
+	// enoughRequests is the number of requests of the new version that are enough.
+	enoughRequests = 30
+	// alpha bounds the probability that a version that is no worse is rolled back
+	// before its trial is over.
+	alpha = 0.001
+	// doubtLogEvidence is the log evidence against a version from which it is more
+	// likely bad than good, and not completed at the end of its trial.
+	doubtLogEvidence = 0
+	// extraTolerance is the slowdown in buckets of a quarter octave that is not held
+	// against a version besides that of package evidence, since targets of one
+	// version differ in speed.
+	extraTolerance = 1
+	// referenceTokens is the length of a response whose time counts as measured.
+	referenceTokens = 100
+)
+
+// trial is an order with its state and counts; Controller.mu guards it.
+type trial struct {
+	order     Order
+	state     State
+	startedAt time.Time
+	counters  *evidence.CounterSet
+	analyzer  *evidence.Analyzer
+	local     Evidence
+	// peers holds the counts of other instances, by instance.
+	peers map[string]Evidence
+}
+
+// self identifies this instance's own records.
+var self = evidence.InstanceID{}
+
+func newTrial(order Order, startedAt, now time.Time) *trial {
+	return &trial{
+		order: order, state: InProgress, startedAt: startedAt, peers: make(map[string]Evidence),
+		counters: &evidence.CounterSet{},
+		analyzer: evidence.NewAnalyzer(evidence.Options{
+			NewVersion: order.To, Alpha: alpha, PlannedDuration: order.Duration, WholeRequestsOnly: true, ExtraTolerance: extraTolerance,
+		}, now),
+	}
+}
+
+// addRecords adds counters, which cover the whole trial, to the evidence.
+func (t *trial) addRecords(instance evidence.InstanceID, records []evidence.Record, now time.Time) {
+	t.analyzer.InitBaseline(instance)
+	t.analyzer.AddRecords(instance, records, true, now)
+}
+
+func (t *trial) judge(now time.Time) evidence.Verdict {
+	t.addRecords(self, t.counters.Snapshot(now), now)
+	t.analyzer.Tick(now)
+	return t.analyzer.Verdict(now)
+}
+
+// decide returns the state that follows from the verdict.
+func (t *trial) decide(verdict *evidence.Verdict, analyzer bool, now time.Time) State {
+	passed := func(share float64) bool {
+		return now.Sub(t.startedAt) >= time.Duration(share*float64(t.order.Duration))
+	}
+	enough := verdict.Totals.NewStarted >= enoughRequests
+	inDoubt := verdict.LogEvidence >= doubtLogEvidence
+	switch {
+	case verdict.Finding == evidence.Regressed:
+		return RolledBack
+	case !analyzer, !passed(trialTimeShare), !enough && !passed(lastTimeShare), inDoubt && !passed(doubtTimeShare):
+		return InProgress
+	case inDoubt:
+		return RolledBack
+	case t.total().New.Answers > t.total().New.Failures:
+		return Completed
+	}
+	return InProgress
+}
+
+func (t *trial) total() Evidence {
+	sum := t.local
+	for _, e := range t.peers {
+		sum.Old, sum.New = sum.Old.add(e.Old), sum.New.add(e.New)
+	}
+	return sum
+}
+
+// Attempt is an attempt of a request during a trial. The methods of a nil Attempt
+// do nothing.
+type Attempt struct {
+	controller *Controller
+	trial      *trial
+	isNew      bool
+	counted    *evidence.Attempt
+}
+
+// start counts an attempt. The old version has no name in the counters.
+func (t *trial) start(c *Controller, version, route string, outputTokens int) *Attempt {
+	isNew := version == t.order.To
+	if !isNew {
+		version = ""
+	}
+	scale := referenceTokens / float64(referenceTokens+max(0, outputTokens))
+	return &Attempt{c, t, isNew, t.counters.Start(evidence.Key{Version: version, Route: route}, scale, c.clock.Now())}
+}
+
+// End records the end of the attempt; further calls have no effect.
+func (a *Attempt) End(ending evidence.Ending) {
+	if a == nil {
+		return
+	}
+	took, first := a.counted.End(ending, a.controller.clock.Now())
+	if !first || ending == evidence.GivenUp {
+		return
+	}
+	a.controller.mu.Lock()
+	defer a.controller.mu.Unlock()
+	counts := &a.trial.local.Old
+	if a.isNew {
+		counts = &a.trial.local.New
+	}
+	counts.Answers++
+	counts.Seconds += took.Seconds()
+	counts.SquaredSeconds += took.Seconds() * took.Seconds()
+	if ending == evidence.Failed {
+		counts.Failures++
+	}
+}
+
+// Decision is the final status of an order and the counts of all instances on
+// which it is based.
+type Decision struct {
+	Status   Status
+	Evidence Evidence
+	// LogEvidence and Reason are those of the evidence.Verdict.
+	LogEvidence float64
+	Reason      string
+}
