Give a version on trial more requests where traffic is low

A version gets 6% of the requests. Where traffic is low the share is now increased for 60 requests in the trial, at most to a quarter, and within half of the fifty requests that the operator allows beyond a tenth, so that the limit holds with twice the traffic that was known.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -145,7 +145,7 @@
 		return "", ""
 	}
 	switch {
-	case t.state == Completed, t.state == InProgress && fraction < canaryShare:
+	case t.state == Completed, t.state == InProgress && fraction < t.share:
 		return t.order.To, ""
 	default:
 		return "", t.order.To
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -214,6 +214,8 @@
 		{"much slower, with mean traffic", simulation{perSecond: mean, slowdown: 8, speeds: mixed}, RolledBack, always},
 		{"slower later", simulation{perSecond: mean, slowdown: 8, slowFrom: 5 * time.Second, speeds: mixed}, RolledBack, always},
 		{"slower on one route", simulation{perSecond: mean, slowdown: 8, slowRoute: "short", speeds: mixed}, RolledBack, mostly},
+		{"slower with little traffic", simulation{perSecond: 20, slowdown: 8, speeds: mixed}, RolledBack, mostly},
+		{"slower with hardly any traffic", simulation{perSecond: quiet, slowdown: 8, speeds: mixed}, RolledBack, mostly},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -247,6 +249,19 @@
 	}
 }
 
+// The share that is increased for the sake of evidence stays within the operator's
+// limit, even if there is twice the traffic that was known.
+func TestIncreasedShareStaysWithinTheLimit(t *testing.T) {
+	const rounding = 1e-9
+	tr := &trial{order: order}
+	for requests := 1; requests < 100_000; requests += 1 + requests/10 {
+		share := tr.shareFor(requests, order.Duration/2)
+		for _, total := range []float64{2 * float64(requests), 4 * float64(requests)} {
+			assert.Assert(t, share*total <= operatorShare*total+operatorSlack+rounding, "%d requests, share %.3f", requests, share)
+		}
+	}
+}
+
 func TestEndIsNeverUndone(t *testing.T) {
 	c := New(clockwork.NewFakeClock())
 	c.AddOrder(order)
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -6,9 +6,22 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
 )
 
-// canaryShare is the share of requests sent to a version on trial; the operator
-// allows a tenth.
-const canaryShare = 0.06
+// The operator allows a version on trial a tenth of all requests, and fifty more.
+const (
+	// minCanaryShare is the share of requests sent to a version on trial.
+	minCanaryShare = 0.06
+	// trialRequests is the number of requests that a trial should have; where traffic
+	// is low, the share is increased for it, up to maxCanaryShare.
+	trialRequests  = 60
+	maxCanaryShare = 0.25
+	// allowedShare and usedSlack bound the increased share: a part of the fifty is
+	// left for traffic that is not known yet.
+	allowedShare = 0.1
+	usedSlack    = 25
+	// shareTimeShare is the share of the order's duration after which the traffic is
+	// known.
+	shareTimeShare = 0.1
+)
 
 const (
 	// These are shares of the order's duration: trialTimeShare after which a version
@@ -39,9 +52,11 @@
 	order     Order
 	state     State
 	startedAt time.Time
-	counters  *evidence.CounterSet
-	analyzer  *evidence.Analyzer
-	local     Evidence
+	// share is the share of requests sent to the new version.
+	share    float64
+	counters *evidence.CounterSet
+	analyzer *evidence.Analyzer
+	local    Evidence
 	// peers holds the counts of other instances, by instance.
 	peers map[string]Evidence
 }
@@ -51,7 +66,7 @@
 
 func newTrial(order Order, startedAt, now time.Time) *trial {
 	return &trial{
-		order: order, state: InProgress, startedAt: startedAt, peers: make(map[string]Evidence),
+		order: order, state: InProgress, startedAt: startedAt, share: minCanaryShare, peers: make(map[string]Evidence),
 		counters: &evidence.CounterSet{},
 		analyzer: evidence.NewAnalyzer(evidence.Options{
 			NewVersion: order.To, Alpha: alpha, PlannedDuration: order.Duration, WholeRequestsOnly: true, ExtraTolerance: extraTolerance,
@@ -68,7 +83,21 @@
 func (t *trial) judge(now time.Time) evidence.Verdict {
 	t.addRecords(self, t.counters.Snapshot(now), now)
 	t.analyzer.Tick(now)
-	return t.analyzer.Verdict(now)
+	verdict := t.analyzer.Verdict(now)
+	t.share = t.shareFor(verdict.Totals.Started, now.Sub(t.startedAt))
+	return verdict
+}
+
+// shareFor returns the share if so many requests of both versions have started
+// since the order.
+func (t *trial) shareFor(started int, elapsed time.Duration) float64 {
+	duration := float64(t.order.Duration)
+	if float64(elapsed) < shareTimeShare*duration {
+		return minCanaryShare
+	}
+	expected := float64(max(1, started)) * duration / float64(elapsed)
+	wanted := trialRequests / (trialTimeShare * expected)
+	return max(minCanaryShare, min(wanted, maxCanaryShare, allowedShare+usedSlack/expected))
 }
 
 // decide returns the state that follows from the verdict.
