Let a restarted analyzer rely on instances that have seen the trial

Reports now carry what their instance makes of the evidence and how long it has known the order.

TestNewAnalyzerReliesOnInstancesThatHaveSeenTheTrial fails without the change: completed at once.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -175,6 +175,8 @@
 	// was given. Duration is 0 in reports of earlier versions.
 	Duration, Elapsed time.Duration
 	Revision          uint64
+	// Assessment is what the instance makes of the evidence.
+	Assessment Assessment
 	// Records are the counters of some routes.
 	Records []evidence.Record
 }
@@ -197,7 +199,7 @@
 		for _, group := range groups {
 			reports = append(reports, Report{
 				Service: service, To: t.order.To, Evidence: t.local, Duration: t.order.Duration,
-				Elapsed: now.Sub(t.startedAt), Revision: t.order.Revision, Records: group,
+				Elapsed: now.Sub(t.startedAt), Revision: t.order.Revision, Assessment: t.assessment, Records: group,
 			})
 		}
 	}
@@ -216,6 +218,7 @@
 	}
 	if t := c.trials[r.Service]; t != nil && t.order.To == r.To && t.state == InProgress {
 		t.peers[peer.Name] = r.Evidence
+		t.peerAssessments[peer.Name] = peerAssessment{r.Assessment, now}
 		t.addRecords(peer, r.Records, now)
 	}
 	return isNew
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -41,6 +41,9 @@
 	slowFrom  time.Duration
 	slowRoute string
 	hangRate  float64
+	// restartAt is when the analyzer is replaced by an instance that knows nothing; 0
+	// means never.
+	restartAt time.Duration
 	// speeds are the speeds of the new version's targets, relative to those of the
 	// old one, which differ among themselves.
 	speeds []float64
@@ -92,6 +95,11 @@
 	due := 0.0
 	for clock.Since(startedAt) < order.Duration {
 		clock.Advance(simulatedStep)
+		if s.restartAt > 0 && clock.Since(startedAt) == s.restartAt {
+			fleet[0] = New(clock)
+			fleet[0].AddOrder(order)
+			fleet[0].ApplyStatus(Status{"s", "v2", r.state})
+		}
 		running = slices.DeleteFunc(running, func(a simulatedAttempt) bool {
 			if a.endsAt.After(clock.Now()) {
 				return false
@@ -212,6 +220,8 @@
 		{"fails sometimes", simulation{perSecond: mean, newFailureRate: 0.15, oldFailureRate: 0.02, speeds: mixed}, RolledBack, mostly},
 		{"slower, with mean traffic", simulation{perSecond: mean, slowdown: 4, speeds: mixed}, RolledBack, always},
 		{"much slower, with mean traffic", simulation{perSecond: mean, slowdown: 8, speeds: mixed}, RolledBack, always},
+		{"slower, with a new analyzer", simulation{perSecond: mean, slowdown: 5, restartAt: 10400 * time.Millisecond, speeds: mixed}, RolledBack, mostly},
+		{"good, with a new analyzer", simulation{perSecond: mean, restartAt: 10400 * time.Millisecond, speeds: mixed}, Completed, mostly},
 		{"slower later", simulation{perSecond: mean, slowdown: 8, slowFrom: 5 * time.Second, speeds: mixed}, RolledBack, always},
 		{"slower on one route", simulation{perSecond: mean, slowdown: 8, slowRoute: "short", speeds: mixed}, RolledBack, mostly},
 		{"slower with little traffic", simulation{perSecond: 20, slowdown: 8, speeds: mixed}, RolledBack, mostly},
@@ -249,6 +259,38 @@
 	}
 }
 
+// An analyzer that had restarted just before the end of a trial had all requests on
+// record, but had not seen when they ran, and completed a slow version.
+func TestNewAnalyzerReliesOnInstancesThatHaveSeenTheTrial(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	seen := New(clock)
+	seen.AddOrder(order)
+	for range 2 * enoughRequests {
+		seen.Start("s", "v2", "r", 0).End(evidence.Answered)
+		seen.Start("s", "v1", "r", 0).End(evidence.Answered)
+	}
+	clock.Advance(time.Duration(trialTimeShare * float64(order.Duration)))
+	reports, err := seen.Reports(1000)
+	assert.NilError(t, err)
+	for _, inDoubt := range []bool{true, false} {
+		reports[0].Assessment = Assessment{Watched: clock.Since(seen.trials["s"].startedAt), LogEvidence: -1, Requests: 2 * enoughRequests}
+		want := Completed
+		if inDoubt {
+			reports[0].Assessment.LogEvidence, want = 1, RolledBack
+		}
+		restarted := New(clock)
+		restarted.ApplyReport(evidence.InstanceID{Name: "seen"}, reports[0])
+		decisions := restarted.Decide(true)
+		if inDoubt {
+			assert.Equal(t, len(decisions), 0, "completed on its own assessment")
+			clock.Advance(order.Duration / 10)
+			restarted.ApplyReport(evidence.InstanceID{Name: "seen"}, reports[0])
+			decisions = restarted.Decide(true)
+		}
+		assert.Equal(t, decisions[0].Status.State, want)
+	}
+}
+
 // The share that is increased for the sake of evidence stays within the operator's
 // limit, even if there is twice the traffic that was known.
 func TestIncreasedShareStaysWithinTheLimit(t *testing.T) {
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -33,6 +33,9 @@
 	lastTimeShare  = 0.85
 	// enoughRequests is the number of requests of the new version that are enough.
 	enoughRequests = 30
+	// minWatchedShare is the share of the order's duration that an instance must have
+	// known it for to have seen enough.
+	minWatchedShare = 0.35
 	// alpha bounds the probability that a version that is no worse is rolled back
 	// before its trial is over.
 	alpha = 0.001
@@ -47,11 +50,33 @@
 	referenceTokens = 100
 )
 
+// Assessment is what an instance makes of the evidence. Its field names are part of
+// the encoding between instances.
+type Assessment struct {
+	// Watched is how long the instance has known the order.
+	Watched time.Duration
+	// LogEvidence is that of the evidence.Verdict, Requests the number of requests
+	// that the new version has had.
+	LogEvidence float64
+	Requests    int
+}
+
+// peerAssessment is the assessment of another instance and when it was received.
+type peerAssessment struct {
+	Assessment
+	receivedAt time.Time
+}
+
+// assessmentTimeout is the age from which an assessment is not relied on.
+const assessmentTimeout = time.Second
+
 // trial is an order with its state and counts; Controller.mu guards it.
 type trial struct {
 	order     Order
 	state     State
 	startedAt time.Time
+	// learnedAt is when this instance heard of the order.
+	learnedAt time.Time
 	// share is the share of requests sent to the new version.
 	share    float64
 	counters *evidence.CounterSet
@@ -59,6 +84,9 @@
 	local    Evidence
 	// peers holds the counts of other instances, by instance.
 	peers map[string]Evidence
+	// assessment is this instance's latest one, peerAssessments are those of others.
+	assessment      Assessment
+	peerAssessments map[string]peerAssessment
 }
 
 // self identifies this instance's own records.
@@ -66,7 +94,8 @@
 
 func newTrial(order Order, startedAt, now time.Time) *trial {
 	return &trial{
-		order: order, state: InProgress, startedAt: startedAt, share: minCanaryShare, peers: make(map[string]Evidence),
+		order: order, state: InProgress, startedAt: startedAt, learnedAt: now, share: minCanaryShare,
+		peers: make(map[string]Evidence), peerAssessments: make(map[string]peerAssessment),
 		counters: &evidence.CounterSet{},
 		analyzer: evidence.NewAnalyzer(evidence.Options{
 			NewVersion: order.To, Alpha: alpha, PlannedDuration: order.Duration, WholeRequestsOnly: true, ExtraTolerance: extraTolerance,
@@ -84,6 +113,9 @@
 	t.addRecords(self, t.counters.Snapshot(now), now)
 	t.analyzer.Tick(now)
 	verdict := t.analyzer.Verdict(now)
+	t.assessment = Assessment{
+		Watched: now.Sub(t.learnedAt), LogEvidence: verdict.LogEvidence, Requests: verdict.Totals.NewStarted,
+	}
 	t.share = t.shareFor(verdict.Totals.Started, now.Sub(t.startedAt))
 	return verdict
 }
@@ -100,13 +132,27 @@
 	return max(minCanaryShare, min(wanted, maxCanaryShare, allowedShare+usedSlack/expected))
 }
 
+// bestAssessment returns the assessment of the live instance that has known the
+// order for longest: one that has restarted has not seen the trial.
+func (t *trial) bestAssessment(now time.Time) Assessment {
+	best := t.assessment
+	for _, a := range t.peerAssessments {
+		if now.Sub(a.receivedAt) < assessmentTimeout && a.Watched > best.Watched+assessmentTimeout {
+			best = a.Assessment
+		}
+	}
+	return best
+}
+
 // decide returns the state that follows from the verdict.
 func (t *trial) decide(verdict *evidence.Verdict, analyzer bool, now time.Time) State {
 	passed := func(share float64) bool {
 		return now.Sub(t.startedAt) >= time.Duration(share*float64(t.order.Duration))
 	}
-	enough := verdict.Totals.NewStarted >= enoughRequests
-	inDoubt := verdict.LogEvidence >= doubtLogEvidence
+	best := t.bestAssessment(now)
+	watchedEnough := best.Watched >= time.Duration(minWatchedShare*float64(t.order.Duration))
+	enough := watchedEnough && best.Requests >= enoughRequests
+	inDoubt := best.LogEvidence >= doubtLogEvidence
 	switch {
 	case verdict.Finding == evidence.Regressed:
 		return RolledBack
