Split the exchange with a target and its events from the attempts of a request

What the code calls an exchange in package dispatch had another name in the gateway; the type is exchange now, its events are receivedEvents, each in a file of its own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
@@ -26,22 +24,22 @@
 // attempt sends the request to the target of the grant. While that is silent,
 // another target is looked for.
 func (r *inflightRequest) attempt(ctx context.Context, grant *schedule.Grant) attemptResult {
-	l := r.newLeg(ctx, grant, r.request.LastEventID)
+	x := r.newExchange(ctx, grant, r.request.LastEventID)
 	var t *takeover[*Response]
-	l.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
+	x.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
 		if t == nil {
 			t = &takeover[*Response]{
-				ctx: ctx, cancelCurrent: l.cancel, onStart: l.recordSilence, search: r.searchResponse, discard: (*Response).discard,
+				ctx: ctx, cancelCurrent: x.cancel, onStart: x.recordSilence, search: r.searchResponse, discard: (*Response).discard,
 			}
 		}
 		t.start()
 	}}
-	reply := l.exchange()
-	if response, replaced := t.settle(l.isSuccess(reply)); replaced {
-		r.recordReplaced(l)
+	reply := x.run()
+	if response, replaced := t.settle(x.isSuccess(reply)); replaced {
+		r.recordReplaced(x)
 		return attemptResult{response: response}
 	}
-	return r.conclude(ctx, l, reply)
+	return r.conclude(ctx, x, reply)
 }
 
 // searchResponse tries other targets until one responds well; see takeover.
@@ -65,135 +63,19 @@
 	return nil, false
 }
 
-// leg is one exchange of a request with a target.
-type leg struct {
-	inflight *inflightRequest
-	ctx      context.Context
-	cancel   context.CancelFunc
-	grant    *schedule.Grant
-	tracked  *observation
-	silence  dispatch.SilenceWatch
-
-	startedAt time.Time
-	// counted is set once the attempt counts as sent, silent once its silence has
-	// been recorded.
-	counted, silent bool
-
-	response *dispatch.PooledResponse
-	events   *legEvents
-	// ended is set if the stream has ended without a further event.
-	ended bool
-}
-
-func (r *inflightRequest) newLeg(ctx context.Context, grant *schedule.Grant, lastEventID string) *leg {
-	ctx, cancel := context.WithCancel(ctx)
-	return &leg{
-		inflight: r, ctx: ctx, cancel: cancel, grant: grant, tracked: r.observe(grant), startedAt: r.Clock.Now(),
-		events: &legEvents{lastID: lastEventID},
-	}
-}
-
-// reply is what a target sent before its response, or the failure of the exchange,
-// is known: the first events of a stream or another response as a whole.
-type reply struct {
-	metadata ResponseMetadata
-	stream   bool
-	body     []byte
-	err      error
-	took     time.Duration
-}
-
-// isRejected reports whether the target has not executed the request.
-func (l *leg) isRejected(metadata ResponseMetadata) bool {
-	return metadata.NotExecuted || l.response.Status == http.StatusMisdirectedRequest
-}
-
-// isSuccess reports whether the reply is worth more than that of another target may
-// be.
-func (l *leg) isSuccess(p reply) bool {
-	if p.stream {
-		return p.err == nil || p.err == io.EOF
-	}
-	return p.err == nil && !p.metadata.NotExecuted && l.response.Status < http.StatusInternalServerError
-}
-
-// exchange sends the request and reads the reply. It does not change the state of
-// the request.
-func (l *leg) exchange() reply {
-	r := l.inflight
-	var p reply
-	defer func() { p.took = r.Clock.Since(l.startedAt) }()
-	l.response, p.err = r.Pool.Send(l.ctx, r.targetRequest(l))
-	if p.err != nil {
-		return p
-	}
-	if l.response.Status != http.StatusMisdirectedRequest {
-		l.tracked.Heard(l.response.ConnOpenedAt())
-	}
-	p.metadata = r.Protocol.ParseResponse(l.response.Header)
-	switch {
-	case l.isRejected(p.metadata):
-		p.metadata.NotExecuted = true
-		l.response.Discard()
-	case l.response.Status == http.StatusOK && r.route.Kind == catalog.Streaming && p.metadata.Signed:
-		p.stream = true
-		p.err = l.readEvents()
-	case untrusted(l.response, p.metadata):
-		// The body is not read: it may come without end.
-		p.err = errUntrusted
-	default:
-		l.grant.ResponseStarted(r.Clock.Since(l.startedAt))
-		p.body, p.err = l.response.ReadBody(maxBufferedBytes)
-	}
-	return p
-}
-
-// countSent counts the attempt as one that may have been executed.
-func (r *inflightRequest) countSent(l *leg) {
-	if l.counted {
-		return
-	}
-	l.counted = true
-	r.attempts++
-	r.possibleRuns++
-	r.Counters.SentToTargets.Add(1)
-}
-
-// recordSilence records that the target is silent.
-func (l *leg) recordSilence() {
-	if l.silent {
-		return
-	}
-	l.silent = true
-	l.grant.Silent()
-	r := l.inflight
-	r.countSent(l)
-	r.Counters.TargetsSilent.Add(1)
-	r.log.addStep("silent", l.grant.Target.ID, r.Clock.Since(l.startedAt))
-	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
-}
-
-// recordReplaced ends the exchange with a silent target after another one has
-// responded.
-func (r *inflightRequest) recordReplaced(l *leg) {
-	l.tracked.End(quarantine.Unanswered)
-	l.end(schedule.Cancelled)
-	r.log.addStep("replaced", l.grant.Target.ID, r.Clock.Since(l.startedAt))
-}
-
 // conclude returns what a reply means for the request.
-func (r *inflightRequest) conclude(ctx context.Context, l *leg, p reply) attemptResult {
+func (r *inflightRequest) conclude(ctx context.Context, x *exchange, p reply) attemptResult {
 	switch {
-	case l.response == nil:
-		return r.handleSendError(ctx, l, p)
+	case x.response == nil:
+		return r.handleSendError(ctx, x, p)
 	case p.metadata.NotExecuted:
-		return r.handleNotExecuted(l, p)
+		return r.handleNotExecuted(x, p)
 	case p.stream:
-		r.countSent(l)
-		return r.openStream(ctx, l, p)
+		r.countSent(x)
+		return r.openStream(ctx, x, p)
 	}
-	r.countSent(l)
-	return r.relayBuffered(ctx, l, p)
+	r.countSent(x)
+	return r.relayBuffered(ctx, x, p)
 }
 
 // trackAttempt records the start of an attempt, in case the request crashes the
@@ -231,83 +113,31 @@
 	}
 }
 
-// targetRequest builds the request to a target.
-func (r *inflightRequest) targetRequest(l *leg) *dispatch.PooledRequest {
-	target := l.grant.Target
-	metadata := DispatchMetadata{
-		TargetID: target.ID, Account: r.accountName(), TimeLeft: r.deadline.Sub(r.Clock.Now()), LastEventID: l.events.lastID,
-	}
-	return &dispatch.PooledRequest{
-		Address: target.Address, Method: r.request.Method, URI: r.request.URI, Body: r.request.Body,
-		Header:           append(r.Protocol.DispatchFields(metadata), r.request.Header...),
-		RequireFreshConn: !r.route.Retryable(),
-		Silence:          l.silence,
-		MatchesRequest: func(header http.Header) bool {
-			id := r.Protocol.ParseResponse(header).AttemptID
-			return id == "" || id == r.request.AttemptID
-		},
-	}
-}
-
-const (
-	// responseTimeoutObjectives is the time without a response, in multiples of the
-	// objective, after which another target is looked for; minResponseTimeout is its
-	// lower bound. Both leave time for another target: callers abandon a stream after
-	// four times the objective.
-	responseTimeoutObjectives = 2.5
-	minResponseTimeout        = time.Second
-	// responseTimeoutExpected is the same timeout in multiples of the expected time
-	// to the first token.
-	responseTimeoutExpected = 1.5
-	// gapTimeoutGaps and minGapTimeout are the same for gaps between events.
-	gapTimeoutGaps = 3
-	minGapTimeout  = 800 * time.Millisecond
-)
-
-// responseTimeout returns the time without a byte of the response after which
-// another target is looked for; 0 if none may be tried.
-func (r *inflightRequest) responseTimeout(expectedTimeToFirst time.Duration) time.Duration {
-	if !r.route.Retryable() || r.route.LatencyObjective == 0 || r.attempts+1 >= r.route.MaxAttempts {
-		return 0
-	}
-	return max(minResponseTimeout, time.Duration(responseTimeoutObjectives*float64(r.route.LatencyObjective)),
-		time.Duration(responseTimeoutExpected*float64(expectedTimeToFirst)))
-}
-
-// gapTimeout returns the same time between two events; 0 if the stream cannot be
-// resumed.
-func (r *inflightRequest) gapTimeout() time.Duration {
-	if !r.route.Retryable() || r.route.EventGapObjective == 0 || r.attempts >= r.route.MaxAttempts {
-		return 0
-	}
-	return max(minGapTimeout, gapTimeoutGaps*r.route.EventGapObjective)
-}
-
 // handleSendError handles an attempt that ended without a response header.
-func (r *inflightRequest) handleSendError(ctx context.Context, l *leg, p reply) attemptResult {
-	endBroken(ctx, l.tracked, p.err)
+func (r *inflightRequest) handleSendError(ctx context.Context, x *exchange, p reply) attemptResult {
+	endBroken(ctx, x.tracked, p.err)
 	notSent := dispatch.IsNotSent(p.err)
 	if !notSent {
-		r.countSent(l)
+		r.countSent(x)
 	}
-	r.log.addStep("send failed", l.grant.Target.ID, p.took)
+	r.log.addStep("send failed", x.grant.Target.ID, p.took)
 	if ctx.Err() != nil {
-		l.end(schedule.Cancelled)
+		x.end(schedule.Cancelled)
 		return attemptResult{reason: "no answer came before the deadline"}
 	}
 	r.log.cause = p.err
-	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
+	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 	if notSent {
 		r.unreachable++
 		r.Counters.TargetsUnreachable.Add(1)
-		l.end(schedule.Unreachable)
+		x.end(schedule.Unreachable)
 		return attemptResult{retry: true}
 	}
 	result := schedule.Failed
 	if errors.Is(p.err, dispatch.ErrStaleConn) {
 		result = schedule.Cancelled
 	}
-	l.end(result)
+	x.end(result)
 	return r.failedAttempt("the target broke off before an answer")
 }
 
@@ -318,63 +148,51 @@
 
 // handleNotExecuted handles a target that reports that it did not execute the
 // request.
-func (r *inflightRequest) handleNotExecuted(l *leg, p reply) attemptResult {
-	l.tracked.End(quarantine.NoEvidence)
-	r.countSent(l)
+func (r *inflightRequest) handleNotExecuted(x *exchange, p reply) attemptResult {
+	x.tracked.End(quarantine.NoEvidence)
+	r.countSent(x)
 	r.possibleRuns--
 	r.Counters.NotExecuted.Add(1)
-	r.log.addStep("not executed "+http.StatusText(l.response.Status), l.grant.Target.ID, p.took)
-	r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
-	if l.response.Status == http.StatusMisdirectedRequest {
+	r.log.addStep("not executed "+http.StatusText(x.response.Status), x.grant.Target.ID, p.took)
+	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
+	if x.response.Status == http.StatusMisdirectedRequest {
 		r.Counters.Misdirected.Add(1)
-		l.end(schedule.Unreachable)
-		r.OnMisdirected(l.grant.Target)
+		x.end(schedule.Unreachable)
+		r.OnMisdirected(x.grant.Target)
 		return attemptResult{retry: true}
 	}
-	l.end(schedule.Full)
+	x.end(schedule.Full)
 	return attemptResult{retry: true}
 }
 
 // relayBuffered returns a response that was read as a whole.
-func (r *inflightRequest) relayBuffered(ctx context.Context, l *leg, p reply) attemptResult {
+func (r *inflightRequest) relayBuffered(ctx context.Context, x *exchange, p reply) attemptResult {
 	if p.err != nil {
-		endBroken(ctx, l.tracked, p.err)
+		endBroken(ctx, x.tracked, p.err)
 	} else {
-		endComplete(l.tracked, l.response)
+		endComplete(x.tracked, x.response)
 	}
 	switch {
 	case ctx.Err() != nil:
-		l.end(schedule.Cancelled)
+		x.end(schedule.Cancelled)
 		return attemptResult{reason: "the answer was not complete before the deadline"}
 	case p.err != nil:
-		r.log.addStep("answer unusable", l.grant.Target.ID, p.took)
+		r.log.addStep("answer unusable", x.grant.Target.ID, p.took)
 		r.log.cause = p.err
-		r.excludedTargets = append(r.excludedTargets, l.grant.Target.Key())
-		l.end(schedule.Failed)
+		r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
+		x.end(schedule.Failed)
 		return r.failedAttempt("the target's answer was not whole")
 	}
-	if l.response.Status >= http.StatusInternalServerError {
-		l.end(schedule.Cancelled)
+	if x.response.Status >= http.StatusInternalServerError {
+		x.end(schedule.Cancelled)
 	} else {
-		l.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: p.took})
+		x.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: p.took})
 	}
-	r.log.addStep("answered", l.grant.Target.ID, p.took)
-	if impliesNotRun(l.response.Status) {
+	r.log.addStep("answered", x.grant.Target.ID, p.took)
+	if impliesNotRun(x.response.Status) {
 		return attemptResult{reason: "the target failed"}
 	}
-	return attemptResult{response: &Response{Status: l.response.Status, Header: removeHopByHop(l.response.Header), Body: p.body}}
-}
-
-// end ends the exchange without a complete response.
-func (l *leg) end(result schedule.Result) { l.finish(l.outcome(result)) }
-
-// finish closes the response and ends the grant.
-func (l *leg) finish(outcome schedule.Outcome) {
-	if l.response != nil {
-		l.response.Close()
-	}
-	l.cancel()
-	l.grant.Done(outcome)
+	return attemptResult{response: &Response{Status: x.response.Status, Header: removeHopByHop(x.response.Header), Body: p.body}}
 }
 
 // observeLatency records the latencies of an answered request.
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -112,7 +112,7 @@
 
 func TestEventsWithoutProgressEndAStream(t *testing.T) {
 	unidentified := event{raw: []byte("data: a\n\n")}
-	var events legEvents
+	var events receivedEvents
 	for read := 0; read+len(unidentified.raw) <= maxEventBytes; read += len(unidentified.raw) {
 		assert.NilError(t, events.check(unidentified, 0))
 	}
@@ -121,7 +121,7 @@
 
 func TestMoreEventsThanTheCallerAllowedEndAStream(t *testing.T) {
 	const maxTokens = 100
-	var events legEvents
+	var events receivedEvents
 	for i := range maxTokens + maxUncountedEvents {
 		assert.NilError(t, events.check(event{id: strconv.Itoa(i + 1)}, maxTokens))
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -25,7 +25,7 @@
 // discard ends a target's response that is not used.
 func (r *Response) discard() {
 	if s, ok := r.Stream.(*stream); ok && !s.completed {
-		s.leg.discard()
+		s.current.discard()
 	}
 }
 
