Measure the time of a plain response

What callers saw: nothing that was traced; the scheduler was told that each plain response took no time, and places by the average of these times.

Before: TestTimeOfAPlainResponseReachesTheScheduler got 0 s after a pause of 50 ms. After: it passes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -52,9 +52,8 @@
 
 // run sends the request and reads the reply. It does not change the state of
 // the request.
-func (x *exchange) run() reply {
+func (x *exchange) run() (p reply) {
 	r := x.inflight
-	var p reply
 	defer func() { p.took = r.Clock.Since(x.startedAt) }()
 	x.response, p.err = r.Pool.Send(x.ctx, r.targetRequest(x))
 	if p.err != nil {
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -154,6 +154,7 @@
 	placer *sequentialPlacer
 	target *catalog.Target
 	result schedule.Result
+	took   time.Duration
 }
 
 func (p *sequentialPlacer) Acquire(ctx context.Context, r *schedule.Request) (*schedule.Grant, error) {
@@ -165,7 +166,7 @@
 	p.searches++
 	for _, target := range p.targets {
 		if !slices.Contains(r.ExcludedTargets, target.Key()) {
-			g := &placedGrant{p, target, outcomeUnknown}
+			g := &placedGrant{placer: p, target: target, result: outcomeUnknown}
 			p.grants = append(p.grants, g)
 			return schedule.NewGrant(schedule.Grant{Target: target}, g), nil
 		}
@@ -181,7 +182,7 @@
 	g.placer.mu.Lock()
 	defer g.placer.mu.Unlock()
 	if g.result == outcomeUnknown {
-		g.result = o.Result
+		g.result, g.took = o.Result, o.TotalTime
 	}
 }
 
@@ -466,3 +467,13 @@
 		}
 	}
 }
+
+// The scheduler was told that each plain response took no time.
+func TestTimeOfAPlainResponseReachesTheScheduler(t *testing.T) {
+	const pause = 50 * time.Millisecond
+	c := newTakeoverCase(t, catalog.Idempotent, 2, []scriptStep{pause, plain(http.StatusOK, "a")})
+	c.checkSend(t, "a")
+	c.placer.mu.Lock()
+	defer c.placer.mu.Unlock()
+	assert.Assert(t, c.placer.grants[0].took >= pause, "%v", c.placer.grants[0].took)
+}
