--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -137,7 +137,7 @@
 }
 
 func (headerProtocol) ParseResponse(h http.Header) ResponseMetadata {
-	return ResponseMetadata{AttemptID: h.Get("Id"), Signed: h.Get("Signed") != "", NotExecuted: h.Get("Not-Executed") != ""}
+	return ResponseMetadata{AttemptID: h.Get("Id"), Signed: h.Get("Signed") != "", NotExecuted: h.Get("Rejected") != ""}
 }
 
 // sequentialPlacer grants the targets in order, each once at a time.
@@ -313,7 +313,7 @@
 func TestFailureOfASilentTargetDoesNotEndTheSearch(t *testing.T) {
 	for name, late := range map[string]string{
 		"failure": plain(http.StatusInternalServerError, "failure"), "unsigned": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
-		"rejection": "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", "broken off": "HTTP/1.1 200 OK\r\nSig",
+		"rejection": "HTTP/1.1 503 x\r\nRejected: 1\r\nContent-Length: 0\r\n\r\n", "broken off": "HTTP/1.1 200 OK\r\nSig",
 		"unavailable": plain(http.StatusServiceUnavailable, "x"),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -344,7 +344,7 @@
 // A rejection whose body stalls was read, and started a search, after the request's
 // state had been given back.
 func TestRejectionThatStallsDoesNotHoldTheRequest(t *testing.T) {
-	const stalled = "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\n"
+	const stalled = "HTTP/1.1 503 x\r\nRejected: 1\r\nContent-Length: 9\r\n\r\n"
 	for name, kind := range map[string]catalog.Kind{"stream": catalog.Streaming, "plain": catalog.Idempotent} {
 		t.Run(name, func(t *testing.T) {
 			answer, want := plain(http.StatusOK, "second"), "second"
@@ -361,7 +361,7 @@
 
 // The 503 of a request that was rejected by all is true, also if one stalled.
 func TestRequestRejectedAfterSilenceIsRefused(t *testing.T) {
-	const rejection = "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	const rejection = "HTTP/1.1 503 x\r\nRejected: 1\r\nContent-Length: 0\r\n\r\n"
 	c := newTakeoverCase(t, catalog.Idempotent, 2, []scriptStep{longPause, rejection}, []scriptStep{longPause, rejection})
 	status, _, err := c.send()
 	assert.NilError(t, err)
