--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -86,7 +86,7 @@
 			ended := decision.Status
 			n.logger.Info("rollout decided", zap.String("service", ended.Service), zap.String("version", ended.To),
 				zap.String("state", string(ended.State)), zap.Float64("log_evidence", decision.LogEvidence),
-				zap.String("reason", decision.Reason), zap.Any("evidence", decision.Evidence))
+				zap.String("reason", decision.Reason), zap.Any("assessment", decision.Assessment), zap.Any("evidence", decision.Evidence))
 		}
 		if isAnalyzer && n.clock.Since(attemptedAt) >= statusWriteInterval {
 			attemptedAt = n.clock.Now()
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -253,6 +253,7 @@
 		}
 		ended = append(ended, Decision{
 			Status: Status{service, t.order.To, t.state}, Evidence: t.total(), LogEvidence: verdict.LogEvidence, Reason: verdict.Reason,
+			Assessment: t.bestAssessment(now),
 		})
 	}
 	return ended
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -224,4 +224,6 @@
 	// LogEvidence and Reason are those of the evidence.Verdict.
 	LogEvidence float64
 	Reason      string
+	// Assessment is the one that the end of a trial is decided by.
+	Assessment Assessment
 }
