--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -119,7 +119,9 @@
 	{
 		"a bad version gets a small share and is taken back", "rollout/rollout.go",
 		combineTests(testedBy("rollout", "TestOrdersEndAsTheVersionDeserves", "TestEndIsNeverUndone"),
-			testedBy(adapterPackage, "TestBadVersionIsTakenBackByAllInstances", "TestGoodVersionIsCompleted")), "",
+			testedBy(adapterPackage, "TestBadVersionIsTakenBackByAllInstances", "TestGoodVersionIsCompleted",
+				"TestOrderReachesInstancesThatDoNotWatch", "TestAttemptsThatOutlastTheirDeadlineCountAgainstAVersion",
+				"TestSlowVersionIsNotCompletedOnAFewResponses")), "hasty",
 	},
 	{
 		"a request that crashes targets is refused after three, and no other one", "quarantine/decision.go, quarantine/suspects.go",
