--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -422,3 +422,16 @@
 	assert.Assert(t, c.AddOrder(Order{Service: "s", To: "v4", Duration: time.Minute, Revision: 9}))
 	assert.Equal(t, c.Statuses()[0].To, "v4")
 }
+
+// A version that takes twice the time on all targets alike is not several times slower.
+func TestSomewhatSlowerVersionIsCompleted(t *testing.T) {
+	const seeds, perSecond = 60, 600
+	s := simulation{perSecond: perSecond, newFailureRate: 0.02, oldFailureRate: 0.02, slowdown: 2, speeds: oldSpeeds}
+	completed := 0
+	for seed := range uint64(seeds) {
+		if s.run(t, seed).state == Completed {
+			completed++
+		}
+	}
+	assert.Equal(t, completed, seeds)
+}
