--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
@@ -63,6 +65,7 @@
 		x.tracked.Heard(x.response.ConnOpenedAt())
 	}
 	p.metadata = r.Protocol.ParseResponse(x.response.Header)
+	x.recordTerms(&p.metadata)
 	switch {
 	case x.isRejected(p.metadata):
 		p.metadata.NotExecuted = true
@@ -80,6 +83,22 @@
 	return p
 }
 
+// recordTerms records what the target states about the requests that it takes. A
+// response that another target at the same address sends states nothing about it;
+// that a response states nothing is relied on if it is certainly the target's own.
+func (x *exchange) recordTerms(m *ResponseMetadata) {
+	if x.response.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	if m.TermsInvalid {
+		x.inflight.Logger.Warn("a target states terms that cannot be read", zap.String("target", x.grant.Target.ID),
+			zap.String("request", x.inflight.request.AttemptID))
+	}
+	if m.Terms.AreStated() || !m.TermsInvalid && (m.Signed || m.NotExecuted) {
+		x.grant.TermsStated(m.Terms)
+	}
+}
+
 // isRejected reports whether the target has not executed the request.
 func (x *exchange) isRejected(metadata ResponseMetadata) bool {
 	return metadata.NotExecuted || x.response.Status == http.StatusMisdirectedRequest
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,10 @@
 	Signed bool
 	// NotExecuted is set if the target has not executed the request and will not.
 	NotExecuted bool
+	// Terms are what the target states about the requests that it takes;
+	// TermsInvalid is set if a part of that cannot be read.
+	Terms        schedule.Terms
+	TermsInvalid bool
 }
 
 // Protocol reads and writes the platform's header fields.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -35,8 +35,10 @@
 
 func (p *crashingPlacer) ResponseStarted(time.Duration)     {}
 func (p *crashingPlacer) TokensReceived(int, time.Duration) {}
-func (p *crashingPlacer) Silent()                           {}
-func (p *crashingPlacer) Done(o schedule.Outcome)           { p.ended = o.Result }
+
+func (p *crashingPlacer) TermsStated(schedule.Terms) {}
+func (p *crashingPlacer) Silent()                    {}
+func (p *crashingPlacer) Done(o schedule.Outcome)    { p.ended = o.Result }
 
 // A request was checked only when it arrived. One that was waiting for a place,
 // was retried or was resumed reached a target after it had crashed others.
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -176,7 +176,9 @@
 
 func (g *placedGrant) ResponseStarted(time.Duration)     {}
 func (g *placedGrant) TokensReceived(int, time.Duration) {}
-func (g *placedGrant) Silent()                           {}
+
+func (g *placedGrant) TermsStated(schedule.Terms) {}
+func (g *placedGrant) Silent()                    {}
 
 func (g *placedGrant) Done(o schedule.Outcome) {
 	g.placer.mu.Lock()
--- a/internal/placement/counters.go
+++ b/internal/placement/counters.go
@@ -16,6 +16,9 @@
 	// CoordinatorTimeouts counts coordinators that did not respond in time,
 	// LocalPlacements the requests placed without a coordinator.
 	CoordinatorTimeouts, LocalPlacements atomic.Uint64
+	// TermsChanged counts changes of what targets state about the requests that
+	// they take.
+	TermsChanged atomic.Uint64
 	// SendErrors counts messages that could not be sent, DecodeErrors received
 	// messages that could not be decoded.
 	SendErrors, DecodeErrors atomic.Uint64
@@ -33,6 +36,7 @@
 		"asked": c.RequestsDecided.Load(), "redirected": c.RequestsRedirected.Load(), "taken_over": c.GroupsTakenOver.Load(),
 		"resumed": c.ExecutionsAdopted.Load(),
 		"expired": c.LeasesExpired.Load(), "silent": c.CoordinatorTimeouts.Load(), "alone": c.LocalPlacements.Load(),
-		"unsent": c.SendErrors.Load(), "unread": c.DecodeErrors.Load(),
+		"terms_changed": c.TermsChanged.Load(),
+		"unsent":        c.SendErrors.Load(), "unread": c.DecodeErrors.Load(),
 	}
 }
--- a/internal/placement/execution.go
+++ b/internal/placement/execution.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -17,7 +20,10 @@
 	client  *Client
 	id      uint32
 	target  targetID
+	key     catalog.TargetKey
 	request *schedule.Request
+	// startedAt is when the request was placed.
+	startedAt time.Time
 	// localGrant counts the request in the client's local scheduler; nil if that
 	// did not know the target.
 	localGrant *schedule.Grant
@@ -36,7 +42,7 @@
 // again until the next renewal.
 func (c *Client) track(id uint32, r *schedule.Request, grant schedule.Grant, localGrant *schedule.Grant) *schedule.Grant {
 	e := &execution{
-		client: c, id: id, target: idOf(grant.Target.Key()), request: r, localGrant: localGrant, coordinator: grant.Coordinator,
+		client: c, id: id, target: idOf(grant.Target.Key()), key: grant.Target.Key(), request: r, startedAt: c.clock.Now(), localGrant: localGrant, coordinator: grant.Coordinator,
 	}
 	c.mu.Lock()
 	c.running[id] = e
@@ -80,6 +86,16 @@
 	e.reportProgress(&progressReport{ID: e.id, Result: schedule.Failed})
 }
 
+// TermsStated implements schedule.ExecutionObserver.
+func (e *execution) TermsStated(terms schedule.Terms) {
+	c := e.client
+	before, changed := c.local.RecordTerms(e.key, schedule.HeardTerms{Terms: terms, At: c.clock.Now()}, e.startedAt)
+	if changed {
+		c.counters.TermsChanged.Add(1)
+		c.logger.Info("terms of a target changed", zap.String("target", e.key.String()), zap.Stringer("before", before), zap.Stringer("now", terms))
+	}
+}
+
 // Done implements schedule.ExecutionObserver.
 func (e *execution) Done(o schedule.Outcome) {
 	e.mu.Lock()
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -34,6 +34,8 @@
 	TokensReceived(tokens int, took time.Duration)
 	// Silent records that the target has sent nothing for too long.
 	Silent()
+	// TermsStated records the terms in the header of the response.
+	TermsStated(Terms)
 	// Done ends the request at its target; further calls have no effect.
 	Done(Outcome)
 }
@@ -57,6 +59,9 @@
 // Silent records that the target has sent nothing for too long.
 func (g *Grant) Silent() { g.observer.Silent() }
 
+// TermsStated records the terms in the header of the response.
+func (g *Grant) TermsStated(terms Terms) { g.observer.TermsStated(terms) }
+
 // Done ends the request at its target; further calls have no effect.
 func (g *Grant) Done(o Outcome) { g.observer.Done(o) }
 
@@ -68,6 +73,8 @@
 	// prefillAhead is the number of prompt tokens in prefill at the target when
 	// the request was placed.
 	prefillAhead int
+	// startedAt is when the request was placed.
+	startedAt time.Time
 	// responseStarted and ended are guarded by Scheduler.mu.
 	responseStarted, ended bool
 }
@@ -100,6 +107,14 @@
 	}
 }
 
+// TermsStated implements ExecutionObserver.
+func (e *execution) TermsStated(terms Terms) {
+	s := e.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordTerms(e.target, HeardTerms{Terms: terms, At: s.clock.Now()}, e.startedAt)
+}
+
 func (e *execution) endPrefill() {
 	if !e.responseStarted {
 		e.responseStarted = true
@@ -144,5 +159,5 @@
 	prefillAhead := t.prefillTokens
 	t.running++
 	t.prefillTokens += r.PromptTokens
-	return NewGrant(Grant{Target: t.info}, &execution{scheduler: s, target: t, request: r, prefillAhead: prefillAhead})
+	return NewGrant(Grant{Target: t.info}, &execution{scheduler: s, target: t, request: r, prefillAhead: prefillAhead, startedAt: s.clock.Now()})
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -203,7 +203,7 @@
 	g := NewGrant(Grant{
 		Target: t.info, Waited: now.Sub(r.ArrivedAt), RunningBefore: t.running, PrefillAhead: t.prefillTokens,
 		ExpectedTimeToFirst: sv.candidate(t, r, now, true).TimeToFirst,
-	}, &execution{scheduler: s, target: t, request: r, prefillAhead: t.prefillTokens})
+	}, &execution{scheduler: s, target: t, request: r, prefillAhead: t.prefillTokens, startedAt: now})
 	t.running++
 	t.prefillTokens += r.PromptTokens
 	return g
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -30,6 +30,8 @@
 	ejector                 routing.Ejector
 	backoffUntil            time.Time
 	backoff                 time.Duration
+	// terms are what the target last stated.
+	terms HeardTerms
 	// removed targets take no new requests and are deleted once nothing runs
 	// there.
 	removed bool
--- /dev/null
+++ b/internal/schedule/terms.go
@@ -0,0 +1,80 @@
+package schedule
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+)
+
+// Terms are what a target in need states in the header of its responses about the
+// requests that it takes; they hold for as long as it states them. The zero value
+// states nothing.
+type Terms struct {
+	// HasRateLimit is set if RateLimit is stated: the requests a second that the
+	// target takes from all instances together.
+	HasRateLimit bool
+	RateLimit    float64
+}
+
+// AreStated reports whether the terms restrict anything.
+func (t Terms) AreStated() bool { return t.HasRateLimit }
+
+// String returns the terms for log lines.
+func (t Terms) String() string {
+	if !t.HasRateLimit {
+		return "none"
+	}
+	return strconv.FormatFloat(t.RateLimit, 'g', -1, 64) + " requests a second"
+}
+
+// HeardTerms are the last terms that are known of a target.
+type HeardTerms struct {
+	Terms
+	// At is when an instance received the response that stated them, By the
+	// address of that instance; "" is this one.
+	At time.Time
+	By string
+}
+
+// TargetTerms are the terms known of one target.
+type TargetTerms struct {
+	Key catalog.TargetKey
+	HeardTerms
+}
+
+// RecordTerms records terms of a target that were stated in the response to a
+// request sent at sentAt; the newest hold. That a target no longer states any is
+// known only from a request sent after it last did, since responses overtake each
+// other. It reports whether the known terms have changed, and the terms before.
+func (s *Scheduler) RecordTerms(key catalog.TargetKey, heard HeardTerms, sentAt time.Time) (before Terms, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[key]
+	if t == nil {
+		return Terms{}, false
+	}
+	return s.recordTerms(t, heard, sentAt)
+}
+
+func (s *Scheduler) recordTerms(t *target, heard HeardTerms, sentAt time.Time) (before Terms, changed bool) {
+	before = t.terms.Terms
+	if heard.At.Before(t.terms.At) || !heard.AreStated() && !sentAt.After(t.terms.At) {
+		return before, false
+	}
+	t.terms = heard
+	return before, before != heard.Terms
+}
+
+// StatedTerms returns the terms of all targets that state any.
+func (s *Scheduler) StatedTerms() []TargetTerms {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var stated []TargetTerms
+	for key, t := range s.targets {
+		if t.terms.AreStated() {
+			stated = append(stated, TargetTerms{key, t.terms})
+		}
+	}
+	return stated
+}
