--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -34,10 +34,11 @@
 	counters *Counters
 	// local places requests without a coordinator, by the counts of this
 	// instance. It counts all requests that the instance runs.
-	local  *schedule.Scheduler
-	groups atomic.Pointer[Groups]
-	roster atomic.Pointer[Roster]
-	nextID atomic.Uint32
+	local         *schedule.Scheduler
+	peerAddresses func() []string
+	groups        atomic.Pointer[Groups]
+	roster        atomic.Pointer[Roster]
+	nextID        atomic.Uint32
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -62,7 +63,7 @@
 func newClient(o *Options, counters *Counters) *Client {
 	c := &Client{
 		clock: o.Clock, logger: o.Logger, send: o.Send, counters: counters,
-		local: schedule.New(o.Clock, o.Random()), random: o.Random(),
+		local: schedule.New(o.Clock, o.Random()), random: o.Random(), peerAddresses: o.PeerAddresses,
 		pending: make(map[uint32]chan receivedResponse), running: make(map[uint32]*execution),
 		unavailableUntil: make(map[string]time.Time), overrides: make(map[groupKey]coordinatorOverride), capacities: make(map[groupKey]reportedCapacity),
 	}
@@ -270,7 +271,7 @@
 	case decisionRefused:
 		return nil, &schedule.RefusedError{
 			Reason: response.Reason, RetryAfter: fromMillis(response.RetryAfterMs), QueuedAhead: response.Ahead,
-			Slots: response.Slots, ExpectedWait: fromMillis(response.ExpectedMs),
+			Slots: response.Slots, ExpectedWait: fromMillis(response.ExpectedMs), RateLimits: response.RateLimits,
 		}, true
 	case decisionRedirected, decisionMoved:
 		if a.redirects++; a.redirects > maxRedirects {
@@ -318,6 +319,10 @@
 		a.cancel()
 		return nil, errors.Wrap(errNotKnown, "target")
 	}
+	if response.Terms != nil {
+		now := c.clock.Now()
+		c.recordTerms(target.Key(), response.Terms.heard(a.coordinator, now), now)
+	}
 	grant := schedule.Grant{
 		Target: target, Waited: c.clock.Since(a.request.ArrivedAt), RunningBefore: response.RunningBefore, PrefillAhead: response.Ahead,
 		ExpectedTimeToFirst: fromMillis(response.ExpectedMs), Coordinator: a.coordinator,
--- a/internal/placement/execution.go
+++ b/internal/placement/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 // in one packet.
 const requestsPerRenewal = 70
 
+// termsPerRenewal is the same limit for the terms of targets.
+const termsPerRenewal = 40
+
 // execution is a request of this instance that runs on a target.
 type execution struct {
 	client  *Client
@@ -34,6 +38,9 @@
 	// none.
 	coordinator            string
 	responseStarted, ended bool
+	// terms are those in the header of the response that the coordinator is told
+	// of; nil if there is nothing to tell.
+	terms *targetTerms
 }
 
 // track registers a request that starts. If its group has another coordinator
@@ -86,20 +93,41 @@
 	e.reportProgress(&progressReport{ID: e.id, Result: schedule.Failed})
 }
 
-// TermsStated implements schedule.ExecutionObserver.
+// TermsStated implements schedule.ExecutionObserver. Changes are reported to the
+// coordinator at once, and the terms with the end of the request again, as a message
+// may be lost.
 func (e *execution) TermsStated(terms schedule.Terms) {
 	c := e.client
-	before, changed := c.local.RecordTerms(e.key, schedule.HeardTerms{Terms: terms, At: c.clock.Now()}, e.startedAt)
+	heard := schedule.HeardTerms{Terms: terms, At: c.clock.Now()}
+	changed := c.recordTerms(e.key, heard, e.startedAt)
+	if !changed && !terms.AreStated() {
+		return
+	}
+	message := newTargetTerms(e.key, heard, heard.At)
+	e.mu.Lock()
+	e.terms = &message
+	e.mu.Unlock()
+	if changed {
+		e.reportProgress(&progressReport{ID: e.id, Terms: &message})
+	}
+}
+
+// recordTerms records the terms of a target for requests placed without a
+// coordinator. It reports whether they have changed.
+func (c *Client) recordTerms(key catalog.TargetKey, heard schedule.HeardTerms, sentAt time.Time) bool {
+	before, changed := c.local.RecordTerms(key, heard, sentAt)
 	if changed {
 		c.counters.TermsChanged.Add(1)
-		c.logger.Info("terms of a target changed", zap.String("target", e.key.String()), zap.Stringer("before", before), zap.Stringer("now", terms))
+		c.logger.Info("terms of a target changed", zap.String("target", key.String()), zap.Stringer("before", before),
+			zap.Stringer("now", heard.Terms), zap.Duration("age", c.clock.Since(heard.At)), zap.String("peer", heard.By))
 	}
+	return changed
 }
 
 // Done implements schedule.ExecutionObserver.
 func (e *execution) Done(o schedule.Outcome) {
 	e.mu.Lock()
-	alreadyEnded := e.ended
+	alreadyEnded, terms := e.ended, e.terms
 	e.ended = true
 	e.mu.Unlock()
 	if alreadyEnded {
@@ -113,7 +141,7 @@
 	e.client.mu.Unlock()
 	e.reportProgress(&progressReport{
 		ID: e.id, Tokens: o.Tokens, TokenSpanMicros: o.TokenSpan.Microseconds(), Done: true, Result: o.Result,
-		TotalMicros: o.TotalTime.Microseconds(),
+		TotalMicros: o.TotalTime.Microseconds(), Terms: terms,
 	})
 }
 
@@ -144,10 +172,12 @@
 	e.coordinator = coordinator
 }
 
-// renewLeases reports to each coordinator all requests that run on its targets.
+// renewLeases reports to each coordinator all requests that run on its targets, and
+// the terms of those that state any.
 func (c *Client) renewLeases() {
 	groups := c.groups.Load()
 	now := c.clock.Now()
+	stated := c.local.StatedTerms()
 	c.mu.Lock()
 	byCoordinator := make(map[string][]*execution)
 	for _, e := range c.running {
@@ -159,10 +189,28 @@
 			byCoordinator[address] = append(byCoordinator[address], e)
 		}
 	}
+	termsFor := make(map[string][]targetTerms)
+	for _, t := range stated {
+		if group, known := groups.groupOf[idOf(t.Key)]; known {
+			if address := c.coordinatorFor(group, now); address != "" {
+				termsFor[address] = append(termsFor[address], newTargetTerms(t.Key, t.HeardTerms, now))
+			}
+		}
+	}
 	c.mu.Unlock()
 	for address, executions := range byCoordinator {
 		c.sendRenewals(address, executions, false)
 	}
+	for address, terms := range termsFor {
+		c.sendTerms(address, terms)
+	}
+}
+
+// sendTerms tells a coordinator the terms of targets.
+func (c *Client) sendTerms(address string, terms []targetTerms) {
+	for batch := range slices.Chunk(terms, termsPerRenewal) {
+		c.sendMessage(address, kindRenewal, &leaseRenewal{Partial: true, Terms: batch})
+	}
 }
 
 // sendRenewals reports running requests to their coordinator; partial means that
@@ -190,8 +238,20 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+			c.updateRateShare()
 			c.renewLeases()
 			c.local.StartQueued()
 		}
 	}
 }
+
+// uncoordinatedRateShare is the part of a target's rate limit that all instances
+// together use for requests placed without a coordinator, since those of the others
+// may have one.
+const uncoordinatedRateShare = 0.5
+
+// updateRateShare divides the rate limits of targets among the instances, for
+// requests placed without a coordinator.
+func (c *Client) updateRateShare() {
+	c.local.SetRateShare(uncoordinatedRateShare / float64(1+len(c.peerAddresses())))
+}
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -97,6 +98,33 @@
 	Coordinator string
 	// FreeSlots is the number of free slots in the group of the request.
 	FreeSlots int
+	// Terms are those of the granted target, if it states any.
+	Terms *targetTerms
+	// RateLimits describes the limits that a refusal is due to.
+	RateLimits string
+}
+
+// targetTerms are what a target states about the requests that it takes.
+type targetTerms struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Target targetID
+	// AgeMs is the time since the response arrived that stated the terms.
+	AgeMs        int64
+	HasRateLimit bool
+	RateLimit    float64
+}
+
+func newTargetTerms(key catalog.TargetKey, heard schedule.HeardTerms, now time.Time) targetTerms {
+	return targetTerms{Target: idOf(key), AgeMs: toMillis(now.Sub(heard.At)), HasRateLimit: heard.HasRateLimit, RateLimit: heard.RateLimit}
+}
+
+// heard returns the terms as received from another instance.
+func (t *targetTerms) heard(from string, now time.Time) schedule.HeardTerms {
+	return schedule.HeardTerms{
+		Terms: schedule.Terms{HasRateLimit: t.HasRateLimit, RateLimit: t.RateLimit}, At: now.Add(-fromMillis(t.AgeMs)), By: from,
+	}
 }
 
 // progressReport reports the progress of a request at its target to the
@@ -116,6 +144,9 @@
 	Done        bool
 	Result      schedule.Result
 	TotalMicros int64
+	// Terms are those in the header of the response, if they differ from what the
+	// sender knew or restrict anything.
+	Terms *targetTerms
 }
 
 // leaseRenewal lists the requests that an instance runs on the targets of a
@@ -128,6 +159,8 @@
 	// run.
 	Partial bool
 	Running []runningRequest
+	// Terms are those of the coordinator's targets that state any.
+	Terms []targetTerms
 }
 
 // runningRequest is one running request.
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -74,6 +74,8 @@
 	// decidedAt is when the request was queued or granted, renewedAt when a
 	// message last referred to it.
 	decidedAt, renewedAt time.Time
+	// sentAt is when the slot was granted here; zero if that was elsewhere.
+	sentAt time.Time
 }
 
 func newServer(o *Options, counters *Counters) *Server {
@@ -239,7 +241,8 @@
 	switch {
 	case h.grant != nil:
 		h.queued = nil
-		h.response = grantedResponse(id, h.grant)
+		h.sentAt = now
+		h.response = s.grantedResponse(id, h.grant, now)
 	case h.queued != nil:
 		h.response = &slotResponse{ID: id, Decision: decisionQueued}
 	default:
@@ -305,8 +308,8 @@
 		return
 	}
 	h.grant, h.queued = grant, nil
-	h.response = grantedResponse(id, grant)
-	h.decidedAt, h.renewedAt = now, now
+	h.response = s.grantedResponse(id, grant, now)
+	h.decidedAt, h.renewedAt, h.sentAt = now, now, now
 	response := h.response
 	s.mu.Unlock()
 	s.sendResponse(from, response)
@@ -336,11 +339,15 @@
 	s.mu.Lock()
 	h := s.requests[from][p.ID]
 	var grant *schedule.Grant
+	var sentAt time.Time
 	if h != nil {
 		h.renewedAt = s.clock.Now()
-		grant = h.grant
+		grant, sentAt = h.grant, h.sentAt
 	}
 	s.mu.Unlock()
+	if p.Terms != nil {
+		s.recordTerms(from, p.Terms, sentAt)
+	}
 	if grant == nil {
 		if h != nil && p.Done {
 			s.endRequest(from, p.ID, schedule.Outcome{Result: schedule.Cancelled})
@@ -387,11 +394,32 @@
 	return request
 }
 
-func grantedResponse(id uint32, g *schedule.Grant) *slotResponse {
-	return &slotResponse{
+// grantedResponse returns the response with a grant. The instance is told the terms
+// of the target, in case it has to place requests without a coordinator.
+func (s *Server) grantedResponse(id uint32, g *schedule.Grant, now time.Time) *slotResponse {
+	response := &slotResponse{
 		ID: id, Decision: decisionGranted, Target: idOf(g.Target.Key()), RunningBefore: g.RunningBefore, Ahead: g.PrefillAhead,
 		ExpectedMs: toMillis(g.ExpectedTimeToFirst),
 	}
+	if heard := s.scheduler.Terms(g.Target.Key()); heard.AreStated() {
+		terms := newTargetTerms(g.Target.Key(), heard, now)
+		response.Terms = &terms
+	}
+	return response
+}
+
+// recordTerms records the terms of a target that an instance has received, in the
+// response to a request sent at sentAt.
+func (s *Server) recordTerms(from string, terms *targetTerms, sentAt time.Time) {
+	target := s.groups.Load().byID[terms.Target]
+	if target == nil {
+		return
+	}
+	heard := terms.heard(from, s.clock.Now())
+	if before, changed := s.scheduler.RecordTerms(target.Key(), heard, sentAt); changed {
+		s.logger.Info("terms of a coordinated target changed", zap.String("target", target.Key().String()),
+			zap.Stringer("before", before), zap.Stringer("now", heard.Terms), zap.Duration("age", s.clock.Since(heard.At)), zap.String("peer", from))
+	}
 }
 
 func refusedResponse(id uint32, err error) *slotResponse {
@@ -400,6 +428,7 @@
 	if errors.As(err, &refusal) {
 		response.Reason, response.Ahead, response.Slots = refusal.Reason, refusal.QueuedAhead, refusal.Slots
 		response.RetryAfterMs, response.ExpectedMs = toMillis(refusal.RetryAfter), toMillis(refusal.ExpectedWait)
+		response.RateLimits = refusal.RateLimits
 	}
 	return response
 }
--- a/internal/placement/takeover.go
+++ b/internal/placement/takeover.go
@@ -186,7 +186,7 @@
 }
 
 // handleTakeover directs requests for a group to its new coordinator, and reports
-// to it what runs there.
+// to it what runs there and which terms the targets state.
 func (c *Client) handleTakeover(from string, notice *takeoverNotice) {
 	group := groupKey{notice.Service, notice.Group}
 	groups, roster := c.groups.Load(), c.roster.Load()
@@ -202,6 +202,14 @@
 		}
 	}
 	c.mu.Unlock()
+	var terms []targetTerms
+	now := c.clock.Now()
+	for _, t := range c.local.StatedTerms() {
+		if groups.groupOf[idOf(t.Key)] == group {
+			terms = append(terms, newTargetTerms(t.Key, t.HeardTerms, now))
+		}
+	}
+	c.sendTerms(from, terms)
 	c.sendRenewals(from, executions, true)
 }
 
--- a/internal/schedule/availability.go
+++ b/internal/schedule/availability.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Availability describes how soon the targets of a service can take requests.
 type Availability struct {
@@ -48,14 +51,19 @@
 	return a
 }
 
-// slotInterval returns the expected time between two slots that become free; 0 if
-// it is not known.
+// slotInterval returns the expected time between two requests that can start while
+// all slots are in use; 0 if it is not known.
 func (sv *service) slotInterval(now time.Time) time.Duration {
-	slots := sv.usableSlots(now)
-	if slots == 0 {
+	perSecond := 0.0
+	for _, t := range sv.targets {
+		if t.usable(now, false) {
+			perSecond += t.throughput(sv.responseTime.duration())
+		}
+	}
+	if perSecond == 0 || math.IsInf(perSecond, 1) {
 		return 0
 	}
-	return sv.responseTime.duration() / time.Duration(slots)
+	return time.Duration(float64(time.Second) / perSecond)
 }
 
 // usableSlots returns the number of slots of all usable targets.
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -141,7 +141,7 @@
 	if o.Result == Complete {
 		sv.responseTime.observe(o.TotalTime)
 	}
-	if e.target.removed && e.target.running == 0 {
+	if e.target.removed && !e.target.isStateNeeded(s.clock.Now()) {
 		delete(s.targets, e.target.info.Key())
 	}
 	s.startQueued(sv)
@@ -157,7 +157,6 @@
 		return nil
 	}
 	prefillAhead := t.prefillTokens
-	t.running++
-	t.prefillTokens += r.PromptTokens
+	t.addRunning(r, s.clock.Now())
 	return NewGrant(Grant{Target: t.info}, &execution{scheduler: s, target: t, request: r, prefillAhead: prefillAhead, startedAt: s.clock.Now()})
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -9,6 +9,11 @@
 // ordered by priority and then by arrival. The counts are exact as long as one
 // Scheduler places all requests on a target; package placement ensures that.
 //
+// A target may name how many requests a second it takes from all instances together
+// (Terms). What is started on it, for whatever reason, is spaced accordingly; a target
+// whose limit admits no request is not a candidate, so that requests which others can
+// take do not wait for it.
+//
 // A request is refused if its expected or actual wait is too long for it to be
 // answered in time. The refusal (RefusedError) says when to retry.
 //
@@ -92,12 +97,18 @@
 	// of slots of all usable targets, and ExpectedWait the resulting wait.
 	QueuedAhead, Slots int
 	ExpectedWait       time.Duration
+	// RateLimits describes the rate limits of the targets; "" if there are none.
+	RateLimits string
 }
 
 // Error implements error.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("%s, with %d ahead at %d places and %d ms of waiting expected",
+	text := fmt.Sprintf("%s, with %d ahead at %d places and %d ms of waiting expected",
 		e.Reason, e.QueuedAhead, e.Slots, e.ExpectedWait.Milliseconds())
+	if e.RateLimits != "" {
+		text += " (" + e.RateLimits + ")"
+	}
+	return text
 }
 
 // Result is how a started request ended at its target.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -21,6 +21,8 @@
 	random   *rand.Rand
 	services map[string]*service
 	targets  map[catalog.TargetKey]*target
+	// rateShare is the part of the targets' rate limits that may be used here.
+	rateShare float64
 }
 
 // queueEntry is a request in a queue of the scheduler.
@@ -34,7 +36,7 @@
 func New(clock clockwork.Clock, random *rand.Rand) *Scheduler {
 	return &Scheduler{
 		clock: clock, random: random, services: make(map[string]*service),
-		targets: make(map[catalog.TargetKey]*target),
+		targets: make(map[catalog.TargetKey]*target), rateShare: 1,
 	}
 }
 
@@ -53,12 +55,13 @@
 		}
 		t.info, t.removed = info, false
 	}
+	now := s.clock.Now()
 	for key, t := range s.targets {
 		if present[key] {
 			continue
 		}
 		t.removed = true
-		if t.running == 0 {
+		if !t.isStateNeeded(now) {
 			delete(s.targets, key)
 		}
 	}
@@ -159,7 +162,7 @@
 func (s *Scheduler) refusedError(sv *service, reason string, r *Request, now time.Time) error {
 	e := sv.estimateQueue(r.priority(), now)
 	return &RefusedError{
-		Reason: reason, QueuedAhead: e.queuedAhead, Slots: e.slots, ExpectedWait: e.wait,
+		Reason: reason, QueuedAhead: e.queuedAhead, Slots: e.slots, ExpectedWait: e.wait, RateLimits: sv.describeRateLimits(now),
 		RetryAfter: retryAfter(e.wait, r.Deadline.Sub(now), s.random.Float64()),
 	}
 }
@@ -204,8 +207,7 @@
 		Target: t.info, Waited: now.Sub(r.ArrivedAt), RunningBefore: t.running, PrefillAhead: t.prefillTokens,
 		ExpectedTimeToFirst: sv.candidate(t, r, now, true).TimeToFirst,
 	}, &execution{scheduler: s, target: t, request: r, prefillAhead: t.prefillTokens, startedAt: now})
-	t.running++
-	t.prefillTokens += r.PromptTokens
+	t.addRunning(r, now)
 	return g
 }
 
@@ -241,6 +243,7 @@
 		clear(sv.queues[priority][len(remaining):])
 		sv.queues[priority] = remaining
 	}
+	s.wakeForRateLimits(sv, now)
 }
 
 // HasQueued reports whether any request is queued here.
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -14,6 +14,8 @@
 	// responseTime is the average time of a complete response.
 	responseTime durationEWMA
 	prefill      prefillModel
+	// wakeAt is when queued requests are looked at again because of a rate limit.
+	wakeAt time.Time
 }
 
 func (s *Scheduler) service(name string) *service {
@@ -25,14 +27,26 @@
 	return sv
 }
 
-// selectTarget returns the best available target, or nil.
+// selectTarget returns the best available target, or nil. A request that has been
+// assigned to a version goes to another one rather than wait for rate limits.
 func (s *Scheduler) selectTarget(sv *service, r *Request, now time.Time) *target {
+	if !sv.hasAllowedVersion(r) {
+		return s.selectAmong(sv, r, now, func(string) bool { return true })
+	}
+	t := s.selectAmong(sv, r, now, r.AllowsVersion)
+	if t == nil && r.Version != "" && sv.isRateLimited(r.AllowsVersion, now) {
+		return s.selectAmong(sv, r, now, func(version string) bool { return r.ExcludedVersion == "" || version != r.ExcludedVersion })
+	}
+	return t
+}
+
+// selectAmong returns the best available target of the allowed versions, or nil.
+func (s *Scheduler) selectAmong(sv *service, r *Request, now time.Time, allowed func(version string) bool) *target {
 	ignoreEjection := sv.ignoreEjections(now)
-	versionConstrained := sv.hasAllowedVersion(r)
 	candidates := make([]Candidate, 0, len(sv.targets))
 	targets := make([]*target, 0, len(sv.targets))
 	for _, t := range sv.targets {
-		if (versionConstrained && !r.AllowsVersion(t.info.Version)) || r.excludesTarget(t.info.Key()) || !t.usable(now, ignoreEjection) {
+		if !allowed(t.info.Version) || r.excludesTarget(t.info.Key()) || !t.usable(now, ignoreEjection) || t.limiter.admitted(now) == 0 {
 			continue
 		}
 		candidates = append(candidates, sv.candidate(t, r, now, ignoreEjection))
@@ -45,6 +59,22 @@
 	return targets[i]
 }
 
+// isRateLimited reports whether only rate limits keep the targets of the allowed
+// versions from taking a request.
+func (sv *service) isRateLimited(allowed func(version string) bool, now time.Time) bool {
+	limited := false
+	for _, t := range sv.targets {
+		if !allowed(t.info.Version) || !t.usable(now, false) {
+			continue
+		}
+		if t.limiter.admitted(now) > 0 {
+			return false
+		}
+		limited = true
+	}
+	return limited
+}
+
 // hasAllowedVersion reports whether any target that is not draining is of a
 // version allowed for the request.
 func (sv *service) hasAllowedVersion(r *Request) bool {
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -16,6 +16,8 @@
 	// doubles up to maxUnreachableBackoff.
 	minUnreachableBackoff = 250 * time.Millisecond
 	maxUnreachableBackoff = 4 * time.Second
+	// unlistedTermsTime is how long the terms of a target are kept that is not listed.
+	unlistedTermsTime = 10 * time.Second
 )
 
 // target is the state of one incarnation of a target, guarded by Scheduler.mu.
@@ -31,7 +33,8 @@
 	backoffUntil            time.Time
 	backoff                 time.Duration
 	// terms are what the target last stated.
-	terms HeardTerms
+	terms   HeardTerms
+	limiter rateLimiter
 	// removed targets take no new requests and are deleted once nothing runs
 	// there.
 	removed bool
@@ -51,7 +54,7 @@
 	if !t.usable(now, ignoreEjection) {
 		return 0
 	}
-	free := t.info.Slots - t.running
+	free := min(t.info.Slots-t.running, t.limiter.admitted(now))
 	if ignoreEjection {
 		return free
 	}
@@ -61,6 +64,19 @@
 	return free
 }
 
+// addRunning counts a request that starts on the target.
+func (t *target) addRunning(r *Request, now time.Time) {
+	t.running++
+	t.prefillTokens += r.PromptTokens
+	t.limiter.take(now)
+}
+
+// isStateNeeded reports whether the state of a target that is no longer listed is
+// kept: requests run there, or it has stated terms lately and its entry may return.
+func (t *target) isStateNeeded(now time.Time) bool {
+	return t.running > 0 || t.terms.AreStated() && now.Sub(t.terms.At) < unlistedTermsTime
+}
+
 // recordOutcome updates ejection, backoff and the average response time from an
 // outcome.
 func (t *target) recordOutcome(o *Outcome, promptTokens int, now time.Time) {
--- a/internal/schedule/terms.go
+++ b/internal/schedule/terms.go
@@ -63,9 +63,32 @@
 		return before, false
 	}
 	t.terms = heard
+	t.limiter.setTerms(heard.Terms, s.rateShare, s.clock.Now())
 	return before, before != heard.Terms
 }
 
+// SetRateShare sets the part of the targets' rate limits that this scheduler may
+// use, if others place requests on the same targets.
+func (s *Scheduler) SetRateShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateShare = share
+	now := s.clock.Now()
+	for _, t := range s.targets {
+		t.limiter.setTerms(t.terms.Terms, share, now)
+	}
+}
+
+// Terms returns what is known of a target's terms.
+func (s *Scheduler) Terms(key catalog.TargetKey) HeardTerms {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.targets[key]; t != nil {
+		return t.terms
+	}
+	return HeardTerms{}
+}
+
 // StatedTerms returns the terms of all targets that state any.
 func (s *Scheduler) StatedTerms() []TargetTerms {
 	s.mu.Lock()
