Keep rejections of brittle targets within what they state (LIMIT)

Brittle targets fell over when callers left: their slots were granted again at once, while the targets still worked on the requests, and rejections only paused a target for 50 ms. Now the slot of a request that ended early counts as taken for half a second at a target that says it is brittle; so many requests start within 50 ms as it may reject in a second, and half of that many rejections close it until they no longer count.

--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -111,19 +111,27 @@
 
 	Target targetID
 	// AgeMs is the time since the response arrived that stated the terms.
-	AgeMs        int64
-	HasRateLimit bool
-	RateLimit    float64
+	AgeMs          int64
+	HasRateLimit   bool
+	RateLimit      float64
+	IsBrittle      bool
+	RejectionLimit int
 }
 
 func newTargetTerms(key catalog.TargetKey, heard schedule.HeardTerms, now time.Time) targetTerms {
-	return targetTerms{Target: idOf(key), AgeMs: toMillis(now.Sub(heard.At)), HasRateLimit: heard.HasRateLimit, RateLimit: heard.RateLimit}
+	return targetTerms{
+		Target: idOf(key), AgeMs: toMillis(now.Sub(heard.At)), HasRateLimit: heard.HasRateLimit, RateLimit: heard.RateLimit,
+		IsBrittle: heard.IsBrittle, RejectionLimit: heard.RejectionLimit,
+	}
 }
 
 // heard returns the terms as received from another instance.
 func (t *targetTerms) heard(from string, now time.Time) schedule.HeardTerms {
 	return schedule.HeardTerms{
-		Terms: schedule.Terms{HasRateLimit: t.HasRateLimit, RateLimit: t.RateLimit}, At: now.Add(-fromMillis(t.AgeMs)), By: from,
+		Terms: schedule.Terms{
+			HasRateLimit: t.HasRateLimit, RateLimit: t.RateLimit, IsBrittle: t.IsBrittle, RejectionLimit: t.RejectionLimit,
+		},
+		At: now.Add(-fromMillis(t.AgeMs)), By: from,
 	}
 }
 
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -132,7 +132,6 @@
 	}
 	e.ended = true
 	e.endPrefill()
-	e.target.running--
 	if o.Tokens > 0 {
 		e.target.tokenTime.observe(o.TokenSpan / time.Duration(o.Tokens))
 	}
@@ -141,12 +140,19 @@
 	if o.Result == Complete {
 		sv.responseTime.observe(o.TotalTime)
 	}
-	if e.target.removed && !e.target.isStateNeeded(s.clock.Now()) {
-		delete(s.targets, e.target.info.Key())
-	}
+	s.releaseSlot(e.target, sv, o.Result)
+	s.dropUnlisted(e.target)
 	s.startQueued(sv)
 }
 
+// dropUnlisted deletes a target that is no longer listed once its state is not
+// needed. The caller holds s.mu.
+func (s *Scheduler) dropUnlisted(t *target) {
+	if t.removed && !t.isStateNeeded(s.clock.Now()) && s.targets[t.info.Key()] == t {
+		delete(s.targets, t.info.Key())
+	}
+}
+
 // RegisterRunning counts a request that already runs on a target, having been
 // placed by another scheduler. It returns nil if the target is not known.
 func (s *Scheduler) RegisterRunning(key catalog.TargetKey, r *Request) *Grant {
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -35,6 +35,7 @@
 	// terms are what the target last stated.
 	terms   HeardTerms
 	limiter rateLimiter
+	brittle brittleState
 	// removed targets take no new requests and are deleted once nothing runs
 	// there.
 	removed bool
@@ -54,7 +55,7 @@
 	if !t.usable(now, ignoreEjection) {
 		return 0
 	}
-	free := min(t.info.Slots-t.running, t.limiter.admitted(now))
+	free := min(t.info.Slots-t.running, t.limiter.admitted(now), t.brittleStarts(now))
 	if ignoreEjection {
 		return free
 	}
@@ -69,6 +70,9 @@
 	t.running++
 	t.prefillTokens += r.PromptTokens
 	t.limiter.take(now)
+	if t.terms.IsBrittle {
+		t.brittle.started(now)
+	}
 }
 
 // isStateNeeded reports whether the state of a target that is no longer listed is
@@ -93,7 +97,11 @@
 		t.backoff = min(max(minUnreachableBackoff, 2*t.backoff), maxUnreachableBackoff)
 		t.backoffUntil = now.Add(t.backoff)
 	case Full:
-		t.backoffUntil = now.Add(fullBackoff)
+		backoff := fullBackoff
+		if t.terms.IsBrittle {
+			backoff = t.brittle.rejected(t.terms.RejectionLimit, now)
+		}
+		t.backoffUntil = now.Add(backoff)
 	case Cancelled:
 	}
 }
--- a/internal/schedule/terms.go
+++ b/internal/schedule/terms.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
@@ -15,17 +16,28 @@
 	// target takes from all instances together.
 	HasRateLimit bool
 	RateLimit    float64
+	// IsBrittle is set if RejectionLimit is stated: the requests that the target can
+	// reject in a second for want of a slot without failing.
+	IsBrittle      bool
+	RejectionLimit int
 }
 
 // AreStated reports whether the terms restrict anything.
-func (t Terms) AreStated() bool { return t.HasRateLimit }
+func (t Terms) AreStated() bool { return t.HasRateLimit || t.IsBrittle }
 
 // String returns the terms for log lines.
 func (t Terms) String() string {
-	if !t.HasRateLimit {
+	var stated []string
+	if t.HasRateLimit {
+		stated = append(stated, strconv.FormatFloat(t.RateLimit, 'g', -1, 64)+" requests a second")
+	}
+	if t.IsBrittle {
+		stated = append(stated, strconv.Itoa(t.RejectionLimit)+" rejections a second")
+	}
+	if len(stated) == 0 {
 		return "none"
 	}
-	return strconv.FormatFloat(t.RateLimit, 'g', -1, 64) + " requests a second"
+	return strings.Join(stated, ", ")
 }
 
 // HeardTerms are the last terms that are known of a target.
