--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -358,6 +358,11 @@
 		grant.ResponseStarted(time.Duration(p.TimeToFirstMicros) * time.Microsecond)
 	}
 	span := time.Duration(p.TokenSpanMicros) * time.Microsecond
+	if p.Result == schedule.Failed || p.Result == schedule.Unreachable {
+		s.counters.FailuresReported.Add(1)
+		s.logger.Info("failure at a coordinated target", zap.String("target", grant.Target.Key().String()), zap.String("peer", from),
+			zap.Stringer("result", p.Result), zap.Bool("ended", p.Done), zap.Duration("after", s.clock.Since(sentAt)))
+	}
 	if !p.Done && p.Result == schedule.Failed {
 		grant.Silent()
 		return
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -132,6 +132,23 @@
 	Cancelled
 )
 
+// String returns the result for log lines.
+func (r Result) String() string {
+	switch r {
+	case Complete:
+		return "complete"
+	case Failed:
+		return "failed"
+	case Unreachable:
+		return "unreachable"
+	case Full:
+		return "full"
+	case Cancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
+
 // Outcome describes a request that has ended at its target.
 type Outcome struct {
 	Result Result
