--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -36,8 +36,8 @@
 // Pool keeps idle connections to targets. A connection serves one request at a
 // time.
 type Pool struct {
-	clock  clockwork.Clock
-	dialer net.Dialer
+	clock clockwork.Clock
+	dial  DialFunc
 	// tooLong counts the responses that exceeded a bound.
 	tooLong atomic.Uint64
 	// bufferedBytes is the memory reserved for bodies, in bytes.
@@ -50,15 +50,24 @@
 	openedConns uint64
 }
 
+// DialFunc opens a connection to a target.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock) *Pool {
+	dialer := net.Dialer{KeepAlive: -1}
 	return &Pool{
 		clock: clock, idle: make(map[string][]*pooledConn),
 		maxIdle: func(string) int { return defaultMaxIdle },
-		dialer:  net.Dialer{Timeout: poolDialTimeout, KeepAlive: -1},
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
 	}
 }
 
+// SetDial replaces how connections are opened; it must be called before Send.
+func (p *Pool) SetDial(dial DialFunc) { p.dial = dial }
+
 // SetMaxIdle sets the function that bounds the idle connections to an address.
 func (p *Pool) SetMaxIdle(maxIdle func(address string) int) {
 	p.mu.Lock()
@@ -157,7 +166,9 @@
 		}
 		pooled.close()
 	}
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialCtx, cancel := context.WithTimeout(ctx, poolDialTimeout)
+	defer cancel()
+	conn, err := p.dial(dialCtx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,8 @@
 	Logger        *zap.Logger
 	// LogDrops counts dropped log lines; if nil, the metric is not published.
 	LogDrops DropCounter
+	// DialTarget opens connections to targets; nil dials them over TCP.
+	DialTarget dispatch.DialFunc
 }
 
 // DropCounter counts dropped log lines; see package eventlog.
@@ -152,6 +154,9 @@
 	n.serviceByAddress.Store(&map[string]string{})
 	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
 	n.pool = dispatch.NewPool(options.Clock)
+	if options.DialTarget != nil {
+		n.pool.SetDial(options.DialTarget)
+	}
 	n.rollouts = rollout.New(options.Clock)
 	n.quarantine = quarantine.New(quarantine.Options{
 		Clock: options.Clock, Logger: options.Logger, MaxFingerprints: maxSuspects, CountsUnresolved: true, IsLeaving: n.isLeaving,
