--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -42,6 +42,10 @@
 	// RequireFreshConn requires a new or recently used connection, since after a
 	// close by the target it is unknown whether the request was executed.
 	RequireFreshConn bool
+	// OnPathLost, if set, is called if the path to the target is found lost during the
+	// exchange. Unless RequireFreshConn is set, the exchange then ends with
+	// ErrPathLost if nothing has been received for a while.
+	OnPathLost func()
 	// Silence is watched for until PooledResponse.WatchSilence is called.
 	Silence SilenceWatch
 	// MatchesRequest reports whether a response header belongs to the request.
@@ -82,14 +86,16 @@
 		return nil, fault.At(fault.StepDispatch, r.Address, &NotSentError{err})
 	}
 	stopCancel := context.AfterFunc(ctx, conn.close)
+	p.begin(conn, r)
 	response, err := r.roundTrip(conn)
 	if err != nil {
+		p.end(conn)
 		stopCancel()
 		conn.close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, fault.At(fault.StepDispatch, r.Address, p.countTooLong(err))
+		return nil, fault.At(fault.StepDispatch, r.Address, p.countTooLong(conn.explain(err)))
 	}
 	response.pool, response.stopCancel = p, stopCancel
 	return response, nil
@@ -213,7 +219,7 @@
 	if err == io.EOF {
 		r.bodyComplete = true
 	}
-	return n, err
+	return n, r.conn.explain(err)
 }
 
 // WatchSilence replaces the watch for silence, starting now.
@@ -225,6 +231,7 @@
 func (r *PooledResponse) Close() {
 	r.pool.bufferedBytes.Add(-r.reserved)
 	r.reserved = 0
+	r.pool.end(r.conn)
 	if !r.stopCancel() {
 		return
 	}
--- /dev/null
+++ b/internal/dispatch/path.go
@@ -0,0 +1,488 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
+	"github.com/hibiscuspost/hibiscuspost/internal/relay"
+)
+
+// ErrPathLost marks errors that are due to the path between this instance and the
+// target, or to the instance that relays: they are no evidence against the target.
+var ErrPathLost = errors.New("the path to the target is lost")
+
+const (
+	// relayDelay is the time without a direct connection after which one through
+	// another instance is tried as well: many times the setup of a connection.
+	relayDelay = 150 * time.Millisecond
+	// relayDialTimeout bounds the connection through another instance.
+	relayDialTimeout = 400 * time.Millisecond
+	// checkDialTimeout bounds the direct connection of a check.
+	checkDialTimeout = 200 * time.Millisecond
+	// suspicionTime is the time without a byte from a target that is waited for after
+	// which the path is checked, minCheckInterval the time between two checks of one
+	// path.
+	suspicionTime    = 400 * time.Millisecond
+	minCheckInterval = time.Second
+	// unreachableTime is how long the word of others holds that a target cannot be
+	// reached.
+	unreachableTime = 300 * time.Millisecond
+	// watchInterval is the interval at which paths are watched, retryInterval that
+	// at which a lost path is tried again.
+	watchInterval = 100 * time.Millisecond
+	retryInterval = time.Second
+	// pathRetention is how long the state of a path is kept that is not used.
+	pathRetention = 30 * time.Second
+)
+
+// path is what is known of the path to the target at an address. Fields other than
+// heardNanos are guarded by Pool.mu.
+type path struct {
+	address string
+	// heardNanos is when a byte was last received on a direct connection.
+	heardNanos atomic.Int64
+	// lostSince is when the path was found lost; zero while it is not. Connections
+	// then go through other instances.
+	lostSince time.Time
+	// usedAt is when a connection was last needed, checkedAt when the path was last
+	// checked or tried again, unreachableAt when others said that they do not reach
+	// the target either.
+	usedAt, checkedAt, unreachableAt time.Time
+	// check is the check that runs; nil if none does.
+	check *pathCheck
+}
+
+// pathCheck is a check of a path; lost is valid once done is closed.
+type pathCheck struct {
+	done chan struct{}
+	lost bool
+}
+
+// PathCounters count events of paths to targets.
+type PathCounters struct {
+	// Checks counts checks of paths, Lost the paths found lost, Relayed the
+	// connections made through other instances.
+	Checks, Lost, Relayed atomic.Uint64
+}
+
+// Relay opens connections to targets through other instances; see package relay for
+// the errors.
+type Relay interface {
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// SetRelay makes the pool go through other instances where it has lost its own path;
+// it must be called before Send.
+func (p *Pool) SetRelay(r Relay, logger *zap.Logger) { p.relay, p.logger = r, logger }
+
+// path returns the state of a path. The caller holds p.mu.
+func (p *Pool) path(address string) *path {
+	state := p.paths[address]
+	if state == nil {
+		state = &path{address: address}
+		p.paths[address] = state
+	}
+	return state
+}
+
+// PathLost reports whether the path to a target is known to be lost.
+func (p *Pool) PathLost(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.paths[address]
+	return state != nil && !state.lostSince.IsZero()
+}
+
+// AnyLost reports whether the path to any target is known to be lost.
+func (p *Pool) AnyLost() bool { return p.LostPaths() > 0 }
+
+// LostPaths returns the number of targets to which the path is known to be lost.
+func (p *Pool) LostPaths() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lost := 0
+	for _, state := range p.paths {
+		if !state.lostSince.IsZero() {
+			lost++
+		}
+	}
+	return lost
+}
+
+// DialDirect connects to a target without another instance.
+func (p *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	return p.dial(ctx, address)
+}
+
+// connect connects to a target, through another instance if the path is lost or
+// takes too long. Errors marked ErrPathLost are no evidence against the target.
+func (p *Pool) connect(ctx context.Context, address string) (*pooledConn, error) {
+	p.mu.Lock()
+	state := p.path(address)
+	state.usedAt = p.clock.Now()
+	lost := !state.lostSince.IsZero()
+	p.mu.Unlock()
+	if lost {
+		if conn, err := p.connectRelayed(ctx, state); !errors.Is(err, relay.ErrNoPeers) {
+			return conn, err
+		}
+		return p.connectDirect(ctx, state, poolDialTimeout)
+	}
+	return p.connectFirst(ctx, state)
+}
+
+// dialed is the outcome of one way to connect.
+type dialed struct {
+	conn *pooledConn
+	err  error
+}
+
+// connectFirst connects directly and, if that fails or takes too long, through
+// another instance as well; the first connection is used.
+func (p *Pool) connectFirst(ctx context.Context, state *path) (*pooledConn, error) {
+	direct := make(chan dialed, 1)
+	go func() {
+		conn, err := p.connectDirect(ctx, state, poolDialTimeout)
+		direct <- dialed{conn, err}
+	}()
+	timer := time.NewTimer(relayDelay)
+	defer timer.Stop()
+	if p.relay == nil {
+		timer.Stop()
+	}
+	var directErr error
+	select {
+	case d := <-direct:
+		if d.err == nil || ctx.Err() != nil || p.relay == nil || p.knownUnreachable(state) {
+			return d.conn, d.err
+		}
+		directErr = d.err
+	case <-timer.C:
+	}
+	relayed := make(chan dialed, 1)
+	relayCtx, cancel := context.WithCancel(ctx)
+	go func() {
+		conn, err := p.connectRelayed(relayCtx, state)
+		relayed <- dialed{conn, err}
+	}()
+	if directErr != nil {
+		direct = nil
+	}
+	for {
+		select {
+		case d := <-direct:
+			if d.err == nil {
+				cancel()
+				go discardConnection(relayed)
+				return d.conn, nil
+			}
+			direct, directErr = nil, d.err
+		case d := <-relayed:
+			cancel()
+			if d.err == nil {
+				p.markLost(state, directErr, d.conn.via)
+				go discardConnection(direct)
+				return d.conn, nil
+			}
+			if directErr == nil {
+				late := <-direct
+				if late.err == nil {
+					return late.conn, nil
+				}
+				directErr = late.err
+			}
+			if errors.Is(d.err, ErrPathLost) {
+				return nil, errors.Mark(directErr, ErrPathLost)
+			}
+			return nil, directErr
+		}
+	}
+}
+
+// discardConnection closes the connection of a way that is not needed any more.
+func discardConnection(way <-chan dialed) {
+	if way == nil {
+		return
+	}
+	if d := <-way; d.conn != nil {
+		d.conn.close()
+	}
+}
+
+func (p *Pool) connectDirect(ctx context.Context, state *path, timeout time.Duration) (*pooledConn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := p.dial(dialCtx, state.address)
+	if err != nil {
+		return nil, err
+	}
+	state.heardNanos.Store(p.clock.Now().UnixNano())
+	return p.newConn(conn, state, ""), nil
+}
+
+// connectRelayed connects through another instance. Unless others have said that they
+// do not reach the target, the error is marked ErrPathLost.
+func (p *Pool) connectRelayed(ctx context.Context, state *path) (*pooledConn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, relayDialTimeout)
+	defer cancel()
+	conn, err := p.relay.Dial(dialCtx, state.address)
+	switch {
+	case err == nil:
+		p.pathCounters.Relayed.Add(1)
+		via := ""
+		if relayed, ok := conn.(*relay.Conn); ok {
+			via = relayed.Via
+		}
+		return p.newConn(conn, state, via), nil
+	case errors.Is(err, relay.ErrNoPeers):
+		return nil, err
+	case errors.Is(err, relay.ErrUnreachable):
+		p.mu.Lock()
+		state.unreachableAt = p.clock.Now()
+		p.mu.Unlock()
+		return nil, err
+	}
+	return nil, errors.Mark(err, ErrPathLost)
+}
+
+// knownUnreachable reports whether others have just said that they do not reach the
+// target either.
+func (p *Pool) knownUnreachable(state *path) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.Since(state.unreachableAt) < unreachableTime
+}
+
+// markLost records that a target is reached through another instance and not
+// directly. Other paths are checked, since a partition rarely concerns one.
+func (p *Pool) markLost(state *path, cause error, via string) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	if !state.lostSince.IsZero() {
+		p.mu.Unlock()
+		return
+	}
+	state.lostSince, state.checkedAt = now, now
+	closing := p.takeIdle(state.address, func(conn *pooledConn) bool { return conn.via == "" })
+	var others []*path
+	for _, other := range p.paths {
+		if other.lostSince.IsZero() && now.Sub(other.usedAt) < pathRetention {
+			others = append(others, other)
+		}
+	}
+	p.mu.Unlock()
+	p.pathCounters.Lost.Add(1)
+	p.logger.Warn("path to a target lost", zap.String("target_address", state.address), zap.String("via", via), eventlog.ErrorField(cause))
+	for _, conn := range closing {
+		conn.close()
+	}
+	p.endExchanges(state)
+	for _, other := range others {
+		p.startCheck(other)
+	}
+}
+
+// takeIdle removes and returns the idle connections to an address that match. The
+// caller holds p.mu.
+func (p *Pool) takeIdle(address string, matches func(*pooledConn) bool) []*pooledConn {
+	var taken, remaining []*pooledConn
+	for _, conn := range p.idle[address] {
+		if matches(conn) {
+			taken = append(taken, conn)
+		} else {
+			remaining = append(remaining, conn)
+		}
+	}
+	if len(remaining) == 0 {
+		delete(p.idle, address)
+	} else {
+		p.idle[address] = remaining
+	}
+	return taken
+}
+
+// startCheck checks a path unless that has been done a moment ago. It returns the
+// check that runs, or nil.
+func (p *Pool) startCheck(state *path) *pathCheck {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state.check != nil {
+		return state.check
+	}
+	if p.relay == nil || now.Sub(state.checkedAt) < minCheckInterval {
+		return nil
+	}
+	state.checkedAt = now
+	check := &pathCheck{done: make(chan struct{})}
+	state.check = check
+	p.pathCounters.Checks.Add(1)
+	go func() {
+		check.lost = p.checkPath(state)
+		p.mu.Lock()
+		state.check = nil
+		p.mu.Unlock()
+		close(check.done)
+	}()
+	return check
+}
+
+// checkPath reports whether the path is lost: the target cannot be reached directly,
+// and others reach it or cannot tell. Exchanges on a lost path end.
+func (p *Pool) checkPath(state *path) bool {
+	conn, err := p.connectDirect(context.Background(), state, checkDialTimeout)
+	if err == nil {
+		p.release(conn, 0)
+		return false
+	}
+	relayed, relayErr := p.connectRelayed(context.Background(), state)
+	if relayErr != nil {
+		return errors.Is(relayErr, ErrPathLost)
+	}
+	p.markLost(state, err, relayed.via)
+	p.release(relayed, 0)
+	return true
+}
+
+// endExchanges tells the exchanges on direct connections of a lost path, and ends
+// those whose requests may be repeated.
+func (p *Pool) endExchanges(state *path) {
+	var ended []*pooledConn
+	p.mu.Lock()
+	for conn := range p.inflight {
+		if conn.path == state && conn.via == "" {
+			ended = append(ended, conn)
+		}
+	}
+	p.mu.Unlock()
+	for _, conn := range ended {
+		if conn.onPathLost != nil {
+			conn.onPathLost()
+		}
+		if conn.repeatable && p.clock.Since(conn.heardAt()) > suspicionTime {
+			conn.pathLost.Store(true)
+			conn.close()
+		}
+	}
+}
+
+// IsPathLost reports whether an attempt that ended with an error ended because of the
+// path. After a connection broke, that is found out, which takes some time if the
+// target cannot be reached.
+func (p *Pool) IsPathLost(address string, err error) bool {
+	if errors.Is(err, ErrPathLost) || errors.Is(err, relay.ErrBroken) {
+		return true
+	}
+	if err == nil || p.relay == nil || !isBreak(err) || errors.Is(err, errSeenElsewhere) {
+		return false
+	}
+	p.mu.Lock()
+	state := p.path(address)
+	lost := !state.lostSince.IsZero()
+	p.mu.Unlock()
+	if lost {
+		return true
+	}
+	check := p.startCheck(state)
+	if check == nil {
+		return false
+	}
+	<-check.done
+	return check.lost
+}
+
+// errSeenElsewhere marks errors of a target's connection that the instance in between
+// has seen.
+var errSeenElsewhere = errors.New("seen by the relaying instance")
+
+// explain marks an error of an exchange by where it was seen.
+func (c *pooledConn) explain(err error) error {
+	if err == nil || err == io.EOF || c.via == "" || isTimeout(err) || errors.Is(err, relay.ErrBroken) {
+		return err
+	}
+	return errors.Mark(err, errSeenElsewhere)
+}
+
+// isBreak reports whether an error means that the connection has ended.
+func isBreak(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT)
+}
+
+// WatchPaths checks paths on which responses are waited for in vain, and tries lost
+// ones again, until the context ends.
+func (p *Pool) WatchPaths(ctx context.Context) {
+	ticker := p.clock.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			p.watchPaths()
+		}
+	}
+}
+
+func (p *Pool) watchPaths() {
+	now := p.clock.Now()
+	suspects := make(map[*path]bool)
+	var retried []*path
+	silentOnLost := make(map[*path]bool)
+	p.mu.Lock()
+	for conn := range p.inflight {
+		switch {
+		case conn.via != "" || now.Sub(conn.heardAt()) <= suspicionTime:
+		case !conn.path.lostSince.IsZero():
+			silentOnLost[conn.path] = true
+		case now.Sub(conn.path.heardAt()) > suspicionTime:
+			suspects[conn.path] = true
+		}
+	}
+	for address, state := range p.paths {
+		switch {
+		case state.check == nil && now.Sub(state.usedAt) > pathRetention && now.Sub(state.checkedAt) > pathRetention:
+			delete(p.paths, address)
+		case !state.lostSince.IsZero() && now.Sub(state.checkedAt) >= retryInterval:
+			state.checkedAt = now
+			retried = append(retried, state)
+		}
+	}
+	p.mu.Unlock()
+	for state := range suspects {
+		p.startCheck(state)
+	}
+	for state := range silentOnLost {
+		p.endExchanges(state)
+	}
+	for _, state := range retried {
+		go p.retryPath(state)
+	}
+}
+
+// retryPath uses a path again once the target can be reached directly.
+func (p *Pool) retryPath(state *path) {
+	conn, err := p.connectDirect(context.Background(), state, checkDialTimeout)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	lostFor := p.clock.Since(state.lostSince)
+	state.lostSince = time.Time{}
+	relayed := p.takeIdle(state.address, func(conn *pooledConn) bool { return conn.via != "" })
+	p.mu.Unlock()
+	p.logger.Info("path to a target regained", zap.String("target_address", state.address), zap.Duration("after", lostFor))
+	for _, conn := range relayed {
+		conn.close()
+	}
+	p.release(conn, 0)
+}
+
+func (s *path) heardAt() time.Time { return time.Unix(0, s.heardNanos.Load()) }
--- /dev/null
+++ b/internal/dispatch/path_test.go
@@ -0,0 +1,199 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/relay"
+)
+
+const pathEventTimeout = 20 * time.Second
+
+// testRelay reaches targets directly, or returns err.
+type testRelay struct {
+	err   error
+	dials atomic.Int32
+}
+
+func (r *testRelay) Dial(ctx context.Context, address string) (net.Conn, error) {
+	r.dials.Add(1)
+	if r.err != nil {
+		return nil, r.err
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return struct{ net.Conn }{conn}, nil
+}
+
+// cutPool is a pool whose direct connections fail while cut is set.
+type cutPool struct {
+	*Pool
+	relay testRelay
+	cut   atomic.Bool
+	// hangs makes them hang instead of being refused.
+	hangs bool
+}
+
+func newCutPool(t *testing.T) *cutPool {
+	p := &cutPool{Pool: NewPool(clockwork.NewRealClock())}
+	p.SetRelay(&p.relay, zap.NewNop())
+	dialDirect := p.dial
+	p.SetDial(func(ctx context.Context, address string) (net.Conn, error) {
+		if p.cut.Load() && p.hangs {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		if p.cut.Load() {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}
+		return dialDirect(ctx, address)
+	})
+	go p.WatchPaths(t.Context())
+	return p
+}
+
+// startTarget serves HTTP until the test ends.
+func startTarget(t *testing.T, handler http.HandlerFunc) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func (p *cutPool) get(ctx context.Context, address string, edit func(*PooledRequest)) (string, error) {
+	r := &PooledRequest{Address: address, Method: http.MethodGet, URI: "/", MatchesRequest: func(http.Header) bool { return true }}
+	r.Header = []Field{{Name: "Host", Value: "x"}}
+	if edit != nil {
+		edit(r)
+	}
+	response, err := p.Send(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response)
+	return string(body), err
+}
+
+func answer(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
+
+func TestRequestsGoThroughAnotherInstanceWhileThePathIsLost(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		p := newCutPool(t)
+		p.hangs = hangs
+		address := startTarget(t, answer)
+		p.cut.Store(true)
+		for range 3 {
+			body, err := p.get(t.Context(), address, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "answer")
+		}
+		assert.Assert(t, p.PathLost(address))
+		assert.Assert(t, p.relay.dials.Load() >= 1)
+
+		// The return is found without a request.
+		p.cut.Store(false)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if !p.AnyLost() {
+				return poll.Success()
+			}
+			return poll.Continue("the path is still lost")
+		}, poll.WithTimeout(pathEventTimeout))
+		dials := p.relay.dials.Load()
+		_, err := p.get(t.Context(), address, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, p.relay.dials.Load(), dials)
+	}
+}
+
+func TestFailuresAreNoEvidenceAgainstATargetThatOthersReach(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		relayErr error
+		cut      bool
+		want     bool
+	}{
+		{"others reach it", nil, true, true},
+		{"others do not reach it either", relay.ErrUnreachable, true, false},
+		{"others cannot tell", relay.ErrInconclusive, true, true},
+		{"no others", relay.ErrNoPeers, true, false},
+		{"it is reached directly", relay.ErrUnreachable, false, false},
+	} {
+		p := newCutPool(t)
+		p.relay.err = tc.relayErr
+		address := startTarget(t, func(http.ResponseWriter, *http.Request) {
+			p.cut.Store(tc.cut)
+			panic(http.ErrAbortHandler)
+		})
+		_, err := p.get(t.Context(), address, nil)
+		assert.Assert(t, err != nil, tc.name)
+		assert.Equal(t, p.IsPathLost(address, err), tc.want, "%s: %v", tc.name, err)
+		if tc.relayErr != nil && tc.cut {
+			// The same holds where nothing could be sent.
+			_, err = p.get(t.Context(), address, nil)
+			assert.Assert(t, IsNotSent(err), "%s: %v", tc.name, err)
+			assert.Equal(t, errors.Is(err, ErrPathLost), tc.want, tc.name)
+		}
+	}
+}
+
+// An exchange on a path that turns out to be lost ends if its request may be
+// repeated; the others go on, since their responses may still arrive.
+func TestSilentExchangesOnALostPathEnd(t *testing.T) {
+	const responseTime = 3 * time.Second
+	for _, runsOnce := range []bool{false, true} {
+		p := newCutPool(t)
+		p.hangs = true
+		var told atomic.Bool
+		address := startTarget(t, func(w http.ResponseWriter, r *http.Request) {
+			p.cut.Store(true)
+			time.Sleep(responseTime)
+			answer(w, r)
+		})
+		startedAt := time.Now()
+		body, err := p.get(t.Context(), address, func(r *PooledRequest) {
+			r.RequireFreshConn = runsOnce
+			r.OnPathLost = func() { told.Store(true) }
+		})
+		assert.Assert(t, told.Load())
+		if runsOnce {
+			assert.NilError(t, err)
+			assert.Equal(t, body, "answer")
+			continue
+		}
+		assert.Assert(t, errors.Is(err, ErrPathLost), "%v", err)
+		assert.Assert(t, time.Since(startedAt) < responseTime)
+	}
+}
+
+// A sound target may be silent for a while, and is reached all the same.
+func TestSilenceOfAReachableTargetIsNoLostPath(t *testing.T) {
+	p := newCutPool(t)
+	address := startTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1500 * time.Millisecond)
+		answer(w, r)
+	})
+	body, err := p.get(t.Context(), address, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "answer")
+	assert.Assert(t, !p.AnyLost())
+	assert.Assert(t, p.PathCounters().Checks.Load() >= 1)
+	assert.Equal(t, p.relay.dials.Load(), int32(0))
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 )
 
 const (
@@ -38,6 +39,10 @@
 type Pool struct {
 	clock clockwork.Clock
 	dial  DialFunc
+	// relay is nil if there are no other instances to go through.
+	relay        Relay
+	logger       *zap.Logger
+	pathCounters PathCounters
 	// tooLong counts the responses that exceeded a bound.
 	tooLong atomic.Uint64
 	// bufferedBytes is the memory reserved for bodies, in bytes.
@@ -48,6 +53,10 @@
 	idle        map[string][]*pooledConn
 	maxIdle     func(address string) int
 	openedConns uint64
+	// paths are the paths to targets by address, inflight the connections with an
+	// exchange.
+	paths    map[string]*path
+	inflight map[*pooledConn]struct{}
 }
 
 // DialFunc opens a connection to a target.
@@ -57,7 +66,8 @@
 func NewPool(clock clockwork.Clock) *Pool {
 	dialer := net.Dialer{KeepAlive: -1}
 	return &Pool{
-		clock: clock, idle: make(map[string][]*pooledConn),
+		clock: clock, idle: make(map[string][]*pooledConn), paths: make(map[string]*path), inflight: make(map[*pooledConn]struct{}),
+		logger:  zap.NewNop(),
 		maxIdle: func(string) int { return defaultMaxIdle },
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
@@ -82,6 +92,9 @@
 	return p.openedConns
 }
 
+// PathCounters returns the counters of paths.
+func (p *Pool) PathCounters() *PathCounters { return &p.pathCounters }
+
 // TooLong returns the number of responses so far that exceeded a bound on their
 // header or buffered body.
 func (p *Pool) TooLong() uint64 { return p.tooLong.Load() }
@@ -106,6 +119,17 @@
 	// reused is set once the connection has served a request.
 	reused  bool
 	silence SilenceWatch
+
+	path *path
+	// via is the instance that relays the connection; "" if it is direct.
+	via string
+	// heardNanos is when a byte was last received or the exchange began.
+	heardNanos atomic.Int64
+	// repeatable and onPathLost belong to the request of the exchange. pathLost is
+	// set once it has been ended since the path is lost.
+	repeatable bool
+	onPathLost func()
+	pathLost   atomic.Bool
 }
 
 // SilenceWatch reports that a target has not sent what it is waited for. It never
@@ -137,6 +161,11 @@
 func (c *pooledConn) Read(buffer []byte) (int, error) {
 	for {
 		n, err := c.conn.Read(buffer)
+		if n > 0 {
+			c.heard(time.Now())
+		} else if err != nil && c.pathLost.Load() {
+			return 0, errors.Mark(err, ErrPathLost)
+		}
 		if n > 0 || err == nil || c.silence.After == 0 || !isTimeout(err) {
 			return n, err
 		}
@@ -152,6 +181,16 @@
 
 func (c *pooledConn) close() { _ = c.conn.Close() }
 
+// heard records that the target has sent something.
+func (c *pooledConn) heard(now time.Time) {
+	c.heardNanos.Store(now.UnixNano())
+	if c.via == "" {
+		c.path.heardNanos.Store(now.UnixNano())
+	}
+}
+
+func (c *pooledConn) heardAt() time.Time { return time.Unix(0, c.heardNanos.Load()) }
+
 // acquire returns an idle connection that is still open and has no pending
 // data, or a new one. With requireFresh, an idle one must have been used
 // recently.
@@ -166,19 +205,34 @@
 		}
 		pooled.close()
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, poolDialTimeout)
-	defer cancel()
-	conn, err := p.dial(dialCtx, address)
-	if err != nil {
-		return nil, err
-	}
+	return p.connect(ctx, address)
+}
+
+// newConn returns a connection without an exchange.
+func (p *Pool) newConn(conn net.Conn, state *path, via string) *pooledConn {
 	p.mu.Lock()
 	p.openedConns++
 	p.mu.Unlock()
-	pooled := &pooledConn{conn: conn, address: address, openedAt: p.clock.Now()}
+	pooled := &pooledConn{conn: conn, address: state.address, openedAt: p.clock.Now(), path: state, via: via}
 	pooled.bounds.source = pooled
 	pooled.reader = bufio.NewReaderSize(&pooled.bounds, readBufferBytes)
-	return pooled, nil
+	return pooled
+}
+
+// begin registers the exchange of a request on a connection, end ends that.
+func (p *Pool) begin(conn *pooledConn, r *PooledRequest) {
+	conn.heardNanos.Store(time.Now().UnixNano())
+	conn.repeatable, conn.onPathLost = !r.RequireFreshConn, r.OnPathLost
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.path.usedAt = p.clock.Now()
+	p.inflight[conn] = struct{}{}
+}
+
+func (p *Pool) end(conn *pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.inflight, conn)
 }
 
 // popIdle removes and returns the most recently used connection, or nil if it
@@ -266,6 +320,9 @@
 // usable reports whether the connection is open and has no pending data. Data
 // received between two requests belongs to no request.
 func usable(conn net.Conn) bool {
+	if buffered, ok := conn.(interface{ HasBuffered() bool }); ok && buffered.HasBuffered() {
+		return false
+	}
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,8 +84,13 @@
 	return r.Quarantine.Start(r.fingerprint, grant.Target.Key().String(), grant.ExpectedTimeToFirst, r.promptParts...)
 }
 
-// endBroken records the end of an attempt without a complete response.
-func endBroken(ctx context.Context, tracked *observation, err error) {
+// endBroken records the end of an attempt without a complete response; pathLost
+// states that the target is not the cause.
+func endBroken(ctx context.Context, tracked *observation, err error, pathLost bool) {
+	if pathLost {
+		tracked.End(quarantine.NoEvidence)
+		return
+	}
 	tracked.judgeBroken(ctx, err)
 	var netErr net.Error
 	switch {
@@ -115,7 +120,8 @@
 
 // handleSendError handles an attempt that ended without a response header.
 func (r *inflightRequest) handleSendError(ctx context.Context, x *exchange, p reply) attemptResult {
-	endBroken(ctx, x.tracked, p.err)
+	pathLost := r.isPathLost(ctx, x, p.err)
+	endBroken(ctx, x.tracked, p.err, pathLost)
 	notSent := dispatch.IsNotSent(p.err)
 	if !notSent {
 		r.countSent(x)
@@ -126,13 +132,21 @@
 		return attemptResult{reason: "no answer came before the deadline"}
 	}
 	r.log.cause = p.err
-	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 	if notSent {
 		r.unreachable++
 		r.Counters.TargetsUnreachable.Add(1)
+	}
+	switch {
+	case pathLost:
+		// The target is not excluded: it may be reached through another instance.
+		x.end(schedule.Cancelled)
+		return r.pathLostAttempt(notSent)
+	case notSent:
+		r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 		x.end(schedule.Unreachable)
 		return attemptResult{retry: true}
 	}
+	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 	result := schedule.Failed
 	if errors.Is(p.err, dispatch.ErrStaleConn) {
 		result = schedule.Cancelled
@@ -141,6 +155,27 @@
 	return r.failedAttempt("the target broke off before an answer")
 }
 
+// isPathLost reports whether an attempt failed for a reason between this instance and
+// the target.
+func (r *inflightRequest) isPathLost(ctx context.Context, x *exchange, err error) bool {
+	if err == nil || ctx.Err() != nil || !r.Pool.IsPathLost(x.grant.Target.Address, err) {
+		return false
+	}
+	r.Counters.PathsLost.Add(1)
+	r.log.addStep("path lost to", x.grant.Target.ID, 0)
+	return true
+}
+
+// pathLostAttempt is the result of an attempt that the path to the target has ended.
+// If the request may have been sent, another attempt is allowed in place of this one.
+func (r *inflightRequest) pathLostAttempt(notSent bool) attemptResult {
+	if notSent {
+		return attemptResult{retry: true}
+	}
+	r.lostAttempts++
+	return r.failedAttempt("the path to the target was lost before an answer")
+}
+
 // failedAttempt is the result of an attempt that may have been executed.
 func (r *inflightRequest) failedAttempt(reason string) attemptResult {
 	return attemptResult{retry: r.route.Retryable(), reason: reason}
@@ -167,8 +202,9 @@
 
 // relayBuffered returns a response that was read as a whole.
 func (r *inflightRequest) relayBuffered(ctx context.Context, x *exchange, p reply) attemptResult {
+	pathLost := r.isPathLost(ctx, x, p.err)
 	if p.err != nil {
-		endBroken(ctx, x.tracked, p.err)
+		endBroken(ctx, x.tracked, p.err, pathLost)
 	} else {
 		endComplete(x.tracked, x.response)
 	}
@@ -176,6 +212,10 @@
 	case ctx.Err() != nil:
 		x.end(schedule.Cancelled)
 		return attemptResult{reason: "the answer was not complete before the deadline"}
+	case pathLost:
+		r.log.cause = p.err
+		x.end(schedule.Cancelled)
+		return r.pathLostAttempt(false)
 	case p.err != nil:
 		r.log.addStep("answer unusable", x.grant.Target.ID, p.took)
 		r.log.cause = p.err
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -11,6 +11,8 @@
 	// StreamsCut the streams that ended before their end although the caller and its
 	// deadline allowed more.
 	TargetsSilent, StreamsCut atomic.Uint64
+	// PathsLost counts attempts that ended because of the path to their target.
+	PathsLost atomic.Uint64
 }
 
 // Snapshot returns the counters by metric name.
@@ -22,5 +24,6 @@
 		"targets_not_reached": c.TargetsUnreachable.Load(), "not_executed": c.NotExecuted.Load(),
 		"misdirected": c.Misdirected.Load(), "over_quota": c.OverQuota.Load(), "denied": c.Denied.Load(),
 		"timed_out": c.TimedOut.Load(), "targets_silent": c.TargetsSilent.Load(), "streams_cut": c.StreamsCut.Load(),
+		"paths_lost": c.PathsLost.Load(),
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -130,8 +130,10 @@
 		return
 	}
 	x.silent = true
-	x.grant.Silent()
 	r := x.inflight
+	if !r.Pool.PathLost(x.grant.Target.Address) {
+		x.grant.Silent()
+	}
 	r.countSent(x)
 	r.Counters.TargetsSilent.Add(1)
 	r.log.addStep("silent", x.grant.Target.ID, r.Clock.Since(x.startedAt))
@@ -184,6 +186,8 @@
 		Header:           append(r.Protocol.DispatchFields(metadata), r.request.Header...),
 		RequireFreshConn: !r.route.Retryable(),
 		Silence:          x.silence,
+		// The target is not to blame for what is missing from now on.
+		OnPathLost: func() { x.tracked.End(quarantine.NoEvidence) },
 		MatchesRequest: func(header http.Header) bool {
 			id := r.Protocol.ParseResponse(header).AttemptID
 			return id == "" || id == r.request.AttemptID
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -71,6 +71,9 @@
 	// attempts counts the targets that the request was sent to, unreachable those
 	// that it could not be sent to.
 	attempts, unreachable int
+	// lostAttempts is the number of attempts that ended since the path to the target
+	// was lost.
+	lostAttempts int
 	// possibleRuns is the number of attempts that a target may have started to
 	// execute.
 	possibleRuns int
@@ -244,9 +247,9 @@
 // checkAttempts returns a *refusedError if the request has no attempt left.
 func (r *inflightRequest) checkAttempts() error {
 	switch {
-	case r.unreachable > maxUnreachableTargets:
+	case r.unreachable+r.lostAttempts > maxUnreachableTargets:
 		return &refusedError{reason: "no target could be reached", retryAfter: defaultRetryAfter}
-	case r.attempts >= max(1, r.route.MaxAttempts):
+	case r.attempts-r.lostAttempts >= max(1, r.route.MaxAttempts):
 		return &refusedError{reason: "all attempts of the route are used", retryAfter: defaultRetryAfter}
 	}
 	return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,13 +47,18 @@
 		}
 		return attemptResult{response: &Response{Status: x.response.Status, Header: removeHopByHop(x.response.Header), Stream: s}}
 	}
-	endBroken(ctx, x.tracked, p.err)
+	pathLost := r.isPathLost(ctx, x, p.err)
+	endBroken(ctx, x.tracked, p.err, pathLost)
 	if ctx.Err() != nil {
 		x.end(schedule.Cancelled)
 		return attemptResult{reason: "no event came before the deadline"}
 	}
 	r.log.addStep("no first event", x.grant.Target.ID, p.took)
 	r.log.cause = p.err
+	if pathLost {
+		x.end(schedule.Cancelled)
+		return r.pathLostAttempt(false)
+	}
 	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 	x.end(schedule.Failed)
 	return r.failedAttempt("the target broke off before the first event")
@@ -152,12 +157,20 @@
 // recordBroken records that the target broke off the stream.
 func (s *stream) recordBroken(cause error) {
 	r, x := s.inflight, s.current
-	endBroken(s.ctx, x.tracked, cause)
-	x.end(schedule.Failed)
+	pathLost := r.isPathLost(s.ctx, x, cause)
+	endBroken(s.ctx, x.tracked, cause, pathLost)
+	if pathLost {
+		r.lostAttempts++
+		x.end(schedule.Cancelled)
+	} else {
+		x.end(schedule.Failed)
+	}
 	took := r.Clock.Since(x.startedAt)
 	r.log.addStep("cut after "+x.events.lastID, x.grant.Target.ID, took)
 	r.log.cause = cause
-	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
+	if !pathLost {
+		r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
+	}
 }
 
 // searchContinuation asks other targets for the rest of the stream until one sends its first
@@ -219,9 +232,14 @@
 	}
 	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
 	if p.err != nil {
-		endBroken(ctx, x.tracked, p.err)
+		pathLost := r.isPathLost(ctx, x, p.err)
+		endBroken(ctx, x.tracked, p.err, pathLost)
 		r.log.addStep("resume failed", grant.Target.ID, p.took)
-		x.end(schedule.Failed)
+		if pathLost {
+			x.end(schedule.Cancelled)
+		} else {
+			x.end(schedule.Failed)
+		}
 		return nil, false
 	}
 	x.tracked.End(quarantine.NoEvidence)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -42,6 +42,13 @@
 	StoreEra              uint64 `json:"store_era"`
 	StoreReturns          uint64 `json:"store_returns"`
 	HeldEntries           uint64 `json:"held_entries"`
+	// PathsLostNow is the number of targets that this instance does not reach itself.
+	PathsLostNow     int    `json:"paths_lost_now"`
+	PathsLost        uint64 `json:"paths_lost"`
+	PathChecks       uint64 `json:"path_checks"`
+	ConnsViaPeers    uint64 `json:"connections_via_peers"`
+	ConnsForPeers    uint64 `json:"connections_for_peers"`
+	ConnsForPeersNow int64  `json:"connections_for_peers_now"`
 }
 
 func (n *Node) instanceState() instanceState {
@@ -49,7 +56,10 @@
 	n.targetsMu.Lock()
 	heldEntries := n.targets.heldCount
 	n.targetsMu.Unlock()
+	paths := n.pool.PathCounters()
 	return instanceState{
+		PathsLostNow: n.pool.LostPaths(), PathsLost: paths.Lost.Load(), PathChecks: paths.Checks.Load(), ConnsViaPeers: paths.Relayed.Load(),
+		ConnsForPeers: n.relay.Relayed.Load(), ConnsForPeersNow: n.relay.Active(),
 		StoreEra: n.era.current(), StoreReturns: n.era.returns.Load(), HeldEntries: heldEntries,
 		ConfigVersion: n.configuration.Version(), Draining: n.draining.Load(), InstanceCount: view.Instances,
 		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/placement"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
+	"github.com/hibiscuspost/hibiscuspost/internal/relay"
 	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 	"github.com/hibiscuspost/hibiscuspost/internal/routing"
 )
@@ -78,6 +79,7 @@
 	configuration   *catalog.Holder
 	placement       *placement.Service
 	pool            *dispatch.Pool
+	relay           *relay.Server
 	quota           *quota.Limiter
 	peers           *peerTable
 	rollouts        *rollout.Controller
@@ -221,6 +223,7 @@
 	n.bus.HandleDatagram(peer.KindCredit, n.handleGossip)
 	n.bus.HandleDatagram(peer.KindPlacement, n.placement.HandleMessage)
 	n.registerCallHandlers()
+	n.connectRelay()
 	return nil
 }
 
@@ -279,7 +282,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	for _, task := range []func(context.Context){
-		n.followDeclarations, n.followTargets, n.followMembers, n.gossip, n.syncWithPeers, n.sweepIdle, n.followRollouts, n.placement.Run, n.maintainRoster, n.watchCrashes,
+		n.followDeclarations, n.followTargets, n.followMembers, n.gossip, n.syncWithPeers, n.sweepIdle, n.followRollouts, n.placement.Run, n.maintainRoster, n.watchCrashes, n.pool.WatchPaths,
 	} {
 		n.background.Go(func() { task(ctx) })
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -208,7 +208,7 @@
 	}
 	// A suspended peer accepts connections but sends nothing.
 	stopClosing := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = callerHandshake(conn, b.secret, b.address)
+	err = callerHandshake(conn, b.secret, b.address, purposeCalls)
 	if !stopClosing() {
 		err = errors.CombineErrors(ctx.Err(), err)
 	}
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -58,6 +58,9 @@
 	callHandlers     map[string]CallHandler
 	datagramHandlers map[DatagramKind]DatagramHandler
 
+	// streamHandler serves streams; nil rejects them.
+	streamHandler StreamHandler
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	// loops tracks the goroutines of Start, and tasks those that dial, serve incoming
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -61,13 +61,17 @@
 		return
 	}
 	defer b.untrackIncoming(conn)
-	callerAddress, err := listenerHandshake(conn, b.secret)
+	callerAddress, p, err := listenerHandshake(conn, b.secret)
 	<-b.handshakeSlots
 	if err != nil {
 		_ = conn.Close()
 		b.logger.Warn("peer refused", zap.Stringer("remote", conn.RemoteAddr()), zap.Error(err))
 		return
 	}
+	if p == purposeStream {
+		b.serveStream(callerAddress, conn)
+		return
+	}
 	handler := &callServer{bus: b, callerAddress: callerAddress, callSlots: make(chan struct{}, maxConcurrentCalls)}
 	stream := jsonrpc2.NewBufferedStream(&timedConn{Conn: conn}, messageCodec{})
 	rpc := jsonrpc2.NewConn(b.ctx, stream, handler, jsonrpc2.SetLogger(discardLogger{}))
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
+)
+
+const (
+	// requestTimeout bounds the time until a stream names its target.
+	requestTimeout = time.Second
+	// targetDialTimeout bounds the connection to the target: several round trips.
+	targetDialTimeout = 200 * time.Millisecond
+	// maxRelayed bounds the connections that an instance relays at a time.
+	maxRelayed = 400
+)
+
+// Paths is what an instance knows of its own paths to targets.
+type Paths interface {
+	// DialDirect connects to a target without another instance.
+	DialDirect(ctx context.Context, address string) (net.Conn, error)
+	// PathLost reports whether the instance has lost its path to the target, AnyLost
+	// whether to any target.
+	PathLost(address string) bool
+	AnyLost() bool
+}
+
+// Server relays connections of other instances to targets.
+type Server struct {
+	Paths Paths
+	// Allows reports whether an address is that of a target.
+	Allows func(address string) bool
+	// Draining reports whether the instance is shutting down.
+	Draining func() bool
+	Logger   *zap.Logger
+	// Relayed counts the connections relayed so far, active those open now.
+	Relayed atomic.Uint64
+	active  atomic.Int64
+}
+
+// Active returns the number of connections that are relayed now.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Serve serves a stream of another instance until it ends.
+func (s *Server) Serve(from string, conn net.Conn) {
+	if s.active.Add(1) > maxRelayed {
+		s.active.Add(-1)
+		return
+	}
+	defer s.active.Add(-1)
+	_ = conn.SetDeadline(time.Now().Add(requestTimeout))
+	address, err := readAddress(conn)
+	if err != nil {
+		s.Logger.Debug("relay request not read", zap.String("peer", from), eventlog.ErrorField(err))
+		return
+	}
+	target, outcome := s.connect(address)
+	if _, err := conn.Write([]byte{byte(outcome)}); err != nil || target == nil {
+		if target != nil {
+			_ = target.Close()
+		}
+		return
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		_ = target.Close()
+		return
+	}
+	s.Relayed.Add(1)
+	copyBoth(conn, target)
+}
+
+// connect connects to a target; the connection is nil unless that succeeds.
+func (s *Server) connect(address string) (net.Conn, status) {
+	if !s.Allows(address) || s.Draining() || s.Paths.PathLost(address) {
+		return nil, statusNoPath
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), targetDialTimeout)
+	defer cancel()
+	target, err := s.Paths.DialDirect(ctx, address)
+	switch {
+	case err == nil:
+		return target, statusConnected
+	case s.Paths.AnyLost():
+		return nil, statusNoPath
+	}
+	return nil, statusUnreachable
+}
+
+// copyBoth copies bytes in both directions until either side ends.
+func copyBoth(conn, target net.Conn) {
+	var copies sync.WaitGroup
+	copies.Go(func() {
+		// The end of either side closes the other, which is all that is done about it.
+		_ = copyFromTarget(conn, target)
+		_ = conn.Close()
+		_ = target.Close()
+	})
+	buffer := make([]byte, frameBytes)
+	for {
+		n, err := conn.Read(buffer)
+		if n > 0 {
+			if _, writeErr := target.Write(buffer[:n]); writeErr != nil {
+				// The target may have answered before it closed: that is still copied.
+				break
+			}
+		}
+		if err != nil {
+			_ = target.Close()
+			break
+		}
+	}
+	copies.Wait()
+}
