--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -271,7 +271,8 @@
 	case decisionRefused:
 		return nil, &schedule.RefusedError{
 			Reason: response.Reason, RetryAfter: fromMillis(response.RetryAfterMs), QueuedAhead: response.Ahead,
-			Slots: response.Slots, ExpectedWait: fromMillis(response.ExpectedMs), RateLimits: response.RateLimits,
+			Slots: response.Slots, ExpectedWait: fromMillis(response.ExpectedMs),
+			RateLimits: a.client.local.DescribeRateLimits(a.request.Service),
 		}, true
 	case decisionRedirected, decisionMoved:
 		if a.redirects++; a.redirects > maxRedirects {
@@ -319,10 +320,6 @@
 		a.cancel()
 		return nil, errors.Wrap(errNotKnown, "target")
 	}
-	if response.Terms != nil {
-		now := c.clock.Now()
-		c.recordTerms(target.Key(), response.Terms.heard(a.coordinator, now), now)
-	}
 	grant := schedule.Grant{
 		Target: target, Waited: c.clock.Since(a.request.ArrivedAt), RunningBefore: response.RunningBefore, PrefillAhead: response.Ahead,
 		ExpectedTimeToFirst: fromMillis(response.ExpectedMs), Coordinator: a.coordinator,
@@ -380,6 +377,16 @@
 	}
 }
 
+// handleTerms records the terms of targets that another instance has received.
+func (c *Client) handleTerms(from string, r *termsReport) {
+	groups, now := c.groups.Load(), c.clock.Now()
+	for i := range r.Terms {
+		if target := groups.byID[r.Terms[i].Target]; target != nil {
+			c.recordTerms(target.Key(), r.Terms[i].heard(from, now), time.Time{})
+		}
+	}
+}
+
 // sendMessage sends a message to a coordinator.
 func (c *Client) sendMessage(address string, k messageKind, message any) {
 	body, err := encode(k, message)
--- a/internal/placement/execution.go
+++ b/internal/placement/execution.go
@@ -16,8 +16,8 @@
 // in one packet.
 const requestsPerRenewal = 70
 
-// termsPerRenewal is the same limit for the terms of targets.
-const termsPerRenewal = 40
+// termsPerReport is the same limit for the terms of targets.
+const termsPerReport = 30
 
 // execution is a request of this instance that runs on a target.
 type execution struct {
@@ -39,8 +39,9 @@
 	coordinator            string
 	responseStarted, ended bool
 	// terms are those in the header of the response that the coordinator is told
-	// of; nil if there is nothing to tell.
-	terms *targetTerms
+	// of, received at termsAt; nil if there is nothing to tell.
+	terms   *targetTerms
+	termsAt time.Time
 }
 
 // track registers a request that starts. If its group has another coordinator
@@ -105,10 +106,20 @@
 	}
 	message := newTargetTerms(e.key, heard, heard.At)
 	e.mu.Lock()
-	e.terms = &message
+	e.terms, e.termsAt = &message, heard.At
 	e.mu.Unlock()
 	if changed {
-		e.reportProgress(&progressReport{ID: e.id, Terms: &message})
+		e.reportTerms(&message)
+	}
+}
+
+// reportTerms tells the coordinator of the request the terms of its target.
+func (e *execution) reportTerms(terms *targetTerms) {
+	e.mu.Lock()
+	coordinator := e.coordinator
+	e.mu.Unlock()
+	if coordinator != "" {
+		e.client.sendMessage(coordinator, kindTerms, &termsReport{ID: e.id, Terms: []targetTerms{*terms}})
 	}
 }
 
@@ -127,7 +138,7 @@
 // Done implements schedule.ExecutionObserver.
 func (e *execution) Done(o schedule.Outcome) {
 	e.mu.Lock()
-	alreadyEnded, terms := e.ended, e.terms
+	alreadyEnded, terms, termsAt := e.ended, e.terms, e.termsAt
 	e.ended = true
 	e.mu.Unlock()
 	if alreadyEnded {
@@ -139,9 +150,14 @@
 	e.client.mu.Lock()
 	delete(e.client.running, e.id)
 	e.client.mu.Unlock()
+	if terms != nil {
+		repeated := *terms
+		repeated.AgeMs = toMillis(e.client.clock.Since(termsAt))
+		e.reportTerms(&repeated)
+	}
 	e.reportProgress(&progressReport{
 		ID: e.id, Tokens: o.Tokens, TokenSpanMicros: o.TokenSpan.Microseconds(), Done: true, Result: o.Result,
-		TotalMicros: o.TotalTime.Microseconds(), Terms: terms,
+		TotalMicros: o.TotalTime.Microseconds(),
 	})
 }
 
@@ -208,8 +224,8 @@
 
 // sendTerms tells a coordinator the terms of targets.
 func (c *Client) sendTerms(address string, terms []targetTerms) {
-	for batch := range slices.Chunk(terms, termsPerRenewal) {
-		c.sendMessage(address, kindRenewal, &leaseRenewal{Partial: true, Terms: batch})
+	for batch := range slices.Chunk(terms, termsPerReport) {
+		c.sendMessage(address, kindTerms, &termsReport{Terms: batch})
 	}
 }
 
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
@@ -38,9 +36,6 @@
 	for _, grant := range ended {
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 	}
-	for i := range r.Terms {
-		s.recordTerms(from, &r.Terms[i], time.Time{})
-	}
 	s.adoptRunning(from, unknown, groups)
 }
 
@@ -65,7 +60,7 @@
 		}
 		if s.requests[from][running.ID] == nil {
 			s.requests[from][running.ID] = &heldRequest{
-				group: group, grant: grant, response: s.grantedResponse(running.ID, grant, now), decidedAt: now, renewedAt: now,
+				group: group, grant: grant, response: grantedResponse(running.ID, grant), decidedAt: now, renewedAt: now,
 			}
 			grant = nil
 		}
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -23,6 +23,7 @@
 	kindTakeover
 	kindProbe
 	kindProbeResponse
+	kindTerms
 )
 
 // slotRequest requests a slot from a coordinator.
@@ -98,10 +99,17 @@
 	Coordinator string
 	// FreeSlots is the number of free slots in the group of the request.
 	FreeSlots int
-	// Terms are those of the granted target, if it states any.
-	Terms *targetTerms
-	// RateLimits describes the limits that a refusal is due to.
-	RateLimits string
+}
+
+// termsReport tells another instance what targets state about the requests that they
+// take. Instances of earlier builds ignore it.
+type termsReport struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// ID is the request whose response states the terms; 0 if they are repeated.
+	ID    uint32
+	Terms []targetTerms
 }
 
 // targetTerms are what a target states about the requests that it takes.
@@ -152,9 +160,6 @@
 	Done        bool
 	Result      schedule.Result
 	TotalMicros int64
-	// Terms are those in the header of the response, if they differ from what the
-	// sender knew or restrict anything.
-	Terms *targetTerms
 }
 
 // leaseRenewal lists the requests that an instance runs on the targets of a
@@ -167,8 +172,6 @@
 	// run.
 	Partial bool
 	Running []runningRequest
-	// Terms are those of the coordinator's targets that state any.
-	Terms []targetTerms
 }
 
 // runningRequest is one running request.
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -242,7 +242,7 @@
 	case h.grant != nil:
 		h.queued = nil
 		h.sentAt = now
-		h.response = s.grantedResponse(id, h.grant, now)
+		h.response = grantedResponse(id, h.grant)
 	case h.queued != nil:
 		h.response = &slotResponse{ID: id, Decision: decisionQueued}
 	default:
@@ -263,8 +263,11 @@
 		return
 	}
 	byID[id] = h
-	response, queued := h.response, h.queued
+	response, queued, grant := h.response, h.queued, h.grant
 	s.mu.Unlock()
+	if grant != nil {
+		s.sendTerms(from, grant, now)
+	}
 	s.sendResponse(from, response)
 	if queued != nil {
 		go s.awaitGrant(from, id, h, queued)
@@ -308,10 +311,11 @@
 		return
 	}
 	h.grant, h.queued = grant, nil
-	h.response = s.grantedResponse(id, grant, now)
+	h.response = grantedResponse(id, grant)
 	h.decidedAt, h.renewedAt, h.sentAt = now, now, now
 	response := h.response
 	s.mu.Unlock()
+	s.sendTerms(from, grant, now)
 	s.sendResponse(from, response)
 }
 
@@ -345,9 +349,6 @@
 		grant, sentAt = h.grant, h.sentAt
 	}
 	s.mu.Unlock()
-	if p.Terms != nil {
-		s.recordTerms(from, p.Terms, sentAt)
-	}
 	if grant == nil {
 		if h != nil && p.Done {
 			s.endRequest(from, p.ID, schedule.Outcome{Result: schedule.Cancelled})
@@ -399,18 +400,32 @@
 	return request
 }
 
-// grantedResponse returns the response with a grant. The instance is told the terms
-// of the target, in case it has to place requests without a coordinator.
-func (s *Server) grantedResponse(id uint32, g *schedule.Grant, now time.Time) *slotResponse {
-	response := &slotResponse{
+func grantedResponse(id uint32, g *schedule.Grant) *slotResponse {
+	return &slotResponse{
 		ID: id, Decision: decisionGranted, Target: idOf(g.Target.Key()), RunningBefore: g.RunningBefore, Ahead: g.PrefillAhead,
 		ExpectedMs: toMillis(g.ExpectedTimeToFirst),
 	}
+}
+
+// sendTerms tells an instance the terms of a granted target, if it states any, in case
+// the instance has to place requests without a coordinator.
+func (s *Server) sendTerms(to string, g *schedule.Grant, now time.Time) {
 	if heard := s.scheduler.Terms(g.Target.Key()); heard.AreStated() {
-		terms := newTargetTerms(g.Target.Key(), heard, now)
-		response.Terms = &terms
+		s.sendMessage(to, kindTerms, &termsReport{Terms: []targetTerms{newTargetTerms(g.Target.Key(), heard, now)}})
+	}
+}
+
+// handleTerms records the terms of targets that an instance has received.
+func (s *Server) handleTerms(from string, r *termsReport) {
+	s.mu.Lock()
+	var sentAt time.Time
+	if h := s.requests[from][r.ID]; h != nil {
+		sentAt = h.sentAt
+	}
+	s.mu.Unlock()
+	for i := range r.Terms {
+		s.recordTerms(from, &r.Terms[i], sentAt)
 	}
-	return response
 }
 
 // recordTerms records the terms of a target that an instance has received, in the
@@ -433,7 +448,6 @@
 	if errors.As(err, &refusal) {
 		response.Reason, response.Ahead, response.Slots = refusal.Reason, refusal.QueuedAhead, refusal.Slots
 		response.RetryAfterMs, response.ExpectedMs = toMillis(refusal.RetryAfter), toMillis(refusal.ExpectedWait)
-		response.RateLimits = refusal.RateLimits
 	}
 	return response
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -116,6 +116,11 @@
 		err = decodeAndHandle(payload, func(probe *groupProbe) { s.server.handleProbe(from, probe) })
 	case kindProbeResponse:
 		err = decodeAndHandle(payload, func(probe *groupProbe) { s.server.handleProbeResponse(from, probe) })
+	case kindTerms:
+		err = decodeAndHandle(payload, func(r *termsReport) {
+			s.server.handleTerms(from, r)
+			s.client.handleTerms(from, r)
+		})
 	case kindCapacity:
 		err = decodeAndHandle(payload, s.server.handleCapacityReport)
 	}
--- a/internal/schedule/ratelimit.go
+++ b/internal/schedule/ratelimit.go
@@ -104,6 +104,17 @@
 	return perSecond
 }
 
+// DescribeRateLimits returns the rate limits of a service's targets for log lines; ""
+// if there are none.
+func (s *Scheduler) DescribeRateLimits(service string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sv := s.services[service]; sv != nil {
+		return sv.describeRateLimits(s.clock.Now())
+	}
+	return ""
+}
+
 // describeRateLimits returns the rate limits of a service's targets for log lines,
 // with their age and the instance that received them; "" if there are none.
 func (sv *service) describeRateLimits(now time.Time) string {
