--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -35,6 +35,7 @@
 	// local places requests without a coordinator, by the counts of this
 	// instance. It counts all requests that the instance runs.
 	local         *schedule.Scheduler
+	self          string
 	peerAddresses func() []string
 	groups        atomic.Pointer[Groups]
 	roster        atomic.Pointer[Roster]
@@ -63,7 +64,7 @@
 func newClient(o *Options, counters *Counters) *Client {
 	c := &Client{
 		clock: o.Clock, logger: o.Logger, send: o.Send, counters: counters,
-		local: schedule.New(o.Clock, o.Random()), random: o.Random(), peerAddresses: o.PeerAddresses,
+		local: schedule.New(o.Clock, o.Random()), random: o.Random(), self: o.Self, peerAddresses: o.PeerAddresses,
 		pending: make(map[uint32]chan receivedResponse), running: make(map[uint32]*execution),
 		unavailableUntil: make(map[string]time.Time), overrides: make(map[groupKey]coordinatorOverride), capacities: make(map[groupKey]reportedCapacity),
 	}
--- a/internal/placement/execution.go
+++ b/internal/placement/execution.go
@@ -254,20 +254,25 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			c.updateRateShare()
+			c.updateShare()
 			c.renewLeases()
 			c.local.StartQueued()
 		}
 	}
 }
 
-// uncoordinatedRateShare is the part of a target's rate limit that all instances
-// together use for requests placed without a coordinator, since those of the others
-// may have one.
-const uncoordinatedRateShare = 0.5
-
-// updateRateShare divides the rate limits of targets among the instances, for
-// requests placed without a coordinator.
-func (c *Client) updateRateShare() {
-	c.local.SetRateShare(uncoordinatedRateShare / float64(1+len(c.peerAddresses())))
+// updateShare divides the terms of targets among the instances, for requests placed
+// without a coordinator.
+func (c *Client) updateShare() {
+	index, instances := 0, 1
+	for _, address := range c.peerAddresses() {
+		if address == c.self {
+			continue
+		}
+		instances++
+		if address < c.self {
+			index++
+		}
+	}
+	c.local.SetShare(index, instances)
 }
--- a/internal/schedule/brittle.go
+++ b/internal/schedule/brittle.go
@@ -58,7 +58,7 @@
 	if !t.terms.IsBrittle {
 		return t.info.Slots
 	}
-	return t.brittle.maxStarts(t.terms.RejectionLimit, now)
+	return min(t.share.slots(t)-t.running, t.brittle.maxStarts(t.terms.RejectionLimit, now))
 }
 
 // releaseSlot frees the slot of a request that has ended. A brittle target may still
--- a/internal/schedule/brittle_test.go
+++ b/internal/schedule/brittle_test.go
@@ -57,3 +57,23 @@
 	assert.Equal(t, len(s.targets), 1)
 	s.SetTargets([]*catalog.Target{})
 }
+
+// Without a coordinator, each instance counts only its own requests.
+func TestSlotsOfABrittleTargetAreDividedAmongInstances(t *testing.T) {
+	const slots = 13
+	for _, instances := range []int{2, 5, 7, 40} {
+		total := 0
+		for index := range instances {
+			clock := clockwork.NewFakeClock()
+			s := newScheduler(clock, newEngine("brittle", slots))
+			s.SetShare(index, instances)
+			stateTerms(s, "brittle", brittleTerms(100))
+			for range slots {
+				if g, _, _ := s.submit(newRequest(clock, 0, 0)); g != nil {
+					total++
+				}
+			}
+		}
+		assert.Equal(t, total, slots/2, "%d instances", instances)
+	}
+}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -21,8 +21,7 @@
 	random   *rand.Rand
 	services map[string]*service
 	targets  map[catalog.TargetKey]*target
-	// rateShare is the part of the targets' rate limits that may be used here.
-	rateShare float64
+	share    share
 }
 
 // queueEntry is a request in a queue of the scheduler.
@@ -36,7 +35,7 @@
 func New(clock clockwork.Clock, random *rand.Rand) *Scheduler {
 	return &Scheduler{
 		clock: clock, random: random, services: make(map[string]*service),
-		targets: make(map[catalog.TargetKey]*target), rateShare: 1,
+		targets: make(map[catalog.TargetKey]*target),
 	}
 }
 
@@ -50,7 +49,7 @@
 		present[info.Key()] = true
 		t := s.targets[info.Key()]
 		if t == nil {
-			t = &target{}
+			t = &target{share: s.share}
 			s.targets[info.Key()] = t
 		}
 		t.info, t.removed = info, false
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -36,6 +36,8 @@
 	terms   HeardTerms
 	limiter rateLimiter
 	brittle brittleState
+	// share is what may be used of the terms here.
+	share share
 	// removed targets take no new requests and are deleted once nothing runs
 	// there.
 	removed bool
--- a/internal/schedule/terms.go
+++ b/internal/schedule/terms.go
@@ -75,22 +75,10 @@
 		return before, false
 	}
 	t.terms = heard
-	t.limiter.setTerms(heard.Terms, s.rateShare, s.clock.Now())
+	t.limiter.setTerms(heard.Terms, t.share.rate(), s.clock.Now())
 	return before, before != heard.Terms
 }
 
-// SetRateShare sets the part of the targets' rate limits that this scheduler may
-// use, if others place requests on the same targets.
-func (s *Scheduler) SetRateShare(share float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rateShare = share
-	now := s.clock.Now()
-	for _, t := range s.targets {
-		t.limiter.setTerms(t.terms.Terms, share, now)
-	}
-}
-
 // Terms returns what is known of a target's terms.
 func (s *Scheduler) Terms(key catalog.TargetKey) HeardTerms {
 	s.mu.Lock()
