--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -108,12 +108,27 @@
 // sendQuarantine sends what is known of requests that may have crashed targets,
 // if there is anything within the scope.
 func (n *Node) sendQuarantine(recipients []string, scope quarantine.Scope) {
-	digest := n.quarantine.Digest(scope)
-	if !digest.IsEmpty() {
-		n.send(recipients, &message{Incarnation: n.incarnation, Quarantine: &digest})
+	for _, m := range n.quarantineMessages(n.quarantine.Digest(scope)) {
+		n.send(recipients, m)
 	}
 }
 
+// quarantineMessages returns a digest in as many messages as it takes: requests with
+// many parts take more room than others.
+func (n *Node) quarantineMessages(digest quarantine.Digest) []*message {
+	if digest.IsEmpty() {
+		return nil
+	}
+	m := &message{Incarnation: n.incarnation, Quarantine: &digest}
+	body, err := encodeMessage(m)
+	if err != nil || len(body) <= peer.MaxDatagramBytes || len(digest.Marks)+len(digest.Completions) == 1 {
+		// An error is logged where the message is sent.
+		return []*message{m}
+	}
+	first, second := digest.Split()
+	return append(n.quarantineMessages(first), n.quarantineMessages(second)...)
+}
+
 // sendUsages sends a message with quota usages, split into as many messages as
 // needed.
 func (n *Node) sendUsages(recipients []string, m *message, usages []quota.Usage) {
--- a/internal/node/gossip_test.go
+++ b/internal/node/gossip_test.go
@@ -81,3 +81,30 @@
 		Duration: math.MaxInt64, Elapsed: math.MaxInt64, Revision: math.MaxUint32, Records: groups[0],
 	}
 }
+
+// A digest that outgrew its datagram was dropped as a whole, just when many requests
+// had failed.
+func TestDigestOfRequestsWithManyPartsIsSent(t *testing.T) {
+	const parts = 9
+	var digest quarantine.Digest
+	for i := range quarantine.MaxDigestMarks {
+		digest.Marks = append(digest.Marks, quarantine.MarkReport{
+			ID: math.MaxUint32 - uint32(i), Request: make([]byte, 12*parts), Target: "i-0123456789@1700000000000",
+			StartedAgoMs: 3600000, EndedAgoMs: 3600000, Flags: math.MaxUint8,
+		})
+	}
+	for range quarantine.MaxDigestCompletions {
+		digest.Completions = append(digest.Completions, quarantine.CompletionReport{Request: make([]byte, 12), AgoMs: 3600000})
+	}
+	n := &Node{incarnation: math.MaxInt64}
+	marks, completions := 0, 0
+	for _, m := range n.quarantineMessages(digest) {
+		body, err := encodeMessage(m)
+		assert.NilError(t, err)
+		assert.Assert(t, len(body) <= peer.MaxDatagramBytes, "%d bytes", len(body))
+		marks += len(m.Quarantine.Marks)
+		completions += len(m.Quarantine.Completions)
+	}
+	assert.Equal(t, marks, quarantine.MaxDigestMarks)
+	assert.Equal(t, completions, quarantine.MaxDigestCompletions)
+}
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -81,6 +81,13 @@
 // IsEmpty reports whether the digest states nothing.
 func (d *Digest) IsEmpty() bool { return len(d.Marks) == 0 && len(d.Completions) == 0 }
 
+// Split divides the facts into two digests, for a message that is too long.
+func (d *Digest) Split() (Digest, Digest) {
+	marks, completions := len(d.Marks)/2, len(d.Completions)/2
+	return Digest{Marks: d.Marks[:marks], Completions: d.Completions[:completions]},
+		Digest{Marks: d.Marks[marks:], Completions: d.Completions[completions:]}
+}
+
 // timedDigest is a digest with the time at which it was made.
 type timedDigest struct {
 	digest Digest
