--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -39,6 +39,12 @@
 	// at which a lost path is tried again.
 	watchInterval = 100 * time.Millisecond
 	retryInterval = time.Second
+	// recentlyHeardTime is how long a path on which something was received is not
+	// checked because another one is lost.
+	recentlyHeardTime = 200 * time.Millisecond
+	// leftRelayTime is how long no connection through an instance is used again after
+	// the last word that it shuts down.
+	leftRelayTime = 5 * time.Second
 	// pathRetention is how long the state of a path is kept that is not used.
 	pathRetention = 30 * time.Second
 )
@@ -274,7 +280,7 @@
 	closing := p.takeIdle(state.address, func(conn *pooledConn) bool { return conn.via == "" })
 	var others []*path
 	for _, other := range p.paths {
-		if other.lostSince.IsZero() && now.Sub(other.usedAt) < pathRetention {
+		if other.lostSince.IsZero() && now.Sub(other.usedAt) < pathRetention && now.Sub(other.heardAt()) > recentlyHeardTime {
 			others = append(others, other)
 		}
 	}
@@ -446,6 +452,11 @@
 			suspects[conn.path] = true
 		}
 	}
+	for via, leftAt := range p.leftRelays {
+		if now.Sub(leftAt) > leftRelayTime {
+			delete(p.leftRelays, via)
+		}
+	}
 	for address, state := range p.paths {
 		switch {
 		case state.check == nil && now.Sub(state.usedAt) > pathRetention && now.Sub(state.checkedAt) > pathRetention:
@@ -467,6 +478,28 @@
 	}
 }
 
+// LeaveRelay stops the use of connections through an instance that shuts down; the
+// exchanges on them go on. It is called repeatedly until the instance has ended.
+func (p *Pool) LeaveRelay(via string) {
+	p.mu.Lock()
+	p.leftRelays[via] = p.clock.Now()
+	var idle []*pooledConn
+	for address := range p.idle {
+		idle = append(idle, p.takeIdle(address, func(conn *pooledConn) bool { return conn.via == via })...)
+	}
+	p.mu.Unlock()
+	for _, conn := range idle {
+		conn.close()
+	}
+}
+
+// hasLeftRelay reports whether the instance between is shutting down. The caller holds
+// p.mu.
+func (p *Pool) hasLeftRelay(conn *pooledConn) bool {
+	leftAt, left := p.leftRelays[conn.via]
+	return left && conn.via != "" && p.clock.Since(leftAt) < leftRelayTime
+}
+
 // retryPath uses a path again once the target can be reached directly.
 func (p *Pool) retryPath(state *path) {
 	conn, err := p.connectDirect(context.Background(), state, checkDialTimeout)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -57,6 +57,8 @@
 	// exchange.
 	paths    map[string]*path
 	inflight map[*pooledConn]struct{}
+	// leftRelays are the instances that shut down, with the time of the last word.
+	leftRelays map[string]time.Time
 }
 
 // DialFunc opens a connection to a target.
@@ -67,8 +69,9 @@
 	dialer := net.Dialer{KeepAlive: -1}
 	return &Pool{
 		clock: clock, idle: make(map[string][]*pooledConn), paths: make(map[string]*path), inflight: make(map[*pooledConn]struct{}),
-		logger:  zap.NewNop(),
-		maxIdle: func(string) int { return defaultMaxIdle },
+		leftRelays: make(map[string]time.Time),
+		logger:     zap.NewNop(),
+		maxIdle:    func(string) int { return defaultMaxIdle },
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -269,7 +272,7 @@
 	conn.lastUsedAt = p.clock.Now()
 	conn.expiresAt = conn.lastUsedAt.Add(idleTime)
 	p.mu.Lock()
-	if len(p.idle[conn.address]) >= p.maxIdle(conn.address) {
+	if len(p.idle[conn.address]) >= p.maxIdle(conn.address) || p.hasLeftRelay(conn) {
 		p.mu.Unlock()
 		conn.close()
 		return
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -180,6 +180,9 @@
 				zap.Int64("incarnation", m.Incarnation))
 			n.sendQuarantine([]string{from}, quarantine.Everything)
 		}
+		if m.Draining {
+			n.pool.LeaveRelay(from)
+		}
 		if m.ConfigVersion > n.configuration.Version() {
 			select {
 			case n.newerConfiguration <- struct{}{}:
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -14,6 +14,9 @@
 	// the signal to stop: the load balancer checks readiness once a second and
 	// needs two failures.
 	deregistrationDelay = 2500 * time.Millisecond
+	// relayedCheckInterval is the interval at which relayed connections are counted at
+	// the end of a shutdown.
+	relayedCheckInterval = 20 * time.Millisecond
 	// killMargin is the time kept between the cancellation of the last requests and
 	// the forced stop. Their responses are written in it.
 	killMargin = 150 * time.Millisecond
@@ -30,11 +33,25 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	err := n.callerServer.Shutdown(ctx)
+	n.awaitRelayed(ctx)
 	n.cancel()
 	n.logger.Info("instance stopped", zap.Duration("took", n.clock.Since(startedAt)), eventlog.ErrorField(err))
 	_ = n.logger.Sync()
 }
 
+// awaitRelayed waits until the exchanges of other instances through this one are over.
+// They use it for no further ones since it shuts down.
+func (n *Node) awaitRelayed(ctx context.Context) {
+	for n.relay.Active() > 0 {
+		select {
+		case <-ctx.Done():
+			n.logger.Warn("relayed connections end with the instance", zap.Int64("connections", n.relay.Active()))
+			return
+		case <-n.clock.After(relayedCheckInterval):
+		}
+	}
+}
+
 // Kill stops the instance at once, as a crash would. It does not wait for the
 // background tasks to end.
 func (n *Node) Kill() {
