--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -97,6 +97,22 @@
 			"TestTakeoverHearsWhatRunsBeforeItGivesPlaces", "TestPlacesOfASilentInstanceAreReleased"),
 		"restart-under-a-hot-account",
 	},
+	{
+		"a target gets no more requests, and rejects no more, than it states", "schedule/ratelimit.go, schedule/brittle.go",
+		combineTests(testedBy(adapterPackage, "TestRateLimitOfATargetBindsAllArrivals", "TestLoadBeyondTheLimitsOfAllTargetsIsServedUpToThem",
+			"TestRateLimitEndsWithItsStatement", "TestBrittleTargetsDoNotFallOver"),
+			testedBy("placement", "TestRateLimitHoldsWithoutACoordinatorAndAfterATakeover"),
+			testedBy("schedule", "TestRequestsDoNotWaitForARateLimit", "TestRejectionsOfABrittleTargetStayWithinItsLimit")),
+		"",
+	},
+	{
+		"callers of instances that have lost their paths to targets are served, and so are the others", "dispatch/path.go, relay/client.go",
+		combineTests(testedBy(adapterPackage, "TestCallersOfPartitionedInstancesAreServed"),
+			testedBy("dispatch", "TestFailuresAreNoEvidenceAgainstATargetThatOthersReach", "TestRequestsGoThroughAnotherInstanceWhileThePathIsLost",
+				"TestSilentExchangesOnALostPathEnd", "TestSilenceOfAReachableTargetIsNoLostPath"),
+			testedBy("relay", "TestWhoseWordMakesATargetUnreachable", "TestEndOfTheTargetIsToldFromThatOfTheInstanceBetween")),
+		"partitioned-instances",
+	},
 	{
 		"places are given while coordinators die, freeze or are cut off", "placement/client.go, node/roster.go",
 		testedBy("placement", "TestPlacesAreGivenWithoutASilentCoordinator", "TestGroupOfASilentCoordinatorIsTakenOver",
