--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -230,24 +230,33 @@
 		r.log.addStep("resume cancelled", grant.Target.ID, p.took)
 		return nil, false
 	}
-	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
 	if p.err != nil {
-		pathLost := r.isPathLost(ctx, x, p.err)
-		endBroken(ctx, x.tracked, p.err, pathLost)
-		r.log.addStep("resume failed", grant.Target.ID, p.took)
-		if pathLost {
-			x.end(schedule.Cancelled)
-		} else {
-			x.end(schedule.Failed)
-		}
+		r.recordResumeError(ctx, x, p)
 		return nil, false
 	}
+	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
 	x.tracked.End(quarantine.NoEvidence)
 	r.log.addStep("resume refused", grant.Target.ID, p.took)
 	x.end(schedule.Full)
 	return nil, false
 }
 
+// recordResumeError records that a target did not begin with the rest of a stream.
+func (r *inflightRequest) recordResumeError(ctx context.Context, x *exchange, p reply) {
+	pathLost := r.isPathLost(ctx, x, p.err)
+	endBroken(ctx, x.tracked, p.err, pathLost)
+	r.log.addStep("resume failed", x.grant.Target.ID, p.took)
+	if pathLost {
+		if !dispatch.IsNotSent(p.err) {
+			r.lostAttempts++
+		}
+		x.end(schedule.Cancelled)
+		return
+	}
+	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
+	x.end(schedule.Failed)
+}
+
 // complete records the regular end of the stream.
 func (s *stream) complete() {
 	s.completed = true
