--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,11 +19,6 @@
 var ErrPathLost = errors.New("the path to the target is lost")
 
 const (
-	// relayDelay is the time without a direct connection after which one through
-	// another instance is tried as well: many times the setup of a connection.
-	relayDelay = 150 * time.Millisecond
-	// relayDialTimeout bounds the connection through another instance.
-	relayDialTimeout = 400 * time.Millisecond
 	// checkDialTimeout bounds the direct connection of a check.
 	checkDialTimeout = 200 * time.Millisecond
 	// suspicionTime is the time without a byte from a target that is waited for after
@@ -32,9 +26,6 @@
 	// path.
 	suspicionTime    = 400 * time.Millisecond
 	minCheckInterval = time.Second
-	// unreachableTime is how long the word of others holds that a target cannot be
-	// reached.
-	unreachableTime = 300 * time.Millisecond
 	// watchInterval is the interval at which paths are watched, retryInterval that
 	// at which a lost path is tried again.
 	watchInterval = 100 * time.Millisecond
@@ -79,16 +70,6 @@
 	Checks, Lost, Relayed atomic.Uint64
 }
 
-// Relay opens connections to targets through other instances; see package relay for
-// the errors.
-type Relay interface {
-	Dial(ctx context.Context, address string) (net.Conn, error)
-}
-
-// SetRelay makes the pool go through other instances where it has lost its own path;
-// it must be called before Send.
-func (p *Pool) SetRelay(r Relay, logger *zap.Logger) { p.relay, p.logger = r, logger }
-
 // path returns the state of a path. The caller holds p.mu.
 func (p *Pool) path(address string) *path {
 	state := p.paths[address]
@@ -123,150 +104,6 @@
 	return lost
 }
 
-// DialDirect connects to a target without another instance.
-func (p *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	return p.dial(ctx, address)
-}
-
-// connect connects to a target, through another instance if the path is lost or
-// takes too long. Errors marked ErrPathLost are no evidence against the target.
-func (p *Pool) connect(ctx context.Context, address string) (*pooledConn, error) {
-	p.mu.Lock()
-	state := p.path(address)
-	state.usedAt = p.clock.Now()
-	lost := !state.lostSince.IsZero()
-	p.mu.Unlock()
-	if lost {
-		if conn, err := p.connectRelayed(ctx, state); !errors.Is(err, relay.ErrNoPeers) {
-			return conn, err
-		}
-		return p.connectDirect(ctx, state, poolDialTimeout)
-	}
-	return p.connectFirst(ctx, state)
-}
-
-// dialed is the outcome of one way to connect.
-type dialed struct {
-	conn *pooledConn
-	err  error
-}
-
-// connectFirst connects directly and, if that fails or takes too long, through
-// another instance as well; the first connection is used.
-func (p *Pool) connectFirst(ctx context.Context, state *path) (*pooledConn, error) {
-	direct := make(chan dialed, 1)
-	go func() {
-		conn, err := p.connectDirect(ctx, state, poolDialTimeout)
-		direct <- dialed{conn, err}
-	}()
-	timer := time.NewTimer(relayDelay)
-	defer timer.Stop()
-	if p.relay == nil {
-		timer.Stop()
-	}
-	var directErr error
-	select {
-	case d := <-direct:
-		if d.err == nil || ctx.Err() != nil || p.relay == nil || p.knownUnreachable(state) {
-			return d.conn, d.err
-		}
-		directErr = d.err
-	case <-timer.C:
-	}
-	relayed := make(chan dialed, 1)
-	relayCtx, cancel := context.WithCancel(ctx)
-	go func() {
-		conn, err := p.connectRelayed(relayCtx, state)
-		relayed <- dialed{conn, err}
-	}()
-	if directErr != nil {
-		direct = nil
-	}
-	for {
-		select {
-		case d := <-direct:
-			if d.err == nil {
-				cancel()
-				go discardConnection(relayed)
-				return d.conn, nil
-			}
-			direct, directErr = nil, d.err
-		case d := <-relayed:
-			cancel()
-			if d.err == nil {
-				p.markLost(state, directErr, d.conn.via)
-				go discardConnection(direct)
-				return d.conn, nil
-			}
-			if directErr == nil {
-				late := <-direct
-				if late.err == nil {
-					return late.conn, nil
-				}
-				directErr = late.err
-			}
-			if errors.Is(d.err, ErrPathLost) {
-				return nil, errors.Mark(directErr, ErrPathLost)
-			}
-			return nil, directErr
-		}
-	}
-}
-
-// discardConnection closes the connection of a way that is not needed any more.
-func discardConnection(way <-chan dialed) {
-	if way == nil {
-		return
-	}
-	if d := <-way; d.conn != nil {
-		d.conn.close()
-	}
-}
-
-func (p *Pool) connectDirect(ctx context.Context, state *path, timeout time.Duration) (*pooledConn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn, err := p.dial(dialCtx, state.address)
-	if err != nil {
-		return nil, err
-	}
-	state.heardNanos.Store(p.clock.Now().UnixNano())
-	return p.newConn(conn, state, ""), nil
-}
-
-// connectRelayed connects through another instance. Unless others have said that they
-// do not reach the target, the error is marked ErrPathLost.
-func (p *Pool) connectRelayed(ctx context.Context, state *path) (*pooledConn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, relayDialTimeout)
-	defer cancel()
-	conn, err := p.relay.Dial(dialCtx, state.address)
-	switch {
-	case err == nil:
-		p.pathCounters.Relayed.Add(1)
-		via := ""
-		if relayed, ok := conn.(*relay.Conn); ok {
-			via = relayed.Via
-		}
-		return p.newConn(conn, state, via), nil
-	case errors.Is(err, relay.ErrNoPeers):
-		return nil, err
-	case errors.Is(err, relay.ErrUnreachable):
-		p.mu.Lock()
-		state.unreachableAt = p.clock.Now()
-		p.mu.Unlock()
-		return nil, err
-	}
-	return nil, errors.Mark(err, ErrPathLost)
-}
-
-// knownUnreachable reports whether others have just said that they do not reach the
-// target either.
-func (p *Pool) knownUnreachable(state *path) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.clock.Since(state.unreachableAt) < unreachableTime
-}
-
 // markLost records that a target is reached through another instance and not
 // directly. Other paths are checked, since a partition rarely concerns one.
 func (p *Pool) markLost(state *path, cause error, via string) {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -60,51 +60,77 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan result, len(candidates))
-	pending, unreachable, next := 0, 0, 0
-	ask := func() {
-		if next < len(candidates) {
-			via := candidates[next]
-			next++
-			pending++
-			go func() { results <- c.dialThrough(ctx, via, address) }()
-		}
+	s := &search{
+		client: c, ctx: ctx, address: address, candidates: candidates, results: make(chan result, len(candidates)),
+		required: min(confirmations, len(candidates)),
 	}
-	ask()
-	hedge := c.Clock.NewTicker(hedgeDelay)
+	defer func() { go discardLate(s.results, s.pending) }()
+	return s.run()
+}
+
+// search looks for an instance that connects to a target.
+type search struct {
+	client  *Client
+	ctx     context.Context
+	address string
+	// candidates are the instances that have not been asked yet, pending is the number
+	// of those that have not responded.
+	candidates []string
+	results    chan result
+	pending    int
+	// unreachable is the number of instances that do not reach the target although they
+	// reach others, required the number of those that decides.
+	unreachable, required int
+}
+
+func (s *search) run() (net.Conn, error) {
+	s.askNext()
+	hedge := s.client.Clock.NewTicker(hedgeDelay)
 	defer hedge.Stop()
-	for pending > 0 {
+	for s.pending > 0 && s.unreachable < s.required {
 		select {
-		case r := <-results:
-			pending--
-			switch {
-			case r.conn != nil:
-				go discardLate(results, pending)
+		case r := <-s.results:
+			s.pending--
+			if r.conn != nil {
 				return newConn(r.conn, r.via), nil
-			case r.status == statusUnreachable:
-				unreachable++
-			default:
-				c.skip(r.via)
 			}
-			if unreachable >= min(confirmations, len(candidates)) {
-				go discardLate(results, pending)
-				return nil, ErrUnreachable
+			if r.status == statusUnreachable {
+				s.unreachable++
+			} else {
+				s.client.skip(r.via)
 			}
-			ask()
-		case <-hedge.Chan():
-			ask()
-		case <-ctx.Done():
-			go discardLate(results, pending)
-			if unreachable > 0 {
-				return nil, ErrUnreachable
+			if s.unreachable < s.required {
+				s.askNext()
 			}
-			return nil, errors.Mark(ctx.Err(), ErrInconclusive)
+		case <-hedge.Chan():
+			s.askNext()
+		case <-s.ctx.Done():
+			return nil, s.verdict(s.ctx.Err())
 		}
 	}
-	if unreachable > 0 {
-		return nil, ErrUnreachable
+	return nil, s.verdict(nil)
+}
+
+// askNext asks the next instance, if there is one.
+func (s *search) askNext() {
+	if len(s.candidates) == 0 {
+		return
+	}
+	via := s.candidates[0]
+	s.candidates = s.candidates[1:]
+	s.pending++
+	go func() { s.results <- s.client.dialThrough(s.ctx, via, s.address) }()
+}
+
+// verdict returns what the responses say of the target.
+func (s *search) verdict(cause error) error {
+	switch {
+	case s.unreachable > 0:
+		return ErrUnreachable
+	case cause != nil:
+		return errors.Mark(cause, ErrInconclusive)
 	}
-	return nil, ErrInconclusive
+	return ErrInconclusive
 }
 
 // discardLate closes the connections of attempts that are not needed any more.
