Log reads, transfers and time-outs of configurations (CONFIG)

The record of the incident cannot tell how large a copy is, how long a read or a transfer took before it was given up, or whether reads from the store fail, too. Each read that fails or returns a configuration, and each copy that is sent, gets a line with bytes, time and the version in force.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -31,8 +31,9 @@
 }
 
 func (n *Node) registerCallHandlers() {
-	n.bus.Handle(methodConfiguration, func(context.Context, string, json.RawMessage) (any, error) {
+	n.bus.Handle(methodConfiguration, func(_ context.Context, from string, _ json.RawMessage) (any, error) {
 		if c := n.configuration.Current(); c != nil {
+			n.logger.Info("configuration sent to an instance", zap.String("peer", from), zap.Uint64("config", c.Version), zap.Int("bytes", len(c.Source)))
 			return configurationResponse{c.Source}, nil
 		}
 		return nil, errors.New("no configuration is known")
@@ -81,6 +82,7 @@
 func (n *Node) fetchConfiguration(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	startedAt := n.clock.Now()
 	var response configurationResponse
 	err := n.bus.Call(ctx, address, methodConfiguration, nil, &response)
 	if err == nil {
@@ -90,7 +92,8 @@
 			return
 		}
 	}
-	n.logger.Warn("cannot fetch configuration from peer", zap.String("from", address), eventlog.ErrorField(err))
+	n.logger.Warn("cannot fetch configuration from peer", zap.String("from", address), zap.Uint64("in_force", n.configuration.Version()),
+		zap.Duration("took", n.clock.Since(startedAt)), eventlog.ErrorField(err))
 }
 
 func (n *Node) fetchTargets(ctx context.Context, address string) {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -79,6 +79,7 @@
 		}
 		var declarations Declarations
 		var err error
+		startedAt := n.clock.Now()
 		if position.IsZero() {
 			declarations, err = n.controlPlane.ReadDeclarations(ctx)
 		} else {
@@ -88,6 +89,7 @@
 			return
 		}
 		dependency.record(err)
+		n.logDeclarationsRead(declarations, position, startedAt, err)
 		if err != nil {
 			n.lastWatchNanos.Store(0)
 			position = Position{}
@@ -109,6 +111,19 @@
 	}
 }
 
+// logDeclarationsRead logs a read that failed or returned a configuration.
+func (n *Node) logDeclarationsRead(d Declarations, after Position, startedAt time.Time, err error) {
+	fields := []zap.Field{
+		zap.Bool("whole", after.IsZero()), zap.Duration("took", n.clock.Since(startedAt)), zap.Uint64("in_force", n.configuration.Version()),
+	}
+	switch {
+	case err != nil:
+		n.logger.Warn("declarations not read", append(fields, eventlog.ErrorField(err))...)
+	case d.Configuration != nil:
+		n.logger.Info("configuration read", append(fields, zap.Uint64("config", d.Configuration.Version), zap.Int("bytes", len(d.Configuration.Source)))...)
+	}
+}
+
 // watchedByOthers reports whether other instances watch on behalf of this one.
 // An instance that is not an aggregator is never among the watchers.
 func (n *Node) watchedByOthers() bool {
