--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,8 +58,10 @@
 	Logger        *zap.Logger
 	// LogDrops counts dropped log lines; if nil, the metric is not published.
 	LogDrops DropCounter
-	// DialTarget opens connections to targets; nil dials them over TCP.
+	// DialTarget opens connections to targets, DialPeer those to other instances; nil
+	// dials them over TCP.
 	DialTarget dispatch.DialFunc
+	DialPeer   peer.DialFunc
 }
 
 // DropCounter counts dropped log lines; see package eventlog.
@@ -165,7 +167,7 @@
 	})
 	n.pool.SetMaxIdle(n.idleConnectionLimit)
 	n.quota = quota.New(options.Clock, n.newRandom(), options.Settings.QuotaTolerance, options.Settings.FirstStart)
-	if err := n.listenPeers(); err != nil {
+	if err := n.listenPeers(options.DialPeer); err != nil {
 		return nil, err
 	}
 	n.divideBudgets()
@@ -205,10 +207,10 @@
 
 // listenPeers binds the address for other instances, which identifies this
 // instance from then on.
-func (n *Node) listenPeers() error {
+func (n *Node) listenPeers(dial peer.DialFunc) error {
 	var err error
 	n.bus, err = peer.Listen(peer.Options{
-		Address: n.settings.PeerAddress, Secret: deploymentSecret(n.settings.Deployment), Logger: n.logger,
+		Address: n.settings.PeerAddress, Secret: deploymentSecret(n.settings.Deployment), Logger: n.logger, Dial: dial,
 	})
 	if err != nil {
 		return errors.Wrap(err, "listen for other instances")
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -200,8 +200,7 @@
 	defer close(l.ready)
 	ctx, cancel := context.WithTimeout(b.ctx, dialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := b.dialTCP(ctx, "tcp", address)
 	if err != nil {
 		l.err = err
 		return
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -38,8 +38,13 @@
 	Logger *zap.Logger
 	// Clock measures the idle time of connections; nil means the real clock.
 	Clock clockwork.Clock
+	// Dial opens connections to other instances; nil dials them over TCP.
+	Dial DialFunc
 }
 
+// DialFunc opens a connection to an address of a network.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NetBus is a Bus over TCP and UDP.
 //
 // Both sides of a TCP connection prove that they know the shared secret before the
@@ -58,6 +63,7 @@
 	callHandlers     map[string]CallHandler
 	datagramHandlers map[DatagramKind]DatagramHandler
 
+	dialTCP DialFunc
 	// streamHandler serves streams; nil rejects them.
 	streamHandler StreamHandler
 
@@ -100,6 +106,7 @@
 		sealer:           newSealer(options.Secret),
 		callHandlers:     make(map[string]CallHandler),
 		datagramHandlers: make(map[DatagramKind]DatagramHandler),
+		dialTCP:          options.Dial,
 		handshakeSlots:   make(chan struct{}, maxHandshakes),
 		links:            make(map[string]*link),
 		incoming:         make(map[net.Conn]struct{}),
@@ -107,6 +114,9 @@
 	if b.logger == nil {
 		b.logger = zap.NewNop()
 	}
+	if b.dialTCP == nil {
+		b.dialTCP = new(net.Dialer).DialContext
+	}
 	if b.clock == nil {
 		b.clock = clockwork.NewRealClock()
 	}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -19,8 +19,7 @@
 // OpenStream opens an authenticated stream of bytes to another instance. Errors
 // carry fault.StepPeer and the address.
 func (b *NetBus) OpenStream(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := b.dialTCP(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.At(fault.StepPeer, address, err)
 	}
