Distribute changes of the configuration instead of whole copies (CONFIG)

Callers: on a grown deployment, requests were handled by a version whose successor had been acknowledged more than three seconds before, and half of the service was lost for seconds after each change, also one that changed nothing.

Cause: every instance read or fetched the whole configuration for each version, all of them from the same one or two instances, in base64 inside JSON, and gave a copy up after one second, whatever its size, to begin anew. With 4,250 routes no copy fits in a second on a link of 10 Mbit/s: 30 fetches a second filled the links for good. What else the links carry (slot requests, reports on quotas) came late: callers got 429.

Change: versions of the configuration share what they have in common (internal/catalog, a persistent radix tree with a digest of the content), and a Change leads from one to another. Two instances, those with the largest capacity, watch the store; the others request updates from instances that have them, in compressed parts of bounded size, from a few at a time and otherwise from those that have received them (internal/configsync). A response of the store is bounded by its progress. A watch whose response is arriving counts as alive. An invalid configuration is logged and changes nothing. Instances of earlier builds still get and give whole copies.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,16 +2,14 @@
 // operator's Configuration, with its routes, services, client accounts and
 // limits, and the Targets that serve the requests.
 //
-// A Configuration is immutable and compiled once, before it is adopted. Requests
-// read it through one atomic pointer (Holder), so that none sees two versions at
-// once.
+// A Configuration is immutable. Requests read it through one atomic pointer
+// (Holder), so that none sees two versions at once. Versions share what they have in
+// common, and a Change leads from one to another: what a new version costs depends
+// on what it changes.
 package catalog
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -115,6 +113,8 @@
 	CountsTokens bool
 	// DefaultTokens is charged to requests that do not state their tokens.
 	DefaultTokens int
+	// APIKeys are the keys with which callers identify themselves as the account.
+	APIKeys []string
 }
 
 // Charge returns how many units of the quota a request takes.
@@ -135,62 +135,6 @@
 	HeaderTimeout, IdleTimeout   time.Duration
 }
 
-// Configuration is one version of the operator's configuration. It must not be
-// changed once compiled.
-type Configuration struct {
-	Version  uint64
-	Routes   []Route
-	Services map[string]Service
-	Accounts []Account
-	// APIKeys maps an API key to an index into Accounts.
-	APIKeys map[string]int
-	Limits  Limits
-	// Source is the encoded configuration, for instances that cannot read it
-	// from the control plane.
-	Source []byte
-
-	routesByHost map[string][]*Route
-}
-
-// Compile builds the index that Match uses.
-func (c *Configuration) Compile() *Configuration {
-	c.routesByHost = make(map[string][]*Route)
-	for i := range c.Routes {
-		host := strings.ToLower(c.Routes[i].Host)
-		c.routesByHost[host] = append(c.routesByHost[host], &c.Routes[i])
-	}
-	for _, routes := range c.routesByHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int {
-			return cmp.Compare(len(b.Prefix), len(a.Prefix))
-		})
-	}
-	return c
-}
-
-// Match returns the route of the host with the longest prefix of the path, or
-// nil.
-func (c *Configuration) Match(host, path string) *Route {
-	host = strings.ToLower(host)
-	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:colon]
-	}
-	for _, route := range c.routesByHost[host] {
-		if strings.HasPrefix(path, route.Prefix) {
-			return route
-		}
-	}
-	return nil
-}
-
-// AccountForKey returns the account that holds the API key, or nil.
-func (c *Configuration) AccountForKey(key string) *Account {
-	i, ok := c.APIKeys[key]
-	if !ok {
-		return nil
-	}
-	return &c.Accounts[i]
-}
-
 // Target is a running back end. It is immutable.
 type Target struct {
 	// ID and Born together identify one incarnation of a target.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -6,17 +6,18 @@
 	"gotest.tools/v3/assert"
 )
 
-func testConfiguration() *Configuration {
-	return (&Configuration{
-		Version: 3,
-		Routes: []Route{
+func testConfiguration(t *testing.T) *Configuration {
+	t.Helper()
+	c, err := New(3, Contents{
+		Routes: []*Route{
 			{Name: "all", Host: "a.example", Prefix: "/", Shares: []Share{{"x", 1}}},
 			{Name: "long", Host: "a.example", Prefix: "/p/q/", Shares: []Share{{"x", 9}, {"y", 1}}},
 			{Name: "short", Host: "a.example", Prefix: "/p/", Shares: []Share{{"x", 1}}},
 		},
-		Accounts: []Account{{Name: "one"}},
-		APIKeys:  map[string]int{"k": 0},
-	}).Compile()
+		Accounts: []*Account{{Name: "one", APIKeys: []string{"k"}}},
+	})
+	assert.NilError(t, err)
+	return c
 }
 
 func TestMatchPicksLongestPrefixOfHost(t *testing.T) {
@@ -28,7 +29,7 @@
 		{"b.example", "/p/", ""},
 	} {
 		got := ""
-		if route := testConfiguration().Match(tc.host, tc.path); route != nil {
+		if route := testConfiguration(t).Match(tc.host, tc.path); route != nil {
 			got = route.Name
 		}
 		assert.Equal(t, got, tc.want, tc.host+tc.path)
@@ -36,7 +37,7 @@
 }
 
 func TestPickFollowsWeights(t *testing.T) {
-	route := testConfiguration().Match("a.example", "/p/q/")
+	route := testConfiguration(t).Match("a.example", "/p/q/")
 	assert.Equal(t, route.PickService(0), "x")
 	assert.Equal(t, route.PickService(0.89), "x")
 	assert.Equal(t, route.PickService(0.95), "y")
@@ -53,7 +54,7 @@
 }
 
 func TestUnknownKeyHasNoAccount(t *testing.T) {
-	c := testConfiguration()
+	c := testConfiguration(t)
 	assert.Equal(t, c.AccountForKey("k").Name, "one")
 	assert.Assert(t, c.AccountForKey("other") == nil)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -119,14 +119,14 @@
 		r.Counters.Denied.Add(1)
 		return errorResponse(http.StatusNotFound, "no route matches", 0)
 	}
-	if !r.route.Anonymous && len(r.config.Accounts) > 0 {
+	if !r.route.Anonymous && r.config.HasAccounts() {
 		if r.account = r.config.AccountForKey(r.request.APIKey); r.account == nil {
 			r.Counters.Denied.Add(1)
 			return errorResponse(http.StatusUnauthorized, "the API key is not known", 0)
 		}
 	}
 	r.deadline = r.request.ReceivedAt.Add(r.timeout())
-	service := r.config.Services[r.route.PickService(hashFraction(r.request.AttemptID))]
+	service := r.config.Service(r.route.PickService(hashFraction(r.request.AttemptID)))
 	r.service = &service
 	r.fingerprint = quarantine.NewFingerprint(r.accountName(), r.request.URI, r.request.Body)
 	r.promptParts = quarantine.NewPartFingerprints(r.request.PromptParts)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -116,18 +116,18 @@
 
 func (s *Server) idleTimeout() time.Duration {
 	c := s.gateway.Catalog.Current()
-	if c == nil || c.Limits.IdleTimeout == 0 {
+	if c == nil || c.Limits().IdleTimeout == 0 {
 		return defaultIdleTimeout
 	}
-	return c.Limits.IdleTimeout + timeoutGrace
+	return c.Limits().IdleTimeout + timeoutGrace
 }
 
 func (s *Server) headerTimeout() time.Duration {
 	c := s.gateway.Catalog.Current()
-	if c == nil || c.Limits.HeaderTimeout == 0 {
+	if c == nil || c.Limits().HeaderTimeout == 0 {
 		return defaultHeaderTimeout
 	}
-	return c.Limits.HeaderTimeout + timeoutGrace
+	return c.Limits().HeaderTimeout + timeoutGrace
 }
 
 // requestConfig returns the limits on a request body; it is called once the
@@ -135,7 +135,7 @@
 func (s *Server) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	config := fasthttp.RequestConfig{ReadTimeout: bodyReadTimeout}
 	if c := s.gateway.Catalog.Current(); c != nil {
-		config.MaxRequestBodySize = c.Limits.MaxBodyBytes
+		config.MaxRequestBodySize = c.Limits().MaxBodyBytes
 	}
 	return config
 }
@@ -143,7 +143,7 @@
 // headerExceedsLimit reports whether the header exceeds the configured limit.
 func (s *Server) headerExceedsLimit(header *fasthttp.RequestHeader) bool {
 	c := s.gateway.Catalog.Current()
-	return c != nil && c.Limits.MaxHeaderBytes > 0 && len(header.RawHeaders()) > c.Limits.MaxHeaderBytes
+	return c != nil && c.Limits().MaxHeaderBytes > 0 && len(header.RawHeaders()) > c.Limits().MaxHeaderBytes
 }
 
 var errHeaderTooLong = errors.New("request header exceeds the configured limit")
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
@@ -14,8 +12,10 @@
 
 // Methods of calls between instances.
 const (
+	methodUpdate  = "configuration_update"
+	methodTargets = "targets"
+	// methodConfiguration is used with instances of earlier builds.
 	methodConfiguration = "configuration"
-	methodTargets       = "targets"
 )
 
 // configurationResponse is the response to methodConfiguration.
@@ -31,13 +31,8 @@
 }
 
 func (n *Node) registerCallHandlers() {
-	n.bus.Handle(methodConfiguration, func(_ context.Context, from string, _ json.RawMessage) (any, error) {
-		if c := n.configuration.Current(); c != nil {
-			n.logger.Info("configuration sent to an instance", zap.String("peer", from), zap.Uint64("config", c.Version), zap.Int("bytes", len(c.Source)))
-			return configurationResponse{c.Source}, nil
-		}
-		return nil, errors.New("no configuration is known")
-	})
+	n.bus.Handle(methodUpdate, n.handleUpdateRequest)
+	n.bus.Handle(methodConfiguration, n.handleConfigurationRequest)
 	n.bus.Handle(methodTargets, func(context.Context, string, json.RawMessage) (any, error) {
 		n.targetsMu.Lock()
 		defer n.targetsMu.Unlock()
@@ -46,13 +41,13 @@
 	})
 }
 
-// syncWithPeers fetches from other instances, until the context ends, a newer
-// configuration that they have adopted, a newer list of targets, and any list of
-// targets if this instance has none.
+// syncWithPeers fetches from other instances, until the context ends, a newer list of
+// targets, and any if this instance has none.
 func (n *Node) syncWithPeers(ctx context.Context) {
-	var behindSince time.Time
 	for ctx.Err() == nil {
-		n.syncOnce(ctx, &behindSince)
+		if live := n.peers.live(); len(live) > 0 && !n.targetsKnown.Load() {
+			n.fetchTargets(ctx, live[0].address)
+		}
 		select {
 		case <-ctx.Done():
 		case from := <-n.newerTargetsAt:
@@ -62,40 +57,6 @@
 	}
 }
 
-func (n *Node) syncOnce(ctx context.Context, behindSince *time.Time) {
-	live := n.peers.live()
-	if len(live) == 0 {
-		return
-	}
-	if live[0].configVersion <= n.configuration.Version() {
-		*behindSince = time.Time{}
-	} else if behindSince.IsZero() {
-		*behindSince = n.clock.Now()
-	} else if n.clock.Since(*behindSince) >= configurationFetchDelay {
-		n.fetchConfiguration(ctx, live[0].address)
-	}
-	if !n.targetsKnown.Load() {
-		n.fetchTargets(ctx, live[0].address)
-	}
-}
-
-func (n *Node) fetchConfiguration(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	startedAt := n.clock.Now()
-	var response configurationResponse
-	err := n.bus.Call(ctx, address, methodConfiguration, nil, &response)
-	if err == nil {
-		var c *catalog.Configuration
-		if c, err = n.controlPlane.DecodeConfiguration(response.Source); err == nil {
-			n.adopt(c, address)
-			return
-		}
-	}
-	n.logger.Warn("cannot fetch configuration from peer", zap.String("from", address), zap.Uint64("in_force", n.configuration.Version()),
-		zap.Duration("took", n.clock.Since(startedAt)), eventlog.ErrorField(err))
-}
-
 func (n *Node) fetchTargets(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/backoff"
@@ -45,74 +46,80 @@
 	d.lost = err != nil
 }
 
-const (
-	// watcherCount is the number of instances that watch the operator's
-	// declarations for all instances.
-	watcherCount = 2
-	// maxWatchAge is the age up to which the last response to another instance's
-	// watch is relied on. It is a little more than a watch without changes takes
-	// and, together with watchCheckInterval, well below the time within which a
-	// configuration must be in force.
-	maxWatchAge = 1100 * time.Millisecond
-	// maxWatchAgeAggregated is maxWatchAge for an instance that learns of
-	// watches through an aggregator, two gossip rounds later.
-	maxWatchAgeAggregated = 1500 * time.Millisecond
-	// watchCheckInterval is the interval between checks whether other instances
-	// still watch.
-	watchCheckInterval = 100 * time.Millisecond
-)
-
-// followDeclarations keeps the configuration up to date until the context ends.
-// The first instances in address order watch the declarations; the others read
-// them when gossip announces a newer version.
+// followDeclarations keeps what is known of the operator's declarations up to date until
+// the context ends. A few instances watch them (watchers.go); the others receive newer
+// configurations from these, and watch only while that fails.
 func (n *Node) followDeclarations(ctx context.Context) {
 	delays := n.newRetryDelays()
 	dependency := dependencyState{name: "operator's declarations", logger: n.logger}
-	var position Position
+	lastReason := ""
 	for ctx.Err() == nil {
-		if !position.IsZero() && n.watchedByOthers() {
-			if !n.peerHasNewerConfiguration() {
-				n.awaitNewerConfiguration(ctx)
-				continue
-			}
-			position = Position{}
+		position := n.declaredPosition()
+		reason := n.watchReason()
+		if reason != lastReason {
+			n.logger.Info("watch of the declarations", zap.String("before", lastReason), zap.String("now", reason),
+				zap.Strings("watchers", n.watchers()))
+			lastReason = reason
 		}
-		var declarations Declarations
-		var err error
-		startedAt := n.clock.Now()
-		if position.IsZero() {
-			declarations, err = n.controlPlane.ReadDeclarations(ctx)
-		} else {
-			declarations, err = n.controlPlane.Watch(ctx, position)
+		if !position.IsZero() && reason == "" {
+			_ = backoff.Sleep(ctx, n.clock, watchCheckInterval)
+			continue
 		}
+		startedAt := n.clock.Now()
+		declarations, err := n.readDeclarations(ctx, position)
 		if ctx.Err() != nil {
 			return
 		}
 		dependency.record(err)
-		n.logDeclarationsRead(declarations, position, startedAt, err)
+		n.logDeclarationsRead(&declarations, position, startedAt, err)
 		if err != nil {
 			n.lastWatchNanos.Store(0)
-			position = Position{}
+			if errors.Is(err, ErrHistoryExpired) {
+				n.setDeclaredPosition(Position{})
+			}
 			_ = backoff.Sleep(ctx, n.clock, delays.next())
 			continue
 		}
 		delays.reset()
-		n.lastWatchNanos.Store(n.clock.Since(n.startedAt).Nanoseconds())
-		n.observeEra(declarations.Position.Era)
-		if !position.IsZero() && position.Era != declarations.Position.Era {
-			position = Position{}
-			continue
-		}
-		position = declarations.Position
-		n.applyRolloutDeclarations(declarations)
-		if declarations.Configuration != nil {
-			n.adopt(declarations.Configuration, "control plane")
-		}
+		n.applyDeclarations(declarations, position)
 	}
 }
 
+// readDeclarations reads the declarations, or waits for changes after a position.
+func (n *Node) readDeclarations(ctx context.Context, position Position) (Declarations, error) {
+	if position.IsZero() {
+		return n.controlPlane.ReadDeclarations(ctx)
+	}
+	return n.controlPlane.Watch(ctx, position, n.recordWatch)
+}
+
+// applyDeclarations applies the response to a read or a watch from a position.
+func (n *Node) applyDeclarations(declarations Declarations, from Position) {
+	n.observeEra(declarations.Position.Era)
+	if !from.IsZero() && from.Era != declarations.Position.Era {
+		n.setDeclaredPosition(Position{})
+		return
+	}
+	n.applyRolloutDeclarations(declarations)
+	err := declarations.ConfigurationError
+	if err == nil && declarations.Configuration != nil {
+		err = n.adoptDeclaration(declarations.Configuration, "control plane")
+	}
+	n.setDeclaredPosition(declarations.Position)
+	if err != nil {
+		// Others may be able to use it.
+		n.lastWatchNanos.Store(0)
+		n.logInvalidConfiguration("control plane", err)
+		return
+	}
+	n.recordWatch()
+}
+
+// recordWatch records that the control plane responds to the watch of this instance.
+func (n *Node) recordWatch() { n.lastWatchNanos.Store(n.clock.Since(n.startedAt).Nanoseconds()) }
+
 // logDeclarationsRead logs a read that failed or returned a configuration.
-func (n *Node) logDeclarationsRead(d Declarations, after Position, startedAt time.Time, err error) {
+func (n *Node) logDeclarationsRead(d *Declarations, after Position, startedAt time.Time, err error) {
 	fields := []zap.Field{
 		zap.Bool("whole", after.IsZero()), zap.Duration("took", n.clock.Since(startedAt)), zap.Uint64("in_force", n.configuration.Version()),
 	}
@@ -120,52 +127,14 @@
 	case err != nil:
 		n.logger.Warn("declarations not read", append(fields, eventlog.ErrorField(err))...)
 	case d.Configuration != nil:
-		n.logger.Info("configuration read", append(fields, zap.Uint64("config", d.Configuration.Version), zap.Int("bytes", len(d.Configuration.Source)))...)
+		n.logger.Info("configuration read", append(fields, zap.Uint64("config", d.Configuration.Version), zap.Int("bytes", d.Configuration.Bytes))...)
 	}
 }
 
-// watchedByOthers reports whether other instances watch on behalf of this one.
-// An instance that is not an aggregator is never among the watchers.
-func (n *Node) watchedByOthers() bool {
-	t := n.peers.topology()
-	return n.rank() >= watcherCount && n.peers.watchedRecently(t.aggregated && !t.isAggregator)
-}
-
-// rank returns the number of live instances that precede this one in address
-// order. An instance that is not an aggregator does not know the exact number
-// and returns maxRank.
-func (n *Node) rank() int {
-	if t := n.peers.topology(); t.aggregated && !t.isAggregator {
-		return maxRank
-	}
-	return n.peers.rank()
-}
-
 // peerHasNewerConfiguration reports whether a live instance has a newer
 // configuration.
 func (n *Node) peerHasNewerConfiguration() bool {
-	live := n.peers.live()
-	return len(live) > 0 && live[0].configVersion > n.configuration.Version()
-}
-
-// awaitNewerConfiguration waits until another instance may have a newer
-// configuration, at most for watchCheckInterval.
-func (n *Node) awaitNewerConfiguration(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-n.newerConfiguration:
-	case <-n.clock.After(watchCheckInterval):
-	}
-}
-
-// adopt puts a configuration in force if it is newer.
-func (n *Node) adopt(c *catalog.Configuration, source string) {
-	previousVersion := n.configuration.Version()
-	if !n.configuration.Adopt(c) {
-		return
-	}
-	n.logger.Info("configuration in force", zap.Uint64("config", c.Version), zap.Uint64("before", previousVersion),
-		zap.String("source", source), zap.Int("routes", len(c.Routes)))
+	return n.peers.newestConfiguration() > n.configuration.Version()
 }
 
 // followTargets keeps the list of targets up to date until the context ends. A
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -34,9 +34,6 @@
 	// maxUsagesPerMessage bounds the account usages in one message, for the same
 	// reason.
 	maxUsagesPerMessage = 16
-	// configurationFetchDelay is how long to wait for the control plane to
-	// deliver a newer configuration before it is fetched from another instance.
-	configurationFetchDelay = 150 * time.Millisecond
 	// fetchTimeout bounds a call to another instance.
 	fetchTimeout = time.Second
 	// fetchCheckInterval is the interval between checks whether other instances
@@ -89,6 +86,9 @@
 	round := n.peers.countAggregate(address)
 	n.sendQuarantine([]string{address}, quarantineScope(round))
 	m := n.newMessage(round)
+	if err := m.setAdditions(m.targetsPosition().Era, n.watchers()); err != nil {
+		n.logger.Error("cannot encode additions to a message", eventlog.ErrorField(err))
+	}
 	if round%rolloutReportEvery == 0 {
 		n.sendRollouts([]string{address}, *m)
 	}
@@ -196,6 +196,7 @@
 			n.applyRolloutStatus(status, from)
 		}
 		n.peers.addAddresses(m.KnownAddresses)
+		n.peers.assignWatchers(m.watchers())
 		n.handleTargetsState(from, &m)
 		if current := n.placement.Roster(); m.RosterDigest != current.Digest() && current.Epoch > 0 {
 			n.send([]string{from}, &message{Incarnation: n.incarnation, Roster: current})
--- a/internal/node/gossip_test.go
+++ b/internal/node/gossip_test.go
@@ -25,7 +25,8 @@
 		RosterDigest: math.MaxUint32, TargetsDigest: math.MaxUint32, TargetsAgeMs: 400,
 		WatchAgeMs: 1800, PeerWatchAgeMs: 1800,
 	}
-	assert.NilError(t, state.setTargetsPosition(Position{Era: 1000, Version: 100000}))
+	state.TargetsPosition = 100000
+	assert.NilError(t, state.setAdditions(1000, []string{address(0), address(1)}))
 	for i := range maxKnownAddresses {
 		state.KnownAddresses = append(state.KnownAddresses, address(i))
 	}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -51,8 +51,8 @@
 	// EndedRollouts the statuses of those that have ended.
 	RolloutReports []rollout.Report
 	EndedRollouts  []rollout.Status
-	// Additions are fields that earlier versions ignore. The first one is the era of
-	// TargetsPosition.
+	// Additions are fields that earlier versions ignore: the era of TargetsPosition, and
+	// the addresses of the instances that watch the declarations.
 	Additions []msgpack.RawMessage
 	// TargetsDigest and TargetsPosition describe the known list of targets.
 	TargetsDigest   uint32
@@ -76,21 +76,43 @@
 // 0 if the sender's version does not send it.
 func (m *message) targetsPosition() Position {
 	position := Position{Version: m.TargetsPosition}
-	if len(m.Additions) > 0 && msgpack.Unmarshal(m.Additions[0], &position.Era) != nil {
-		position.Era = 0
-	}
+	m.addition(0, &position.Era)
 	return position
 }
 
-// setTargetsPosition sets the position of the list of targets.
-func (m *message) setTargetsPosition(position Position) error {
-	m.TargetsPosition, m.Additions = position.Version, nil
-	if position.Era == 0 {
+// watchers returns the addresses of the instances that watch the declarations; nil if
+// the sender does not name any.
+func (m *message) watchers() []string {
+	var addresses []string
+	m.addition(1, &addresses)
+	return addresses
+}
+
+// addition decodes an addition. The value stays as it is if there is none.
+func (m *message) addition(index int, value any) {
+	if len(m.Additions) > index {
+		_ = msgpack.Unmarshal(m.Additions[index], value)
+	}
+}
+
+// setAdditions sets the era of the list of targets, and the instances that watch.
+func (m *message) setAdditions(era uint64, watchers []string) error {
+	m.Additions = nil
+	values := []any{era, watchers}
+	if len(watchers) == 0 {
+		values = values[:1]
+	}
+	if era == 0 && len(watchers) == 0 {
 		return nil
 	}
-	era, err := msgpack.Marshal(position.Era)
-	m.Additions = []msgpack.RawMessage{era}
-	return err
+	for _, value := range values {
+		encoded, err := msgpack.Marshal(value)
+		if err != nil {
+			return err
+		}
+		m.Additions = append(m.Additions, encoded)
+	}
+	return nil
 }
 
 // recentStartWindow is how long after its start an instance sets
@@ -117,8 +139,9 @@
 	}
 	var position Position
 	m.TargetsDigest, position, m.TargetsAgeMs = n.targetsState()
-	if err := m.setTargetsPosition(position); err != nil {
-		n.logger.Error("cannot encode the era", eventlog.ErrorField(err))
+	m.TargetsPosition = position.Version
+	if err := m.setAdditions(position.Era, nil); err != nil {
+		n.logger.Error("cannot encode additions to a message", eventlog.ErrorField(err))
 	}
 	m.WatchAgeMs = n.watchAgeMillis(&n.lastWatchNanos)
 	m.PeerWatchAgeMs = n.peers.lowestWatchAge()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/configsync"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
@@ -70,6 +71,13 @@
 // gossipCounters count gossip messages that could not be sent or decoded.
 type gossipCounters struct{ SendErrors, DecodeErrors atomic.Uint64 }
 
+// updateCounters count what updates of the configuration cost.
+type updateCounters struct {
+	// BytesReceived and BytesSent are the sizes of the parts, Referred the requests that
+	// were referred to other instances, Failures those that failed.
+	BytesReceived, BytesSent, Referred, Failures atomic.Uint64
+}
+
 // Node is a running instance.
 type Node struct {
 	settings     Settings
@@ -78,7 +86,12 @@
 	logger       *zap.Logger
 	incarnation  int64
 
-	configuration   *catalog.Holder
+	configuration *catalog.Holder
+	declared      declared
+	uploads       *configsync.Uploads
+	// encoding is held while a configuration is encoded for an instance of an earlier
+	// build.
+	encoding        sync.Mutex
 	placement       *placement.Service
 	pool            *dispatch.Pool
 	relay           *relay.Server
@@ -93,6 +106,7 @@
 	// that the system chose if the settings give port 0.
 	callerAddress, readinessAddress string
 	counters                        gossipCounters
+	updateCounters                  updateCounters
 	requestCounters                 gateway.Counters
 	metrics                         *metrics.Set
 
@@ -150,6 +164,7 @@
 	}
 	n.startedAt, n.newerTargetsAt, n.newerConfiguration = options.Clock.Now(), make(chan string, 1), make(chan struct{}, 1)
 	n.announceNow = make(chan struct{}, 1)
+	n.uploads = n.newUploads()
 	n.targets.holdTime = n.settings.entryExpiry()
 	n.retryLimits = options.Settings.Retries
 	n.shutdownGrace.Store(int64(options.Settings.ShutdownGrace))
@@ -284,7 +299,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	for _, task := range []func(context.Context){
-		n.followDeclarations, n.followTargets, n.followMembers, n.gossip, n.syncWithPeers, n.sweepIdle, n.followRollouts, n.placement.Run, n.maintainRoster, n.watchCrashes, n.pool.WatchPaths,
+		n.followDeclarations, n.followTargets, n.followMembers, n.gossip, n.syncWithPeers, n.sweepIdle, n.followRollouts, n.followNewerConfigurations, n.placement.Run, n.maintainRoster, n.watchCrashes, n.pool.WatchPaths,
 	} {
 		n.background.Go(func() { task(ctx) })
 	}
@@ -324,10 +339,10 @@
 func (n *Node) idleConnectionLimit(address string) int {
 	service, _ := (*n.serviceByAddress.Load())[address]
 	c := n.configuration.Current()
-	if c == nil || c.Services[service].MaxConnections == 0 {
+	if c == nil || c.Service(service).MaxConnections == 0 {
 		return maxIdleConnections
 	}
-	share := idleConnectionRatio * float64(c.Services[service].MaxConnections) / float64(n.instanceCount.Load())
+	share := idleConnectionRatio * float64(c.Service(service).MaxConnections) / float64(n.instanceCount.Load())
 	return max(1, min(maxIdleConnections, int(share)))
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -22,9 +22,15 @@
 	clock clockwork.Clock
 	self  string
 
-	// mu guards byAddress.
+	// mu guards the fields below.
 	mu        sync.Mutex
 	byAddress map[string]*peerState
+	// assigned are the instances that an aggregator named as watchers at assignedAt.
+	assigned   []string
+	assignedAt time.Time
+	// watchersSince is since when instances that should watch have had no response to
+	// it, watcherSkippedUntil until when those are skipped that had none for too long.
+	watchersSince, watcherSkippedUntil map[string]time.Time
 }
 
 type peerState struct {
@@ -46,8 +52,10 @@
 	// failure. peerWatchedAt is the latest such time among the instances that it
 	// knows.
 	watchedAt, peerWatchedAt time.Time
-	// aggregatesSent counts the aggregates sent to the instance.
-	aggregatesSent int
+	// aggregatesSent counts the aggregates sent to the instance, the last one at
+	// aggregateSentAt.
+	aggregatesSent  int
+	aggregateSentAt time.Time
 	// aggregateRequestedAt is when the instance was first asked for the
 	// aggregate; zero if it is not being asked.
 	aggregateRequestedAt time.Time
@@ -57,7 +65,10 @@
 }
 
 func newPeerTable(clock clockwork.Clock, self string, seeds []string) *peerTable {
-	p := &peerTable{clock: clock, self: self, byAddress: make(map[string]*peerState)}
+	p := &peerTable{
+		clock: clock, self: self, byAddress: make(map[string]*peerState),
+		watchersSince: make(map[string]time.Time), watcherSkippedUntil: make(map[string]time.Time),
+	}
 	for _, seed := range seeds {
 		p.add(seed)
 	}
@@ -118,9 +129,65 @@
 		return 0
 	}
 	state.aggregatesSent++
+	state.aggregateSentAt = p.clock.Now()
 	return state.aggregatesSent - 1
 }
 
+// dependents returns the addresses of the instances that learn from this one what others
+// send.
+func (p *peerTable) dependents() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addresses []string
+	for address, state := range p.byAddress {
+		if !state.aggregateSentAt.IsZero() && p.clock.Since(state.aggregateSentAt) <= peerTimeout {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// newestConfiguration returns the newest version that a live instance has in force.
+func (p *peerTable) newestConfiguration() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newest := uint64(0)
+	now := p.clock.Now()
+	for _, state := range p.byAddress {
+		if state.isLive(now) {
+			newest = max(newest, state.configVersion)
+		}
+	}
+	return newest
+}
+
+// withNewerConfiguration returns the live instances that have a newer configuration in
+// force than a version.
+func (p *peerTable) withNewerConfiguration(version uint64) []string {
+	var addresses []string
+	for _, state := range p.live() {
+		if state.configVersion > version {
+			addresses = append(addresses, state.address)
+		}
+	}
+	return addresses
+}
+
+// incarnation returns the last known incarnation of an instance.
+func (p *peerTable) incarnation(address string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.byAddress[address]; state != nil {
+		return state.incarnation
+	}
+	return 0
+}
+
+// isLive reports whether the instance has sent a message within peerTimeout.
+func (s *peerState) isLive(now time.Time) bool {
+	return !s.lastMessageAt.IsZero() && now.Sub(s.lastMessageAt) <= peerTimeout
+}
+
 // timeOfAge returns the time that was ms milliseconds before the last message;
 // zero for unknownAge.
 func (s *peerState) timeOfAge(ms uint32) time.Time {
@@ -189,7 +256,7 @@
 	now := p.clock.Now()
 	var live []peerState
 	for _, state := range p.byAddress {
-		if !state.lastMessageAt.IsZero() && now.Sub(state.lastMessageAt) <= peerTimeout {
+		if state.isLive(now) {
 			live = append(live, *state)
 		}
 	}
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -200,7 +200,8 @@
 // must be able to read those with one, and the other way round.
 func TestVersionsWithAndWithoutAnEraUnderstandEachOther(t *testing.T) {
 	m := message{Name: "edge-1", TargetsDigest: 8, PeerWatchAgeMs: 9}
-	assert.NilError(t, m.setTargetsPosition(Position{Era: 300, Version: 7}))
+	m.TargetsPosition = 7
+	assert.NilError(t, m.setAdditions(300, []string{"10.0.0.1:1", "10.0.0.2:1"}))
 	body, err := encodeMessage(&m)
 	assert.NilError(t, err)
 	var former formerMessage
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -39,6 +39,8 @@
 	FirstStart bool
 	// Capacity is the CPU share in hundredths of a core; 0 if unknown.
 	Capacity int
+	// LinkBitsPerSecond is the bandwidth of the instance's link; 0 if unknown.
+	LinkBitsPerSecond float64
 	// MemoryLimitBytes bounds the memory of the process; 0 means no limit.
 	MemoryLimitBytes int64
 	// TargetRenewalInterval is the interval at which targets renew their entries.
@@ -72,8 +74,10 @@
 // Declarations are what the operator has declared, as returned by a read or a
 // watch.
 type Declarations struct {
-	// Configuration is nil if it has not changed.
-	Configuration *catalog.Configuration
+	// Configuration is nil if it has not changed. ConfigurationError is set if the last
+	// one cannot be used.
+	Configuration      *catalog.Declaration
+	ConfigurationError error
 	// RolloutOrders are the rollout orders that have changed, EndedRollouts the
 	// statuses of rollouts that have ended.
 	RolloutOrders []rollout.Order
@@ -105,8 +109,10 @@
 type ControlPlane interface {
 	// ReadDeclarations reads the operator's current declarations.
 	ReadDeclarations(ctx context.Context) (Declarations, error)
-	// Watch waits for changes of the declarations after a position.
-	Watch(ctx context.Context, after Position) (Declarations, error)
+	// Watch waits for changes of the declarations after a position. It calls onProgress
+	// while they arrive, which may take long. The error is ErrHistoryExpired if the
+	// changes are no longer known.
+	Watch(ctx context.Context, after Position, onProgress func()) (Declarations, error)
 	// Targets reads all targets and the position at which they were read.
 	Targets(ctx context.Context) ([]*catalog.Target, Position, error)
 	// Members reads the instances that have announced themselves recently, and the
@@ -118,7 +124,8 @@
 	WriteRolloutStatus(ctx context.Context, status rollout.Status) (stored rollout.Status, era uint64, err error)
 	// Announce lists an instance; it must be called after Members.
 	Announce(ctx context.Context, member Member) error
-	// DecodeConfiguration decodes a configuration received from another
-	// instance.
-	DecodeConfiguration(source []byte) (*catalog.Configuration, error)
+	// DecodeConfiguration decodes a configuration as the operator writes it, and
+	// EncodeConfiguration encodes it for instances of earlier builds.
+	DecodeConfiguration(source []byte) (*catalog.Declaration, error)
+	EncodeConfiguration(c *catalog.Configuration) ([]byte, error)
 }
