Do not deny requests that a newer configuration may allow (CONFIG)

Callers: an instance answered 404 or 401 for a route or key of a version that it had heard of and did not have yet. Callers do not try again after these.

Such a request is now refused with 503, not run, and a Retry-After of 0.3 s, as long as another instance has a newer configuration in force.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,8 @@
 	OnMisdirected func(*catalog.Target)
 	// Draining reports whether the instance is shutting down.
 	Draining func() bool
+	// IsBehind reports whether another instance has a newer configuration in force.
+	IsBehind func() bool
 	Counters *Counters
 	// ObserveLatency records the latencies of an answered request; firstEvent is
 	// zero if the response has no events.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -25,6 +25,9 @@
 	// defaultRetryAfter is the Retry-After of refusals for which the scheduler
 	// predicts no time, such as when no configuration is known yet.
 	defaultRetryAfter = 500 * time.Millisecond
+	// behindRetryAfter is the Retry-After of requests that a newer configuration may
+	// allow: about the time until it is in force here.
+	behindRetryAfter = 300 * time.Millisecond
 	// expectedOutputShare is the share of the caller's output limit that is
 	// expected to be used if there is no length hint.
 	expectedOutputShare = 0.25
@@ -116,13 +119,11 @@
 	}
 	r.route = r.config.Match(r.request.Host, r.request.path())
 	if r.route == nil {
-		r.Counters.Denied.Add(1)
-		return errorResponse(http.StatusNotFound, "no route matches", 0)
+		return r.deny(http.StatusNotFound, "no route matches")
 	}
 	if !r.route.Anonymous && r.config.HasAccounts() {
 		if r.account = r.config.AccountForKey(r.request.APIKey); r.account == nil {
-			r.Counters.Denied.Add(1)
-			return errorResponse(http.StatusUnauthorized, "the API key is not known", 0)
+			return r.deny(http.StatusUnauthorized, "the API key is not known")
 		}
 	}
 	r.deadline = r.request.ReceivedAt.Add(r.timeout())
@@ -136,6 +137,16 @@
 	return r.chargeQuota()
 }
 
+// deny responds to a request that the configuration does not allow. If a newer one is on
+// its way here, that may allow it.
+func (r *inflightRequest) deny(status int, reason string) *Response {
+	if r.IsBehind() {
+		return r.refuse(reason+" in this version of the configuration, and a newer one is not here yet", behindRetryAfter)
+	}
+	r.Counters.Denied.Add(1)
+	return errorResponse(status, reason, 0)
+}
+
 func (r *inflightRequest) accountName() string {
 	if r.account == nil {
 		return ""
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,7 @@
 	n.divideBudgets()
 	n.callerServer = gateway.NewServer(gateway.New(gateway.Options{
 		Protocol: options.Protocol, Catalog: n.configuration, Placer: n.placement, Pool: n.pool, Quota: n.quota, Rollouts: n.rollouts, Quarantine: n.quarantine,
-		RetryBudget: n.retryBudget, OnMisdirected: n.handleMisdirected, Draining: n.draining.Load, Counters: &n.requestCounters,
+		RetryBudget: n.retryBudget, OnMisdirected: n.handleMisdirected, Draining: n.draining.Load, IsBehind: n.peerHasNewerConfiguration, Counters: &n.requestCounters,
 		ObserveLatency: n.observeLatency, ClusterView: n.clusterView, FailureDomain: options.Settings.FailureDomain, Clock: options.Clock, Logger: options.Logger,
 	}))
 	if err := n.listenAll(options.ReadinessPath); err != nil {
