Send what has changed in the list of targets, not all of it (CONFIG)

An instance names the digest of the list that it holds, and gets what differs from it; the last 16 lists are kept for that. The digest is computed once for a list, not for each message that is sent or received. Instances of earlier builds give and get whole lists.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
@@ -23,22 +24,49 @@
 	Source []byte `json:"source,omitempty"`
 }
 
+// targetsRequest requests the list of targets.
+type targetsRequest struct {
+	// Known is the digest of the list that the instance holds; 0 if it holds none.
+	// Instances of earlier builds send no request.
+	Known uint32 `json:"known,omitempty"`
+}
+
 // targetsResponse is the response to methodTargets.
 type targetsResponse struct {
-	Position uint64            `json:"position"`
-	Era      uint64            `json:"era,omitempty"`
-	Targets  []*catalog.Target `json:"targets"`
+	Position uint64 `json:"position"`
+	Era      uint64 `json:"era,omitempty"`
+	// Base is the digest of the list that Targets and Removed differ from; 0 if Targets
+	// is the whole list.
+	Base    uint32              `json:"base,omitempty"`
+	Targets []*catalog.Target   `json:"targets"`
+	Removed []catalog.TargetKey `json:"removed,omitempty"`
 }
 
 func (n *Node) registerCallHandlers() {
 	n.bus.Handle(methodUpdate, n.handleUpdateRequest)
 	n.bus.Handle(methodConfiguration, n.handleConfigurationRequest)
-	n.bus.Handle(methodTargets, func(context.Context, string, json.RawMessage) (any, error) {
-		n.targetsMu.Lock()
-		defer n.targetsMu.Unlock()
-		position := n.targets.position
-		return targetsResponse{position.Version, position.Era, n.targets.lastRead()}, nil
-	})
+	n.bus.Handle(methodTargets, n.handleTargetsRequest)
+}
+
+// handleTargetsRequest sends the list of targets, or what has changed in it.
+func (n *Node) handleTargetsRequest(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var request targetsRequest
+	if len(params) > 0 {
+		if err := json.Unmarshal(params, &request); err != nil {
+			return nil, errors.Wrap(err, "decode targets request")
+		}
+	}
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	response := targetsResponse{Position: n.targets.position.Version, Era: n.targets.position.Era}
+	if request.Known != 0 {
+		if changed, removed, ok := n.targets.changesSince(request.Known); ok {
+			response.Base, response.Targets, response.Removed = request.Known, changed, removed
+			return response, nil
+		}
+	}
+	response.Targets = n.targets.lastRead()
+	return response, nil
 }
 
 // syncWithPeers fetches from other instances, until the context ends, a newer list of
@@ -57,15 +85,26 @@
 	}
 }
 
+// fetchTargets receives the list of targets, or what has changed in it, from another
+// instance.
 func (n *Node) fetchTargets(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	n.targetsMu.Lock()
+	request := targetsRequest{Known: n.targets.digest()}
+	n.targetsMu.Unlock()
 	var response targetsResponse
-	if err := n.bus.Call(ctx, address, methodTargets, nil, &response); err != nil {
+	if err := n.bus.Call(ctx, address, methodTargets, request, &response); err != nil {
 		n.logger.Warn("cannot fetch targets from peer", zap.String("from", address), eventlog.ErrorField(err))
 		return
 	}
-	if len(response.Targets) > 0 {
-		n.applyTargets(response.Targets, Position{Era: response.Era, Version: response.Position})
+	targets, ok := response.Targets, true
+	if response.Base != 0 {
+		n.targetsMu.Lock()
+		targets, ok = n.targets.withChanges(response.Base, response.Targets, response.Removed)
+		n.targetsMu.Unlock()
+	}
+	if ok && len(targets) > 0 {
+		n.applyTargets(targets, Position{Era: response.Era, Version: response.Position})
 	}
 }
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -28,6 +28,10 @@
 	// present holds the targets in use, read those of the last read. They differ
 	// while missing entries are kept.
 	present, read map[catalog.TargetKey]*catalog.Target
+	// readDigest identifies read; see digest. earlier are the reads before it, the newest
+	// last, whose targets differ.
+	readDigest uint32
+	earlier    []earlierRead
 	// byName holds the same targets by the names of their keys.
 	byName   map[string]listedTarget
 	position Position
@@ -60,13 +64,73 @@
 		l.readSince = now
 	}
 	l.readAt = now
-	l.read = make(map[catalog.TargetKey]*catalog.Target, len(listed))
+	read := make(map[catalog.TargetKey]*catalog.Target, len(listed))
 	for _, target := range listed {
-		l.read[target.Key()] = target
+		read[target.Key()] = target
 	}
+	l.replaceRead(read)
 	return l.settle(now)
 }
 
+// earlierRead is a read of the list with its digest.
+type earlierRead struct {
+	digest uint32
+	read   map[catalog.TargetKey]*catalog.Target
+}
+
+// maxEarlierReads bounds the reads that are kept. An instance that holds an earlier one
+// receives the whole list.
+const maxEarlierReads = 16
+
+// replaceRead replaces the last read.
+func (l *targetList) replaceRead(read map[catalog.TargetKey]*catalog.Target) {
+	digest := digestOf(read)
+	if l.read != nil && digest != l.readDigest {
+		l.earlier = append(l.earlier, earlierRead{l.readDigest, l.read})
+		if len(l.earlier) > maxEarlierReads {
+			l.earlier = slices.Clone(l.earlier[1:])
+		}
+	}
+	l.read, l.readDigest = read, digest
+}
+
+// changesSince returns what differs in the last read from the one with a digest; ok is
+// false if that is not known.
+func (l *targetList) changesSince(digest uint32) (changed []*catalog.Target, removed []catalog.TargetKey, ok bool) {
+	i := slices.IndexFunc(l.earlier, func(e earlierRead) bool { return e.digest == digest })
+	if i < 0 {
+		return nil, nil, false
+	}
+	base := l.earlier[i].read
+	for key, target := range l.read {
+		if known := base[key]; known == nil || !sameTarget(known, target) {
+			changed = append(changed, target)
+		}
+	}
+	for key := range base {
+		if l.read[key] == nil {
+			removed = append(removed, key)
+		}
+	}
+	return changed, removed, true
+}
+
+// withChanges returns the last read with changes; ok is false if it is not the one with
+// the digest that the changes were made from.
+func (l *targetList) withChanges(digest uint32, changed []*catalog.Target, removed []catalog.TargetKey) (targets []*catalog.Target, ok bool) {
+	if l.read == nil || l.readDigest != digest {
+		return nil, false
+	}
+	read := maps.Clone(l.read)
+	for _, key := range removed {
+		delete(read, key)
+	}
+	for _, target := range changed {
+		read[target.Key()] = target
+	}
+	return slices.Collect(maps.Values(read)), true
+}
+
 // settle determines the targets in use from the last read, and reports whether
 // they have changed.
 func (l *targetList) settle(now time.Time) (changed bool) {
@@ -154,9 +218,11 @@
 // digest identifies the targets of the last read, independently of their order.
 // Entries that are kept although they are missing are not part of it: each
 // instance decides on that by itself, and others must not take them for read.
-func (l *targetList) digest() uint32 {
+func (l *targetList) digest() uint32 { return l.readDigest }
+
+func digestOf(read map[catalog.TargetKey]*catalog.Target) uint32 {
 	var sum uint64
-	for key, target := range l.read {
+	for key, target := range read {
 		identity := key.ID + "|" + target.Address + "|" + target.Version
 		if target.Draining {
 			identity += "|draining"
@@ -172,19 +238,20 @@
 		return false
 	}
 	for key, target := range a {
-		other := b[key]
-		if other == nil {
-			return false
-		}
-		renewed := *other
-		renewed.SequenceNumber = target.SequenceNumber
-		if renewed != *target {
+		if other := b[key]; other == nil || !sameTarget(other, target) {
 			return false
 		}
 	}
 	return true
 }
 
+// sameTarget compares all but the sequence numbers.
+func sameTarget(a, b *catalog.Target) bool {
+	renewed := *a
+	renewed.SequenceNumber = b.SequenceNumber
+	return renewed == *b
+}
+
 // list returns the targets in use, in no particular order.
 func (l *targetList) list() []*catalog.Target {
 	return slices.Collect(maps.Values(l.present))
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -297,3 +297,66 @@
 	readRegularly(&l, born, back.Add(expiry), back.Add(expiry+maxRenewalDelay+time.Second))
 	assert.Equal(t, l.liveness("a@77", after, expiry), quarantine.Survived)
 }
+
+// What changed since a read that an instance holds leads it to the last one, or the
+// whole list is needed.
+func TestChangesOfTheListLeadToTheLastRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var source targetList
+		var holders []*targetList
+		reads := rapid.IntRange(1, 2*maxEarlierReads).Draw(t, "reads")
+		for version := range reads {
+			var targets []*catalog.Target
+			for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 7), 0, 8, rapid.ID[int]).Draw(t, "targets") {
+				targets = append(targets, &catalog.Target{
+					ID: fmt.Sprint("i-", i), Slots: 1, Draining: rapid.Bool().Draw(t, "draining"),
+					Address: fmt.Sprint("10.0.0.", rapid.IntRange(1, 2).Draw(t, "address")), SequenceNumber: int64(version),
+				})
+			}
+			source.apply(targets, at(uint64(version+1)), now)
+			holder := &targetList{}
+			holder.apply(targets, at(uint64(version+1)), now)
+			holders = append(holders, holder)
+		}
+		for _, holder := range holders {
+			changed, removed, ok := source.changesSince(holder.digest())
+			if !ok {
+				continue
+			}
+			_, other := holder.withChanges(holder.digest()+1, changed, removed)
+			assert.Assert(t, !other)
+			targets, ok := holder.withChanges(holder.digest(), changed, removed)
+			assert.Assert(t, ok)
+			holder.apply(targets, source.position, now)
+			assert.Equal(t, holder.digest(), source.digest())
+			assert.Assert(t, equalTargets(holder.read, source.read))
+		}
+		assert.Assert(t, len(source.earlier) <= maxEarlierReads)
+	})
+}
+
+// One target of many starts to drain: what that costs an instance must not grow with
+// their number.
+func TestChangeOfOneTargetIsNotSentAsAWholeList(t *testing.T) {
+	for _, count := range []int{10, 940} {
+		now := time.Unix(1000, 0)
+		ids := make([]string, count)
+		for i := range ids {
+			ids[i] = fmt.Sprint("i-", i)
+		}
+		var l targetList
+		l.apply(newTargets(ids...), at(1), now)
+		before := l.digest()
+		drained := newTargets(ids...)
+		drained[0].Draining = true
+		for _, target := range drained {
+			target.SequenceNumber++
+		}
+		l.apply(drained, at(2), now)
+		changed, removed, ok := l.changesSince(before)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(changed), 1)
+		assert.Equal(t, len(removed), 0)
+	}
+}
