--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -30,6 +30,13 @@
 // whole.
 type instanceState struct {
 	ConfigVersion         uint64 `json:"config"`
+	// ConfigBehindMs is how long another instance has been known to have a newer version;
+	// 0 if none has.
+	ConfigBehindMs      int64  `json:"config_behind_ms"`
+	UpdateBytesReceived uint64 `json:"config_update_bytes_received"`
+	UpdateBytesSent     uint64 `json:"config_update_bytes_sent"`
+	UpdatesReferred     uint64 `json:"config_updates_referred"`
+	UpdateFailures      uint64 `json:"config_update_failures"`
 	Draining              bool   `json:"draining"`
 	InstanceCount         int    `json:"instances"`
 	TargetsAgeMs          int64  `json:"targets_age_ms"`
@@ -61,6 +68,8 @@
 		PathsLostNow: n.pool.LostPaths(), PathsLost: paths.Lost.Load(), PathChecks: paths.Checks.Load(), ConnsViaPeers: paths.Relayed.Load(),
 		ConnsForPeers: n.relay.Relayed.Load(), ConnsForPeersNow: n.relay.Active(),
 		StoreEra: n.era.current(), StoreReturns: n.era.returns.Load(), HeldEntries: heldEntries,
+		ConfigBehindMs: n.behindFor().Milliseconds(), UpdateBytesReceived: n.updateCounters.BytesReceived.Load(), UpdateBytesSent: n.updateCounters.BytesSent.Load(),
+		UpdatesReferred: n.updateCounters.Referred.Load(), UpdateFailures: n.updateCounters.Failures.Load(),
 		ConfigVersion: n.configuration.Version(), Draining: n.draining.Load(), InstanceCount: view.Instances,
 		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos),
 		CallerConnections: n.callerServer.OpenConnections(), TargetConnectionsMade: n.pool.OpenedConns(), TargetsSentTooMuch: n.pool.TooLong(),
