--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,14 +29,14 @@
 // instanceState is the part of the metrics that describes the instance as a
 // whole.
 type instanceState struct {
-	ConfigVersion         uint64 `json:"config"`
+	ConfigVersion uint64 `json:"config"`
 	// ConfigBehindMs is how long another instance has been known to have a newer version;
 	// 0 if none has.
-	ConfigBehindMs      int64  `json:"config_behind_ms"`
-	UpdateBytesReceived uint64 `json:"config_update_bytes_received"`
-	UpdateBytesSent     uint64 `json:"config_update_bytes_sent"`
-	UpdatesReferred     uint64 `json:"config_updates_referred"`
-	UpdateFailures      uint64 `json:"config_update_failures"`
+	ConfigBehindMs        int64  `json:"config_behind_ms"`
+	UpdateBytesReceived   uint64 `json:"config_update_bytes_received"`
+	UpdateBytesSent       uint64 `json:"config_update_bytes_sent"`
+	UpdatesReferred       uint64 `json:"config_updates_referred"`
+	UpdateFailures        uint64 `json:"config_update_failures"`
 	Draining              bool   `json:"draining"`
 	InstanceCount         int    `json:"instances"`
 	TargetsAgeMs          int64  `json:"targets_age_ms"`
