--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -188,7 +189,11 @@
 	r.countSent(x)
 	r.possibleRuns--
 	r.Counters.NotExecuted.Add(1)
-	r.log.addStep("not executed "+http.StatusText(x.response.Status), x.grant.Target.ID, p.took)
+	action := "not executed " + http.StatusText(x.response.Status)
+	if rest := p.metadata.Terms.Rest; rest > 0 {
+		action += fmt.Sprintf(" with a rest of %v at", rest)
+	}
+	r.log.addStep(action, x.grant.Target.ID, p.took)
 	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 	if x.response.Status == http.StatusMisdirectedRequest {
 		r.Counters.Misdirected.Add(1)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -94,11 +94,20 @@
 		x.inflight.Logger.Warn("a target states terms that cannot be read", zap.String("target", x.grant.Target.ID),
 			zap.String("request", x.inflight.request.AttemptID))
 	}
+	if !isRejection(x.response.Status) {
+		// Only a rejection can ask for rest.
+		m.Terms.Rest = 0
+	}
 	if m.Terms.AreStated() || !m.TermsInvalid && (m.Signed || m.NotExecuted) {
 		x.grant.TermsStated(m.Terms)
 	}
 }
 
+// isRejection reports whether a target turns requests away with the status.
+func isRejection(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // isRejected reports whether the target has not executed the request.
 func (x *exchange) isRejected(metadata ResponseMetadata) bool {
 	return metadata.NotExecuted || x.response.Status == http.StatusMisdirectedRequest
--- a/internal/schedule/terms.go
+++ b/internal/schedule/terms.go
@@ -20,6 +20,11 @@
 	// reject in a second for want of a slot without failing.
 	IsBrittle      bool
 	RejectionLimit int
+	// IsLeaving is set if the target states that it is leaving.
+	IsLeaving bool
+	// Rest is how long the target wants no request from the instance that received the
+	// response; 0 if it does not ask for rest.
+	Rest time.Duration
 }
 
 // AreStated reports whether the terms restrict anything.
@@ -34,6 +39,12 @@
 	if t.IsBrittle {
 		stated = append(stated, strconv.Itoa(t.RejectionLimit)+" rejections a second")
 	}
+	if t.IsLeaving {
+		stated = append(stated, "leaving")
+	}
+	if t.Rest > 0 {
+		stated = append(stated, "no requests from the instance for "+t.Rest.String())
+	}
 	if len(stated) == 0 {
 		return "none"
 	}
