Ask for all of a configuration after an update that led elsewhere (CONFIG)

Found by reading the change: after an update that led to another content than stated, the request for all of the configuration was lost with the attempt, and the same update was requested again. An attempt that another source has overtaken is no failure.

--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -175,6 +175,8 @@
 type fetch struct {
 	*Node
 	startedAt time.Time
+	// startedFrom is the version in force at the beginning.
+	startedFrom uint64
 	// sources are the instances still to be asked, the last one first.
 	sources  []string
 	from     catalog.Revision
@@ -184,24 +186,21 @@
 // fetchConfiguration receives the newest configuration from other instances. It
 // reports whether any was put in force.
 func (n *Node) fetchConfiguration(ctx context.Context) bool {
-	f := &fetch{Node: n, startedAt: n.clock.Now(), from: n.configuration.Current().Revision()}
-	f.sources = n.peers.withNewerConfiguration(f.from.Version)
+	from := n.configuration.Current().Revision()
+	f := &fetch{Node: n, startedAt: n.clock.Now(), startedFrom: from.Version, from: from}
+	f.sources = n.peers.withNewerConfiguration(from.Version)
 	rand.Shuffle(len(f.sources), func(i, j int) { f.sources[i], f.sources[j] = f.sources[j], f.sources[i] })
 	for range maxSourceRequests {
 		if len(f.sources) == 0 || ctx.Err() != nil {
 			return false
 		}
 		source := f.sources[len(f.sources)-1]
-		adopted, err := f.receiveFrom(ctx, source)
-		switch {
-		case adopted:
-			return true
-		case err != nil:
+		if err := f.receiveFrom(ctx, source); err != nil {
 			f.updateCounters.Failures.Add(1)
-			f.logger.Warn("cannot fetch configuration from peer", zap.String("from", source), eventlog.ErrorField(err))
+			f.logger.Warn("cannot fetch configuration from peer", zap.String("from", source), zap.Uint64("in_force", f.startedFrom), eventlog.ErrorField(err))
 			f.dropSource(source)
 		}
-		if n.configuration.Version() > f.from.Version {
+		if n.configuration.Version() > f.startedFrom {
 			return true
 		}
 	}
@@ -216,35 +215,35 @@
 
 // receiveFrom requests parts from one instance until the update is in force, or the
 // instance sends no more.
-func (f *fetch) receiveFrom(ctx context.Context, source string) (adopted bool, err error) {
+func (f *fetch) receiveFrom(ctx context.Context, source string) error {
 	for ctx.Err() == nil {
 		response, err := f.requestPart(ctx, source)
 		if isUnknownMethod(err) {
 			return f.fetchWhole(ctx, source)
 		}
 		if err != nil {
-			return false, err
+			return err
 		}
 		switch {
 		case response.Busy:
 			f.refer(ctx, source, response.Referrals)
-			return false, nil
+			return nil
 		case response.NotNewer && f.download != nil:
 			// The instance does not have the update that has been begun elsewhere.
 			f.download = nil
 			continue
 		case response.NotNewer:
 			f.dropSource(source)
-			return false, nil
+			return nil
 		}
 		if err := f.add(ctx, response); err != nil {
-			return false, err
+			return err
 		}
 		if f.download.IsComplete() {
-			return true, f.apply(response, source)
+			return f.apply(response, source)
 		}
 	}
-	return false, ctx.Err()
+	return ctx.Err()
 }
 
 func (f *fetch) requestPart(ctx context.Context, source string) (*updateResponse, error) {
@@ -310,26 +309,32 @@
 	}
 	err := f.adoptChange(download.Change(), last.Position, source,
 		zap.Int("bytes", download.Bytes), zap.Int("parts", download.PartCount), zap.Duration("took", f.clock.Since(f.startedAt)))
-	if errors.Is(err, catalog.ErrOtherRevision) {
-		// Only all of the configuration can be relied on.
-		f.from = catalog.Revision{}
+	switch {
+	case !errors.Is(err, catalog.ErrOtherRevision):
+		return err
+	case f.configuration.Version() != f.startedFrom:
+		// Another one has been put in force meanwhile.
+		return nil
 	}
+	// Only all of the configuration can be relied on; the source is asked for it.
+	f.from = catalog.Revision{}
+	f.sources = append(f.sources, source)
 	return err
 }
 
 // fetchWhole receives a configuration from an instance of an earlier build.
-func (f *fetch) fetchWhole(ctx context.Context, source string) (adopted bool, err error) {
+func (f *fetch) fetchWhole(ctx context.Context, source string) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var response configurationResponse
 	if err := f.bus.Call(ctx, source, methodConfiguration, nil, &response); err != nil {
-		return false, err
+		return err
 	}
 	declaration, err := f.controlPlane.DecodeConfiguration(response.Source)
 	if err != nil {
-		return false, err
+		return err
 	}
-	return true, f.adoptDeclaration(declaration, source)
+	return f.adoptDeclaration(declaration, source)
 }
 
 // handleConfigurationRequest sends all of the configuration to an instance of an earlier
--- a/internal/node/watchers.go
+++ b/internal/node/watchers.go
@@ -140,6 +140,7 @@
 	if now.Before(p.watcherSkippedUntil[candidate.address]) {
 		return true
 	}
+	delete(p.watcherSkippedUntil, candidate.address)
 	since, known := p.watchersSince[candidate.address]
 	if !known || candidate.watchedWithin(maxWatchAgeAggregated, now) {
 		p.watchersSince[candidate.address] = now
