--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -42,12 +42,12 @@
 	}
 }
 
-// isLeaving reports whether a target drains.
+// isLeaving reports whether a target drains, by its entry or by its own word.
 func (n *Node) isLeaving(target string) bool {
 	n.targetsMu.Lock()
-	defer n.targetsMu.Unlock()
 	t, ok := n.targets.byName[target]
-	return ok && t.Draining
+	n.targetsMu.Unlock()
+	return ok && (t.Draining || n.placement.IsLeaving(t.Key()))
 }
 
 // targetLiveness tells whether an incarnation of a target has renewed its entry
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -89,6 +89,9 @@
 // word.
 func (s *Service) Blocks(key catalog.TargetKey) bool { return s.client.local.Blocks(key) }
 
+// IsLeaving reports whether a target states that it leaves.
+func (s *Service) IsLeaving(key catalog.TargetKey) bool { return s.client.local.IsLeaving(key) }
+
 // Snapshot returns the state of each service by the requests of this instance,
 // and that of the groups that it coordinates.
 func (s *Service) Snapshot() (own, coordinated map[string]schedule.ServiceState) {
--- a/internal/schedule/availability.go
+++ b/internal/schedule/availability.go
@@ -56,7 +56,7 @@
 func (sv *service) slotInterval(now time.Time) time.Duration {
 	perSecond := 0.0
 	for _, t := range sv.targets {
-		if t.usable(now, false) && t.rests.count(now) == 0 {
+		if t.usable(now, false) && !t.rests.any(now) {
 			perSecond += t.throughput(sv.responseTime.duration())
 		}
 	}
--- a/internal/schedule/rest.go
+++ b/internal/schedule/rest.go
@@ -26,6 +26,8 @@
 type rests struct {
 	// until holds them by the address of the instance; "" is this one.
 	until map[string]time.Time
+	// last is the end of the longest of them.
+	last time.Time
 	// askedAt is when the target last asked for rest, unless it has taken a request
 	// since; zero otherwise. probing is the number of requests that run since then.
 	askedAt time.Time
@@ -54,6 +56,9 @@
 		r.until = make(map[string]time.Time)
 	}
 	r.until[heard.By] = until
+	if until.After(r.last) {
+		r.last = until
+	}
 	if extended = until.Sub(known) > restTolerance; extended {
 		r.askedAt, r.lastAskedAt = now, now
 	}
@@ -71,6 +76,9 @@
 // binds reports whether the target wants no requests from an instance now.
 func (r *rests) binds(instance string, now time.Time) bool { return !r.end(instance, now).IsZero() }
 
+// any reports whether the target wants no requests from some instance now.
+func (r *rests) any(now time.Time) bool { return r.last.After(now) }
+
 // count returns the number of instances that were asked for a rest that goes on.
 func (r *rests) count(now time.Time) (instances int) {
 	for instance := range r.until {
@@ -83,6 +91,9 @@
 
 // nextEnd returns when the next rest ends; zero if there is none.
 func (r *rests) nextEnd(now time.Time) (next time.Time) {
+	if !r.any(now) {
+		return next
+	}
 	for _, end := range r.until {
 		if end.After(now) && (next.IsZero() || end.Before(next)) {
 			next = end
@@ -161,7 +172,7 @@
 func (sv *service) countFreeSlots(now time.Time) *freeSlotsByInstance {
 	f := &freeSlotsByInstance{service: sv, now: now, all: sv.totalFreeSlots(now)}
 	for _, t := range sv.targets {
-		f.anyRests = f.anyRests || t.rests.count(now) > 0
+		f.anyRests = f.anyRests || t.rests.any(now)
 	}
 	return f
 }
@@ -201,13 +212,21 @@
 	ignoreEjection := sv.ignoreEjections(now)
 	free := 0
 	for _, t := range sv.targets {
-		if t.rests.count(now) == 0 {
+		if !t.rests.any(now) {
 			free += max(0, t.freeSlots(now, ignoreEjection))
 		}
 	}
 	return free
 }
 
+// IsLeaving reports whether a target states that it leaves.
+func (s *Scheduler) IsLeaving(key catalog.TargetKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[key]
+	return t != nil && t.terms.IsLeaving
+}
+
 // Blocks reports whether a target takes no requests from this instance now, by its own
 // word.
 func (s *Scheduler) Blocks(key catalog.TargetKey) bool {
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -43,15 +43,15 @@
 // selectAmong returns the best available target of the allowed versions, or nil. Targets
 // that have asked other instances for rest come last: they may turn this one away, too.
 func (s *Scheduler) selectAmong(sv *service, r *Request, now time.Time, allowed func(version string) bool) *target {
-	t := s.selectIncluded(sv, r, now, allowed, func(t *target) bool { return t.rests.count(now) == 0 })
+	t := s.selectIncluded(sv, r, now, allowed, func(t *target) bool { return !t.rests.any(now) })
 	if t == nil && sv.anyRests(now) {
-		t = s.selectIncluded(sv, r, now, allowed, func(t *target) bool { return t.rests.count(now) > 0 })
+		t = s.selectIncluded(sv, r, now, allowed, func(t *target) bool { return t.rests.any(now) })
 	}
 	return t
 }
 
 func (sv *service) anyRests(now time.Time) bool {
-	return slices.ContainsFunc(sv.targets, func(t *target) bool { return t.rests.count(now) > 0 })
+	return slices.ContainsFunc(sv.targets, func(t *target) bool { return t.rests.any(now) })
 }
 
 // isHeldBack reports whether the target takes no request from the instance now, by its
--- a/internal/schedule/snapshot.go
+++ b/internal/schedule/snapshot.go
@@ -33,7 +33,7 @@
 			if t.ejector.Ejected(now) {
 				state.Ejected++
 			}
-			if t.rests.count(now) > 0 {
+			if t.rests.any(now) {
 				state.Resting++
 			}
 			if t.terms.IsLeaving {
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -86,7 +86,7 @@
 // isStateNeeded reports whether the state of a target that is no longer listed is
 // kept: requests run there, or it has stated terms lately and its entry may return.
 func (t *target) isStateNeeded(now time.Time) bool {
-	return t.running > 0 || t.rests.count(now) > 0 || t.terms.AreStated() && now.Sub(t.terms.At) < unlistedTermsTime
+	return t.running > 0 || t.rests.any(now) || t.terms.AreStated() && now.Sub(t.terms.At) < unlistedTermsTime
 }
 
 // recordOutcome updates ejection, backoff and the average response time from an
