--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -196,7 +196,12 @@
 			n.applyRolloutStatus(status, from)
 		}
 		n.peers.addAddresses(m.KnownAddresses)
-		n.peers.assignWatchers(m.watchers())
+		watchers, err := m.watchers()
+		if err == nil {
+			n.peers.assignWatchers(watchers)
+		} else {
+			n.counters.DecodeErrors.Add(1)
+		}
 		n.handleTargetsState(from, &m)
 		if current := n.placement.Roster(); m.RosterDigest != current.Digest() && current.Epoch > 0 {
 			n.send([]string{from}, &message{Incarnation: n.incarnation, Roster: current})
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -76,23 +76,25 @@
 // 0 if the sender's version does not send it.
 func (m *message) targetsPosition() Position {
 	position := Position{Version: m.TargetsPosition}
-	m.addition(0, &position.Era)
+	if m.addition(0, &position.Era) != nil {
+		position.Era = 0
+	}
 	return position
 }
 
 // watchers returns the addresses of the instances that watch the declarations; nil if
 // the sender does not name any.
-func (m *message) watchers() []string {
-	var addresses []string
-	m.addition(1, &addresses)
-	return addresses
+func (m *message) watchers() (addresses []string, err error) {
+	err = m.addition(1, &addresses)
+	return addresses, err
 }
 
 // addition decodes an addition. The value stays as it is if there is none.
-func (m *message) addition(index int, value any) {
-	if len(m.Additions) > index {
-		_ = msgpack.Unmarshal(m.Additions[index], value)
+func (m *message) addition(index int, value any) error {
+	if len(m.Additions) <= index {
+		return nil
 	}
+	return msgpack.Unmarshal(m.Additions[index], value)
 }
 
 // setAdditions sets the era of the list of targets, and the instances that watch.
