Have one instance grant an account's charges after a restart of all (QUOTA)

Callers of accounts far below their quota got 429 for 1.5 s after a restart of all instances: each limited itself to an even share of the quota, which is less than one request each at 18 or 195 instances, while the callers of an account are connected to a few.

Until it has heard from the others, an instance has each charge taken by one of the first six in address order, chosen by the account. It takes from its whole bucket, so that the sum is exact; the even share remains for instances that reach none.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -170,6 +170,12 @@
 	return Service{}
 }
 
+// Account returns the account with a name, or nil.
+func (c *Configuration) Account(name string) *Account {
+	account, _ := c.get(namedKey(kindAccount, name)).(*Account)
+	return account
+}
+
 // AccountForKey returns the account that holds the API key, or nil.
 func (c *Configuration) AccountForKey(key string) *Account {
 	account, _ := c.accountsByKey.Get([]byte(key))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,7 +36,6 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
-	"github.com/hibiscuspost/hibiscuspost/internal/quota"
 	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
 	"github.com/hibiscuspost/hibiscuspost/internal/routing"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
@@ -114,13 +113,23 @@
 	Acquire(ctx context.Context, r *schedule.Request) (*schedule.Grant, error)
 }
 
+// Quota charges the quotas of client accounts.
+type Quota interface {
+	// Take takes a charge. If too little is left, it takes nothing and returns the time
+	// until there is enough. A lower priority leaves a part to higher ones; 0 is the
+	// highest.
+	Take(ctx context.Context, account *catalog.Account, priority int, charge float64) (ok bool, wait time.Duration)
+	// Refund returns the charge of a request that did not run.
+	Refund(account *catalog.Account, charge float64)
+}
+
 // Options are the dependencies of a Gateway; all are required.
 type Options struct {
 	Protocol Protocol
 	Catalog  *catalog.Holder
 	Placer   Placer
 	Pool     *dispatch.Pool
-	Quota    *quota.Limiter
+	Quota    Quota
 	// RetryBudget returns the retry budget of a service.
 	RetryBudget func(service string) *routing.WindowRetryBudget
 	// Rollouts tracks the orders to move services to new versions.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -91,7 +91,7 @@
 func (g *Gateway) Serve(ctx context.Context, request *Request) *Response {
 	g.Counters.Received.Add(1)
 	r := &inflightRequest{Gateway: g, request: request}
-	response := r.admit()
+	response := r.admit(ctx)
 	if response == nil {
 		deadlineCtx, cancel := context.WithDeadline(ctx, r.deadline)
 		response = r.execute(deadlineCtx)
@@ -112,7 +112,7 @@
 
 // admit resolves the route, account and service and charges the quota. It
 // returns a response if the request is rejected.
-func (r *inflightRequest) admit() *Response {
+func (r *inflightRequest) admit(ctx context.Context) *Response {
 	r.config = r.Catalog.Current()
 	if r.config == nil {
 		return r.refuse("no configuration is known yet", defaultRetryAfter)
@@ -134,7 +134,7 @@
 	if r.Quarantine.ShouldRefuse(r.fingerprint, r.promptParts...) {
 		return r.refuse(reasonQuarantined, 0)
 	}
-	return r.chargeQuota()
+	return r.chargeQuota(ctx)
 }
 
 // deny responds to a request that the configuration does not allow. If a newer one is on
@@ -172,12 +172,12 @@
 // value.
 func hashFraction(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
-func (r *inflightRequest) chargeQuota() *Response {
+func (r *inflightRequest) chargeQuota(ctx context.Context) *Response {
 	if r.account == nil {
 		return nil
 	}
 	r.quotaCharge = r.account.Charge(r.request.PromptTokens + r.request.MaxOutputTokens)
-	ok, wait := r.Quota.Take(r.account, r.quotaPriority(), r.quotaCharge)
+	ok, wait := r.Quota.Take(ctx, r.account, r.quotaPriority(), r.quotaCharge)
 	if ok {
 		return nil
 	}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -46,6 +46,7 @@
 	n.bus.Handle(methodUpdate, n.handleUpdateRequest)
 	n.bus.Handle(methodConfiguration, n.handleConfigurationRequest)
 	n.bus.Handle(methodTargets, n.handleTargetsRequest)
+	n.bus.Handle(methodQuota, n.handleQuotaRequest)
 }
 
 // handleTargetsRequest sends the list of targets, or what has changed in it.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -232,6 +232,7 @@
 		members, verdicts, err := n.controlPlane.Members(ctx)
 		if err == nil {
 			n.peers.addMembers(members)
+			n.quotaGate.setMembersKnown()
 			n.divideBudgets()
 			for _, v := range verdicts {
 				n.quarantine.AddVerdict(v)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -56,6 +56,11 @@
 	ConnsViaPeers    uint64 `json:"connections_via_peers"`
 	ConnsForPeers    uint64 `json:"connections_for_peers"`
 	ConnsForPeersNow int64  `json:"connections_for_peers_now"`
+	// QuotaGranted, QuotaRefused and QuotaFallbacks count charges that were requested
+	// from a grantor.
+	QuotaGranted   uint64 `json:"quota_granted"`
+	QuotaRefused   uint64 `json:"quota_refused"`
+	QuotaFallbacks uint64 `json:"quota_grants_without_response"`
 }
 
 func (n *Node) instanceState() instanceState {
@@ -73,6 +78,7 @@
 		ConfigVersion: n.configuration.Version(), Draining: n.draining.Load(), InstanceCount: view.Instances,
 		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos),
 		CallerConnections: n.callerServer.OpenConnections(), TargetConnectionsMade: n.pool.OpenedConns(), TargetsSentTooMuch: n.pool.TooLong(),
+		QuotaGranted: n.quotaGate.Granted.Load(), QuotaRefused: n.quotaGate.Refused.Load(), QuotaFallbacks: n.quotaGate.Fallbacks.Load(),
 		GossipSendErrors: n.counters.SendErrors.Load(), GossipDecodeErrors: n.counters.DecodeErrors.Load(),
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	pool            *dispatch.Pool
 	relay           *relay.Server
 	quota           *quota.Limiter
+	quotaGate       *quotaGate
 	peers           *peerTable
 	rollouts        *rollout.Controller
 	quarantine      *quarantine.Registry
@@ -182,12 +183,13 @@
 	})
 	n.pool.SetMaxIdle(n.idleConnectionLimit)
 	n.quota = quota.New(options.Clock, n.newRandom(), options.Settings.QuotaTolerance, options.Settings.FirstStart)
+	n.quotaGate = newQuotaGate(n, n.quota)
 	if err := n.listenPeers(options.DialPeer); err != nil {
 		return nil, err
 	}
 	n.divideBudgets()
 	n.callerServer = gateway.NewServer(gateway.New(gateway.Options{
-		Protocol: options.Protocol, Catalog: n.configuration, Placer: n.placement, Pool: n.pool, Quota: n.quota, Rollouts: n.rollouts, Quarantine: n.quarantine,
+		Protocol: options.Protocol, Catalog: n.configuration, Placer: n.placement, Pool: n.pool, Quota: n.quotaGate, Rollouts: n.rollouts, Quarantine: n.quarantine,
 		RetryBudget: n.retryBudget, OnMisdirected: n.handleMisdirected, Draining: n.draining.Load, IsBehind: n.peerHasNewerConfiguration, Counters: &n.requestCounters,
 		ObserveLatency: n.observeLatency, ClusterView: n.clusterView, FailureDomain: options.Settings.FailureDomain, Clock: options.Clock, Logger: options.Logger,
 	}))
--- a/internal/node/topology.go
+++ b/internal/node/topology.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,3 +97,22 @@
 	}
 	return true
 }
+
+// chooseGrantor returns which of the first aggregatorCount instances in address order
+// takes charges from an account's quota for all; "" if others are known and all of them
+// are skipped.
+func chooseGrantor(account, self string, others []string, skipped func(address string) bool) string {
+	candidates := make([]string, 0, aggregatorCount+1)
+	for _, address := range others {
+		if len(candidates) < aggregatorCount && !skipped(address) {
+			candidates = append(candidates, address)
+		}
+	}
+	if len(candidates) == 0 && len(others) > 0 {
+		return ""
+	}
+	position, _ := slices.BinarySearch(candidates, self)
+	candidates = slices.Insert(candidates, position, self)
+	candidates = candidates[:min(len(candidates), aggregatorCount)]
+	return candidates[xxhash.Sum64String(account)%uint64(len(candidates))]
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,6 +11,12 @@
 // While a known instance is silent, it is assumed to use its even share of the
 // rate and of the accumulated level. An instance that is cut off from all others
 // therefore limits itself to that share, and the sum stays within the quota.
+//
+// An instance that has just started does not know what others have taken
+// (IsStarting). All instances then ask one of them, the same for an account, which
+// takes the charges from its own bucket (TakeForAll). An even share is a fallback
+// for instances that reach none: split over hundreds of instances, it is less than
+// one request for each, while the callers of an account are connected to a few.
 package quota
 
 import (
@@ -161,6 +167,12 @@
 	return false, startupPeriod - age
 }
 
+// IsStarting reports whether this instance has started so recently that it may not
+// know what others have taken from an account. It never is on a first start.
+func (l *Limiter) IsStarting() bool {
+	return !l.firstStart && l.clock.Since(l.startedAt) < startupPeriod
+}
+
 // SetTolerance replaces the tolerance.
 func (l *Limiter) SetTolerance(tolerance Tolerance) {
 	l.mu.Lock()
@@ -172,7 +184,22 @@
 // nothing and returns the time until there is enough. Priority 0 is the highest;
 // lower priorities leave a part of the burst to higher ones, which therefore go
 // first if an account requests more than its quota.
+//
+// While the instance is starting, it takes no more than its even share.
 func (l *Limiter) Take(account *catalog.Account, priority int, charge float64) (ok bool, wait time.Duration) {
+	return l.take(account, priority, charge, l.withinStartupShare)
+}
+
+// TakeForAll is like Take, for an instance that all others ask for the account's
+// charges: what it knows is complete, and it takes from the whole quota.
+func (l *Limiter) TakeForAll(account *catalog.Account, priority int, charge float64) (ok bool, wait time.Duration) {
+	return l.take(account, priority, charge, nil)
+}
+
+// take takes a charge if the account's level and withinShare, unless nil, allow it.
+func (l *Limiter) take(
+	account *catalog.Account, priority int, charge float64, withinShare func(*bucket, float64, time.Time) (bool, time.Duration),
+) (ok bool, wait time.Duration) {
 	if account.Rate <= 0 {
 		return true, 0
 	}
@@ -187,8 +214,10 @@
 		missing := needed - b.level
 		return false, time.Duration(missing / b.rate * float64(time.Second))
 	}
-	if ok, wait := l.withinStartupShare(b, charge, now); !ok {
-		return false, wait
+	if withinShare != nil {
+		if ok, wait := withinShare(b, charge, now); !ok {
+			return false, wait
+		}
 	}
 	b.level -= charge
 	b.taken += charge
@@ -207,6 +236,14 @@
 	return math.Min(maxReserve, reserveStep*float64(max(0, priority)))
 }
 
+// Track begins to keep the level of an account whose charges another instance takes,
+// so that this instance knows it by the time at which it takes them itself.
+func (l *Limiter) Track(account *catalog.Account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bucketFor(account, l.clock.Now())
+}
+
 // Refund returns the charge of a request that did not run.
 func (l *Limiter) Refund(account *catalog.Account, charge float64) {
 	if account.Rate <= 0 {
