Report the levels of quotas as of the time of the report (QUOTA)

Reports stated the level at the last charge or report. Instances that have started together lower their levels to those reported for 1.5 s, so that two that exchange reports stayed at the lowest level that either had had, and accounts below their quota were refused until the end of that time.

TestReportsStateTheLevelOfTheirTime fails before this change.

--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -224,3 +224,26 @@
 		assert.Assert(t, sum <= allowed, "took %.0f in the window, allowed %.0f, at step %d", sum, allowed, stepIndex)
 	}
 }
+
+// Guards against reports that state the level at the last charge: instances that start
+// together lower their levels to those reported, and stayed at the lowest one.
+func TestReportsStateTheLevelOfTheirTime(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a, b := newLimiter(clock, 1, Tolerance{}, false), newLimiter(clock, 2, Tolerance{}, false)
+	for _, l := range []*Limiter{a, b} {
+		ok, _ := l.TakeForAll(&account, 0, restartBurstShare*account.Burst)
+		assert.Assert(t, ok)
+	}
+	a.ApplyUsage(Peer{Name: "b", Incarnation: 1, JustStarted: true}, b.OwnUsage())
+	b.ApplyUsage(Peer{Name: "a", Incarnation: 1, JustStarted: true}, a.OwnUsage())
+	// Both are in debt by what each has taken beyond the level that both started with.
+	const exchanges, interval = 10, 100 * time.Millisecond
+	for range exchanges {
+		clock.Advance(interval)
+		a.ApplyUsage(Peer{Name: "b", Incarnation: 1}, b.OwnUsage())
+		b.ApplyUsage(Peer{Name: "a", Incarnation: 1}, a.OwnUsage())
+	}
+	accrued := account.Rate * (exchanges * interval).Seconds()
+	ok, _ := a.TakeForAll(&account, 0, accrued-restartBurstShare*account.Burst)
+	assert.Assert(t, ok)
+}
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -44,6 +44,7 @@
 	usages := make([]Usage, 0, len(l.buckets))
 	for account, b := range l.buckets {
 		if b.rate > 0 && b.dueInReport(account, l.reportCount, now) {
+			b.fill(now)
 			usages = append(usages, Usage{Account: account, Total: b.taken, Level: b.level})
 		}
 	}
@@ -90,6 +91,7 @@
 		if !b.dueInReport(account, report, now) {
 			continue
 		}
+		b.fill(now)
 		usage := Usage{Account: account, Total: b.taken + b.takenByPeers, Level: b.level}
 		if b.rate == 0 {
 			// The level is unknown here and must not lower that of others.
