Take the level that others report at an account's first request (QUOTA)

A bucket began at a part of the burst when an instance got its first request of an account, however long after its start: an account whose quota was used up elsewhere got that part once from each instance. The last level reported is used now, if one is known.

With the charges of a restart taken by one instance, half of the burst is safe instead of a quarter: what may be taken in a window that holds two restarts of all, half a second long each, stays below what the operator tolerates (two halves and the burst before them, against 0.6 of the tolerance and a second of the rate). At a quarter, the lowest priority was refused throughout, since 0.3 of the burst is left to higher ones.

TestFirstRequestOfAnAccountFindsTheLevelThatOthersReport fails before.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -40,7 +40,7 @@
 	peerExpiry = 20 * time.Second
 	// restartBurstShare is the part of the burst in a new bucket of an instance
 	// that joins a running system and has not received the levels of others yet.
-	restartBurstShare = 0.25
+	restartBurstShare = 0.5
 	// startupPeriod is how long after its start an instance lowers its levels to
 	// the lowest one reported, and limits itself to its even share of the initial
 	// level and of the rate: all instances may have started at the same time
@@ -107,6 +107,33 @@
 	changedAt           time.Time
 	// roundingThreshold is uniform in [0, 1); see withinStartupShare.
 	roundingThreshold float64
+	// reportedLevel is the level that another instance reported last, at reportedAt; zero
+	// if none has.
+	reportedLevel float64
+	reportedAt    time.Time
+}
+
+// maxReportedLevelAge is the age up to which a reported level is used for an account's
+// first request at this instance: more than a cycle of reports takes.
+const maxReportedLevelAge = 4 * time.Second
+
+// initialLevel returns the level at an account's first request at this instance.
+func (b *bucket) initialLevel(firstStart bool, now time.Time) float64 {
+	switch {
+	case !b.reportedAt.IsZero() && now.Sub(b.reportedAt) <= maxReportedLevelAge:
+		return math.Min(b.burst, b.reportedLevel+b.rate*now.Sub(b.reportedAt).Seconds())
+	case firstStart:
+		return b.burst
+	}
+	return restartBurstShare * b.burst
+}
+
+// recordReport records the level that another instance reports; unknownLevel if it
+// knows none.
+func (b *bucket) recordReport(level float64, now time.Time) {
+	if level < unknownLevel {
+		b.reportedLevel, b.reportedAt = level, now
+	}
 }
 
 // peerState is the state of another instance, guarded by Limiter.mu.
@@ -267,10 +294,8 @@
 		l.buckets[account.Name] = b
 	}
 	if b.rate == 0 {
-		b.rate, b.burst, b.level, b.filledAt = account.Rate, burst, burst, now
-		if !l.firstStart {
-			b.level = restartBurstShare * burst
-		}
+		b.rate, b.burst, b.filledAt = account.Rate, burst, now
+		b.level = b.initialLevel(l.firstStart, now)
 	}
 	if b.rate != account.Rate || b.burst != burst {
 		b.fill(now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -247,3 +247,20 @@
 	ok, _ := a.TakeForAll(&account, 0, accrued-restartBurstShare*account.Burst)
 	assert.Assert(t, ok)
 }
+
+// Guards against levels that begin anew at each instance: an account whose quota is used
+// up elsewhere got a part of the burst from every instance at which it had not been seen.
+func TestFirstRequestOfAnAccountFindsTheLevelThatOthersReport(t *testing.T) {
+	for _, firstStart := range []bool{false, true} {
+		clock := clockwork.NewFakeClock()
+		l := newLimiter(clock, 1, Tolerance{}, firstStart)
+		l.ApplyUsage(Peer{Name: "b", Incarnation: 1}, nil)
+		clock.Advance(2 * startupPeriod)
+		l.ApplyUsage(Peer{Name: "b", Incarnation: 1}, []Usage{{Account: "a", Total: 500, Level: 3}})
+		clock.Advance(50 * time.Millisecond)
+		ok, _ := l.Take(&account, 0, 9)
+		assert.Assert(t, !ok, "3 were left, and 5 have accrued since")
+		ok, _ = l.Take(&account, 0, 8)
+		assert.Assert(t, ok)
+	}
+}
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -29,6 +29,9 @@
 	fullReportCycle = 10
 )
 
+// unknownLevel is the level reported of an account of which only the use is known.
+const unknownLevel = math.MaxFloat32
+
 // dueInReport reports whether an account is included in a report.
 func (b *bucket) dueInReport(account string, report uint64, now time.Time) bool {
 	return now.Sub(b.changedAt) <= reportChangesFor || xxhash.Sum64String(account)%fullReportCycle == report%fullReportCycle
@@ -95,7 +98,7 @@
 		usage := Usage{Account: account, Total: b.taken + b.takenByPeers, Level: b.level}
 		if b.rate == 0 {
 			// The level is unknown here and must not lower that of others.
-			usage.Level = math.MaxFloat32
+			usage.Level = unknownLevel
 		}
 		if recipientState != nil {
 			usage.Total -= recipientState.counted[account]
@@ -128,6 +131,7 @@
 		p.counted[u.Account] += delta
 		b := l.bucketByName(u.Account)
 		b.takenByPeers += delta
+		b.recordReport(u.Level, now)
 		if delta != 0 {
 			b.changedAt = now
 		}
@@ -156,6 +160,7 @@
 	for _, u := range usages {
 		p.totals[u.Account] = u.Total
 		b := l.bucketByName(u.Account)
+		b.recordReport(u.Level, now)
 		if countTotals {
 			p.counted[u.Account] += u.Total
 			b.takenByPeers += u.Total
