Renew the announcements of all instances by one of them, in few calls

Calls to the store were the largest price at 195 instances.

The others learn of renewals by gossip, and the addresses from their aggregator; without either they call the store as before. An instance that knows the declarations does not watch them in its first 400 ms.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -47,6 +47,7 @@
 	n.bus.Handle(methodConfiguration, n.handleConfigurationRequest)
 	n.bus.Handle(methodTargets, n.handleTargetsRequest)
 	n.bus.Handle(methodQuota, n.handleQuotaRequest)
+	n.bus.Handle(methodMembers, n.handleMembersRequest)
 }
 
 // handleTargetsRequest sends the list of targets, or what has changed in it.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -23,9 +23,6 @@
 	// maxRank bounds the additional wait, so that an instance that receives no
 	// gossip about reads still learns of draining targets in time.
 	maxRank = 4
-	// announceInterval is the interval between announcements of this instance's
-	// address.
-	announceInterval = 20 * time.Second
 )
 
 // dependencyState logs when a dependency becomes unavailable and when it is
@@ -222,38 +219,3 @@
 	n.placement.SetTargets(n.targets.list())
 	n.targetsKnown.Store(true)
 }
-
-// followMembers announces this instance and reads the announcements of the
-// others, until the context ends.
-func (n *Node) followMembers(ctx context.Context) {
-	delays := n.newRetryDelays()
-	dependency := dependencyState{name: "list of instances", logger: n.logger}
-	for ctx.Err() == nil {
-		members, verdicts, err := n.controlPlane.Members(ctx)
-		if err == nil {
-			n.peers.addMembers(members)
-			n.quotaGate.setMembersKnown()
-			n.divideBudgets()
-			for _, v := range verdicts {
-				n.quarantine.AddVerdict(v)
-			}
-			own, _ := n.quarantine.Verdicts()
-			err = n.controlPlane.Announce(ctx, Member{Name: n.settings.Name, Address: n.settings.PeerAddress, Verdicts: own})
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		dependency.record(err)
-		delay := announceInterval
-		if err != nil {
-			delay = delays.next()
-		} else {
-			delays.reset()
-		}
-		select {
-		case <-ctx.Done():
-		case <-n.announceNow:
-		case <-n.clock.After(delay):
-		}
-	}
-}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -86,7 +86,7 @@
 	round := n.peers.countAggregate(address)
 	n.sendQuarantine([]string{address}, quarantineScope(round))
 	m := n.newMessage(round)
-	if err := m.setAdditions(m.targetsPosition().Era, n.watchers()); err != nil {
+	if err := m.setAdditions(m.targetsPosition().Era, n.watchers(), n.watchAgeMillis(&n.renewedNanos)); err != nil {
 		n.logger.Error("cannot encode additions to a message", eventlog.ErrorField(err))
 	}
 	if round%rolloutReportEvery == 0 {
@@ -202,6 +202,7 @@
 		} else {
 			n.counters.DecodeErrors.Add(1)
 		}
+		n.handleRenewalAge(&m)
 		n.handleTargetsState(from, &m)
 		if current := n.placement.Roster(); m.RosterDigest != current.Digest() && current.Epoch > 0 {
 			n.send([]string{from}, &message{Incarnation: n.incarnation, Roster: current})
--- a/internal/node/gossip_test.go
+++ b/internal/node/gossip_test.go
@@ -26,7 +26,7 @@
 		WatchAgeMs: 1800, PeerWatchAgeMs: 1800,
 	}
 	state.TargetsPosition = 100000
-	assert.NilError(t, state.setAdditions(1000, []string{address(0), address(1)}))
+	assert.NilError(t, state.setAdditions(1000, []string{address(0), address(1)}, 100000))
 	for i := range maxKnownAddresses {
 		state.KnownAddresses = append(state.KnownAddresses, address(i))
 	}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -51,8 +51,9 @@
 	// EndedRollouts the statuses of those that have ended.
 	RolloutReports []rollout.Report
 	EndedRollouts  []rollout.Status
-	// Additions are fields that earlier versions ignore: the era of TargetsPosition, and
-	// the addresses of the instances that watch the declarations.
+	// Additions are fields that earlier versions ignore: the era of TargetsPosition, the
+	// addresses of the instances that watch the declarations, and the age in
+	// milliseconds of the last renewal of all announcements, unknownAge if none is known.
 	Additions []msgpack.RawMessage
 	// TargetsDigest and TargetsPosition describe the known list of targets.
 	TargetsDigest   uint32
@@ -97,17 +98,18 @@
 	return msgpack.Unmarshal(m.Additions[index], value)
 }
 
-// setAdditions sets the era of the list of targets, and the instances that watch.
-func (m *message) setAdditions(era uint64, watchers []string) error {
+// renewalAgeMs returns the age of the last renewal of all announcements that the sender
+// knows of, in milliseconds.
+func (m *message) renewalAgeMs() (age uint32, err error) {
+	age = unknownAge
+	err = m.addition(2, &age)
+	return age, err
+}
+
+// setAdditions sets the fields that earlier versions ignore.
+func (m *message) setAdditions(era uint64, watchers []string, renewalAgeMs uint32) error {
 	m.Additions = nil
-	values := []any{era, watchers}
-	if len(watchers) == 0 {
-		values = values[:1]
-	}
-	if era == 0 && len(watchers) == 0 {
-		return nil
-	}
-	for _, value := range values {
+	for _, value := range []any{era, watchers, renewalAgeMs} {
 		encoded, err := msgpack.Marshal(value)
 		if err != nil {
 			return err
@@ -142,7 +144,7 @@
 	var position Position
 	m.TargetsDigest, position, m.TargetsAgeMs = n.targetsState()
 	m.TargetsPosition = position.Version
-	if err := m.setAdditions(position.Era, nil); err != nil {
+	if err := m.setAdditions(position.Era, nil, n.watchAgeMillis(&n.renewedNanos)); err != nil {
 		n.logger.Error("cannot encode additions to a message", eventlog.ErrorField(err))
 	}
 	m.WatchAgeMs = n.watchAgeMillis(&n.lastWatchNanos)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,6 +124,9 @@
 	// of targets.
 	newerTargetsAt chan string
 
+	// renewedNanos is the time of the last known renewal of all announcements, in
+	// nanoseconds since startedAt; 0 if none is known.
+	renewedNanos atomic.Int64
 	// announceNow is signalled when the announcement must be written at once,
 	// because of new verdicts or of lost ones.
 	announceNow chan struct{}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -69,6 +69,8 @@
 	Address string
 	// Verdicts are the requests that it knows to crash targets.
 	Verdicts []quarantine.Verdict
+	// Age is the time since it was announced; only set by Members.
+	Age time.Duration
 }
 
 // Declarations are what the operator has declared, as returned by a read or a
@@ -124,6 +126,10 @@
 	WriteRolloutStatus(ctx context.Context, status rollout.Status) (stored rollout.Status, era uint64, err error)
 	// Announce lists an instance; it must be called after Members.
 	Announce(ctx context.Context, member Member) error
+	// Renew announces other instances, with the verdicts that they have announced; it
+	// must be called after Members. It does not replace what an instance has announced
+	// since, and removes announcements that expired long ago.
+	Renew(ctx context.Context, members []Member) error
 	// DecodeConfiguration decodes a configuration as the operator writes it, and
 	// EncodeConfiguration encodes it for instances of earlier builds.
 	DecodeConfiguration(source []byte) (*catalog.Declaration, error)
--- a/internal/node/watchers.go
+++ b/internal/node/watchers.go
@@ -24,8 +24,12 @@
 	// watcherGrace is how long an instance that should watch may be without a response
 	// to its watch, while others have one, before another one takes its place for
 	// watcherSkipTime.
-	watcherGrace    = 2 * time.Second
-	watcherSkipTime = 6 * time.Second
+	watcherGrace = 2 * time.Second
+	// watcherSettleTime is how long after its start an instance that knows the
+	// declarations does not watch them: until it hears others, each takes itself for a
+	// watcher.
+	watcherSettleTime = 400 * time.Millisecond
+	watcherSkipTime   = 6 * time.Second
 )
 
 // watchers returns the addresses of the instances that watch the declarations for all:
@@ -62,6 +66,8 @@
 func (n *Node) watchReason() string {
 	t := n.peers.topology()
 	switch {
+	case n.configuration.Current() != nil && n.clock.Since(n.startedAt) < watcherSettleTime:
+		return ""
 	case n.isWatcher():
 		return watchesAsChosen
 	case !n.peers.watchedRecently(t.aggregated && !t.isAggregator):
