--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -67,7 +67,8 @@
 
 	control.members = []Member{
 		{Name: "self", Address: address(0), Age: time.Second},
-		{Name: "edge-1", Address: address(1), Age: memberInterval}, {Name: "edge-2", Address: address(2), Age: time.Second},
+		{Name: "edge-1", Address: address(1), Age: memberInterval},
+		{Name: "edge-2", Address: address(2), Age: time.Second},
 	}
 	assert.NilError(t, first.refresh(t.Context(), false))
 	assert.Equal(t, control.announcements, 1, "its own announcement is recent")
