--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -58,6 +58,7 @@
 	if len(candidates) == 0 {
 		return nil, ErrNoPeers
 	}
+	known := len(candidates)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &search{
@@ -65,7 +66,13 @@
 		required: min(confirmations, len(candidates)),
 	}
 	defer func() { go discardLate(s.results, s.pending) }()
-	return s.run()
+	conn, err := s.run()
+	if err != nil {
+		c.Logger.Info("no other instance connected to a target", zap.String("target_address", address), zap.Int("candidates", known),
+			zap.Int("asked", known-len(s.candidates)), zap.Int("without_response", s.pending), zap.Int("unreachable", s.unreachable),
+			eventlog.ErrorField(err))
+	}
+	return conn, err
 }
 
 // search looks for an instance that connects to a target.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -39,9 +40,10 @@
 	// Draining reports whether the instance is shutting down.
 	Draining func() bool
 	Logger   *zap.Logger
-	// Relayed counts the connections relayed so far, active those open now.
-	Relayed atomic.Uint64
-	active  atomic.Int64
+	// Relayed counts the connections relayed so far, Refused those refused since there
+	// were maxRelayed, active those open now.
+	Relayed, Refused atomic.Uint64
+	active           atomic.Int64
 }
 
 // Active returns the number of connections that are relayed now.
@@ -51,6 +53,7 @@
 func (s *Server) Serve(from string, conn net.Conn) {
 	if s.active.Add(1) > maxRelayed {
 		s.active.Add(-1)
+		s.countRefused(from)
 		return
 	}
 	defer s.active.Add(-1)
@@ -75,6 +78,14 @@
 	copyBoth(conn, target)
 }
 
+// countRefused counts a stream that is refused for the bound on them. It logs the first,
+// second, fourth, eighth and so on.
+func (s *Server) countRefused(from string) {
+	if count := s.Refused.Add(1); bits.OnesCount64(count) == 1 {
+		s.Logger.Warn("too many connections to relay", zap.String("peer", from), zap.Int("limit", maxRelayed), zap.Uint64("so_far", count))
+	}
+}
+
 // connect connects to a target; the connection is nil unless that succeeds.
 func (s *Server) connect(address string) (net.Conn, status) {
 	if !s.Allows(address) || s.Draining() || s.Paths.PathLost(address) {
