--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -68,6 +68,7 @@
 	if round%rolloutReportEvery == 0 {
 		n.sendRollouts(t.recipients, *m)
 	}
+	n.sendToRelayClients(t.recipients, round)
 	m.WantsAggregate = t.aggregated && !t.isAggregator
 	usages := n.quota.OwnUsage()
 	if !m.WantsAggregate || len(t.recipients) < 2 {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -248,6 +248,25 @@
 	return addresses
 }
 
+// mayRelay returns the instances that may be reached and are not known to shut down: the
+// live ones in a mesh, in which an instance hears all others, and all known ones with
+// aggregators.
+func (p *peerTable) mayRelay() []string {
+	addresses := p.addresses()
+	isMesh := len(addresses)+1 <= maxMeshSize
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	return slices.DeleteFunc(addresses, func(address string) bool {
+		state := p.byAddress[address]
+		if state == nil {
+			return true
+		}
+		isLive := state.isLive(now)
+		return isMesh && !isLive || isLive && state.draining
+	})
+}
+
 // live returns the instances that have sent a message within peerTimeout, the
 // one with the newest configuration first.
 func (p *peerTable) live() []peerState {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"github.com/hibiscuspost/hibiscuspost/internal/relay"
 )
 
@@ -12,16 +14,9 @@
 	n.bus.HandleStream(n.relay.Serve)
 }
 
-// relayPeers returns the instances that may relay.
-func (n *Node) relayPeers() []string {
-	var addresses []string
-	for _, p := range n.peers.live() {
-		if !p.draining {
-			addresses = append(addresses, p.address)
-		}
-	}
-	return addresses
-}
+// relayPeers returns the instances that may relay: all that are known, not only those
+// that this one hears.
+func (n *Node) relayPeers() []string { return n.peers.mayRelay() }
 
 // mayRelayTo reports whether an address is that of a target that takes requests from this
 // instance.
@@ -29,3 +24,15 @@
 	target := (*n.targetByAddress.Load())[address]
 	return target != nil && !n.placement.Blocks(target.Key())
 }
+
+// sendToRelayClients tells the instances that reach targets through this one that it shuts
+// down. Those among the recipients of gossip know.
+func (n *Node) sendToRelayClients(recipients []string, round int) {
+	if !n.draining.Load() {
+		return
+	}
+	clients := slices.DeleteFunc(n.relay.Clients(), func(client string) bool { return slices.Contains(recipients, client) })
+	m := n.newMessage(round)
+	m.IsIntroduction = true
+	n.send(clients, m)
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/bits"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +46,29 @@
 	// were maxRelayed, active those open now.
 	Relayed, Refused atomic.Uint64
 	active           atomic.Int64
+
+	// mu guards clients, the number of streams of each instance.
+	mu      sync.Mutex
+	clients map[string]int
+}
+
+// Clients returns the addresses of the instances with a stream through this one.
+func (s *Server) Clients() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.clients))
+}
+
+// countClient counts the streams of an instance, which change by delta.
+func (s *Server) countClient(from string, delta int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clients == nil {
+		s.clients = make(map[string]int)
+	}
+	if s.clients[from] += delta; s.clients[from] == 0 {
+		delete(s.clients, from)
+	}
 }
 
 // Active returns the number of connections that are relayed now.
@@ -51,11 +76,9 @@
 
 // Serve serves a stream of another instance until it ends.
 func (s *Server) Serve(from string, conn net.Conn) {
-	if s.active.Add(1) > maxRelayed {
-		s.active.Add(-1)
-		s.countRefused(from)
-		return
-	}
+	s.countClient(from, 1)
+	defer s.countClient(from, -1)
+	isOneTooMany := s.active.Add(1) > maxRelayed
 	defer s.active.Add(-1)
 	_ = conn.SetDeadline(time.Now().Add(requestTimeout))
 	address, err := readAddress(conn)
@@ -63,6 +86,13 @@
 		s.Logger.Debug("relay request not read", zap.String("peer", from), eventlog.ErrorField(err))
 		return
 	}
+	if isOneTooMany {
+		s.countRefused(from)
+		if _, err := conn.Write([]byte{byte(statusNoPath)}); err != nil {
+			s.Logger.Debug("relay response not sent", zap.String("peer", from), eventlog.ErrorField(err))
+		}
+		return
+	}
 	target, outcome := s.connect(address)
 	if _, err := conn.Write([]byte{byte(outcome)}); err != nil || target == nil {
 		if target != nil {
