Take only responses that name the request for responses to it (REFUSED, TWICE)

Other operators report runners that write an earlier refusal once more on a kept connection.

Cause: a response without an ID counted as one to the request that waits. Targets echo the ID in all responses, so that such a response proves nothing. The exchange ends now; the request may have run. Two different IDs are none.

The scripted targets of the gateway's tests echo the ID now, as real ones do.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -25,6 +25,9 @@
 var (
 	// ErrResponseMismatch is returned if only responses to other requests arrived.
 	ErrResponseMismatch = errors.New("target responded to other requests only")
+	// ErrResponseUnidentified is returned for a response that names no request: it may
+	// belong to an earlier one on the connection, or come from another kind of server.
+	ErrResponseUnidentified = errors.New("response names no request")
 	// ErrStaleConn marks failures on a reused connection before a response header
 	// was read. The request may have been executed nevertheless.
 	ErrStaleConn = errors.New("reused connection failed before a response header")
@@ -48,10 +51,22 @@
 	OnPathLost func()
 	// Silence is watched for until PooledResponse.WatchSilence is called.
 	Silence SilenceWatch
-	// MatchesRequest reports whether a response header belongs to the request.
-	MatchesRequest func(http.Header) bool
+	// Match tells to which request a response belongs by its header.
+	Match func(http.Header) Match
 }
 
+// Match is what a response header tells of the request that it belongs to.
+type Match int
+
+const (
+	// MatchOwn means that the response belongs to the request.
+	MatchOwn Match = iota
+	// MatchOther means that it belongs to another request.
+	MatchOther
+	// MatchUnknown means that the header does not tell.
+	MatchUnknown
+)
+
 // PooledResponse is the response to a PooledRequest; the caller must close it.
 type PooledResponse struct {
 	Status int
@@ -118,7 +133,11 @@
 			}
 			return nil, err
 		}
-		if !r.MatchesRequest(response.Header) {
+		match := r.Match(response.Header)
+		if match == MatchUnknown {
+			return nil, errors.Wrapf(ErrResponseUnidentified, "status %d", response.StatusCode)
+		}
+		if match == MatchOther {
 			if err := conn.discardMismatched(response); err != nil {
 				return nil, errors.Mark(err, ErrResponseMismatch)
 			}
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -78,7 +78,7 @@
 }
 
 func (p *cutPool) get(ctx context.Context, address string, edit func(*PooledRequest)) (string, error) {
-	r := &PooledRequest{Address: address, Method: http.MethodGet, URI: "/", MatchesRequest: func(http.Header) bool { return true }}
+	r := &PooledRequest{Address: address, Method: http.MethodGet, URI: "/", Match: func(http.Header) Match { return MatchOwn }}
 	r.Header = []Field{{Name: "Host", Value: "x"}}
 	if edit != nil {
 		edit(r)
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -63,8 +63,13 @@
 func newPooledRequest(address string) *PooledRequest {
 	return &PooledRequest{
 		Address: address, Method: http.MethodPost, URI: "/p?q", Body: []byte("body"),
-		Header:         []Field{{"Host", "h"}, {idHeader, "expected"}},
-		MatchesRequest: func(h http.Header) bool { return h.Get(idHeader) == "expected" },
+		Header: []Field{{"Host", "h"}, {idHeader, "expected"}},
+		Match: func(h http.Header) Match {
+			if h.Get(idHeader) == "expected" {
+				return MatchOwn
+			}
+			return MatchOther
+		},
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -197,13 +197,22 @@
 		Silence:          x.silence,
 		// The target is not to blame for what is missing from now on.
 		OnPathLost: func() { x.tracked.End(quarantine.NoEvidence) },
-		MatchesRequest: func(header http.Header) bool {
-			id := r.Protocol.ParseResponse(header).AttemptID
-			return id == "" || id == r.request.AttemptID
-		},
+		Match:      r.matchResponse,
 	}
 }
 
+// matchResponse tells whether a response is one to the request. Targets name the request in
+// all responses.
+func (r *inflightRequest) matchResponse(header http.Header) dispatch.Match {
+	switch id := r.Protocol.ParseResponse(header).AttemptID; id {
+	case r.request.AttemptID:
+		return dispatch.MatchOwn
+	case "":
+		return dispatch.MatchUnknown
+	}
+	return dispatch.MatchOther
+}
+
 const (
 	// responseTimeoutObjectives is the time without a response, in multiples of the
 	// objective, after which another target is looked for; minResponseTimeout is its
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -83,7 +83,7 @@
 		_ = conn.Close()
 	}()
 	response, err := dispatch.NewPool(clockwork.NewRealClock()).Send(context.Background(), &dispatch.PooledRequest{
-		Address: l.Addr().String(), Method: http.MethodGet, URI: "/x", MatchesRequest: func(http.Header) bool { return true },
+		Address: l.Addr().String(), Method: http.MethodGet, URI: "/x", Match: func(http.Header) dispatch.Match { return dispatch.MatchOwn },
 	})
 	assert.NilError(t, err)
 	t.Cleanup(response.Close)
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -32,8 +32,8 @@
 	// outcomeUnknown is the outcome of a grant that has not ended.
 	outcomeUnknown schedule.Result = -1
 
-	chunkedOK  = "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-	unframedOK = "HTTP/1.1 200 OK\r\nSigned: 1\r\nConnection: close\r\n\r\n"
+	chunkedOK  = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	unframedOK = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: 1\r\nConnection: close\r\n\r\n"
 	lastChunk  = "0\r\n\r\n"
 )
 
@@ -129,7 +129,7 @@
 	return s.runs[0]
 }
 
-// headerProtocol is a minimal Protocol.
+// headerProtocol is a minimal Protocol. All requests have the ID 1.
 type headerProtocol struct{ Protocol }
 
 func (headerProtocol) DispatchFields(m DispatchMetadata) []dispatch.Field {
@@ -314,8 +314,8 @@
 // which was about to respond.
 func TestFailureOfASilentTargetDoesNotEndTheSearch(t *testing.T) {
 	for name, late := range map[string]string{
-		"failure": plain(http.StatusInternalServerError, "failure"), "unsigned": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
-		"rejection": "HTTP/1.1 503 x\r\nRejected: 1\r\nContent-Length: 0\r\n\r\n", "broken off": "HTTP/1.1 200 OK\r\nSig",
+		"failure": plain(http.StatusInternalServerError, "failure"), "unsigned": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nx",
+		"rejection": "HTTP/1.1 503 x\r\nRejected: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n", "broken off": "HTTP/1.1 200 OK\r\nSig",
 		"unavailable": plain(http.StatusServiceUnavailable, "x"),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -346,7 +346,7 @@
 // A rejection whose body stalls was read, and started a search, after the request's
 // state had been given back.
 func TestRejectionThatStallsDoesNotHoldTheRequest(t *testing.T) {
-	const stalled = "HTTP/1.1 503 x\r\nRejected: 1\r\nContent-Length: 9\r\n\r\n"
+	const stalled = "HTTP/1.1 503 x\r\nRejected: 1\r\nId: 1\r\nContent-Length: 9\r\n\r\n"
 	for name, kind := range map[string]catalog.Kind{"stream": catalog.Streaming, "plain": catalog.Idempotent} {
 		t.Run(name, func(t *testing.T) {
 			answer, want := plain(http.StatusOK, "second"), "second"
@@ -363,7 +363,7 @@
 
 // The 503 of a request that was rejected by all is true, also if one stalled.
 func TestRequestRejectedAfterSilenceIsRefused(t *testing.T) {
-	const rejection = "HTTP/1.1 503 x\r\nRejected: 1\r\nContent-Length: 0\r\n\r\n"
+	const rejection = "HTTP/1.1 503 x\r\nRejected: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
 	c := newTakeoverCase(t, catalog.Idempotent, 2, []scriptStep{longPause, rejection}, []scriptStep{longPause, rejection})
 	status, _, err := c.send()
 	assert.NilError(t, err)
