--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -37,6 +37,9 @@
 	// id is "" if the event has none.
 	id  string
 	raw []byte
+	// hasFields is set unless it consists of blank lines and comments, hasKnownFields if
+	// it has a field of the format.
+	hasFields, hasKnownFields bool
 }
 
 // eventReader splits a stream into events without changing their bytes.
@@ -55,7 +58,7 @@
 // complete event.
 func (r *eventReader) next() (event, error) {
 	var e event
-	hasFields, lineStarts := false, true
+	lineStarts := true
 	// paddingEnd is the length of the complete blocks without fields.
 	paddingEnd := 0
 	for {
@@ -63,8 +66,9 @@
 		e.raw = append(e.raw, line...)
 		isLineStart := lineStarts
 		lineStarts = err == nil
-		hasFields = hasFields || isLineStart && startsField(line)
-		if len(e.raw) > maxEventBytes || !hasFields && len(e.raw) > maxPaddingBytes || !r.reserve(len(e.raw)) {
+		e.hasFields = e.hasFields || isLineStart && startsField(line)
+		e.hasKnownFields = e.hasKnownFields || isLineStart && startsKnownField(line)
+		if len(e.raw) > maxEventBytes || !e.hasFields && len(e.raw) > maxPaddingBytes || !r.reserve(len(e.raw)) {
 			return event{}, errors.Wrapf(errEndless, "event exceeds %d bytes", len(e.raw)-1)
 		}
 		switch {
@@ -81,7 +85,7 @@
 			continue
 		}
 		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 && hasFields {
+		if len(line) == 0 && e.hasFields {
 			return e, nil
 		}
 		if len(line) == 0 {
@@ -99,6 +103,17 @@
 	return len(line) > 0 && line[0] != ':' && line[0] != '\r' && line[0] != '\n'
 }
 
+// startsKnownField reports whether a line starts a field of the format. Other fields are
+// allowed beside one.
+func startsKnownField(line []byte) bool {
+	name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte{':'})
+	switch string(name) {
+	case "id", "data", "event", "retry":
+		return true
+	}
+	return false
+}
+
 // hasBufferedEvent reports whether another complete event is already buffered.
 func (r *eventReader) hasBufferedEvent() bool {
 	data, err := r.reader.Peek(r.reader.Buffered())
--- a/internal/gateway/received_events.go
+++ b/internal/gateway/received_events.go
@@ -13,6 +13,9 @@
 var (
 	// errOutOfOrder is returned when the event IDs of a stream are not consecutive.
 	errOutOfOrder = errors.New("stream events out of order")
+	// errNoEvent is returned for text in a stream that is no event, and for an event without
+	// an ID among those with IDs.
+	errNoEvent = errors.New("text in the stream is no event of it")
 	// errNoEvents is returned for a stream that ends with its connection before its
 	// first event.
 	errNoEvents = errors.New("event stream without a framing ended before its first event")
@@ -70,10 +73,15 @@
 	}
 }
 
-// check verifies that events are consecutive, also across targets, and that there
-// are no more than the caller's limit on output tokens allows; 0 means no limit.
+// check verifies that events are consecutive, also across targets, that none lacks an ID
+// among those with IDs, and that there are no more than the caller's limit on output tokens
+// allows; 0 means no limit.
 func (e *receivedEvents) check(next event, maxTokens int) error {
 	if next.id == "" {
+		if next.hasFields && (!next.hasKnownFields || e.lastID != "") {
+			const shownBytes = 40
+			return errors.Wrapf(errNoEvent, "%q after %q", next.raw[:min(len(next.raw), shownBytes)], e.lastID)
+		}
 		if e.unidentifiedBytes += len(next.raw); e.unidentifiedBytes > maxEventBytes {
 			return errors.Wrap(errEndless, "events without IDs")
 		}
