--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,8 +9,13 @@
 package catalog
 
 import (
+	"net/netip"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Kind determines whether requests of a route may be retried.
@@ -154,6 +159,31 @@
 	SequenceNumber int64
 }
 
+// MaxSlots bounds the slots of a target: a TCP address has no more connections to another.
+const MaxSlots = 1<<16 - 1
+
+// Validate returns an error if no target can be as declared. Entries may come from other
+// writers than the targets.
+func (t *Target) Validate() error {
+	if t.Slots <= 0 || t.Slots > MaxSlots {
+		return errors.Newf("slots must be from 1 to %d, got %d", MaxSlots, t.Slots)
+	}
+	if t.ID == "" || strings.TrimSpace(t.ID) != t.ID || strings.ContainsFunc(t.ID, unicode.IsControl) {
+		return errors.Newf("ID %q cannot stand in a header", t.ID)
+	}
+	address, err := netip.ParseAddrPort(t.Address)
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	ip := address.Addr()
+	if address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip == limitedBroadcast || ip.Zone() != "" {
+		return errors.Newf("address %s is no target's", t.Address)
+	}
+	return nil
+}
+
+var limitedBroadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // Key returns the identity of the incarnation.
 func (t *Target) Key() TargetKey { return TargetKey{t.ID, t.Born} }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -28,6 +28,9 @@
 	// ErrResponseUnidentified is returned for a response that names no request: it may
 	// belong to an earlier one on the connection, or come from another kind of server.
 	ErrResponseUnidentified = errors.New("response names no request")
+	// ErrNoTarget marks such a response to the first request on a connection: what answers
+	// there is no target.
+	ErrNoTarget = errors.New("no target answers at the address")
 	// ErrStaleConn marks failures on a reused connection before a response header
 	// was read. The request may have been executed nevertheless.
 	ErrStaleConn = errors.New("reused connection failed before a response header")
@@ -135,7 +138,11 @@
 		}
 		match := r.Match(response.Header)
 		if match == MatchUnknown {
-			return nil, errors.Wrapf(ErrResponseUnidentified, "status %d", response.StatusCode)
+			err := errors.Wrapf(ErrResponseUnidentified, "status %d", response.StatusCode)
+			if !conn.reused {
+				err = errors.Mark(err, ErrNoTarget)
+			}
+			return nil, err
 		}
 		if match == MatchOther {
 			if err := conn.discardMismatched(response); err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,14 +148,22 @@
 		return attemptResult{retry: true}
 	}
 	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
-	result := schedule.Failed
-	if errors.Is(p.err, dispatch.ErrStaleConn) {
-		result = schedule.Cancelled
-	}
-	x.end(result)
+	x.end(failureResult(p.err))
 	return r.failedAttempt("the target broke off before an answer")
 }
 
+// failureResult returns what an exchange that failed after the request may have been sent
+// means for its target.
+func failureResult(err error) schedule.Result {
+	switch {
+	case errors.Is(err, dispatch.ErrStaleConn):
+		return schedule.Cancelled
+	case errors.Is(err, dispatch.ErrNoTarget):
+		return schedule.Unreachable
+	}
+	return schedule.Failed
+}
+
 // isPathLost reports whether an attempt failed for a reason between this instance and
 // the target.
 func (r *inflightRequest) isPathLost(ctx context.Context, x *exchange, err error) bool {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -212,10 +212,17 @@
 		}
 	}
 	byAddress := make(map[string]*catalog.Target, len(n.targets.present))
-	for _, target := range n.targets.present {
+	usable := make([]*catalog.Target, 0, len(n.targets.present))
+	for _, target := range n.targets.list() {
+		// Instances of earlier builds pass on entries that this one does not accept.
+		if err := target.Validate(); err != nil {
+			n.logger.Warn("target not used", zap.String("target", target.ID), zap.String("service", target.Service), eventlog.ErrorField(err))
+			continue
+		}
 		byAddress[target.Address] = target
+		usable = append(usable, target)
 	}
 	n.targetByAddress.Store(&byAddress)
-	n.placement.SetTargets(n.targets.list())
+	n.placement.SetTargets(usable)
 	n.targetsKnown.Store(true)
 }
