--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -171,13 +171,18 @@
 	if t.ID == "" || strings.TrimSpace(t.ID) != t.ID || strings.ContainsFunc(t.ID, unicode.IsControl) {
 		return errors.Newf("ID %q cannot stand in a header", t.ID)
 	}
-	address, err := netip.ParseAddrPort(t.Address)
+	return ValidateAddress(t.Address)
+}
+
+// ValidateAddress returns an error if nothing can listen at an address.
+func ValidateAddress(text string) error {
+	address, err := netip.ParseAddrPort(text)
 	if err != nil {
 		return errors.Wrap(err, "address")
 	}
 	ip := address.Addr()
 	if address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip == limitedBroadcast || ip.Zone() != "" {
-		return errors.Newf("address %s is no target's", t.Address)
+		return errors.Newf("nothing can listen at address %s", text)
 	}
 	return nil
 }
