--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -197,8 +197,8 @@
 const minLostPaths = 3
 
 // areMostLost reports whether so many paths are lost that the instance's links are the
-// cause.
-func areMostLost(known, lost int) bool { return lost >= minLostPaths && 2*lost >= known }
+// cause. With half of them, others may have lost the other half.
+func areMostLost(known, lost int) bool { return lost >= minLostPaths && 4*lost >= 3*known }
 
 // errMostLost is the cause of a lost path that has not been tried.
 var errMostLost = errors.New("most paths of this instance are lost")
