--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -145,21 +145,24 @@
 		return
 	}
 	now := p.clock.Now()
-	var others []*path
+	var checked, lost []*path
 	p.mu.Lock()
-	known, lost := p.countPaths()
+	mostLost := areMostLost(p.countPaths())
 	for _, other := range p.paths {
-		if other.lostSince.IsZero() && now.Sub(other.usedAt) < pathRetention && now.Sub(other.heardAt()) > recentlyHeardTime {
-			others = append(others, other)
+		switch {
+		case !other.lostSince.IsZero() || now.Sub(other.usedAt) >= pathRetention || now.Sub(other.heardAt()) <= recentlyHeardTime:
+		case mostLost && now.Sub(other.regainedAt) >= flapTime:
+			lost = append(lost, other)
+		default:
+			checked = append(checked, other)
 		}
 	}
 	p.mu.Unlock()
-	for _, other := range others {
-		if areMostLost(known, lost) && now.Sub(other.regainedAt) >= flapTime {
-			p.lose(other, errMostLost, "")
-		} else {
-			p.startCheck(other)
-		}
+	for _, other := range checked {
+		p.startCheck(other)
+	}
+	for _, other := range lost {
+		p.lose(other, errMostLost, "")
 	}
 }
 
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -238,12 +238,15 @@
 		assert.NilError(t, err)
 	}
 	time.Sleep(2 * recentlyHeardTime)
+	p.hangs = true
+	p.cut.Store(true)
 	for i, address := range addresses[:minLostPaths] {
 		assert.Equal(t, p.LostPaths(), i)
 		p.markLost(p.path(address), errors.New("lost"), "peer")
 	}
 	assert.Assert(t, p.MostLost())
 	assert.Equal(t, p.LostPaths(), len(addresses))
+	p.cut.Store(false)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if !p.AnyLost() {
 			return poll.Success()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,8 +14,9 @@
 // # Load pattern
 //
 // Some instances, also most of them, lose their paths to targets that others reach.
-// Each stream goes through an instance drawn at random; instances without a path say
-// so at once and are left out for a while.
+// Each stream goes through an instance drawn at random from all that are known, so that
+// no instance relays for many; instances without a path say so at once and are left out
+// for a while, as are those that have lost most of their paths.
 //
 // # Evidence
 //
