Keep the events read with one that is no event of the stream (ORDER)

A fault of the change that passes on no other text: the events that were read together with such a text were dropped, and where no other target was left the caller got a 502 instead of the stream's beginning. The error waits until the events before it are passed on.

--- a/internal/gateway/received_events.go
+++ b/internal/gateway/received_events.go
@@ -35,6 +35,10 @@
 	// of them.
 	identified, unidentifiedBytes int
 
+	// fault is the error of an event behind those that were read with it; it ends the
+	// stream once these have been passed on.
+	fault error
+
 	firstAt, lastAt time.Time
 	// maxGap is the longest gap between events.
 	maxGap time.Duration
@@ -47,7 +51,10 @@
 	if events.reader == nil {
 		events.reader = newEventReader(x.response, x.response.Reserve)
 	}
-	for {
+	if events.fault != nil {
+		return events.fault
+	}
+	for read := 0; ; read++ {
 		e, err := events.reader.next()
 		if err == io.EOF && events.count == 0 && !x.response.IsFramed() {
 			return errNoEvents
@@ -56,7 +63,11 @@
 			return err
 		}
 		if err := events.check(e, x.inflight.request.MaxOutputTokens); err != nil {
-			return err
+			if read == 0 {
+				return err
+			}
+			events.fault = err
+			return nil
 		}
 		x.tracked.Heard(x.response.ConnOpenedAt())
 		now := x.inflight.Clock.Now()
