--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -66,12 +66,14 @@
 	},
 	{
 		"a refusal that says not run is true", "gateway/run.go",
-		combineTests(testedBy(adapterPackage, "TestRefusedEverywhereIsToldNotRun", "TestTargetsPromiseWithoutTheMarkIsNotPassedOn"),
+		combineTests(testedBy(adapterPackage, "TestRefusedEverywhereIsToldNotRun", "TestTargetsPromiseWithoutTheMarkIsNotPassedOn",
+			"TestRefusalWrittenAgainIsNotTakenForThatOfAnotherRequest"),
 			testedBy("gateway", "TestRefusalsPromiseOnlyWhatIsTrue")), "hot-then-everyone-returns",
 	},
 	{
 		"a stream's events are whole, in order and of one run", "gateway/stream.go, gateway/events.go",
-		combineTests(testedBy(adapterPackage, "TestCutStreamIsResumedAtAnotherTarget", "TestCutStreamThatMayRunOnceEndsWithoutItsEnd"),
+		combineTests(testedBy(adapterPackage, "TestCutStreamIsResumedAtAnotherTarget", "TestCutStreamThatMayRunOnceEndsWithoutItsEnd",
+			"TestErrorOfTheNextTargetIsNoPartOfAStream"),
 			testedBy("gateway", "TestEventsKeepTheirBytes", "TestStreamThatEndsInsideAnEventIsNoWholeStream")),
 		"silent-everywhere",
 	},
@@ -107,9 +109,12 @@
 	},
 	{
 		"callers of instances that have lost their paths to targets are served, and so are the others", "dispatch/path.go, relay/client.go",
-		combineTests(testedBy(adapterPackage, "TestCallersOfPartitionedInstancesAreServed"),
+		combineTests(testedBy(adapterPackage, "TestCallersOfPartitionedInstancesAreServed", "TestCallersOfPartitionedInstancesAreServedAmongMany",
+			"TestConnectionsOfOthersDoNotHoldAShutdownUp"),
 			testedBy("dispatch", "TestFailuresAreNoEvidenceAgainstATargetThatOthersReach", "TestRequestsGoThroughAnotherInstanceWhileThePathIsLost",
-				"TestSilentExchangesOnALostPathEnd", "TestSilenceOfAReachableTargetIsNoLostPath"),
+				"TestSilentExchangesOnALostPathEnd", "TestSilenceOfAReachableTargetIsNoLostPath",
+				"TestPathOnWhichConnectionsSucceedNowAndThenStaysLost", "TestAllPathsCountAsLostOnceMostAre"),
+			testedBy("node", "TestAllKnownInstancesMayRelay"),
 			testedBy("relay", "TestWhoseWordMakesATargetUnreachable", "TestEndOfTheTargetIsToldFromThatOfTheInstanceBetween")),
 		"partitioned-instances",
 	},
@@ -128,6 +133,11 @@
 		combineTests(testedBy(adapterPackage, "TestConfigurationIsInForceAndNeverGoesBack", "TestInstanceLearnsFromOthersWhileTheStoreIsDown"),
 			testedBy("catalog", "TestHolderNeverGoesBack")), "revoked-while-refused",
 	},
+	{
+		"an odd entry of another writer does no harm", "catalog/catalog.go",
+		testedBy(adapterPackage, "TestOddEntryAmongTargetsIsNoHarm", "TestOddAnnouncementsNameNoInstance",
+			"TestTokenCountsOutOfRangeAreNotLostInASum", "TestDurationsOutOfRangeAreBounded"), "",
+	},
 	{
 		"an instance that stops answers what it has read", "node/shutdown.go",
 		testedBy(adapterPackage, "TestShutdownAnswersWhatIsUnderWay"), "shutdown-in-outage",
