Place no request once those in flight are cancelled at the end of a shutdown

One that had waited for a place all the time was told that it may have run.

Cause: the requests in flight are cancelled one after another. The place of the first one that ended went to one that waited and had not been cancelled yet; it was sent, and cancelled 1 ms later.

Change: the gateway is marked as stopped before the first request is cancelled, and a place that is granted from then on is given back; the request is refused as not run.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -168,7 +169,12 @@
 }
 
 // Gateway serves callers' requests.
-type Gateway struct{ Options }
+type Gateway struct {
+	Options
+	// stopped is set before the requests in flight are cancelled at the end of a
+	// shutdown: none is sent to a target any more.
+	stopped atomic.Bool
+}
 
 // New returns a gateway with the given options.
-func New(options Options) *Gateway { return &Gateway{options} }
+func New(options Options) *Gateway { return &Gateway{Options: options} }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -299,13 +299,19 @@
 }
 
 // place waits for the scheduler to place the request. A request that has crashed
-// targets since it was admitted is refused. The error is a *refusedError, a
-// *schedule.RefusedError or the context's error.
+// targets since it was admitted is refused, and so are all at the end of a shutdown. The
+// error is a *refusedError, a *schedule.RefusedError or the context's error.
 func (r *inflightRequest) place(ctx context.Context) (*schedule.Grant, error) {
 	grant, err := r.Placer.Acquire(ctx, r.scheduleRequest())
 	if err != nil {
 		return nil, err
 	}
+	if r.stopped.Load() {
+		// The place may be that of a request that has just been cancelled.
+		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		r.log.addStep("stopped before it was sent to", grant.Target.ID, 0)
+		return nil, &refusedError{reason: errStopping.Error(), retryAfter: defaultRetryAfter}
+	}
 	if r.Quarantine.RefuseDispatch(r.fingerprint, r.promptParts...) {
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		r.log.addStep("quarantined before it was sent to", grant.Target.ID, 0)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -81,6 +81,7 @@
 	if err == nil {
 		return nil
 	}
+	s.gateway.stopped.Store(true)
 	s.cancelRequests(errStopping)
 	s.awaitFinalResponses()
 	return err
--- /dev/null
+++ b/internal/gateway/shutdown_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp/fasthttputil"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
+	"github.com/hibiscuspost/hibiscuspost/internal/rollout"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
+)
+
+// stoppingPlacer grants a place at the moment at which the requests in flight are
+// cancelled, as the end of one of them does.
+type stoppingPlacer struct {
+	sequentialPlacer
+	stop func()
+}
+
+func (p *stoppingPlacer) Acquire(ctx context.Context, r *schedule.Request) (*schedule.Grant, error) {
+	p.stop()
+	return p.sequentialPlacer.Acquire(ctx, r)
+}
+
+// A place that a cancelled request left at the end of a shutdown went to one that waited
+// and had not been cancelled yet: it was sent, cancelled as well, and failed as one that
+// may have run.
+func TestWaitingRequestIsNotPlacedAtTheEndOfAShutdown(t *testing.T) {
+	clock := realClock()
+	placer := &stoppingPlacer{sequentialPlacer: sequentialPlacer{targets: []*catalog.Target{{ID: "one"}}}}
+	r := &inflightRequest{
+		Gateway: New(Options{
+			Clock: clock, Rollouts: rollout.New(clock), Placer: placer, Catalog: &catalog.Holder{}, Counters: &Counters{}, Logger: zap.NewNop(),
+			Quarantine: quarantine.New(quarantine.Options{Clock: clock}),
+		}),
+		request: &Request{ReceivedAt: clock.Now()}, route: &catalog.Route{}, service: &catalog.Service{}, deadline: clock.Now().Add(time.Minute),
+	}
+	server := NewServer(r.Gateway)
+	listener := fasthttputil.NewInmemoryListener()
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	// An open connection keeps the shutdown from ending.
+	conn, err := listener.Dial()
+	assert.NilError(t, err)
+	awaitConnections(t, server, 1)
+	placer.stop = func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		assert.Check(t, server.Shutdown(ended) != nil)
+	}
+	_, err = r.place(context.Background())
+	assert.Assert(t, err != nil, "the request was placed")
+	assert.Equal(t, r.placementFailed(context.Background(), err).Status, http.StatusServiceUnavailable)
+	assert.DeepEqual(t, placer.results(), []schedule.Result{schedule.Cancelled})
+	assert.NilError(t, conn.Close())
+	awaitConnections(t, server, 0)
+	assert.NilError(t, <-served)
+}
+
+func awaitConnections(t *testing.T, server *Server, want int) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if open := server.OpenConnections(); open != want {
+			return poll.Continue("%d connections are open", open)
+		}
+		return poll.Success()
+	})
+}
