--- a/internal/dispatch/connect.go
+++ b/internal/dispatch/connect.go
@@ -37,7 +37,16 @@
 
 // DialDirect connects to a target without another instance.
 func (p *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	return p.dial(ctx, address)
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.paths[address]; state != nil {
+		state.heardNanos.Store(p.clock.Now().UnixNano())
+	}
+	return conn, nil
 }
 
 // connect connects to a target, through another instance if the path is lost or
--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -213,6 +213,19 @@
 	return areMostLost(p.countPaths())
 }
 
+// HeardOther reports whether anything has been received since then on a direct connection
+// to a target other than the one at the address.
+func (p *Pool) HeardOther(address string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for other, state := range p.paths {
+		if other != address && state.heardAt().After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // takeIdle removes and returns the idle connections to an address that match. The
 // caller holds p.mu.
 func (p *Pool) takeIdle(address string, matches func(*pooledConn) bool) []*pooledConn {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -10,7 +10,9 @@
 // this one.
 func (n *Node) connectRelay() {
 	n.pool.SetRelay(&relay.Client{Open: n.bus.OpenStream, Peers: n.relayPeers, Clock: n.clock, Logger: n.logger}, n.logger)
-	n.relay = &relay.Server{Paths: n.pool, Allows: n.mayRelayTo, Draining: n.draining.Load, Logger: n.logger}
+	n.relay = &relay.Server{
+		Paths: n.pool, Allows: n.mayRelayTo, Others: n.otherTargets, Draining: n.draining.Load, Logger: n.logger,
+	}
 	n.bus.HandleStream(n.relay.Serve)
 }
 
@@ -25,6 +27,21 @@
 	return target != nil && !n.placement.Blocks(target.Key())
 }
 
+// otherTargets returns the addresses of up to count targets that take requests, except for
+// the one at the address.
+func (n *Node) otherTargets(address string, count int) []string {
+	var others []string
+	for other, target := range *n.targetByAddress.Load() {
+		if len(others) == count {
+			break
+		}
+		if other != address && !n.placement.Blocks(target.Key()) {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
 // sendToRelayClients tells the instances that reach targets through this one that it shuts
 // down. Those among the recipients of gossip know.
 func (n *Node) sendToRelayClients(recipients []string, round int) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,7 +20,9 @@
 //
 // # Evidence
 //
-// Two instances that reach other targets are needed to call a target unreachable.
+// Two instances that reach other targets are needed to call a target unreachable. The word
+// of an instance counts only if it has reached another target since it began to try: one
+// that has just lost its links does not know yet.
 package relay
 
 import (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -23,10 +23,17 @@
 type paths struct {
 	lost, anyLost, mostLost bool
 	err                     error
+	// other is the address of another target, which err does not concern; "" if there
+	// is none. heardOther is set if it has been heard.
+	other      string
+	heardOther bool
+	// dials counts the connections to any target.
+	dials atomic.Int32
 }
 
 func (p *paths) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	if p.err != nil {
+	p.dials.Add(1)
+	if p.err != nil && address != p.other {
 		return nil, p.err
 	}
 	var dialer net.Dialer
@@ -37,6 +44,15 @@
 func (p *paths) AnyLost() bool        { return p.anyLost }
 func (p *paths) MostLost() bool       { return p.mostLost }
 
+func (p *paths) HeardOther(string, time.Time) bool { return p.heardOther }
+
+func (p *paths) others(string, int) []string {
+	if p.other == "" {
+		return nil
+	}
+	return []string{p.other}
+}
+
 // listen serves connections until the test ends.
 func listen(t *testing.T, serve func(net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -57,7 +73,7 @@
 // startInstance starts an instance that relays and returns its address.
 func startInstance(t *testing.T, p *paths) string {
 	server := &Server{
-		Paths: p, Allows: func(string) bool { return true }, Draining: func() bool { return false }, Logger: zap.NewNop(),
+		Paths: p, Allows: func(string) bool { return true }, Others: p.others, Draining: func() bool { return false }, Logger: zap.NewNop(),
 	}
 	return listen(t, func(conn net.Conn) {
 		server.Serve("peer", conn)
@@ -118,7 +134,7 @@
 			_, _ = io.WriteString(conn, "part")
 			accepted <- conn
 		})
-		server := &Server{Paths: &paths{}, Allows: func(string) bool { return true }, Draining: func() bool { return false }, Logger: zap.NewNop()}
+		server := &Server{Paths: &paths{}, Allows: func(string) bool { return true }, Others: (&paths{}).others, Draining: func() bool { return false }, Logger: zap.NewNop()}
 		conn := dial(t, target, listen(t, func(conn net.Conn) {
 			relaying <- conn
 			server.Serve("peer", conn)
@@ -168,14 +184,27 @@
 
 func TestWhoseWordMakesATargetUnreachable(t *testing.T) {
 	refused := errors.New("refused")
+	reached := listen(t, func(net.Conn) {})
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	notReached := closed.Addr().String()
+	assert.NilError(t, closed.Close())
 	for _, tc := range []struct {
 		name  string
 		peers []*paths
 		want  error
 	}{
 		{"none known", nil, ErrNoPeers},
-		{"two that reach others", []*paths{{err: refused}, {err: refused}}, ErrUnreachable},
-		{"the only one", []*paths{{err: refused}}, ErrUnreachable},
+		{"two that know no others", []*paths{{err: refused}, {err: refused}}, ErrUnreachable},
+		{"two that reach others", []*paths{{err: refused, other: reached}, {err: refused, other: reached}}, ErrUnreachable},
+		{
+			"two that have just heard others",
+			[]*paths{{err: refused, other: notReached, heardOther: true}, {err: refused, other: notReached, heardOther: true}},
+			ErrUnreachable,
+		},
+		{"two that reach no others any more", []*paths{{err: refused, other: notReached}, {err: refused, other: notReached}}, ErrInconclusive},
+		{"the only one", []*paths{{err: refused, other: reached}}, ErrUnreachable},
+		{"the only one, which reaches no others any more", []*paths{{err: refused, other: notReached}}, ErrInconclusive},
 		{"without any path", []*paths{{lost: true}, {lost: true}, {lost: true}}, ErrInconclusive},
 		{"that have lost paths", []*paths{{err: refused, anyLost: true}, {err: refused, anyLost: true}}, ErrInconclusive},
 		{"that have lost most paths", []*paths{{mostLost: true}, {mostLost: true}}, ErrInconclusive},
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -33,6 +33,9 @@
 	PathLost(address string) bool
 	AnyLost() bool
 	MostLost() bool
+	// HeardOther reports whether anything has been received since then on a direct
+	// connection to a target other than the one at the address.
+	HeardOther(address string, since time.Time) bool
 }
 
 // Server relays connections of other instances to targets.
@@ -40,6 +43,9 @@
 	Paths Paths
 	// Allows reports whether an address is that of a target.
 	Allows func(address string) bool
+	// Others returns the addresses of up to count targets other than the one at the
+	// address, in no order.
+	Others func(address string, count int) []string
 	// Draining reports whether the instance is shutting down.
 	Draining func() bool
 	Logger   *zap.Logger
@@ -124,11 +130,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), targetDialTimeout)
 	defer cancel()
+	startedAt := time.Now()
+	linksWork := s.testLinks(ctx, address, startedAt)
 	target, err := s.Paths.DialDirect(ctx, address)
 	switch {
 	case err == nil:
 		return target, statusConnected
-	case s.Paths.AnyLost():
+	case s.Paths.AnyLost() || !linksWork():
 		return nil, statusNoPath
 	}
 	return nil, statusUnreachable
