Report the end of a request to the coordinator that granted its slot

Seen: with 13 of 14 instances cut off, no place became free for 0.8 s for anybody (74 requests refused, 503), though no target was full: 1 of 10 runs of TestCallersAreServedWhileOneOfTwoRelayingInstancesShutsDown with the race detector.

Cause: the group of targets had been taken over from A by B, and a new list of coordinators named A again. A still referred all requests to B (for 2 s), which granted the slots, but instances reported their ends to A, as their list says. At B each slot stayed taken until its lease ended 1.6 s later. The log shows it: B grants with 4, 5, 6, 7 running at each target and none less, then nothing, until "places released that nobody named".

Change: the end of a request is reported to the instance that granted its slot as well, if that is another one.

Before: TestSlotIsReleasedWhereItWasGranted fails ("counts 1 running requests, not 0").

--- a/internal/placement/execution.go
+++ b/internal/placement/execution.go
@@ -32,6 +32,9 @@
 	// localGrant counts the request in the client's local scheduler; nil if that
 	// did not know the target.
 	localGrant *schedule.Grant
+	// grantedBy is the address of the coordinator that granted the slot; "" if none
+	// did.
+	grantedBy string
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -51,7 +54,8 @@
 // again until the next renewal.
 func (c *Client) track(id uint32, r *schedule.Request, grant schedule.Grant, localGrant *schedule.Grant) *schedule.Grant {
 	e := &execution{
-		client: c, id: id, target: idOf(grant.Target.Key()), key: grant.Target.Key(), request: r, startedAt: c.clock.Now(), localGrant: localGrant, coordinator: grant.Coordinator,
+		client: c, id: id, target: idOf(grant.Target.Key()), key: grant.Target.Key(), request: r, startedAt: c.clock.Now(), localGrant: localGrant,
+		grantedBy: grant.Coordinator, coordinator: grant.Coordinator,
 	}
 	c.mu.Lock()
 	c.running[id] = e
@@ -161,6 +165,8 @@
 	})
 }
 
+// reportProgress reports to the coordinator. The end of the request is also reported to
+// the instance that granted its slot, which may still coordinate the group for others.
 func (e *execution) reportProgress(p *progressReport) {
 	e.mu.Lock()
 	coordinator := e.coordinator
@@ -168,6 +174,9 @@
 	if coordinator != "" {
 		e.client.sendMessage(coordinator, kindProgress, p)
 	}
+	if p.Done && e.grantedBy != "" && e.grantedBy != coordinator {
+		e.client.sendMessage(e.grantedBy, kindProgress, p)
+	}
 }
 
 // state returns the request's entry in a renewal.
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -259,13 +259,49 @@
 	target := client.groups.Load().serving["engines"][0]
 	client.handleTakeover(next, &takeoverNotice{Epoch: roster.Epoch, Service: "engines"})
 	client.track(1, newRequest("engines"), schedule.Grant{Target: target, Coordinator: former}, nil)
+	n.awaitRunning(t, next, 1)
+}
+
+// A former coordinator referred to the one that replaced it, while the roster of the
+// instance named the former again. The end of a request was reported there only, so that
+// its slot stayed taken at the coordinator that had granted it.
+func TestSlotIsReleasedWhereItWasGranted(t *testing.T) {
+	n := newNetwork(t, clockwork.NewFakeClockAt(time.Now()), 3, []*catalog.Target{newEngine("one", 4)})
+	former := n.services["10.0.0.0:1"].Roster().Addresses[0]
+	others := slices.DeleteFunc(n.addresses(), func(address string) bool { return address == former })
+	self, replacement := others[0], others[1]
+	client, server := n.services[self].client, n.services[replacement].server
+	target := client.groups.Load().serving["engines"][0]
+	group := client.groups.Load().groupOf[idOf(target.Key())]
+	server.mu.Lock()
+	server.requestedAt[group] = n.clock.Now()
+	server.mu.Unlock()
+
+	const id = 1
+	grant := client.track(id, newRequest("engines"), schedule.Grant{Target: target, Coordinator: replacement}, nil)
+	server.handleSlotRequest(self, &slotRequest{ID: id, Service: group.service, Group: group.index, ObjectiveMs: 1000, TimeLeftMs: 1000})
+	for _, address := range []string{former, replacement} {
+		n.awaitRunning(t, address, 1)
+	}
+	grant.Done(schedule.Outcome{Result: schedule.Complete})
+	for _, address := range []string{former, replacement} {
+		n.awaitRunning(t, address, 0)
+	}
+}
+
+// awaitRunning waits until an instance counts so many running requests in the groups that
+// it coordinates.
+func (n *network) awaitRunning(t *testing.T, address string, want int) {
+	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		_, coordinated := n.services[next].Snapshot()
+		running := 0
+		_, coordinated := n.services[address].Snapshot()
 		for _, state := range coordinated {
-			if state.Running == 1 {
-				return poll.Success()
-			}
+			running += state.Running
+		}
+		if running != want {
+			return poll.Continue("%s counts %d running requests, not %d", address, running, want)
 		}
-		return poll.Continue("the new coordinator counts no running request")
+		return poll.Success()
 	}, poll.WithTimeout(eventTimeout))
 }
