Count no attempt of the route for a target that has been replaced

Its log: "not executed Misdirected Request i-5 after 0 ms; ... not executed Misdirected Request i-4 after 3 ms".

Cause: a target that has ended is listed for a while, and its address may be used by another one, which answers that the request is not for it (421). Nothing ran, but the attempt counted as one of the route's.

Change: such attempts count like those whose path was lost: not against the route's attempts, at most four together with targets that could not be reached. They take repeats from the budget as before, since arrivals count there.

Before: TestTargetsThatWereReplacedUseNoAttempts fails (503). After: it passes, with 1,000 repeats in the budget two are used.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -204,6 +204,7 @@
 	r.log.addStep(action, x.grant.Target.ID, p.took)
 	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 	if x.response.Status == http.StatusMisdirectedRequest {
+		r.misdirected++
 		r.Counters.Misdirected.Add(1)
 		x.end(schedule.Unreachable)
 		r.OnMisdirected(x.grant.Target)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -231,7 +231,7 @@
 // responseTimeout returns the time without a byte of the response after which
 // another target is looked for; 0 if none may be tried.
 func (r *inflightRequest) responseTimeout(expectedTimeToFirst time.Duration) time.Duration {
-	if !r.route.Retryable() || r.route.LatencyObjective == 0 || r.attempts+1 >= r.route.MaxAttempts {
+	if !r.route.Retryable() || r.route.LatencyObjective == 0 || r.usedAttempts()+1 >= r.route.MaxAttempts {
 		return 0
 	}
 	return max(minResponseTimeout, time.Duration(responseTimeoutObjectives*float64(r.route.LatencyObjective)),
@@ -241,7 +241,7 @@
 // gapTimeout returns the same time between two events; 0 if the stream cannot be
 // resumed.
 func (r *inflightRequest) gapTimeout() time.Duration {
-	if !r.route.Retryable() || r.route.EventGapObjective == 0 || r.attempts >= r.route.MaxAttempts {
+	if !r.route.Retryable() || r.route.EventGapObjective == 0 || r.usedAttempts() >= r.route.MaxAttempts {
 		return 0
 	}
 	return max(minGapTimeout, gapTimeoutGaps*r.route.EventGapObjective)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxUnreachableTargets bounds the unreachable targets tried for one request.
-	// These tries send nothing and do not count as attempts.
+	// maxUnreachableTargets bounds the targets that could not be reached for one
+	// request. These tries do not count as attempts of the route.
 	maxUnreachableTargets = 4
 	// maxBufferedBytes bounds a response that is buffered before it is relayed.
 	maxBufferedBytes = 8 << 20
@@ -77,6 +77,8 @@
 	// lostAttempts is the number of attempts that ended since the path to the target
 	// was lost.
 	lostAttempts int
+	// misdirected is the number of attempts that reached another target at the address.
+	misdirected int
 	// possibleRuns is the number of attempts that a target may have started to
 	// execute.
 	possibleRuns int
@@ -258,14 +260,18 @@
 // checkAttempts returns a *refusedError if the request has no attempt left.
 func (r *inflightRequest) checkAttempts() error {
 	switch {
-	case r.unreachable+r.lostAttempts > maxUnreachableTargets:
+	case r.unreachable+r.lostAttempts+r.misdirected > maxUnreachableTargets:
 		return &refusedError{reason: "no target could be reached", retryAfter: defaultRetryAfter}
-	case r.attempts-r.lostAttempts >= max(1, r.route.MaxAttempts):
+	case r.usedAttempts() >= max(1, r.route.MaxAttempts):
 		return &refusedError{reason: "all attempts of the route are used", retryAfter: defaultRetryAfter}
 	}
 	return nil
 }
 
+// usedAttempts returns how many of the route's attempts are used: those that reached
+// their target.
+func (r *inflightRequest) usedAttempts() int { return r.attempts - r.lostAttempts - r.misdirected }
+
 // placeRetry places the request on another target and then takes a retry from the
 // budget, so that a search that finds no target takes none.
 func (r *inflightRequest) placeRetry(ctx context.Context) (*schedule.Grant, error) {
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -361,6 +361,22 @@
 	}
 }
 
+// Targets that had been replaced used up the route's attempts: other targets at their
+// addresses answered that the request was not for them.
+func TestTargetsThatWereReplacedUseNoAttempts(t *testing.T) {
+	misdirected := []scriptStep{"HTTP/1.1 421 x\r\nId: 1\r\nContent-Length: 0\r\n\r\n"}
+	for _, kind := range []catalog.Kind{catalog.NonIdempotent, catalog.Idempotent} {
+		c := newTakeoverCase(t, kind, 1, misdirected, misdirected, []scriptStep{plain(http.StatusOK, "third")})
+		c.checkSend(t, "third")
+		assert.Equal(t, c.Counters.Retried.Load(), uint64(2))
+	}
+	// They are bounded all the same.
+	c := newTakeoverCase(t, catalog.Idempotent, 1, misdirected, misdirected, misdirected, misdirected, misdirected, []scriptStep{plain(http.StatusOK, "sixth")})
+	status, _, err := c.send()
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+}
+
 // The 503 of a request that was rejected by all is true, also if one stalled.
 func TestRequestRejectedAfterSilenceIsRefused(t *testing.T) {
 	const rejection = "HTTP/1.1 503 x\r\nRejected: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
