Test an instance's links at the targets that it heard last

Cause: whether an instance's own links work was tested at any three targets of its list. Where most of the listed targets have ended, all three fail often, so that nobody calls an ended target unreachable, and requests are sent to it again.

Change: the two targets that were heard last are tried first. A direct connection for another instance counts as hearing the target.

--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -226,6 +228,29 @@
 	return false
 }
 
+// LastHeard returns the addresses of up to count targets, other than the one at the address,
+// that were heard last on direct connections, the last one first.
+func (p *Pool) LastHeard(address string, count int) []string {
+	type heard struct {
+		address string
+		nanos   int64
+	}
+	var others []heard
+	p.mu.Lock()
+	for other, state := range p.paths {
+		if nanos := state.heardNanos.Load(); nanos > 0 && other != address {
+			others = append(others, heard{other, nanos})
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(others, func(a, b heard) int { return cmp.Compare(b.nanos, a.nanos) })
+	addresses := make([]string, 0, count)
+	for _, other := range others[:min(count, len(others))] {
+		addresses = append(addresses, other.address)
+	}
+	return addresses
+}
+
 // takeIdle removes and returns the idle connections to an address that match. The
 // caller holds p.mu.
 func (p *Pool) takeIdle(address string, matches func(*pooledConn) bool) []*pooledConn {
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -254,3 +254,23 @@
 		return poll.Continue("%d paths are still lost", p.LostPaths())
 	}, poll.WithTimeout(pathEventTimeout))
 }
+
+func TestTargetsHeardLastComeFirst(t *testing.T) {
+	p := newCutPool(t)
+	var addresses []string
+	for range 4 {
+		address := startTarget(t, answer)
+		_, err := p.get(t.Context(), address, nil)
+		assert.NilError(t, err)
+		addresses = append(addresses, address)
+	}
+	started := time.Now()
+	assert.DeepEqual(t, p.LastHeard(addresses[2], 2), []string{addresses[3], addresses[1]})
+	assert.DeepEqual(t, p.LastHeard("", 9), []string{addresses[3], addresses[2], addresses[1], addresses[0]})
+	assert.Assert(t, !p.HeardOther(addresses[3], started))
+	conn, err := p.DialDirect(t.Context(), addresses[0])
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close())
+	assert.Assert(t, p.HeardOther(addresses[3], started))
+	assert.Assert(t, !p.HeardOther(addresses[0], started))
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -28,14 +28,21 @@
 }
 
 // otherTargets returns the addresses of up to count targets that take requests, except for
-// the one at the address.
+// the one at the address: those that this instance has heard last, as others may have
+// ended, and any one.
 func (n *Node) otherTargets(address string, count int) []string {
+	targets := *n.targetByAddress.Load()
 	var others []string
-	for other, target := range *n.targetByAddress.Load() {
+	for _, other := range n.pool.LastHeard(address, count-1) {
+		if targets[other] != nil {
+			others = append(others, other)
+		}
+	}
+	for other, target := range targets {
 		if len(others) == count {
 			break
 		}
-		if other != address && !n.placement.Blocks(target.Key()) {
+		if other != address && !slices.Contains(others, other) && !n.placement.Blocks(target.Key()) {
 			others = append(others, other)
 		}
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -44,7 +44,7 @@
 	// Allows reports whether an address is that of a target.
 	Allows func(address string) bool
 	// Others returns the addresses of up to count targets other than the one at the
-	// address, in no order.
+	// address, those first that are most likely to be reached.
 	Others func(address string, count int) []string
 	// Draining reports whether the instance is shutting down.
 	Draining func() bool
