--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -80,7 +80,7 @@
 	{
 		"repeats stay within the route's attempts and the shared budget", "gateway/run.go, routing/window.go",
 		combineTests(testedBy(adapterPackage, "TestRepeatableRequestIsSentElsewhereWithinItsAttempts"),
-			testedBy("routing", "TestWindowBudgetBoundsRepeatsAndRecovers")), "hot-then-everyone-returns",
+			testedBy("gateway", "TestTargetsThatWereReplacedUseNoAttempts"), testedBy("routing", "TestWindowBudgetBoundsRepeatsAndRecovers")), "hot-then-everyone-returns",
 	},
 	{
 		"a target stops soon after the caller has gone", "gateway/conn.go",
@@ -96,7 +96,8 @@
 		"a target is not sent more than it has slots for, whoever coordinates", "placement/server.go, placement/takeover.go",
 		testedBy("placement", "TestBurstAtManyInstancesOverbooksNoTarget", "TestNewCoordinatorCountsWhatRuns",
 			"TestRequestGrantedDuringTakeoverIsReportedAtOnce",
-			"TestTakeoverHearsWhatRunsBeforeItGivesPlaces", "TestPlacesOfASilentInstanceAreReleased"),
+			"TestTakeoverHearsWhatRunsBeforeItGivesPlaces", "TestPlacesOfASilentInstanceAreReleased",
+			"TestSlotIsReleasedWhereItWasGranted"),
 		"restart-under-a-hot-account",
 	},
 	{
@@ -110,10 +111,11 @@
 	{
 		"callers of instances that have lost their paths to targets are served, and so are the others", "dispatch/path.go, relay/client.go",
 		combineTests(testedBy(adapterPackage, "TestCallersOfPartitionedInstancesAreServed", "TestCallersOfPartitionedInstancesAreServedAmongMany",
-			"TestConnectionsOfOthersDoNotHoldAShutdownUp"),
+			"TestCallersAreServedWhileOneOfTwoRelayingInstancesShutsDown", "TestConnectionsOfOthersDoNotHoldAShutdownUp"),
 			testedBy("dispatch", "TestFailuresAreNoEvidenceAgainstATargetThatOthersReach", "TestRequestsGoThroughAnotherInstanceWhileThePathIsLost",
 				"TestSilentExchangesOnALostPathEnd", "TestSilenceOfAReachableTargetIsNoLostPath",
-				"TestPathOnWhichConnectionsSucceedNowAndThenStaysLost", "TestAllPathsCountAsLostOnceMostAre"),
+				"TestPathOnWhichConnectionsSucceedNowAndThenStaysLost", "TestAllPathsCountAsLostOnceMostAre",
+				"TestTargetsHeardLastComeFirst"),
 			testedBy("node", "TestAllKnownInstancesMayRelay"),
 			testedBy("relay", "TestWhoseWordMakesATargetUnreachable", "TestEndOfTheTargetIsToldFromThatOfTheInstanceBetween")),
 		"partitioned-instances",
@@ -140,7 +142,8 @@
 	},
 	{
 		"an instance that stops answers what it has read", "node/shutdown.go",
-		testedBy(adapterPackage, "TestShutdownAnswersWhatIsUnderWay"), "shutdown-in-outage",
+		combineTests(testedBy(adapterPackage, "TestShutdownAnswersWhatIsUnderWay", "TestRequestsAtTheEndOfTheGracePeriodAreAnswered"),
+			testedBy("gateway", "TestWaitingRequestIsNotPlacedAtTheEndOfAShutdown")), "shutdown-in-outage",
 	},
 	{
 		"a bad version gets a small share and is taken back", "rollout/rollout.go",
