Log and count the targets that are not called unreachable (RECOVER)

Cause: an instance that tells another one that it has no path says so for several reasons; that its own links did not stand the test was not logged, so that a partition could not be told from ended targets in the logs of the instances that are asked.

Change: a line for the first, second, fourth and so on, with the asking instance and the target's address, and the metric own_links_failed.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -57,6 +57,7 @@
 	ConnsForPeers    uint64 `json:"connections_for_peers"`
 	ConnsForPeersNow int64  `json:"connections_for_peers_now"`
 	ConnsRefused     uint64 `json:"connections_for_peers_refused"`
+	LinksFailed      uint64 `json:"own_links_failed"`
 	// RelayPeers is the number of instances through which this one may reach targets.
 	RelayPeers int `json:"peers_to_relay"`
 	// QuotaGranted, QuotaRefused and QuotaFallbacks count charges that were requested
@@ -75,7 +76,7 @@
 	return instanceState{
 		PathsLostNow: n.pool.LostPaths(), PathsLost: paths.Lost.Load(), PathChecks: paths.Checks.Load(), ConnsViaPeers: paths.Relayed.Load(),
 		ConnsForPeers: n.relay.Relayed.Load(), ConnsForPeersNow: n.relay.Active(),
-		ConnsRefused: n.relay.Refused.Load(), RelayPeers: len(n.relayPeers()),
+		ConnsRefused: n.relay.Refused.Load(), LinksFailed: n.relay.LinksFailed.Load(), RelayPeers: len(n.relayPeers()),
 		StoreEra: n.era.current(), StoreReturns: n.era.returns.Load(), HeldEntries: heldEntries,
 		ConfigBehindMs: n.behindFor().Milliseconds(), UpdateBytesReceived: n.updateCounters.BytesReceived.Load(), UpdateBytesSent: n.updateCounters.BytesSent.Load(),
 		UpdatesReferred: n.updateCounters.Referred.Load(), UpdateFailures: n.updateCounters.Failures.Load(),
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -50,9 +50,10 @@
 	Draining func() bool
 	Logger   *zap.Logger
 	// Relayed counts the connections relayed so far, Refused those refused since there
-	// were maxRelayed, active those open now.
-	Relayed, Refused atomic.Uint64
-	active           atomic.Int64
+	// were maxRelayed, LinksFailed the targets that were not called unreachable since no
+	// other was reached either; active are the connections open now.
+	Relayed, Refused, LinksFailed atomic.Uint64
+	active                        atomic.Int64
 
 	// mu guards clients, the number of streams of each instance.
 	mu      sync.Mutex
@@ -100,7 +101,7 @@
 		}
 		return
 	}
-	target, outcome := s.connect(address)
+	target, outcome := s.connect(from, address)
 	if _, err := conn.Write([]byte{byte(outcome)}); err != nil || target == nil {
 		if target != nil {
 			_ = target.Close()
@@ -115,16 +116,28 @@
 	copyBoth(conn, target)
 }
 
-// countRefused counts a stream that is refused for the bound on them. It logs the first,
-// second, fourth, eighth and so on.
+// countRefused counts a stream that is refused for the bound on them.
 func (s *Server) countRefused(from string) {
-	if count := s.Refused.Add(1); bits.OnesCount64(count) == 1 {
+	if count := s.Refused.Add(1); isLogged(count) {
 		s.Logger.Warn("too many connections to relay", zap.String("peer", from), zap.Int("limit", maxRelayed), zap.Uint64("so_far", count))
 	}
 }
 
+// countLinksFailed counts a target that is not called unreachable since this instance has
+// reached no other one either.
+func (s *Server) countLinksFailed(from, address string) {
+	if count := s.LinksFailed.Add(1); isLogged(count) {
+		s.Logger.Warn("no target reached, so that none is called unreachable", zap.String("peer", from),
+			zap.String("target_address", address), zap.Uint64("so_far", count))
+	}
+}
+
+// isLogged limits the log lines of a counted event to the first, second, fourth, eighth and
+// so on.
+func isLogged(count uint64) bool { return bits.OnesCount64(count) == 1 }
+
 // connect connects to a target; the connection is nil unless that succeeds.
-func (s *Server) connect(address string) (net.Conn, status) {
+func (s *Server) connect(from, address string) (net.Conn, status) {
 	if !s.Allows(address) || s.Draining() || s.Paths.PathLost(address) || s.Paths.MostLost() {
 		return nil, statusNoPath
 	}
@@ -136,7 +149,10 @@
 	switch {
 	case err == nil:
 		return target, statusConnected
-	case s.Paths.AnyLost() || !linksWork():
+	case s.Paths.AnyLost():
+		return nil, statusNoPath
+	case !linksWork():
+		s.countLinksFailed(from, address)
 		return nil, statusNoPath
 	}
 	return nil, statusUnreachable
