Count callers' connections, also after a shutdown that has run out of time

Cause: once a shutdown has run out of time, the HTTP server's own count is one too low: it takes off one for its listener, which is closed by then. So an instance that cancels the last requests at the end of its grace period waits for all of their responses but one; the last caller's connection may end without an answer. In a test process nothing ends then, so that no test saw it.

Change: the listener counts the connections that it has accepted and that are not closed.

Before: TestOpenConnectionsAreCountedAfterAShutdownThatTimesOut fails (0, not 1).

--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -143,7 +143,7 @@
 	{
 		"an instance that stops answers what it has read", "node/shutdown.go",
 		combineTests(testedBy(adapterPackage, "TestShutdownAnswersWhatIsUnderWay", "TestRequestsAtTheEndOfTheGracePeriodAreAnswered"),
-			testedBy("gateway", "TestWaitingRequestIsNotPlacedAtTheEndOfAShutdown")), "shutdown-in-outage",
+			testedBy("gateway", "TestWaitingRequestIsNotPlacedAtTheEndOfAShutdown", "TestOpenConnectionsAreCountedAfterAShutdownThatTimesOut")), "shutdown-in-outage",
 	},
 	{
 		"a bad version gets a small share and is taken back", "rollout/rollout.go",
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 type listener struct {
 	net.Listener
 	timeouts timeouts
+	// open counts the connections that are open.
+	open *atomic.Int64
 }
 
 // Accept implements net.Listener.
@@ -43,7 +46,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: time.Now()}, nil
+	l.open.Add(1)
+	return &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: time.Now(), open: l.open}, nil
 }
 
 // connPhase is what a caller's connection is read for.
@@ -67,6 +71,9 @@
 	phaseSince time.Time
 	// closeWatch is the background read in progress, or nil.
 	closeWatch *closeWatch
+	// open counts the connections that are open, this one until closed is set.
+	open   *atomic.Int64
+	closed atomic.Bool
 
 	// mu guards readAhead.
 	mu sync.Mutex
@@ -94,6 +101,14 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
 func (c *callerConn) takeReadAhead(buffer []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,9 @@
 	// baseContext is the parent of all request contexts.
 	baseContext    context.Context
 	cancelRequests context.CancelCauseFunc
+	// openConns counts the open connections. The server's own count is one too low after
+	// a shutdown that has timed out.
+	openConns atomic.Int64
 }
 
 // NewServer returns a server for the gateway.
@@ -70,7 +74,7 @@
 
 // Serve accepts connections on the listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return s.server.Serve(&listener{Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}})
+	return s.server.Serve(&listener{Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}, open: &s.openConns})
 }
 
 // Shutdown stops accepting connections, closes idle ones and waits for the
@@ -113,7 +117,7 @@
 }
 
 // OpenConnections returns the number of open connections.
-func (s *Server) OpenConnections() int { return int(s.server.GetOpenConnectionsCount()) }
+func (s *Server) OpenConnections() int { return int(s.openConns.Load()) }
 
 func (s *Server) idleTimeout() time.Duration {
 	c := s.gateway.Catalog.Current()
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -59,9 +59,28 @@
 	assert.Assert(t, err != nil, "the request was placed")
 	assert.Equal(t, r.placementFailed(context.Background(), err).Status, http.StatusServiceUnavailable)
 	assert.DeepEqual(t, placer.results(), []schedule.Result{schedule.Cancelled})
+	assert.NilError(t, <-served)
 	assert.NilError(t, conn.Close())
 	awaitConnections(t, server, 0)
+}
+
+// One connection too few was counted once a shutdown had run out of time, so that it did
+// not wait for the last response.
+func TestOpenConnectionsAreCountedAfterAShutdownThatTimesOut(t *testing.T) {
+	server := NewServer(New(Options{Catalog: &catalog.Holder{}, Logger: zap.NewNop()}))
+	listener := fasthttputil.NewInmemoryListener()
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	conn, err := listener.Dial()
+	assert.NilError(t, err)
+	awaitConnections(t, server, 1)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, server.Shutdown(ended) != nil)
 	assert.NilError(t, <-served)
+	assert.Equal(t, server.OpenConnections(), 1)
+	assert.NilError(t, conn.Close())
+	awaitConnections(t, server, 0)
 }
 
 func awaitConnections(t *testing.T, server *Server, want int) {
