--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(w *world, trouble bool) (isBroken bool, err error){
 	"paused-analyzer": playPausedAnalyzer,
 	"split-route":     playSplitRoute,
+	"returned-store":  playReturnedStore,
 	"long-bodies":     playLongBodies,
 }
 
--- a/review/stand/rollout.go
+++ b/review/stand/rollout.go
@@ -2,12 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/platform/platformtest"
 )
 
 // The roll-out of the case. The version turns bad after badAfter; the pause covers the
@@ -38,10 +42,14 @@
 	arrived map[string][]string
 	// badAnswers are the times of the new version's failures.
 	badAnswers []time.Time
-	// order is the time of the order, duration the time that it allows.
-	order    time.Time
-	duration time.Duration
-	isBad    bool
+	// orderedAt is the time of the order, duration the time that it allows.
+	orderedAt time.Time
+	duration  time.Duration
+	// judged is the version that is bad once isBad is set.
+	judged string
+	// allOutOfTouchUntil is the time before which no machine is in touch.
+	allOutOfTouchUntil time.Time
+	isBad              bool
 }
 
 // service is the one whose version changes, otherService takes a part of a split route.
@@ -50,6 +58,9 @@
 	otherService = "suscripciones"
 )
 
+// orderKey is the row of the operator's order.
+const orderKey = "rollout/" + service
+
 var zones = []string{"stgo-a", "stgo-b", "stgo-c", "stgo-d"}
 
 // onRun returns how runners of a version answer.
@@ -59,7 +70,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.arrived[id] = append(e.arrived[id], version)
-		if version == "v2" && e.isBad && rand.Float64() < badShare {
+		if version == e.judged && e.isBad && rand.Float64() < badShare {
 			e.badAnswers = append(e.badAnswers, time.Now())
 			return http.StatusInternalServerError
 		}
@@ -115,7 +126,7 @@
 // called some seconds before the order.
 func startRollout(w *world, duration time.Duration, change func()) (*rollout, error) {
 	const runnersPerVersion, instances, memoryMB, clientCount = 12, 7, 284, 28
-	r := &rollout{world: w, exposure: &exposure{sent: make(map[string]sentRequest), arrived: make(map[string][]string)}, stop: make(chan struct{})}
+	r := &rollout{world: w, exposure: &exposure{sent: make(map[string]sentRequest), arrived: make(map[string][]string), judged: "v2"}, stop: make(chan struct{})}
 	former, err := w.startRunners(service, "v1", runnersPerVersion, r.onRun("v1"))
 	if err != nil {
 		return nil, err
@@ -138,14 +149,19 @@
 		return nil, err
 	}
 	r.mu().Lock()
-	r.order, r.duration = time.Now(), duration
+	r.orderedAt, r.duration = time.Now(), duration
 	r.mu().Unlock()
-	w.store.Put("op", "rollout/"+service, map[string]any{"service": service, "to": "v2", "duration_s": duration.Seconds()})
-	w.say("order: move %s to v2 within %v", service, duration)
-	go w.followStatus(service, former, next, r.stop)
+	w.order("v2", duration)
+	go w.followStatus(former, next, r.stop)
 	return r, nil
 }
 
+// order orders a roll-out.
+func (w *world) order(version string, duration time.Duration) {
+	w.store.Put("op", orderKey, map[string]any{"service": service, "to": version, "duration_s": duration.Seconds()})
+	w.say("order: move %s to %s within %v", service, version, duration)
+}
+
 // mu returns the mutex of the exposure.
 func (r *rollout) mu() *sync.Mutex { return &r.exposure.mu }
 
@@ -154,7 +170,7 @@
 	r.mu().Lock()
 	r.isBad = true
 	r.mu().Unlock()
-	r.say("v2 begins to fail %.0f%% of its requests", 100*badShare)
+	r.say("%s fails %.0f%% of its requests from now on", r.judged, 100*badShare)
 }
 
 // end stops the clients.
@@ -181,6 +197,57 @@
 	return r.isBroken(w, time.Time{}, time.Time{}), nil
 }
 
+// playReturnedStore orders two roll-outs in succession, the first of which is taken back. In
+// between, the store returns from a copy. The second version is bad, too.
+func playReturnedStore(w *world, trouble bool) (bool, error) {
+	const duration, runnersPerVersion = 20 * time.Second, 12
+	const away, pause = 500 * time.Millisecond, 2 * time.Second
+	var copied *platformtest.Copy
+	r, err := startRollout(w, duration, func() {
+		copied = w.store.Copy()
+		w.say("the store is copied")
+	})
+	if err != nil {
+		return false, err
+	}
+	r.turnBad()
+	for !strings.Contains(string(w.store.Value("status", orderKey)), "rolled_back") {
+		if time.Since(r.orderedAt) > duration {
+			return false, errors.New("the first version was not taken back")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if trouble {
+		w.store.FailWith(http.StatusServiceUnavailable)
+		time.Sleep(away)
+		w.store.ReturnFrom(copied)
+		w.store.FailWith(0)
+		w.say("the store is back from its copy; what the operator and the runners wrote is written again")
+		w.configure(1, false)
+		w.order("v2", duration)
+		for _, runner := range w.allRunners() {
+			runner.renew()
+		}
+	}
+	time.Sleep(pause)
+	if _, err := w.startRunners(service, "v3", runnersPerVersion, r.onRun("v3")); err != nil {
+		return false, err
+	}
+	r.mu().Lock()
+	r.judged, r.badAnswers, r.orderedAt = "v3", nil, time.Now()
+	r.mu().Unlock()
+	w.order("v3", duration)
+	outOfTouch := time.Time{}
+	if trouble {
+		outOfTouch = time.Now()
+	}
+	time.Sleep(duration)
+	r.end()
+	w.say("status at the end: %s", w.store.Value("status", orderKey))
+	r.allOutOfTouchUntil = outOfTouch.Add(stable)
+	return r.isBroken(w, time.Time{}, time.Time{}), nil
+}
+
 // playPausedAnalyzer pauses the process that leads a roll-out while the new version turns
 // bad.
 func playPausedAnalyzer(w *world, trouble bool) (bool, error) {
@@ -188,7 +255,7 @@
 	if err != nil {
 		return false, err
 	}
-	time.Sleep(time.Until(e.order.Add(pauseAfter)))
+	time.Sleep(time.Until(e.orderedAt.Add(pauseAfter)))
 	var pausedAt, resumedAt time.Time
 	// The leader is the process that writes the status under a condition: the one with the
 	// lowest address.
@@ -198,9 +265,9 @@
 		leader.signal(syscall.SIGSTOP)
 		w.say("%s is paused", leader.name)
 	}
-	time.Sleep(time.Until(e.order.Add(badAfter)))
+	time.Sleep(time.Until(e.orderedAt.Add(badAfter)))
 	e.turnBad()
-	time.Sleep(time.Until(e.order.Add(pauseAfter + pauseTime)))
+	time.Sleep(time.Until(e.orderedAt.Add(pauseAfter + pauseTime)))
 	if trouble {
 		leader.signal(syscall.SIGCONT)
 		resumedAt = time.Now()
@@ -212,7 +279,7 @@
 }
 
 // followStatus does what the platform does when the status of the roll-out changes.
-func (w *world) followStatus(service string, former, next []*runner, stop <-chan struct{}) {
+func (w *world) followStatus(former, next []*runner, stop <-chan struct{}) {
 	last := ""
 	for {
 		select {
@@ -224,10 +291,10 @@
 			To    string `json:"to"`
 			State string `json:"state"`
 		}
-		if json.Unmarshal(w.store.Value("status", "rollout/"+service), &status) != nil || status.State == last {
+		if json.Unmarshal(w.store.Value("status", orderKey), &status) != nil || status.To+status.State == last {
 			continue
 		}
-		last = status.State
+		last = status.To + status.State
 		w.say("status of the roll-out to %s: %s", status.To, status.State)
 		switch status.State {
 		case "completed":
@@ -278,6 +345,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	inTouch := func(s sentRequest) bool {
+		if s.at.Before(e.allOutOfTouchUntil) {
+			return false
+		}
 		return s.instance != 0 || pausedAt.IsZero() || s.at.Before(pausedAt) || s.at.After(resumedAt.Add(stable))
 	}
 	var lateAfter time.Time
@@ -287,15 +357,15 @@
 	all, exposed, late := 0, 0, 0
 	for id, versions := range e.arrived {
 		s := e.sent[id]
-		if s.at.Before(e.order) {
+		if s.at.Before(e.orderedAt) {
 			continue
 		}
 		for _, version := range versions {
-			beforeEnd := s.at.Before(e.order.Add(e.duration))
+			beforeEnd := s.at.Before(e.orderedAt.Add(e.duration))
 			if beforeEnd {
 				all++
 			}
-			if version != "v2" || !inTouch(s) {
+			if version != e.judged || !inTouch(s) {
 				continue
 			}
 			if beforeEnd {
@@ -307,7 +377,7 @@
 		}
 	}
 	allowed := canaryShare*float64(all) + canarySlack
-	w.say("v2 got %d of %d requests before the deadline from machines in touch; allowed are %.0f", exposed, all, allowed)
-	w.say("v2 gave %d bad answers; %d requests reached it that were sent more than %v after the 50th", len(e.badAnswers), late, rollbackTime)
+	w.say("%s got %d of %d requests before the deadline from machines in touch; allowed are %.0f", e.judged, exposed, all, allowed)
+	w.say("%s gave %d bad answers; %d requests reached it that were sent more than %v after the 50th", e.judged, len(e.badAnswers), late, rollbackTime)
 	return float64(exposed) > allowed || late > 0
 }
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -77,10 +77,7 @@
 		i.signal(syscall.SIGKILL)
 		i.awaitExit()
 	}
-	w.mu.Lock()
-	runners := w.runners
-	w.mu.Unlock()
-	for _, r := range runners {
+	for _, r := range w.allRunners() {
 		r.stop()
 	}
 	w.store.Close()
@@ -279,6 +276,13 @@
 	return r, nil
 }
 
+// allRunners returns the runners started so far.
+func (w *world) allRunners() []*runner {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*runner(nil), w.runners...)
+}
+
 func (r *runner) renew() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
