--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,7 @@
 	"split-route":     playSplitRoute,
 	"returned-store":  playReturnedStore,
 	"long-bodies":     playLongBodies,
+	"crashing-part":   playCrashingPart,
 }
 
 // The processes under test end with the thread that has started them.
