Choose the service of a split route and the version on trial independently

Cause: both choices were made by the same hash of the attempt's ID. A service with the last part got no canary, and its roll-outs never ended.

Change: each choice hashes the ID with a prefix of its own.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -129,7 +129,7 @@
 		}
 	}
 	r.deadline = r.request.ReceivedAt.Add(r.timeout())
-	service := r.config.Service(r.route.PickService(hashFraction(r.request.AttemptID)))
+	service := r.config.Service(r.pickService())
 	r.service = &service
 	r.fingerprint = quarantine.NewFingerprint(r.accountName(), r.request.URI, r.request.Body)
 	r.promptParts = quarantine.NewPartFingerprints(r.request.PromptParts)
@@ -170,9 +170,24 @@
 	return allowed
 }
 
-// hashFraction maps a request ID to [0, 1); all instances compute the same
-// value.
-func hashFraction(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+// choice is a choice by the hash of a request's ID. Each hashes the ID differently, so
+// that choices are independent of one another.
+type choice string
+
+const (
+	serviceChoice choice = "service/"
+	versionChoice choice = "version/"
+)
+
+// fraction maps a request ID to [0, 1); all instances compute the same value.
+func (c choice) fraction(id string) float64 {
+	return float64(xxhash.Sum64String(string(c)+id)>>11) / (1 << 53)
+}
+
+// pickService returns the service of the route that the request goes to.
+func (r *inflightRequest) pickService() string {
+	return r.route.PickService(serviceChoice.fraction(r.request.AttemptID))
+}
 
 func (r *inflightRequest) chargeQuota(ctx context.Context) *Response {
 	if r.account == nil {
@@ -360,7 +375,7 @@
 	if r.attempts+r.unreachable > 0 {
 		result.RetriedAt = r.Clock.Now()
 	}
-	result.Version, result.ExcludedVersion = r.Rollouts.VersionConstraint(r.service.Name, hashFraction(r.request.AttemptID))
+	result.Version, result.ExcludedVersion = r.Rollouts.VersionConstraint(r.service.Name, versionChoice.fraction(r.request.AttemptID))
 	if r.service.IsEngine {
 		result.PromptTokens = max(1, r.request.PromptTokens)
 		result.OutputTokens = r.request.LengthHint
