Compare the revisions of rollout orders by the store's era first

Cause: Order.Revision was the row's version without the era. Versions go back with the store, so that the new order seemed older than the one before it.

Change: a revision has an era and a version; reports between instances carry the era in a new field, which earlier builds ignore. A report without an era is compared by its version alone.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -15,6 +15,7 @@
 package rollout
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -37,8 +38,24 @@
 type Order struct {
 	Service, To string
 	Duration    time.Duration
-	// Revision orders the orders of one service.
-	Revision uint64
+	Revision    Revision
+}
+
+// Revision orders the orders of one service.
+type Revision struct {
+	// Era counts the control plane's returns from an earlier copy, after which
+	// versions are given out again; 0 if it is not known.
+	Era uint64
+	// Version rises with each change within an era.
+	Version uint64
+}
+
+// before reports whether r precedes the other. Without both eras, the versions decide.
+func (r Revision) before(other Revision) bool {
+	if r.Era == 0 || other.Era == 0 {
+		return r.Version < other.Version
+	}
+	return cmp.Or(cmp.Compare(r.Era, other.Era), cmp.Compare(r.Version, other.Version)) < 0
 }
 
 // repeats reports whether o is the same order as a known one. The duration of an
@@ -101,13 +118,15 @@
 	switch {
 	case t == nil:
 	case order.repeats(t.order):
-		order.Revision = max(order.Revision, t.order.Revision)
+		if order.Revision.before(t.order.Revision) {
+			order.Revision = t.order.Revision
+		}
 		t.order = order
 		if startedAt.Before(t.startedAt) {
 			t.startedAt = startedAt
 		}
 		return false
-	case order.Revision < t.order.Revision:
+	case order.Revision.before(t.order.Revision):
 		return false
 	}
 	c.trials[order.Service] = newTrial(order, startedAt, c.clock.Now())
@@ -171,10 +190,10 @@
 type Report struct {
 	Service, To string
 	Evidence    Evidence
-	// Duration and Revision are those of the order, Elapsed is the time since it
-	// was given. Duration is 0 in reports of earlier versions.
+	// Duration, Revision and Era are those of the order, Elapsed is the time since it
+	// was given. Duration and Era are 0 in reports of earlier versions.
 	Duration, Elapsed time.Duration
-	Revision          uint64
+	Revision, Era     uint64
 	// Assessment is what the instance makes of the evidence.
 	Assessment Assessment
 	// Records are the counters of some routes.
@@ -199,7 +218,7 @@
 		for _, group := range groups {
 			reports = append(reports, Report{
 				Service: service, To: t.order.To, Evidence: t.local, Duration: t.order.Duration,
-				Elapsed: now.Sub(t.startedAt), Revision: t.order.Revision, Assessment: t.assessment, Records: group,
+				Elapsed: now.Sub(t.startedAt), Revision: t.order.Revision.Version, Era: t.order.Revision.Era, Assessment: t.assessment, Records: group,
 			})
 		}
 	}
@@ -213,7 +232,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	if r.Duration > 0 {
-		order := Order{Service: r.Service, To: r.To, Duration: r.Duration, Revision: r.Revision}
+		order := Order{Service: r.Service, To: r.To, Duration: r.Duration, Revision: Revision{Era: r.Era, Version: r.Revision}}
 		isNew = c.startTrial(order, now.Add(-r.Elapsed))
 	}
 	if t := c.trials[r.Service]; t != nil && t.order.To == r.To && t.state == InProgress {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -415,14 +415,48 @@
 // replaced.
 func TestEarlierOrderDoesNotReplaceALaterOne(t *testing.T) {
 	c := New(clockwork.NewFakeClock())
-	c.AddOrder(Order{Service: "s", To: "v3", Duration: time.Minute, Revision: 7})
+	c.AddOrder(Order{Service: "s", To: "v3", Duration: time.Minute, Revision: Revision{Version: 7}})
 	assert.Assert(t, !c.ApplyReport(evidence.InstanceID{Name: "peer"}, Report{Service: "s", To: "v2", Duration: time.Minute, Revision: 5}))
-	assert.Assert(t, !c.AddOrder(Order{Service: "s", To: "v2", Duration: time.Minute, Revision: 5}))
+	assert.Assert(t, !c.AddOrder(Order{Service: "s", To: "v2", Duration: time.Minute, Revision: Revision{Version: 5}}))
 	assert.Equal(t, c.Statuses()[0].To, "v3")
-	assert.Assert(t, c.AddOrder(Order{Service: "s", To: "v4", Duration: time.Minute, Revision: 9}))
+	assert.Assert(t, c.AddOrder(Order{Service: "s", To: "v4", Duration: time.Minute, Revision: Revision{Version: 9}}))
 	assert.Equal(t, c.Statuses()[0].To, "v4")
 }
 
+// After the control plane's return from a copy, a new order has a lower version than the
+// one before, which the operator has written again with a lower version, too. It was
+// ignored, and the service's requests went to both versions alike.
+func TestOrderAfterTheReturnFromACopyReplacesTheOneBefore(t *testing.T) {
+	before := Order{Service: "s", To: "v2", Duration: time.Minute, Revision: Revision{Era: 1, Version: 70}}
+	again, after := before, before
+	again.Revision = Revision{Era: 2, Version: 40}
+	after.To, after.Revision = "v3", Revision{Era: 2, Version: 50}
+	reportOf := func(o Order) Report {
+		c := New(clockwork.NewFakeClock())
+		c.AddOrder(o)
+		reports, err := c.Reports(1000)
+		assert.NilError(t, err)
+		return reports[0]
+	}
+	peer := evidence.InstanceID{Name: "peer"}
+	for _, writtenAgain := range []bool{true, false} {
+		declared, reported := New(clockwork.NewFakeClock()), New(clockwork.NewFakeClock())
+		for _, c := range []*Controller{declared, reported} {
+			assert.Assert(t, c.AddOrder(before))
+			if writtenAgain {
+				assert.Assert(t, !c.AddOrder(again))
+			}
+		}
+		assert.Assert(t, declared.AddOrder(after))
+		assert.Assert(t, reported.ApplyReport(peer, reportOf(after)))
+		for _, c := range []*Controller{declared, reported} {
+			assert.Assert(t, !c.ApplyReport(peer, reportOf(before)), "an instance that has not heard of the return")
+			assert.Assert(t, !c.AddOrder(before))
+			assert.Equal(t, c.Statuses()[0].To, "v3")
+		}
+	}
+}
+
 // A version that takes twice the time on all targets alike is not several times slower.
 func TestSomewhatSlowerVersionIsCompleted(t *testing.T) {
 	const seeds, perSecond = 60, 600
