Store the end of a rollout once, and complete nothing right after a pause

Cause: it decided on what it knew before the pause; only the analyzer stored ends, so that the store knew no rollback and its condition fenced nothing; and instances with different ends stayed so.

Change: an instance whose evaluations are over a second apart completes nothing for a second. Until an end is stored, a rollback replaces a completion, and a completion is published 400 ms before it is stored. The first end that is stored holds for all instances. The three instances next in rank store an end that the analyzer does not. Each write of a status is logged with rank, era and decision.

--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -29,6 +29,7 @@
 		}
 	}
 	for _, status := range declarations.EndedRollouts {
+		status.Stored = true
 		n.applyRolloutStatus(status, "control plane")
 	}
 }
@@ -75,23 +76,18 @@
 
 // followRollouts decides on rollouts and writes their statuses until the context
 // ends. The first live instance in address order is the analyzer. For a while
-// there may be two; neither can undo an end that the other has decided.
+// there may be two; the end that is stored first holds for both.
 func (n *Node) followRollouts(ctx context.Context) {
-	// written holds the era in which each status was stored.
-	written := make(map[rollout.Status]uint64)
-	var attemptedAt time.Time
+	writer := statusWriter{Node: n, writes: make(map[statusKey]statusWrite)}
 	for ctx.Err() == nil {
-		isAnalyzer := n.rank() == 0
-		for _, decision := range n.rollouts.Decide(isAnalyzer) {
+		rank := n.rank()
+		for _, decision := range n.rollouts.Decide(rank == 0) {
 			ended := decision.Status
 			n.logger.Info("rollout decided", zap.String("service", ended.Service), zap.String("version", ended.To),
-				zap.String("state", string(ended.State)), zap.Float64("log_evidence", decision.LogEvidence),
+				zap.String("state", string(ended.State)), zap.Float64("log_evidence", decision.LogEvidence), zap.Int("rank", rank),
 				zap.String("reason", decision.Reason), zap.Any("assessment", decision.Assessment), zap.Any("evidence", decision.Evidence))
 		}
-		if isAnalyzer && n.clock.Since(attemptedAt) >= statusWriteInterval {
-			attemptedAt = n.clock.Now()
-			n.writeStatuses(ctx, written)
-		}
+		writer.write(ctx, rank)
 		select {
 		case <-ctx.Done():
 		case <-n.clock.After(decideInterval):
@@ -99,21 +95,50 @@
 	}
 }
 
-// writeStatuses writes the statuses that have not been written in the store's
-// current era. Those of an earlier one may be lost.
-func (n *Node) writeStatuses(ctx context.Context, written map[rollout.Status]uint64) {
-	for _, status := range n.rollouts.Statuses() {
-		if era, ok := written[status]; ok && era >= n.era.current() {
+// statusKey is a status, whether it is stored or not.
+type statusKey struct {
+	service, to string
+	state       rollout.State
+}
+
+// statusWrite is what is known of the writing of a status.
+type statusWrite struct {
+	attemptedAt time.Time
+	// era is the one in which the status was stored, if it was.
+	era    uint64
+	stored bool
+}
+
+// statusWriter writes the statuses of rollouts. One goroutine uses it.
+type statusWriter struct {
+	*Node
+	writes map[statusKey]statusWrite
+}
+
+// write writes the statuses that an instance of the rank should store and that it has not
+// stored in the store's current era. Those of an earlier one may be lost.
+func (w *statusWriter) write(ctx context.Context, rank int) {
+	due := w.rollouts.StatusesToStore(rank)
+	for _, status := range due {
+		key := statusKey{status.Service, status.To, status.State}
+		last := w.writes[key]
+		if last.stored && last.era >= w.era.current() || w.clock.Since(last.attemptedAt) < statusWriteInterval {
 			continue
 		}
-		current, era, err := n.controlPlane.WriteRolloutStatus(ctx, status)
+		attempt := statusWrite{attemptedAt: w.clock.Now()}
+		stored, era, err := w.controlPlane.WriteRolloutStatus(ctx, status)
 		if err != nil {
-			n.logger.Warn("cannot write rollout status", zap.String("service", status.Service), eventlog.ErrorField(err))
+			w.writes[key] = attempt
+			w.logger.Warn("cannot write rollout status", zap.String("service", status.Service), zap.String("version", status.To),
+				zap.String("state", string(status.State)), zap.Int("rank", rank), eventlog.ErrorField(err))
 			continue
 		}
-		written[current] = era
-		if current != status {
-			n.applyRolloutStatus(current, "control plane")
-		}
+		w.logger.Info("rollout status stored", zap.String("service", status.Service), zap.String("version", status.To),
+			zap.String("state", string(stored.State)), zap.String("decided", string(status.State)), zap.Uint64("era", era),
+			zap.Int("rank", rank), zap.Duration("took", w.clock.Since(attempt.attemptedAt)))
+		attempt.era, attempt.stored = era, true
+		w.writes[statusKey{stored.Service, stored.To, stored.State}] = attempt
+		stored.Stored = true
+		w.applyRolloutStatus(stored, "control plane")
 	}
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -12,6 +12,12 @@
 // little if the evidence, as far as it goes, does not speak against it. Rolling
 // back needs no agreement: any instance with sufficient evidence stops sending to
 // the version and publishes the Status, which then becomes the operator's status.
+//
+// Two instances can end an order differently, such as an analyzer that was paused
+// while the others rolled the version back. Until an end is stored, a rollback goes
+// before a completion. The end that is stored first is the order's: writers store on
+// the condition that none is, and all instances adopt it. The analyzer stores an end,
+// and the instances that follow it in rank do so if it does not.
 package rollout
 
 import (
@@ -70,6 +76,8 @@
 	Service string
 	To      string
 	State   State
+	// Stored is set if the control plane is known to hold the state.
+	Stored bool `msgpack:",omitempty"`
 }
 
 // Counts are the counts of one version's responses. They serve the log, and
@@ -134,7 +142,8 @@
 }
 
 // ApplyStatus applies a status that was decided elsewhere, also of an order that
-// has not been heard of. A final state never changes.
+// has not been heard of. A stored end never changes; until then, a rollback replaces a
+// completion.
 func (c *Controller) ApplyStatus(status Status) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -146,11 +155,10 @@
 		t = &trial{order: Order{Service: status.Service, To: status.To}, state: InProgress, startedAt: c.clock.Now()}
 		c.trials[status.Service] = t
 	}
-	if t.order.To != status.To || t.state != InProgress {
+	if t.order.To != status.To {
 		return false
 	}
-	t.state = status.State
-	return true
+	return t.applyEnd(status, c.clock.Now())
 }
 
 // VersionConstraint returns the version that a request must go to, or the one
@@ -249,11 +257,25 @@
 	defer c.mu.Unlock()
 	statuses := make([]Status, 0, len(c.trials))
 	for service, t := range c.trials {
-		statuses = append(statuses, Status{service, t.order.To, t.state})
+		statuses = append(statuses, t.status(service))
 	}
 	return statuses
 }
 
+// StatusesToStore returns the statuses that the instance of a rank should store now; the
+// analyzer has rank 0.
+func (c *Controller) StatusesToStore(rank int) []Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var due []Status
+	for service, t := range c.trials {
+		if t.shouldStore(rank, c.clock.Now()) {
+			due = append(due, t.status(service))
+		}
+	}
+	return due
+}
+
 // Decide ends the orders that can be ended and returns the decisions. Any
 // instance rolls back if the evidence suffices; only the analyzer completes, or
 // rolls back in doubt.
@@ -267,11 +289,13 @@
 			continue
 		}
 		verdict := t.judge(now)
-		if t.state = t.decide(&verdict, analyzer, now); t.state == InProgress {
+		end := Status{State: t.decide(&verdict, analyzer, now)}
+		if end.State == InProgress {
 			continue
 		}
+		t.applyEnd(end, now)
 		ended = append(ended, Decision{
-			Status: Status{service, t.order.To, t.state}, Evidence: t.total(), LogEvidence: verdict.LogEvidence, Reason: verdict.Reason,
+			Status: t.status(service), Evidence: t.total(), LogEvidence: verdict.LogEvidence, Reason: verdict.Reason,
 			Assessment: t.bestAssessment(now),
 		})
 	}
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -50,6 +50,23 @@
 	referenceTokens = 100
 )
 
+const (
+	// completionLead is how long before its storing a completion is published:
+	// targets of the old version are stopped once it is stored, and a rollback that
+	// the analyzer has not heard of replaces it in that time.
+	completionLead = 400 * time.Millisecond
+	// storeDelay is how much later an instance stores an end than the one before it in
+	// rank, so that it mostly finds the end stored. lastStoringRank is the last one that
+	// stores any.
+	storeDelay      = 250 * time.Millisecond
+	lastStoringRank = 3
+	// maxJudgeGap is the longest interval between two evaluations of an instance that is
+	// not paused. After a longer one, it completes nothing for resumeTime, in which it
+	// hears what the others have decided.
+	maxJudgeGap = time.Second
+	resumeTime  = time.Second
+)
+
 // Assessment is what an instance makes of the evidence. Its field names are part of
 // the encoding between instances.
 type Assessment struct {
@@ -75,6 +92,13 @@
 	order     Order
 	state     State
 	startedAt time.Time
+	// endedAt is when this instance learned of the end, endStored whether the control
+	// plane holds it.
+	endedAt     time.Time
+	endStored bool
+	// judgedAt is the time of the last evaluation, resumedAt that of the first one after
+	// a gap.
+	judgedAt, resumedAt time.Time
 	// learnedAt is when this instance heard of the order.
 	learnedAt time.Time
 	// share is the share of requests sent to the new version.
@@ -109,7 +133,45 @@
 	t.analyzer.AddRecords(instance, records, true, now)
 }
 
+func (t *trial) status(service string) Status {
+	return Status{Service: service, To: t.order.To, State: t.state, Stored: t.endStored}
+}
+
+// applyEnd applies an end and reports whether the state changes.
+func (t *trial) applyEnd(end Status, now time.Time) (changed bool) {
+	switch {
+	case t.endStored:
+		return false
+	case end.Stored, t.state == InProgress, t.state == Completed && end.State == RolledBack:
+	default:
+		return false
+	}
+	t.endStored = end.Stored
+	if t.state == end.State {
+		return false
+	}
+	t.state, t.endedAt = end.State, now
+	return true
+}
+
+// shouldStore reports whether the instance of a rank should store the state now. The
+// analyzer does so also if it is stored: the control plane may have lost it.
+func (t *trial) shouldStore(rank int, now time.Time) bool {
+	if rank > 0 && (t.state == InProgress || t.endStored || rank > lastStoringRank) {
+		return false
+	}
+	delay := time.Duration(rank) * storeDelay
+	if t.state == Completed && !t.endStored {
+		delay += completionLead
+	}
+	return now.Sub(t.endedAt) >= delay
+}
+
 func (t *trial) judge(now time.Time) evidence.Verdict {
+	if !t.judgedAt.IsZero() && now.Sub(t.judgedAt) > maxJudgeGap {
+		t.resumedAt = now
+	}
+	t.judgedAt = now
 	t.addRecords(self, t.counters.Snapshot(now), now)
 	t.analyzer.Tick(now)
 	verdict := t.analyzer.Verdict(now)
@@ -160,6 +222,8 @@
 		return InProgress
 	case inDoubt:
 		return RolledBack
+	case now.Sub(t.resumedAt) < resumeTime:
+		return InProgress
 	case t.total().New.Answers > t.total().New.Failures:
 		return Completed
 	}
