--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -94,7 +94,7 @@
 	startedAt time.Time
 	// endedAt is when this instance learned of the end, endStored whether the control
 	// plane holds it.
-	endedAt     time.Time
+	endedAt   time.Time
 	endStored bool
 	// judgedAt is the time of the last evaluation, resumedAt that of the first one after
 	// a gap.
