Leave a silent connection to another instance after several short calls

Cause: a connection without a response counted as silent only after one call had waited for over two seconds.

Change: the time of calls in a row without a byte read is added up.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -25,9 +25,9 @@
 	writeTimeout = 2 * time.Second
 	// callTimeout is the timeout of calls whose context has no deadline.
 	callTimeout = 30 * time.Second
-	// silenceTimeout is how long a call that timed out or was cancelled must have
-	// waited, with no byte read from its connection, before later calls use a new
-	// connection.
+	// silenceTimeout is how long calls that timed out or were cancelled must have
+	// waited, one or several in a row and with no byte read from their connection,
+	// before later calls use a new connection.
 	silenceTimeout = 2 * time.Second
 	// maxMessageBytes bounds one message.
 	maxMessageBytes = 16 << 20
@@ -104,6 +104,9 @@
 type link struct {
 	dialOnce      sync.Once
 	lastUsedNanos atomic.Int64
+	// silentSinceNanos is the start of the first of the calls that ended without a byte
+	// read since; 0 before the first one.
+	silentSinceNanos atomic.Int64
 	// ready is closed once conn, rpc and err are set.
 	ready chan struct{}
 	conn  *timedConn
@@ -115,6 +118,20 @@
 	return now.Sub(time.Unix(0, l.lastUsedNanos.Load()))
 }
 
+// silentFor returns how long nothing has been read while calls waited, given when the
+// last of them started, which has ended without a response.
+func (l *link) silentFor(started time.Time) time.Duration {
+	lastRead, since := l.conn.lastReadNanos.Load(), l.silentSinceNanos.Load()
+	if since == 0 || lastRead >= since {
+		since = started.UnixNano()
+		l.silentSinceNanos.Store(since)
+	}
+	if lastRead >= since {
+		return 0
+	}
+	return time.Since(time.Unix(0, since))
+}
+
 func (l *link) close() {
 	select {
 	case <-l.ready:
@@ -159,7 +176,7 @@
 	started := time.Now()
 	err = l.rpc.Call(ctx, method, params, result)
 	l.lastUsedNanos.Store(b.clock.Now().UnixNano())
-	if ctx.Err() != nil && time.Since(started) > silenceTimeout && l.conn.lastReadNanos.Load() < started.UnixNano() {
+	if ctx.Err() != nil && l.silentFor(started) > silenceTimeout {
 		b.dropLink(address, l)
 	}
 	if errors.Is(err, jsonrpc2.ErrClosed) {
--- a/internal/peer/net_test.go
+++ b/internal/peer/net_test.go
@@ -161,6 +161,60 @@
 	assert.Check(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 }
 
+// silencedConn passes on nothing in either direction once silenced is closed, like a
+// connection whose state is lost on the way.
+type silencedConn struct {
+	net.Conn
+	silenced <-chan struct{}
+}
+
+func (c *silencedConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.silenced:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+// A connection that had fallen silent for good was kept, since each call gave it up before
+// it counted as silent: calls with short deadlines never reached that peer again.
+func TestShortCallsLeaveASilentConnection(t *testing.T) {
+	server := newBus(t, testSecret)
+	server.Handle("echo", echoHandler)
+	assert.NilError(t, server.Start())
+	silenced := make(chan struct{})
+	dials := 0
+	client, err := Listen(Options{
+		Address: "127.0.0.1:0", Secret: testSecret,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, network, address)
+			if dials++; dials > 1 || err != nil {
+				return conn, err
+			}
+			return &silencedConn{conn, silenced}, nil
+		},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, client.Close()) })
+	assert.NilError(t, client.Start())
+	call := func() error {
+		const shortTimeout = silenceTimeout / 4
+		ctx, cancel := context.WithTimeout(context.Background(), shortTimeout)
+		defer cancel()
+		var result echoResult
+		return client.Call(ctx, server.Address(), "echo", 1, &result)
+	}
+	assert.NilError(t, call())
+	close(silenced)
+	failures := 0
+	for call() != nil {
+		failures++
+		assert.Assert(t, failures < 10, "calls still fail after %d times", failures)
+	}
+	assert.Assert(t, failures >= 4, "left after %d calls, before silenceTimeout", failures)
+}
+
 func TestListenRejectsInvalidOptions(t *testing.T) {
 	for _, options := range []Options{
 		{Address: "0.0.0.0:0", Secret: testSecret},
