Bound the memory for targets' long bodies by the instance's memory

Shown with processes: TestEndlessResponsesOfManyTargetsStayWithinMemory has 18 targets that send nine kinds of endless heads and bodies to one instance of 134 MB with 96 callers.

Cause: the bound for long bodies was the same for instances of all sizes, though each body is held twice while it grows.

TestMemoryForBodiesFollowsTheInstancesLimit is new.

--- a/internal/dispatch/bounds.go
+++ b/internal/dispatch/bounds.go
@@ -24,10 +24,13 @@
 	// the connection.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 250 * time.Millisecond
-	// unsharedBufferBytes is what each body may occupy without drawing on
-	// maxBufferedBytes, which bounds the memory for larger bodies of all targets.
+	// unsharedBufferBytes is what each body may occupy without drawing on the memory for
+	// larger bodies of all targets, which is maxBufferedBytes unless it is set lower.
 	unsharedBufferBytes = 64 << 10
 	maxBufferedBytes    = 32 << 20
+	// bodyMemoryShare is the part of an instance's memory for such bodies. Each of them
+	// may be held twice while it grows, and until the next collection.
+	bodyMemoryShare = 0.125
 )
 
 // ErrResponseTooLong is returned for a header or body that exceeds a bound. The
@@ -126,6 +129,12 @@
 	}
 }
 
+// SetMemoryLimit bounds the memory for the bodies of all targets together by the
+// instance's memory limit in bytes.
+func (p *Pool) SetMemoryLimit(bytes int64) {
+	p.maxBuffered.Store(min(maxBufferedBytes, int64(bodyMemoryShare*float64(bytes))))
+}
+
 // Reserve reserves memory for parts of the body of size bytes in total until Close,
 // and reports whether there is enough.
 func (r *PooledResponse) Reserve(size int) bool {
@@ -133,7 +142,7 @@
 	if additional <= 0 {
 		return true
 	}
-	if r.pool.bufferedBytes.Add(additional) > maxBufferedBytes {
+	if r.pool.bufferedBytes.Add(additional) > r.pool.maxBuffered.Load() {
 		r.pool.bufferedBytes.Add(-additional)
 		return false
 	}
--- a/internal/dispatch/bounds_test.go
+++ b/internal/dispatch/bounds_test.go
@@ -196,6 +196,25 @@
 	assert.Equal(t, p.bufferedBytes.Load(), int64(maxBufferedBytes-1<<20))
 }
 
+// The bodies of all targets together could take a third of the memory of a small instance,
+// and as much again while they grew.
+func TestMemoryForBodiesFollowsTheInstancesLimit(t *testing.T) {
+	const limit, maxBytes = 16 << 20, 8 << 20
+	s := startEndlessServer(t, "HTTP/1.1 200 OK\r\nX-Id: expected\r\n\r\n", "x", 0)
+	p := NewPool(clockwork.NewRealClock())
+	p.SetMemoryLimit(limit)
+	response, err := p.Send(t.Context(), newPooledRequest(s.address))
+	assert.NilError(t, err)
+	body, err := response.ReadBody(maxBytes)
+	assert.ErrorIs(t, err, ErrResponseTooLong)
+	assert.ErrorContains(t, err, "beside other long ones")
+	assert.Equal(t, len(body), 0)
+	assert.Assert(t, p.bufferedBytes.Load() <= limit*bodyMemoryShare)
+	response.Close()
+	p.SetMemoryLimit(1 << 40)
+	assert.Equal(t, p.maxBuffered.Load(), int64(maxBufferedBytes))
+}
+
 func TestLongResponsesPass(t *testing.T) {
 	const maxBytes = 8 << 20
 	body := strings.Repeat("0123456789abcdef", maxBytes/16)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -45,8 +45,8 @@
 	pathCounters PathCounters
 	// tooLong counts the responses that exceeded a bound.
 	tooLong atomic.Uint64
-	// bufferedBytes is the memory reserved for bodies, in bytes.
-	bufferedBytes atomic.Int64
+	// bufferedBytes is the memory reserved for bodies, maxBuffered its bound, in bytes.
+	bufferedBytes, maxBuffered atomic.Int64
 
 	// mu guards the fields below.
 	mu          sync.Mutex
@@ -67,7 +67,7 @@
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock) *Pool {
 	dialer := net.Dialer{KeepAlive: -1}
-	return &Pool{
+	p := &Pool{
 		clock: clock, idle: make(map[string][]*pooledConn), paths: make(map[string]*path), inflight: make(map[*pooledConn]struct{}),
 		leftRelays: make(map[string]time.Time),
 		logger:     zap.NewNop(),
@@ -76,6 +76,8 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 	}
+	p.maxBuffered.Store(maxBufferedBytes)
+	return p
 }
 
 // SetDial replaces how connections are opened; it must be called before Send.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,8 +175,8 @@
 	n.metrics = metrics.New(options.Settings.Name)
 	n.instanceCount.Store(1)
 	n.targetByAddress.Store(&map[string]*catalog.Target{})
-	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
 	n.pool = dispatch.NewPool(options.Clock)
+	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
 	if options.DialTarget != nil {
 		n.pool.SetDial(options.DialTarget)
 	}
@@ -216,10 +216,11 @@
 // PeerAddress returns the "ip:port" for other instances.
 func (n *Node) PeerAddress() string { return n.settings.PeerAddress }
 
-// SetMemoryLimit sets the runtime's memory limit from the instance's limit in
-// bytes; 0 leaves it as it is. It also sets the GC percentage.
+// SetMemoryLimit sets the memory limits of the runtime and of targets' bodies from the
+// instance's limit in bytes; 0 leaves them as they are. It also sets the GC percentage.
 func (n *Node) SetMemoryLimit(bytes int64) {
 	if bytes > 0 {
+		n.pool.SetMemoryLimit(bytes)
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(bytes)))
 	}
 	debug.SetGCPercent(gcPercent)
