Hold callers' bodies once, and bound the long ones together

Cause: a body was read whole and copied, and nothing bounded the bodies of all callers together.

Change: the body is used where it was read. Long bodies (over 64 KB) take 0.3 of the instance's memory at most; a caller whose body turns out to be long while there is no room is not read from until there is.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -32,10 +34,51 @@
 	idle, header func() time.Duration
 }
 
+const (
+	// longBodyBytes is the size from which a body needs memory of those for long ones.
+	longBodyBytes = 64 << 10
+	// longBodiesShare is the part of an instance's memory for long bodies, which are held
+	// once, and until the next collection.
+	longBodiesShare = 0.3
+)
+
+// longBodies bounds the callers' long bodies that are in memory. A caller whose body has to
+// wait is not read from meanwhile.
+type longBodies struct {
+	memory  int64
+	longest int
+	slots   *semaphore.Weighted
+	// waits counts the bodies that have had to wait.
+	waits atomic.Uint64
+}
+
+// newLongBodies returns the bound for an instance's memory and the longest body, in bytes.
+func newLongBodies(memory int64, longest int) *longBodies {
+	count := max(1, int64(longBodiesShare*float64(memory))/int64(longest))
+	return &longBodies{memory: memory, longest: longest, slots: semaphore.NewWeighted(count)}
+}
+
+// acquire waits until a long body may be read. It returns os.ErrDeadlineExceeded after the
+// deadline.
+func (l *longBodies) acquire(deadline time.Time) error {
+	if l.slots.TryAcquire(1) {
+		return nil
+	}
+	l.waits.Add(1)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if l.slots.Acquire(ctx, 1) != nil {
+		return os.ErrDeadlineExceeded
+	}
+	return nil
+}
+
 // listener wraps accepted connections in callerConn.
 type listener struct {
 	net.Listener
 	timeouts timeouts
+	// longBodies returns the bound for long bodies; nil if there is none.
+	longBodies func() *longBodies
 	// open counts the connections that are open.
 	open *atomic.Int64
 }
@@ -47,7 +90,7 @@
 		return nil, err
 	}
 	l.open.Add(1)
-	return &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: time.Now(), open: l.open}, nil
+	return &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: time.Now(), longBodies: l.longBodies, open: l.open}, nil
 }
 
 // connPhase is what a caller's connection is read for.
@@ -69,6 +112,12 @@
 	// phase began at phaseSince; only the serving goroutine accesses them.
 	phase      connPhase
 	phaseSince time.Time
+	// bodyBytes is what has been read of the body, bodyDeadline when it must be complete,
+	// longBody the bound that it has a slot of, or nil. Close may run concurrently.
+	bodyBytes    int
+	bodyDeadline time.Time
+	longBody     atomic.Pointer[longBodies]
+	longBodies   func() *longBodies
 	// closeWatch is the background read in progress, or nil.
 	closeWatch *closeWatch
 	// open counts the connections that are open, this one until closed is set.
@@ -91,21 +140,54 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
+	if err := c.awaitBodyMemory(); err != nil {
+		return 0, err
+	}
 	n, err := c.takeReadAhead(buffer), error(nil)
 	if n == 0 {
 		n, err = c.readWithTimeout(buffer)
 	}
+	if c.phase == bodyPhase {
+		c.bodyBytes += n
+	}
 	if c.phase == idlePhase && n > 0 {
 		c.enter(headerPhase)
 	}
 	return n, err
 }
 
+// awaitBodyMemory waits until there is memory for a body that turns out to be long.
+func (c *callerConn) awaitBodyMemory() error {
+	if c.phase != bodyPhase || c.bodyBytes < longBodyBytes || c.longBodies == nil || c.longBody.Load() != nil {
+		return nil
+	}
+	bound := c.longBodies()
+	if bound == nil {
+		return nil
+	}
+	if err := bound.acquire(c.bodyDeadline); err != nil {
+		return err
+	}
+	c.longBody.Store(bound)
+	if c.closed.Load() {
+		c.releaseBodyMemory()
+	}
+	return nil
+}
+
+// releaseBodyMemory is called when the body is not needed any more.
+func (c *callerConn) releaseBodyMemory() {
+	if bound := c.longBody.Swap(nil); bound != nil {
+		bound.slots.Release(1)
+	}
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	if !c.closed.Swap(true) {
 		c.open.Add(-1)
 	}
+	c.releaseBodyMemory()
 	return c.Conn.Close()
 }
 
@@ -154,6 +236,7 @@
 // header.
 func (c *callerConn) SetReadDeadline(deadline time.Time) error {
 	c.enter(bodyPhase)
+	c.bodyBytes, c.bodyDeadline = 0, deadline
 	return c.Conn.SetReadDeadline(deadline)
 }
 
@@ -196,4 +279,5 @@
 	<-w.done
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	c.enter(idlePhase)
+	c.releaseBodyMemory()
 }
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -159,3 +161,41 @@
 		})
 	}
 }
+
+// Callers' bodies were all read at once, whatever the memory of the instance.
+func TestLongBodiesWaitForMemory(t *testing.T) {
+	const longest, size = 1 << 20, 200 << 10
+	bound := newLongBodies(2*longest, longest)
+	start := func(deadline time.Duration) (conn *callerConn, read chan error) {
+		caller, conn := acceptCaller(t, fixedTimeout(time.Minute), fixedTimeout(time.Minute))
+		conn.longBodies = func() *longBodies { return bound }
+		go func() { _, _ = caller.Write(make([]byte, size)) }()
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(deadline)))
+		read = make(chan error, 1)
+		go func() {
+			_, err := io.ReadFull(conn, make([]byte, size))
+			read <- err
+		}()
+		return conn, read
+	}
+	first, firstRead := start(time.Minute)
+	assert.NilError(t, <-firstRead)
+	waiting, waitingRead := start(time.Minute)
+	_, lateRead := start(300 * time.Millisecond)
+	assert.ErrorIs(t, <-lateRead, os.ErrDeadlineExceeded)
+	select {
+	case err := <-waitingRead:
+		t.Fatal("a second body was read beside the first one: ", err)
+	default:
+	}
+	// The request is answered, and the connection is kept.
+	first.WatchClose(func() {})
+	first.StopWatch()
+	assert.NilError(t, <-waitingRead)
+	last, lastRead := start(time.Minute)
+	assert.NilError(t, waiting.Close())
+	assert.NilError(t, <-lastRead)
+	assert.NilError(t, last.Close())
+	assert.Assert(t, bound.slots.TryAcquire(1), "memory is not free again")
+	assert.Equal(t, bound.waits.Load() >= 2, true)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -42,6 +42,10 @@
 	// openConns counts the open connections. The server's own count is one too low after
 	// a shutdown that has timed out.
 	openConns atomic.Int64
+	// memory is the instance's memory limit in bytes, 0 if there is none; longBodies is the
+	// bound that follows from it and from the configuration.
+	memory     atomic.Int64
+	longBodies atomic.Pointer[longBodies]
 }
 
 // NewServer returns a server for the gateway.
@@ -74,7 +78,27 @@
 
 // Serve accepts connections on the listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return s.server.Serve(&listener{Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}, open: &s.openConns})
+	return s.server.Serve(&listener{Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}, longBodies: s.currentLongBodies, open: &s.openConns})
+}
+
+// SetMemoryLimit bounds the memory for callers' bodies by the instance's limit in bytes; 0
+// means no bound.
+func (s *Server) SetMemoryLimit(bytes int64) { s.memory.Store(bytes) }
+
+// currentLongBodies returns the bound for long bodies; nil if there is none. Bodies that are
+// being read when the limits change stay with the earlier one.
+func (s *Server) currentLongBodies() *longBodies {
+	memory, longest := s.memory.Load(), maxBodyBytes
+	if c := s.gateway.Catalog.Current(); c != nil && c.Limits().MaxBodyBytes > 0 {
+		longest = c.Limits().MaxBodyBytes
+	}
+	for {
+		current := s.longBodies.Load()
+		if memory == 0 || current != nil && current.memory == memory && current.longest == longest {
+			return current
+		}
+		s.longBodies.CompareAndSwap(current, newLongBodies(memory, longest))
+	}
 }
 
 // Shutdown stops accepting connections, closes idle ones and waits for the
@@ -213,7 +237,8 @@
 // disconnected.
 const statusCallerGone = 499
 
-// readRequest copies the request out of fasthttp's buffers.
+// readRequest copies the header out of fasthttp's buffers. The body stays in them: it may be
+// used until the response has been written.
 func (s *Server) readRequest(ctx *fasthttp.RequestCtx) *Request {
 	header := &ctx.Request.Header
 	request := &Request{
@@ -221,7 +246,7 @@
 		Method:     string(header.Method()),
 		URI:        string(header.RequestURI()),
 		Host:       string(header.Host()),
-		Body:       append([]byte(nil), ctx.Request.Body()...),
+		Body:       ctx.Request.Body(),
 	}
 	request.RequestMetadata = s.gateway.Protocol.ParseRequest(func(name string) string {
 		return string(header.Peek(name))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,7 +176,6 @@
 	n.instanceCount.Store(1)
 	n.targetByAddress.Store(&map[string]*catalog.Target{})
 	n.pool = dispatch.NewPool(options.Clock)
-	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
 	if options.DialTarget != nil {
 		n.pool.SetDial(options.DialTarget)
 	}
@@ -196,6 +195,7 @@
 		RetryBudget: n.retryBudget, OnMisdirected: n.handleMisdirected, Draining: n.draining.Load, IsBehind: n.peerHasNewerConfiguration, Counters: &n.requestCounters,
 		ObserveLatency: n.observeLatency, ClusterView: n.clusterView, FailureDomain: options.Settings.FailureDomain, Clock: options.Clock, Logger: options.Logger,
 	}))
+	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
 	if err := n.listenAll(options.ReadinessPath); err != nil {
 		return nil, err
 	}
@@ -216,11 +216,12 @@
 // PeerAddress returns the "ip:port" for other instances.
 func (n *Node) PeerAddress() string { return n.settings.PeerAddress }
 
-// SetMemoryLimit sets the memory limits of the runtime and of targets' bodies from the
-// instance's limit in bytes; 0 leaves them as they are. It also sets the GC percentage.
+// SetMemoryLimit sets the memory limits of the runtime and of bodies from the instance's
+// limit in bytes; 0 leaves them as they are. It also sets the GC percentage.
 func (n *Node) SetMemoryLimit(bytes int64) {
 	if bytes > 0 {
 		n.pool.SetMemoryLimit(bytes)
+		n.callerServer.SetMemoryLimit(bytes)
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(bytes)))
 	}
 	debug.SetGCPercent(gcPercent)
