Log when a request came in during a shutdown, and what is left at its end (LOST)

Change: while an instance stops, a request's last line holds the time from the signal to its receipt, its number on its connection, the connection's age and how long the request took to come in. A response that had begun has a message of its own, and a step that counts its events. Connections are counted by state; the lines of the stop state them, and how many requests were received and cancelled since the signal. No logic changes.

TestLogTellsWhenRequestsCameInDuringAShutdown (new).

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -79,8 +79,7 @@
 	timeouts timeouts
 	// longBodies returns the bound for long bodies; nil if there is none.
 	longBodies func() *longBodies
-	// open counts the connections that are open.
-	open *atomic.Int64
+	counts     *connCounts
 }
 
 // Accept implements net.Listener.
@@ -89,8 +88,40 @@
 	if err != nil {
 		return nil, err
 	}
-	l.open.Add(1)
-	return &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: time.Now(), longBodies: l.longBodies, open: l.open}, nil
+	l.counts.add(connUnused, 1)
+	now := time.Now()
+	return &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: now, openedAt: now, longBodies: l.longBodies, counts: l.counts}, nil
+}
+
+// connState is what a caller's connection is used for.
+type connState int32
+
+const (
+	// connUnused is the state until the first byte of the first request.
+	connUnused connState = iota
+	// connReading is the state while a request is received, connServing from then to its
+	// response.
+	connReading
+	connServing
+	connIdle
+	connClosed
+)
+
+// connCounts counts the open connections by state.
+type connCounts [connClosed]atomic.Int64
+
+func (c *connCounts) add(state connState, delta int64) {
+	if state != connClosed {
+		c[state].Add(delta)
+	}
+}
+
+func (c *connCounts) open() int {
+	total := int64(0)
+	for i := range c {
+		total += c[i].Load()
+	}
+	return int(total)
 }
 
 // connPhase is what a caller's connection is read for.
@@ -120,9 +151,13 @@
 	longBodies   func() *longBodies
 	// closeWatch is the background read in progress, or nil.
 	closeWatch *closeWatch
-	// open counts the connections that are open, this one until closed is set.
-	open   *atomic.Int64
-	closed atomic.Bool
+	// openedAt is when the connection was accepted, firstByteAt when the first byte of the
+	// current request was read, and requests the number of requests read, this one included.
+	openedAt, firstByteAt time.Time
+	requests              int
+	// state is the connState; Close may run concurrently.
+	state  atomic.Int32
+	counts *connCounts
 
 	// mu guards readAhead.
 	mu sync.Mutex
@@ -152,10 +187,33 @@
 	}
 	if c.phase == idlePhase && n > 0 {
 		c.enter(headerPhase)
+		c.firstByteAt = c.phaseSince
+		c.setState(connReading)
 	}
 	return n, err
 }
 
+// setState changes the state of a connection that is not closed.
+func (c *callerConn) setState(next connState) {
+	for {
+		current := c.state.Load()
+		if connState(current) == connClosed {
+			return
+		}
+		if c.state.CompareAndSwap(current, int32(next)) {
+			c.counts.add(connState(current), -1)
+			c.counts.add(next, 1)
+			return
+		}
+	}
+}
+
+// delivery returns how the request that has just been read came in.
+func (c *callerConn) delivery(readAt time.Time) Delivery {
+	c.requests++
+	return Delivery{ConnRequest: c.requests, ConnAge: readAt.Sub(c.openedAt), ReadTime: readAt.Sub(c.firstByteAt)}
+}
+
 // awaitBodyMemory waits until there is memory for a body that turns out to be long.
 func (c *callerConn) awaitBodyMemory() error {
 	if c.phase != bodyPhase || c.bodyBytes < longBodyBytes || c.longBodies == nil || c.longBody.Load() != nil {
@@ -169,7 +227,7 @@
 		return err
 	}
 	c.longBody.Store(bound)
-	if c.closed.Load() {
+	if connState(c.state.Load()) == connClosed {
 		c.releaseBodyMemory()
 	}
 	return nil
@@ -184,9 +242,7 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	if !c.closed.Swap(true) {
-		c.open.Add(-1)
-	}
+	c.counts.add(connState(c.state.Swap(int32(connClosed))), -1)
 	c.releaseBodyMemory()
 	return c.Conn.Close()
 }
@@ -245,6 +301,7 @@
 func (c *callerConn) WatchClose(onClose func()) {
 	w := &closeWatch{done: make(chan struct{})}
 	c.closeWatch = w
+	c.setState(connServing)
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(w.done)
@@ -279,5 +336,6 @@
 	<-w.done
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	c.enter(idlePhase)
+	c.setState(connIdle)
 	c.releaseBodyMemory()
 }
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -21,7 +21,7 @@
 	caller, err = net.Dial("tcp", inner.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = caller.Close() })
-	conn, err := (&listener{Listener: inner, timeouts: timeouts{idle: idle, header: header}, open: new(atomic.Int64)}).Accept()
+	conn, err := (&listener{Listener: inner, timeouts: timeouts{idle: idle, header: header}, counts: &connCounts{}}).Accept()
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return caller, conn.(*callerConn)
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -13,6 +13,9 @@
 	TargetsSilent, StreamsCut atomic.Uint64
 	// PathsLost counts attempts that ended because of the path to their target.
 	PathsLost atomic.Uint64
+	// ReceivedWhileStopping counts the requests that were received after the signal to
+	// stop, CancelledWhileStopping those that were cancelled at the end of the shutdown.
+	ReceivedWhileStopping, CancelledWhileStopping atomic.Uint64
 }
 
 // Snapshot returns the counters by metric name.
@@ -24,6 +27,6 @@
 		"targets_not_reached": c.TargetsUnreachable.Load(), "not_executed": c.NotExecuted.Load(),
 		"misdirected": c.Misdirected.Load(), "over_quota": c.OverQuota.Load(), "denied": c.Denied.Load(),
 		"timed_out": c.TimedOut.Load(), "targets_silent": c.TargetsSilent.Load(), "streams_cut": c.StreamsCut.Load(),
-		"paths_lost": c.PathsLost.Load(),
+		"paths_lost": c.PathsLost.Load(), "received_while_stopping": c.ReceivedWhileStopping.Load(), "cancelled_while_stopping": c.CancelledWhileStopping.Load(),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,6 +174,8 @@
 	// stopped is set before the requests in flight are cancelled at the end of a
 	// shutdown: none is sent to a target any more.
 	stopped atomic.Bool
+	// shutdown is nil until the signal to stop.
+	shutdown atomic.Pointer[shutdown]
 }
 
 // New returns a gateway with the given options.
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -39,8 +39,9 @@
 	r.Logger.Info("request placed", append(r.logFields(), zap.String("story", action+" "+g.Target.ID))...)
 }
 
-// write writes the request's final log line.
-func (l *requestLog) write(r *inflightRequest, status int, reason string) {
+// write writes the request's final log line. begun is set for a stream: the caller has
+// received the header of the response.
+func (l *requestLog) write(r *inflightRequest, status int, reason string, begun bool) {
 	var story strings.Builder
 	for i, s := range l.steps {
 		if i > 0 {
@@ -53,6 +54,7 @@
 	}
 	fields := append(r.logFields(), zap.Int("status", status), zap.String("story", story.String()),
 		zap.Duration("took", r.Clock.Since(r.request.ReceivedAt)), zap.Int("sent", r.attempts))
+	fields = append(fields, r.stoppingFields()...)
 	if reason != "" {
 		fields = append(fields, zap.String("reason", reason))
 	}
@@ -68,7 +70,10 @@
 		fields = append(fields, zap.Int64("targets_age_ms", view.TargetsAge.Milliseconds()),
 			zap.Int("instances", view.Instances))
 		message := "request ended without an answer of a target"
-		if reason == "" {
+		switch {
+		case begun:
+			message = "response ended before it was complete"
+		case reason == "":
 			message = "request answered with a target's failure"
 		}
 		r.Logger.Warn(message, fields...)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -47,9 +47,20 @@
 	// Header holds the fields to forward.
 	Header []dispatch.Field
 	Body   []byte
+	Delivery
 	RequestMetadata
 }
 
+// Delivery is how a request came in.
+type Delivery struct {
+	// ConnRequest is the number of requests on the connection so far, this one included; 0
+	// if it is not known.
+	ConnRequest int
+	// ConnAge is how long the connection had been open when the request was complete, and
+	// ReadTime the time from the first byte of the request until then.
+	ConnAge, ReadTime time.Duration
+}
+
 func (r *Request) path() string {
 	path, _, _ := strings.Cut(r.URI, "?")
 	return path
@@ -92,6 +103,9 @@
 // disconnected.
 func (g *Gateway) Serve(ctx context.Context, request *Request) *Response {
 	g.Counters.Received.Add(1)
+	if g.shutdown.Load() != nil {
+		g.Counters.ReceivedWhileStopping.Add(1)
+	}
 	r := &inflightRequest{Gateway: g, request: request}
 	response := r.admit(ctx)
 	if response == nil {
@@ -411,6 +425,7 @@
 // can no longer serve since it stops; it returns nil if the caller has disconnected.
 func (r *inflightRequest) contextDone(ctx context.Context, reason string) *Response {
 	if errors.Is(context.Cause(ctx), errStopping) {
+		r.Counters.CancelledWhileStopping.Add(1)
 		return r.refuseOrFail(errStopping.Error(), defaultRetryAfter)
 	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -429,7 +444,7 @@
 	if response != nil {
 		status, reason = response.Status, response.Reason
 	}
-	r.log.write(r, status, reason)
+	r.log.write(r, status, reason, false)
 }
 
 // logFields returns the fields that all log lines of the request share.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -39,9 +39,9 @@
 	// baseContext is the parent of all request contexts.
 	baseContext    context.Context
 	cancelRequests context.CancelCauseFunc
-	// openConns counts the open connections. The server's own count is one too low after
-	// a shutdown that has timed out.
-	openConns atomic.Int64
+	// conns counts the open connections. The server's own count is one too low after a
+	// shutdown that has timed out.
+	conns connCounts
 	// memory is the instance's memory limit in bytes, 0 if there is none; longBodies is the
 	// bound that follows from it and from the configuration.
 	memory     atomic.Int64
@@ -78,7 +78,7 @@
 
 // Serve accepts connections on the listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return s.server.Serve(&listener{Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}, longBodies: s.currentLongBodies, open: &s.openConns})
+	return s.server.Serve(&listener{Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}, longBodies: s.currentLongBodies, counts: &s.conns})
 }
 
 // SetMemoryLimit bounds the memory for callers' bodies by the instance's limit in bytes; 0
@@ -141,7 +141,7 @@
 }
 
 // OpenConnections returns the number of open connections.
-func (s *Server) OpenConnections() int { return int(s.openConns.Load()) }
+func (s *Server) OpenConnections() int { return s.conns.open() }
 
 func (s *Server) idleTimeout() time.Duration {
 	c := s.gateway.Catalog.Current()
@@ -209,6 +209,9 @@
 	}
 	conn, _ := ctx.Conn().(*callerConn)
 	request := s.readRequest(ctx)
+	if conn != nil {
+		request.Delivery = conn.delivery(request.ReceivedAt)
+	}
 	requestCtx, cancel := context.WithCancel(s.baseContext)
 	if conn != nil {
 		conn.WatchClose(cancel)
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp/fasthttputil"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -91,3 +96,54 @@
 		return poll.Success()
 	})
 }
+
+// The log did not tell whether a request that was cut at the end of a shutdown came in after
+// the signal to stop, nor on which kind of connection.
+func TestLogTellsWhenRequestsCameInDuringAShutdown(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	clock := clockwork.NewFakeClock()
+	server := NewServer(New(Options{
+		Catalog: &catalog.Holder{}, Logger: zap.New(core), Clock: clock, Counters: &Counters{}, Protocol: noopProtocol{},
+		Draining: func() bool { return false }, ClusterView: func() ClusterView { return ClusterView{} },
+	}))
+	listener := fasthttputil.NewInmemoryListener()
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	conn, err := listener.Dial()
+	assert.NilError(t, err)
+	unused, err := listener.Dial()
+	assert.NilError(t, err)
+	awaitConnections(t, server, 2)
+	reader := bufio.NewReader(conn)
+	send := func() {
+		_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	}
+	send()
+	server.BeginShutdown(clock.Now().Add(time.Minute))
+	clock.Advance(2 * time.Second)
+	send()
+	assert.Equal(t, logs.Len(), 2)
+	_, stopping := logs.All()[0].ContextMap()["received_after_signal_ms"]
+	assert.Assert(t, !stopping)
+	fields := logs.All()[1].ContextMap()
+	assert.Equal(t, fields["received_after_signal_ms"], int64(2000))
+	assert.Equal(t, fields["connection_request"], int64(2))
+	counted := zapcore.NewMapObjectEncoder()
+	for _, field := range server.ConnectionFields() {
+		field.AddTo(counted)
+	}
+	assert.Equal(t, counted.Fields["connections"], int64(2))
+	assert.Equal(t, counted.Fields["unused"], int64(1))
+	assert.Equal(t, counted.Fields["received_while_stopping"], uint64(1))
+	assert.NilError(t, conn.Close())
+	assert.NilError(t, unused.Close())
+	awaitConnections(t, server, 0)
+	assert.NilError(t, server.Shutdown(context.Background()))
+	assert.NilError(t, <-served)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -287,11 +287,16 @@
 	case statusCallerGone:
 		s.inflight.Counters.CallerGone.Add(1)
 	}
+	if errors.Is(s.err, errStopping) {
+		s.inflight.Counters.CancelledWhileStopping.Add(1)
+	}
 	if !s.completed {
 		s.current.discard()
+		s.inflight.log.addStep(fmt.Sprintf("ended after %d events, the last one %s, from", s.position().events, s.position().lastEventID),
+			s.current.grant.Target.ID, s.inflight.Clock.Since(s.current.startedAt))
 	}
 	s.cancel()
-	s.inflight.log.write(s.inflight, status, reason)
+	s.inflight.log.write(s.inflight, status, reason, true)
 	return nil
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -26,16 +26,18 @@
 // answered, at the latest killMargin before the forced stop.
 func (n *Node) Shutdown() {
 	startedAt := n.clock.Now()
+	grace := time.Duration(n.shutdownGrace.Load())
+	endsAt := startedAt.Add(grace - killMargin)
+	n.callerServer.BeginShutdown(endsAt)
 	n.draining.Store(true)
-	n.logger.Info("instance stopping", zap.Int("connections", n.callerServer.OpenConnections()))
+	n.logger.Info("instance stopping", append(n.callerServer.ConnectionFields(), zap.Duration("grace", grace))...)
 	n.clock.Sleep(deregistrationDelay)
-	timeout := time.Duration(n.shutdownGrace.Load()) - killMargin - n.clock.Since(startedAt)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), endsAt.Sub(n.clock.Now()))
 	defer cancel()
 	err := n.callerServer.Shutdown(ctx)
 	n.awaitRelayed(ctx)
 	n.cancel()
-	n.logger.Info("instance stopped", zap.Duration("took", n.clock.Since(startedAt)), eventlog.ErrorField(err))
+	n.logger.Info("instance stopped", append(n.callerServer.ConnectionFields(), zap.Duration("took", n.clock.Since(startedAt)), eventlog.ErrorField(err))...)
 	_ = n.logger.Sync()
 }
 
