--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -151,8 +151,9 @@
 	{
 		"an instance that stops answers what it has read", "node/shutdown.go",
 		combineTests(testedBy(adapterPackage, "TestShutdownAnswersWhatIsUnderWay", "TestRequestsAtTheEndOfTheGracePeriodAreAnswered"),
-			testedBy("gateway", "TestWaitingRequestIsNotPlacedAtTheEndOfAShutdown", "TestOpenConnectionsAreCountedAfterAShutdownThatTimesOut"),
-			testedBy("../platform/soak", "TestPlannedWork")), "shutdown-in-outage",
+			testedBy("gateway", "TestWaitingRequestIsNotPlacedAtTheEndOfAShutdown", "TestOpenConnectionsAreCountedAfterAShutdownThatTimesOut",
+				"TestRequestThatMayNotEndInTimeIsNotBegun", "TestWaitingRequestIsRefusedWhenTooLittleOfAShutdownIsLeft"),
+			testedBy("../platform/soak", "TestPlannedWork", "TestLateRequestsAreNotBegunAndCut")), "shutdown-in-outage",
 	},
 	{
 		"a bad version gets a small share and is taken back", "rollout/rollout.go, rollout/trial.go, node/rollouts.go",
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -96,7 +96,9 @@
 	// receivedTokens is the number of tokens received from targets whose streams
 	// were cut; 0 unless the stream is being resumed.
 	receivedTokens int
-	log            requestLog
+	// firstPlacedAt is when the request was given its first target; zero before.
+	firstPlacedAt time.Time
+	log           requestLog
 }
 
 // Serve handles a request and returns its response, or nil if the caller has
@@ -143,6 +145,9 @@
 		}
 	}
 	r.deadline = r.request.ReceivedAt.Add(r.timeout())
+	if err := r.checkStart(nil); err != nil {
+		return r.placementFailed(ctx, err)
+	}
 	service := r.config.Service(r.pickService())
 	r.service = &service
 	r.fingerprint = quarantine.NewFingerprint(r.accountName(), r.request.URI, r.request.Body)
@@ -337,7 +342,7 @@
 // targets since it was admitted is refused, and so are all at the end of a shutdown. The
 // error is a *refusedError, a *schedule.RefusedError or the context's error.
 func (r *inflightRequest) place(ctx context.Context) (*schedule.Grant, error) {
-	grant, err := r.Placer.Acquire(ctx, r.scheduleRequest())
+	grant, err := r.acquire(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -347,11 +352,19 @@
 		r.log.addStep("stopped before it was sent to", grant.Target.ID, 0)
 		return nil, &refusedError{reason: errStopping.Error(), retryAfter: defaultRetryAfter}
 	}
+	if err := r.checkStart(grant); err != nil {
+		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		r.log.addStep("too late for", grant.Target.ID, 0)
+		return nil, err
+	}
 	if r.Quarantine.RefuseDispatch(r.fingerprint, r.promptParts...) {
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		r.log.addStep("quarantined before it was sent to", grant.Target.ID, 0)
 		return nil, &refusedError{reason: reasonQuarantined}
 	}
+	if r.firstPlacedAt.IsZero() {
+		r.firstPlacedAt = r.Clock.Now()
+	}
 	r.log.recordPlacement(r, grant)
 	return grant, nil
 }
@@ -370,6 +383,9 @@
 func (r *inflightRequest) placementFailed(ctx context.Context, err error) *Response {
 	var own *refusedError
 	if errors.As(err, &own) {
+		if own == errEndsTooLate {
+			r.Counters.RefusedTooLate.Add(1)
+		}
 		return r.refuseOrFail(own.reason, own.retryAfter)
 	}
 	var refused *schedule.RefusedError
@@ -438,8 +454,18 @@
 	return r.refuse(reason, defaultRetryAfter)
 }
 
+// observeDuration records how long the request has taken at targets, also if it did not end
+// there: it takes at least that long.
+func (r *inflightRequest) observeDuration() {
+	if r.attempts > 0 {
+		now := r.Clock.Now()
+		r.durations.observe(r.route.Name, now.Sub(r.firstPlacedAt), now)
+	}
+}
+
 // logResult writes the log line of a request that is not a stream.
 func (r *inflightRequest) logResult(response *Response) {
+	r.observeDuration()
 	status, reason := statusCallerGone, "the caller has gone"
 	if response != nil {
 		status, reason = response.Status, response.Reason
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -1,12 +1,32 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
+)
+
+const (
+	// uncertainStartShare is the part of the shutdown in which requests are still begun that
+	// are only likely to end in time. The rest is for them to end.
+	uncertainStartShare = 0.5
+	// tokenTimeMargin and pauseAllowance are added to the expected time of a stream: targets
+	// slow down under load, and sound ones fall silent for a second.
+	tokenTimeMargin = 1.5
+	pauseAllowance  = time.Second
+	// longestMargin is added to the longest of the recent times of a route.
+	longestMargin = 1.25
+	// stoppingRetryAfter is the Retry-After of requests that are refused since the instance
+	// stops: the others can serve them at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 )
 
-// shutdown is the course of a graceful shutdown.
+// shutdown is the course of a graceful shutdown. A request that would be cut at its end is not
+// begun: its caller is told that it has not run, and goes to another instance.
 type shutdown struct {
 	// signalledAt is when the instance was told to stop, endsAt when the requests that are
 	// in flight then will be cancelled.
@@ -17,16 +37,77 @@
 // are in flight then will be cancelled by Shutdown.
 func (s *Server) BeginShutdown(endsAt time.Time) {
 	s.gateway.shutdown.Store(&shutdown{signalledAt: s.gateway.Clock.Now(), endsAt: endsAt})
+	s.gateway.signalShutdown()
+}
+
+// lastUncertainStart is until when requests are begun that may end too late.
+func (p *shutdown) lastUncertainStart() time.Time {
+	return p.signalledAt.Add(time.Duration(uncertainStartShare * float64(p.endsAt.Sub(p.signalledAt))))
+}
+
+// errEndsTooLate refuses a request that the end of the shutdown may cut.
+var errEndsTooLate = &refusedError{reason: "the instance is stopping, and the request may take longer than it has left", retryAfter: stoppingRetryAfter}
+
+// checkStart returns errEndsTooLate if the request is not to be begun any more at an instance
+// that stops. grant is its place, nil as long as it has none. One that may have run goes on: a
+// refusal would not be true.
+func (r *inflightRequest) checkStart(grant *schedule.Grant) error {
+	plan := r.shutdown.Load()
+	if plan == nil || r.possibleRuns > 0 || !r.deadline.After(plan.endsAt) {
+		return nil
+	}
+	now := r.Clock.Now()
+	if !now.Before(plan.lastUncertainStart()) {
+		return errEndsTooLate
+	}
+	if grant == nil {
+		return nil
+	}
+	if expected, known := r.likelyDuration(grant); !known || now.Add(expected).After(plan.endsAt) {
+		return errEndsTooLate
+	}
+	return nil
+}
+
+// likelyDuration returns a time in which the request is likely to end at its target; known is
+// unset if nothing tells.
+func (r *inflightRequest) likelyDuration(grant *schedule.Grant) (expected time.Duration, known bool) {
+	if tokens := r.request.MaxOutputTokens; tokens > 0 && grant.ExpectedTokenTime > 0 {
+		stream := grant.ExpectedTimeToFirst + time.Duration(tokens)*grant.ExpectedTokenTime
+		return time.Duration(tokenTimeMargin*float64(stream)) + pauseAllowance, true
+	}
+	longest := r.durations.longest(r.route.Name, r.Clock.Now())
+	return time.Duration(longestMargin * float64(longest)), longest > 0
+}
+
+// acquire waits for a place, at an instance that stops no longer than the request may be begun.
+func (r *inflightRequest) acquire(ctx context.Context) (*schedule.Grant, error) {
+	if r.possibleRuns > 0 {
+		return r.Placer.Acquire(ctx, r.scheduleRequest())
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(r.shutdownBegun, func() {
+		plan := r.shutdown.Load()
+		if r.deadline.After(plan.endsAt) {
+			r.Clock.AfterFunc(plan.lastUncertainStart().Sub(r.Clock.Now()), func() { cancel(errEndsTooLate) })
+		}
+	})()
+	grant, err := r.Placer.Acquire(ctx, r.scheduleRequest())
+	if err != nil && errors.Is(context.Cause(ctx), errEndsTooLate) {
+		return nil, errEndsTooLate
+	}
+	return grant, err
 }
 
-// ConnectionFields returns the open connections by state, and the requests that were received
-// and cancelled since the signal to stop, for a log line.
+// ConnectionFields returns the open connections by state, and the requests that were received,
+// refused and cancelled since the signal to stop, for a log line.
 func (s *Server) ConnectionFields() []zap.Field {
 	c := s.gateway.Counters
 	return []zap.Field{
 		zap.Int("connections", s.OpenConnections()), zap.Int64("unused", s.conns[connUnused].Load()), zap.Int64("reading", s.conns[connReading].Load()),
 		zap.Int64("serving", s.conns[connServing].Load()), zap.Uint64("received_while_stopping", c.ReceivedWhileStopping.Load()),
-		zap.Uint64("cancelled_while_stopping", c.CancelledWhileStopping.Load()),
+		zap.Uint64("refused_as_too_late", c.RefusedTooLate.Load()), zap.Uint64("cancelled_while_stopping", c.CancelledWhileStopping.Load()),
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -296,6 +296,7 @@
 			s.current.grant.Target.ID, s.inflight.Clock.Since(s.current.startedAt))
 	}
 	s.cancel()
+	s.inflight.observeDuration()
 	s.inflight.log.write(s.inflight, status, reason, true)
 	return nil
 }
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -336,7 +336,11 @@
 		Target: target, Waited: c.clock.Since(a.request.ArrivedAt), RunningBefore: response.RunningBefore, PrefillAhead: response.Ahead,
 		ExpectedTimeToFirst: fromMillis(response.ExpectedMs), Coordinator: a.coordinator,
 	}
-	return c.track(a.id, a.request, grant, c.local.RegisterRunning(target.Key(), a.request)), nil
+	localGrant := c.local.RegisterRunning(target.Key(), a.request)
+	if localGrant != nil {
+		grant.ExpectedTokenTime = localGrant.ExpectedTokenTime
+	}
+	return c.track(a.id, a.request, grant, localGrant), nil
 }
 
 // sendRequest sends the slot request to the coordinator.
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -19,6 +19,9 @@
 	// response.
 	PrefillAhead        int
 	ExpectedTimeToFirst time.Duration
+	// ExpectedTokenTime is the time per output token that this instance has seen at the
+	// target, or the longest at any target of the service; 0 if it has seen none.
+	ExpectedTokenTime time.Duration
 	// Coordinator is the address of the instance that granted the slot; "" if
 	// this instance did so without a coordinator.
 	Coordinator string
@@ -171,7 +174,7 @@
 	}
 	prefillAhead := t.prefillTokens
 	probing := t.addRunning(r, s.clock.Now())
-	return NewGrant(Grant{Target: t.info}, &execution{
+	return NewGrant(Grant{Target: t.info, ExpectedTokenTime: s.service(r.Service).seenTokenTime(t)}, &execution{
 		scheduler: s, target: t, request: r, prefillAhead: prefillAhead, startedAt: s.clock.Now(), probing: probing,
 	})
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -217,7 +217,7 @@
 	e := &execution{scheduler: s, target: t, request: r, prefillAhead: t.prefillTokens, startedAt: now}
 	g := NewGrant(Grant{
 		Target: t.info, Waited: now.Sub(r.ArrivedAt), RunningBefore: t.running, PrefillAhead: t.prefillTokens,
-		ExpectedTimeToFirst: sv.candidate(t, r, now, true).TimeToFirst,
+		ExpectedTimeToFirst: sv.candidate(t, r, now, true).TimeToFirst, ExpectedTokenTime: sv.seenTokenTime(t),
 	}, e)
 	e.probing = t.addRunning(r, now)
 	return g
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -148,7 +148,20 @@
 	return sv.estimatedDuration(t, func(t *target) *durationEWMA { return &t.tokenTime }, defaultTokenTime)
 }
 
-// estimatedResponseTime is the same for the time of a complete response;
+// seenTokenTime returns the target's time per output token, or the longest of the service if
+// the target has no samples; 0 if none has.
+func (sv *service) seenTokenTime(t *target) time.Duration {
+	if t.tokenTime.known() {
+		return t.tokenTime.duration()
+	}
+	longest := time.Duration(0)
+	for _, other := range sv.targets {
+		longest = max(longest, other.tokenTime.duration())
+	}
+	return longest
+}
+
+// estimatedResponseTime is the same as estimatedTokenTime for the time of a complete response;
 // defaultTokenTime is its fallback, too.
 func (sv *service) estimatedResponseTime(t *target) time.Duration {
 	return sv.estimatedDuration(t, func(t *target) *durationEWMA { return &t.responseTime }, defaultTokenTime)
