--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -12,8 +12,9 @@
 const (
 	// deregistrationDelay is how long new connections are still accepted after
 	// the signal to stop: the load balancer checks readiness once a second and
-	// needs two failures.
+	// needs two failures. It is at most deregistrationShare of the grace period.
 	deregistrationDelay = 2500 * time.Millisecond
+	deregistrationShare = 1. / 3
 	// relayedCheckInterval is the interval at which relayed connections are counted at
 	// the end of a shutdown.
 	relayedCheckInterval = 20 * time.Millisecond
@@ -31,7 +32,7 @@
 	n.callerServer.BeginShutdown(endsAt)
 	n.draining.Store(true)
 	n.logger.Info("instance stopping", append(n.callerServer.ConnectionFields(), zap.Duration("grace", grace))...)
-	n.clock.Sleep(deregistrationDelay)
+	n.clock.Sleep(min(deregistrationDelay, time.Duration(deregistrationShare*float64(grace))))
 	ctx, cancel := context.WithTimeout(context.Background(), endsAt.Sub(n.clock.Now()))
 	defer cancel()
 	err := n.callerServer.Shutdown(ctx)
