Refuse at a stop only requests that are likely to outlast it, until the balancer knows

Routes state one limit for all their requests, ten times the mean, so half of what came in after SIGTERM was refused, and callers that may try twice used one try. Seen in the log: '6917 ms left, 26513 ms expected (at most 2940 tokens, 5780 us each)'.

Change: what comes in while connections are accepted is begun if it is likely to end, by the caller's estimate of the tokens; what comes in later, which is little, only if it certainly ends, by the limit. The log states what a refusal rests on.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -354,7 +354,7 @@
 	}
 	if err := r.checkStart(grant); err != nil {
 		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
-		r.log.addStep("too late for", grant.Target.ID, 0)
+		r.log.addStep(r.describeStart(grant), grant.Target.ID, 0)
 		return nil, err
 	}
 	if r.Quarantine.RefuseDispatch(r.fingerprint, r.promptParts...) {
@@ -408,10 +408,7 @@
 	result.Version, result.ExcludedVersion = r.Rollouts.VersionConstraint(r.service.Name, versionChoice.fraction(r.request.AttemptID))
 	if r.service.IsEngine {
 		result.PromptTokens = max(1, r.request.PromptTokens)
-		result.OutputTokens = r.request.LengthHint
-		if result.OutputTokens == 0 {
-			result.OutputTokens = int(expectedOutputShare * float64(r.request.MaxOutputTokens))
-		}
+		result.OutputTokens = r.expectedOutputTokens()
 	}
 	if r.receivedTokens > 0 {
 		// The target reads again what has been received. The objective for the
@@ -423,6 +420,15 @@
 	return result
 }
 
+// expectedOutputTokens returns the expected number of output tokens; 0 if the caller states
+// neither a limit nor an estimate.
+func (r *inflightRequest) expectedOutputTokens() int {
+	if r.request.LengthHint > 0 {
+		return r.request.LengthHint
+	}
+	return int(expectedOutputShare * float64(r.request.MaxOutputTokens))
+}
+
 // routePriorities is the number of distinct route priorities within one account
 // priority.
 const routePriorities = 4
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,8 +15,8 @@
 	// uncertainStartShare is the part of the shutdown in which requests are still begun that
 	// are only likely to end in time. The rest is for them to end.
 	uncertainStartShare = 0.5
-	// tokenTimeMargin and pauseAllowance are added to the expected time of a stream: targets
-	// slow down under load, and sound ones fall silent for a second.
+	// tokenTimeMargin and pauseAllowance are added to the time of a stream by its tokens:
+	// targets slow down under load, and sound ones fall silent for a second.
 	tokenTimeMargin = 1.5
 	pauseAllowance  = time.Second
 	// longestMargin is added to the longest of the recent times of a route.
@@ -27,16 +28,20 @@
 
 // shutdown is the course of a graceful shutdown. A request that would be cut at its end is not
 // begun: its caller is told that it has not run, and goes to another instance.
+//
+// Most requests come in before the balancer has taken the instance out. They are begun if they
+// are likely to end in time, since a refusal has its price, too. The few that come later, on
+// connections that were open, are begun only if they certainly end.
 type shutdown struct {
-	// signalledAt is when the instance was told to stop, endsAt when the requests that are
-	// in flight then will be cancelled.
-	signalledAt, endsAt time.Time
+	// signalledAt is when the instance was told to stop, acceptsUntil when it stops accepting
+	// connections, and endsAt when the requests that are in flight then will be cancelled.
+	signalledAt, acceptsUntil, endsAt time.Time
 }
 
-// BeginShutdown states that the instance has been told to stop, and when the requests that
-// are in flight then will be cancelled by Shutdown.
-func (s *Server) BeginShutdown(endsAt time.Time) {
-	s.gateway.shutdown.Store(&shutdown{signalledAt: s.gateway.Clock.Now(), endsAt: endsAt})
+// BeginShutdown states that the instance has been told to stop, until when it accepts
+// connections, and when the requests that are in flight then will be cancelled by Shutdown.
+func (s *Server) BeginShutdown(acceptsUntil, endsAt time.Time) {
+	s.gateway.shutdown.Store(&shutdown{signalledAt: s.gateway.Clock.Now(), acceptsUntil: acceptsUntil, endsAt: endsAt})
 	s.gateway.signalShutdown()
 }
 
@@ -63,21 +68,36 @@
 	if grant == nil {
 		return nil
 	}
-	if expected, known := r.likelyDuration(grant); !known || now.Add(expected).After(plan.endsAt) {
+	if took, known := r.expectedDuration(grant, plan); !known || now.Add(took).After(plan.endsAt) {
 		return errEndsTooLate
 	}
 	return nil
 }
 
-// likelyDuration returns a time in which the request is likely to end at its target; known is
-// unset if nothing tells.
-func (r *inflightRequest) likelyDuration(grant *schedule.Grant) (expected time.Duration, known bool) {
-	if tokens := r.request.MaxOutputTokens; tokens > 0 && grant.ExpectedTokenTime > 0 {
+// expectedDuration returns the time in which the request ends at its target: likely, if it came
+// in before the balancer had taken the instance out, else at most. known is unset if nothing
+// tells.
+func (r *inflightRequest) expectedDuration(grant *schedule.Grant, plan *shutdown) (took time.Duration, known bool) {
+	isEarly := r.request.ReceivedAt.Before(plan.acceptsUntil)
+	tokens := r.request.MaxOutputTokens
+	if isEarly {
+		tokens = r.expectedOutputTokens()
+	}
+	if tokens > 0 && grant.ExpectedTokenTime > 0 {
 		stream := grant.ExpectedTimeToFirst + time.Duration(tokens)*grant.ExpectedTokenTime
 		return time.Duration(tokenTimeMargin*float64(stream)) + pauseAllowance, true
 	}
 	longest := r.durations.longest(r.route.Name, r.Clock.Now())
-	return time.Duration(longestMargin * float64(longest)), longest > 0
+	return time.Duration(longestMargin * float64(longest)), isEarly && longest > 0
+}
+
+// describeStart states what errEndsTooLate is based on.
+func (r *inflightRequest) describeStart(grant *schedule.Grant) string {
+	plan, now := r.shutdown.Load(), r.Clock.Now()
+	took, _ := r.expectedDuration(grant, plan)
+	return fmt.Sprintf("%d ms left, %d ms needed (%d to %d tokens, %d us each, the first after %d ms; %d ms the longest of the route) at",
+		plan.endsAt.Sub(now).Milliseconds(), took.Milliseconds(), r.expectedOutputTokens(), r.request.MaxOutputTokens, grant.ExpectedTokenTime.Microseconds(),
+		grant.ExpectedTimeToFirst.Milliseconds(), r.durations.longest(r.route.Name, now).Milliseconds())
 }
 
 // acquire waits for a place, at an instance that stops no longer than the request may be begun.
