Accept connections in a short grace period as long as before

Cause: with a grace period of 2.65 to 7.5 s, a third of it was less than the balancer needs to take the instance out, so callers met a closed listener.

Change: 2.5 s, or less only if the grace period is shorter. A refusal is given only once responses announce the close of their connection.

--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -12,9 +12,8 @@
 const (
 	// deregistrationDelay is how long new connections are still accepted after
 	// the signal to stop: the load balancer checks readiness once a second and
-	// needs two failures. It is at most deregistrationShare of the grace period.
+	// needs two failures.
 	deregistrationDelay = 2500 * time.Millisecond
-	deregistrationShare = 1. / 3
 	// relayedCheckInterval is the interval at which relayed connections are counted at
 	// the end of a shutdown.
 	relayedCheckInterval = 20 * time.Millisecond
@@ -29,9 +28,10 @@
 	startedAt := n.clock.Now()
 	grace := time.Duration(n.shutdownGrace.Load())
 	endsAt := startedAt.Add(grace - killMargin)
-	accepting := min(deregistrationDelay, time.Duration(deregistrationShare*float64(grace)))
-	n.callerServer.BeginShutdown(startedAt.Add(accepting), endsAt)
+	accepting := max(0, min(deregistrationDelay, grace-killMargin))
+	// Refusals announce the close of their connection.
 	n.draining.Store(true)
+	n.callerServer.BeginShutdown(startedAt.Add(accepting), endsAt)
 	n.logger.Info("instance stopping", append(n.callerServer.ConnectionFields(), zap.Duration("grace", grace))...)
 	n.clock.Sleep(accepting)
 	ctx, cancel := context.WithTimeout(context.Background(), endsAt.Sub(n.clock.Now()))
