Begin late requests of a stop only if their deadline is in time, and judge routes by what is usual

Cause, found by an independent review of the fix: a request that was received after the balancer had taken the instance out was begun by its limit on tokens and an average pace, so one whose target slowed down or left could still be cut, without the rule's excuse. One long response in a minute refused all requests of a route without token counts. Each placed request left a timer for the rest of the stop. A connection was counted as none while its state changed, so that the wait for the last responses could end too soon.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.counts.add(connUnused, 1)
+	l.counts.opened()
 	now := time.Now()
 	return &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: now, openedAt: now, longBodies: l.longBodies, counts: l.counts}, nil
 }
@@ -107,21 +107,26 @@
 	connClosed
 )
 
-// connCounts counts the open connections by state.
-type connCounts [connClosed]atomic.Int64
+// connCounts counts the open connections, and by state. While a state changes the connection
+// is counted in none.
+type connCounts struct {
+	open    atomic.Int64
+	byState [connClosed]atomic.Int64
+}
 
-func (c *connCounts) add(state connState, delta int64) {
-	if state != connClosed {
-		c[state].Add(delta)
-	}
+func (c *connCounts) opened() {
+	c.open.Add(1)
+	c.byState[connUnused].Add(1)
 }
 
-func (c *connCounts) open() int {
-	total := int64(0)
-	for i := range c {
-		total += c[i].Load()
+// changed counts a change of state of one connection, which is not closed before.
+func (c *connCounts) changed(from, to connState) {
+	c.byState[from].Add(-1)
+	if to == connClosed {
+		c.open.Add(-1)
+		return
 	}
-	return int(total)
+	c.byState[to].Add(1)
 }
 
 // connPhase is what a caller's connection is read for.
@@ -193,16 +198,15 @@
 	return n, err
 }
 
-// setState changes the state of a connection that is not closed.
+// setState changes the state, unless the connection is closed.
 func (c *callerConn) setState(next connState) {
 	for {
-		current := c.state.Load()
-		if connState(current) == connClosed {
+		current := connState(c.state.Load())
+		if current == connClosed {
 			return
 		}
-		if c.state.CompareAndSwap(current, int32(next)) {
-			c.counts.add(connState(current), -1)
-			c.counts.add(next, 1)
+		if c.state.CompareAndSwap(int32(current), int32(next)) {
+			c.counts.changed(current, next)
 			return
 		}
 	}
@@ -242,7 +246,7 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.counts.add(connState(c.state.Swap(int32(connClosed))), -1)
+	c.setState(connClosed)
 	c.releaseBodyMemory()
 	return c.Conn.Close()
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -141,7 +141,7 @@
 }
 
 // OpenConnections returns the number of open connections.
-func (s *Server) OpenConnections() int { return s.conns.open() }
+func (s *Server) OpenConnections() int { return int(s.conns.open.Load()) }
 
 func (s *Server) idleTimeout() time.Duration {
 	c := s.gateway.Catalog.Current()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -12,15 +12,15 @@
 )
 
 const (
-	// uncertainStartShare is the part of the shutdown in which requests are still begun that
-	// are only likely to end in time. The rest is for them to end.
-	uncertainStartShare = 0.5
+	// likelyStartShare is the part of the shutdown in which requests are still begun that are
+	// only likely to end in time. The rest is for them to end.
+	likelyStartShare = 0.5
 	// tokenTimeMargin and pauseAllowance are added to the time of a stream by its tokens:
 	// targets slow down under load, and sound ones fall silent for a second.
 	tokenTimeMargin = 1.5
 	pauseAllowance  = time.Second
-	// longestMargin is added to the longest of the recent times of a route.
-	longestMargin = 1.25
+	// longMargin is added to the longest of the usual times of a route.
+	longMargin = 1.25
 	// stoppingRetryAfter is the Retry-After of requests that are refused since the instance
 	// stops: the others can serve them at once.
 	stoppingRetryAfter = 50 * time.Millisecond
@@ -31,7 +31,7 @@
 //
 // Most requests come in before the balancer has taken the instance out. They are begun if they
 // are likely to end in time, since a refusal has its price, too. The few that come later, on
-// connections that were open, are begun only if they certainly end.
+// connections that were open, are begun only if their deadline is in time.
 type shutdown struct {
 	// signalledAt is when the instance was told to stop, acceptsUntil when it stops accepting
 	// connections, and endsAt when the requests that are in flight then will be cancelled.
@@ -41,13 +41,15 @@
 // BeginShutdown states that the instance has been told to stop, until when it accepts
 // connections, and when the requests that are in flight then will be cancelled by Shutdown.
 func (s *Server) BeginShutdown(acceptsUntil, endsAt time.Time) {
-	s.gateway.shutdown.Store(&shutdown{signalledAt: s.gateway.Clock.Now(), acceptsUntil: acceptsUntil, endsAt: endsAt})
-	s.gateway.signalShutdown()
+	g := s.gateway
+	plan := &shutdown{signalledAt: g.Clock.Now(), acceptsUntil: acceptsUntil, endsAt: endsAt}
+	g.shutdown.Store(plan)
+	g.Clock.AfterFunc(plan.lastLikelyStart().Sub(plan.signalledAt), g.endLikelyStarts)
 }
 
-// lastUncertainStart is until when requests are begun that may end too late.
-func (p *shutdown) lastUncertainStart() time.Time {
-	return p.signalledAt.Add(time.Duration(uncertainStartShare * float64(p.endsAt.Sub(p.signalledAt))))
+// lastLikelyStart is until when requests are begun that may end too late.
+func (p *shutdown) lastLikelyStart() time.Time {
+	return p.signalledAt.Add(time.Duration(likelyStartShare * float64(p.endsAt.Sub(p.signalledAt))))
 }
 
 // errEndsTooLate refuses a request that the end of the shutdown may cut.
@@ -62,42 +64,36 @@
 		return nil
 	}
 	now := r.Clock.Now()
-	if !now.Before(plan.lastUncertainStart()) {
+	if !r.request.ReceivedAt.Before(plan.acceptsUntil) || !now.Before(plan.lastLikelyStart()) {
 		return errEndsTooLate
 	}
 	if grant == nil {
 		return nil
 	}
-	if took, known := r.expectedDuration(grant, plan); !known || now.Add(took).After(plan.endsAt) {
+	if took, known := r.likelyDuration(grant); !known || now.Add(took).After(plan.endsAt) {
 		return errEndsTooLate
 	}
 	return nil
 }
 
-// expectedDuration returns the time in which the request ends at its target: likely, if it came
-// in before the balancer had taken the instance out, else at most. known is unset if nothing
-// tells.
-func (r *inflightRequest) expectedDuration(grant *schedule.Grant, plan *shutdown) (took time.Duration, known bool) {
-	isEarly := r.request.ReceivedAt.Before(plan.acceptsUntil)
-	tokens := r.request.MaxOutputTokens
-	if isEarly {
-		tokens = r.expectedOutputTokens()
-	}
-	if tokens > 0 && grant.ExpectedTokenTime > 0 {
+// likelyDuration returns the time in which the request is likely to end at its target; known is
+// unset if nothing tells.
+func (r *inflightRequest) likelyDuration(grant *schedule.Grant) (took time.Duration, known bool) {
+	if tokens := r.expectedOutputTokens(); tokens > 0 && grant.ExpectedTokenTime > 0 {
 		stream := grant.ExpectedTimeToFirst + time.Duration(tokens)*grant.ExpectedTokenTime
 		return time.Duration(tokenTimeMargin*float64(stream)) + pauseAllowance, true
 	}
-	longest := r.durations.longest(r.route.Name, r.Clock.Now())
-	return time.Duration(longestMargin * float64(longest)), isEarly && longest > 0
+	usual := r.durations.usual(r.route.Name, r.Clock.Now())
+	return time.Duration(longMargin * float64(usual)), usual > 0
 }
 
 // describeStart states what errEndsTooLate is based on.
 func (r *inflightRequest) describeStart(grant *schedule.Grant) string {
 	plan, now := r.shutdown.Load(), r.Clock.Now()
-	took, _ := r.expectedDuration(grant, plan)
-	return fmt.Sprintf("%d ms left, %d ms needed (%d to %d tokens, %d us each, the first after %d ms; %d ms the longest of the route) at",
-		plan.endsAt.Sub(now).Milliseconds(), took.Milliseconds(), r.expectedOutputTokens(), r.request.MaxOutputTokens, grant.ExpectedTokenTime.Microseconds(),
-		grant.ExpectedTimeToFirst.Milliseconds(), r.durations.longest(r.route.Name, now).Milliseconds())
+	took, _ := r.likelyDuration(grant)
+	return fmt.Sprintf("%d ms left, %d ms likely (%d tokens, %d us each, the first after %d ms; %d ms usual on the route) at",
+		plan.endsAt.Sub(now).Milliseconds(), took.Milliseconds(), r.expectedOutputTokens(), grant.ExpectedTokenTime.Microseconds(),
+		grant.ExpectedTimeToFirst.Milliseconds(), r.durations.usual(r.route.Name, now).Milliseconds())
 }
 
 // acquire waits for a place, at an instance that stops no longer than the request may be begun.
@@ -107,10 +103,9 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer context.AfterFunc(r.shutdownBegun, func() {
-		plan := r.shutdown.Load()
-		if r.deadline.After(plan.endsAt) {
-			r.Clock.AfterFunc(plan.lastUncertainStart().Sub(r.Clock.Now()), func() { cancel(errEndsTooLate) })
+	defer context.AfterFunc(r.likelyStarts, func() {
+		if r.deadline.After(r.shutdown.Load().endsAt) {
+			cancel(errEndsTooLate)
 		}
 	})()
 	grant, err := r.Placer.Acquire(ctx, r.scheduleRequest())
@@ -125,8 +120,8 @@
 func (s *Server) ConnectionFields() []zap.Field {
 	c := s.gateway.Counters
 	return []zap.Field{
-		zap.Int("connections", s.OpenConnections()), zap.Int64("unused", s.conns[connUnused].Load()), zap.Int64("reading", s.conns[connReading].Load()),
-		zap.Int64("serving", s.conns[connServing].Load()), zap.Uint64("received_while_stopping", c.ReceivedWhileStopping.Load()),
+		zap.Int("connections", s.OpenConnections()), zap.Int64("unused", s.conns.byState[connUnused].Load()), zap.Int64("reading", s.conns.byState[connReading].Load()),
+		zap.Int64("serving", s.conns.byState[connServing].Load()), zap.Uint64("received_while_stopping", c.ReceivedWhileStopping.Load()),
 		zap.Uint64("refused_as_too_late", c.RefusedTooLate.Load()), zap.Uint64("cancelled_while_stopping", c.CancelledWhileStopping.Load()),
 	}
 }
