Read on after the last response of a connection before it is closed (LOST)

What callers saw: an answer that a target had given in full was cut by a reset of its connection, if its caller had sent a further request before it had received all of the answer, and the instance was stopping.

Cause: the last response announces the close, and the connection was closed right after the last write. Bytes of the further request were unread then; the system resets a connection that is closed so and drops what is in its send buffer.

Change: after a response the sending side is closed, what comes is read and dropped for up to 0.5 s, and then the connection is closed; a stop waits for that within its grace period.

--- a/internal/faultmatrix/guarantees.go
+++ b/internal/faultmatrix/guarantees.go
@@ -153,7 +153,8 @@
 		combineTests(testedBy(adapterPackage, "TestShutdownAnswersWhatIsUnderWay", "TestRequestsAtTheEndOfTheGracePeriodAreAnswered"),
 			testedBy("gateway", "TestWaitingRequestIsNotPlacedAtTheEndOfAShutdown", "TestOpenConnectionsAreCountedAfterAShutdownThatTimesOut",
 				"TestRequestThatMayNotEndInTimeIsNotBegun", "TestWaitingRequestIsRefusedWhenTooLittleOfAShutdownIsLeft"),
-			testedBy("../platform/soak", "TestPlannedWork", "TestLateRequestsAreNotBegunAndCut")), "shutdown-in-outage",
+			testedBy("../platform/soak", "TestPlannedWork", "TestLateRequestsAreNotBegunAndCut",
+				"TestAnswerIsWholeBesideAFurtherRequestInAStop", "TestSlowReadersOfAProcessThatStopsGetWholeAnswers")), "shutdown-in-outage",
 	},
 	{
 		"a bad version gets a small share and is taken back", "rollout/rollout.go, rollout/trial.go, node/rollouts.go",
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -160,9 +161,11 @@
 	// current request was read, and requests the number of requests read, this one included.
 	openedAt, firstByteAt time.Time
 	requests              int
-	// state is the connState; Close may run concurrently.
-	state  atomic.Int32
-	counts *connCounts
+	// state is the connState; Close may run concurrently. reading is set during a read of the
+	// serving goroutine, responded once a response has been written.
+	state              atomic.Int32
+	reading, responded atomic.Bool
+	counts             *connCounts
 
 	// mu guards readAhead.
 	mu sync.Mutex
@@ -180,6 +183,8 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
 	if err := c.awaitBodyMemory(); err != nil {
 		return 0, err
 	}
@@ -244,10 +249,34 @@
 	}
 }
 
-// Close implements net.Conn.
+// lingerTime bounds the time for which a connection is read from after the last response.
+const lingerTime = 500 * time.Millisecond
+
+// Write implements net.Conn.
+func (c *callerConn) Write(data []byte) (int, error) {
+	c.responded.Store(true)
+	return c.Conn.Write(data)
+}
+
+// Close implements net.Conn. After a response it only ends the sending side at once: a connection
+// that is closed while bytes of a further request are unread is reset, and the caller loses what
+// it has not received yet.
 func (c *callerConn) Close() error {
-	c.setState(connClosed)
 	c.releaseBodyMemory()
+	conn, isTCP := c.Conn.(interface{ CloseWrite() error })
+	if !isTCP || !c.responded.Swap(false) || c.reading.Load() || conn.CloseWrite() != nil {
+		return c.closeNow()
+	}
+	go func() {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.closeNow()
+	}()
+	return nil
+}
+
+func (c *callerConn) closeNow() error {
+	c.setState(connClosed)
 	return c.Conn.Close()
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -107,19 +107,23 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.server.ShutdownWithContext(ctx)
 	if err == nil {
+		limit := lingerTime
+		if deadline, ok := ctx.Deadline(); ok {
+			limit = min(limit, time.Until(deadline)+finalResponseTime)
+		}
+		s.awaitClosed(limit)
 		return nil
 	}
 	s.gateway.stopped.Store(true)
 	s.cancelRequests(errStopping)
-	s.awaitFinalResponses()
+	s.awaitClosed(finalResponseTime)
 	return err
 }
 
-// awaitFinalResponses waits until the requests that have been cancelled are
-// answered.
-func (s *Server) awaitFinalResponses() {
+// awaitClosed waits until all connections are closed, at most for the given time.
+func (s *Server) awaitClosed(limit time.Duration) {
 	const checkInterval = 5 * time.Millisecond
-	giveUp := time.After(finalResponseTime)
+	giveUp := time.After(limit)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for s.OpenConnections() > 0 {
