--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -34,6 +34,9 @@
 	// maxUsagesPerMessage bounds the account usages in one message, for the same
 	// reason.
 	maxUsagesPerMessage = 16
+	// laggardPatience is how long an instance that reports to an aggregator may have an
+	// older configuration in force before the aggregator tells it of the newer one.
+	laggardPatience = 400 * time.Millisecond
 	// fetchTimeout bounds a call to another instance.
 	fetchTimeout = time.Second
 	// fetchCheckInterval is the interval between checks whether other instances
@@ -232,11 +235,14 @@
 		n.sendAggregate(from)
 	case m.Name != "" && int(m.InstanceCount) < maxMeshSize && n.peers.topology().aggregated:
 		n.sendIntroduction(from)
+	case m.Name != "" && n.peers.behindFor(from) >= laggardPatience && n.peers.topology().isAggregator:
+		// The aggregator that it hears may lack the newer configuration as well.
+		n.sendIntroduction(from)
 	}
 }
 
-// sendIntroduction sends addresses to an instance that knows too few others to
-// use aggregators, until it does.
+// sendIntroduction sends this instance's state and addresses to an instance that knows too
+// few others to use aggregators, or does not hear of a newer configuration, until it does.
 func (n *Node) sendIntroduction(address string) {
 	m := n.newMessage(knownAddressesEvery)
 	m.IsIntroduction = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,9 +60,10 @@
 	// LogDrops counts dropped log lines; if nil, the metric is not published.
 	LogDrops DropCounter
 	// DialTarget opens connections to targets, DialPeer those to other instances; nil
-	// dials them over TCP.
+	// dials them over TCP. SendPeer sends datagrams to other instances; nil uses UDP.
 	DialTarget dispatch.DialFunc
 	DialPeer   peer.DialFunc
+	SendPeer   peer.SendPacketFunc
 }
 
 // DropCounter counts dropped log lines; see package eventlog.
@@ -186,7 +187,7 @@
 	n.pool.SetMaxIdle(n.idleConnectionLimit)
 	n.quota = quota.New(options.Clock, n.newRandom(), options.Settings.QuotaTolerance, options.Settings.FirstStart)
 	n.quotaGate = newQuotaGate(n, n.quota)
-	if err := n.listenPeers(options.DialPeer); err != nil {
+	if err := n.listenPeers(options); err != nil {
 		return nil, err
 	}
 	n.divideBudgets()
@@ -229,16 +230,17 @@
 
 // listenPeers binds the address for other instances, which identifies this
 // instance from then on.
-func (n *Node) listenPeers(dial peer.DialFunc) error {
+func (n *Node) listenPeers(options Options) error {
 	var err error
 	n.bus, err = peer.Listen(peer.Options{
-		Address: n.settings.PeerAddress, Secret: deploymentSecret(n.settings.Deployment), Logger: n.logger, Dial: dial,
+		Address: n.settings.PeerAddress, Secret: deploymentSecret(n.settings.Deployment), Logger: n.logger, Dial: options.DialPeer, SendPacket: options.SendPeer,
 	})
 	if err != nil {
 		return errors.Wrap(err, "listen for other instances")
 	}
 	n.settings.PeerAddress = n.bus.Address()
 	n.peers = newPeerTable(n.clock, n.settings.PeerAddress, n.settings.Seeds)
+	n.peers.configuration = n.configuration
 	n.placement = placement.New(placement.Options{
 		Self: n.settings.PeerAddress, Clock: n.clock, Draining: n.draining.Load, PeerAddresses: n.peers.addresses, Random: n.newRandom, Logger: n.logger,
 		Send: func(address string, body []byte) error { return n.bus.Send(address, peer.KindPlacement, body) },
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 )
 
 const (
@@ -21,6 +23,8 @@
 type peerTable struct {
 	clock clockwork.Clock
 	self  string
+	// configuration is the one in force here.
+	configuration *catalog.Holder
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -52,6 +56,12 @@
 	// failure. peerWatchedAt is the latest such time among the instances that it
 	// knows.
 	watchedAt, peerWatchedAt time.Time
+	// vouchedAt is watchedAt as of the last message that named no newer configuration
+	// than the one in force here.
+	vouchedAt time.Time
+	// behindSince is since when the instance has named the same configuration, while a
+	// newer one is in force here; zero if it is not older.
+	behindSince time.Time
 	// aggregatesSent counts the aggregates sent to the instance, the last one at
 	// aggregateSentAt.
 	aggregatesSent  int
@@ -66,7 +76,7 @@
 
 func newPeerTable(clock clockwork.Clock, self string, seeds []string) *peerTable {
 	p := &peerTable{
-		clock: clock, self: self, byAddress: make(map[string]*peerState),
+		clock: clock, self: self, configuration: &catalog.Holder{}, byAddress: make(map[string]*peerState),
 		watchersSince: make(map[string]time.Time), watcherSkippedUntil: make(map[string]time.Time),
 	}
 	for _, seed := range seeds {
@@ -108,14 +118,37 @@
 		return false
 	}
 	restarted = state.incarnation != m.Incarnation
+	now := p.clock.Now()
+	inForce := p.configuration.Version()
+	switch {
+	case m.ConfigVersion >= inForce:
+		state.behindSince = time.Time{}
+	case state.behindSince.IsZero() || m.ConfigVersion != state.configVersion:
+		state.behindSince = now
+	}
 	state.name, state.incarnation, state.configVersion = m.Name, m.Incarnation, m.ConfigVersion
 	state.capacity, state.draining = int(m.Capacity), m.Draining
-	state.lastMessageAt = p.clock.Now()
+	state.lastMessageAt = now
 	state.watchedAt = state.timeOfAge(m.WatchAgeMs)
 	state.peerWatchedAt = state.timeOfAge(m.PeerWatchAgeMs)
+	if m.ConfigVersion <= inForce || state.watchedAt.IsZero() {
+		state.vouchedAt = state.watchedAt
+	}
 	return restarted
 }
 
+// behindFor returns how long an instance has named the same configuration, while a newer
+// one is in force here; 0 if it is not older.
+func (p *peerTable) behindFor(address string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.byAddress[address]
+	if state == nil || state.behindSince.IsZero() {
+		return 0
+	}
+	return p.clock.Since(state.behindSince)
+}
+
 // countAggregate counts an aggregate sent to an instance and returns how many it
 // has been sent before. The count is kept for each recipient: aggregators send
 // to theirs in a regular order, so that with one count for all of them every
@@ -199,12 +232,14 @@
 
 // lowestWatchAge returns the age in milliseconds of the latest response to
 // another instance's own watch, or unknownAge. Watch ages that others only pass
-// on are left out: otherwise they would circulate after the watch has failed.
+// on are left out: otherwise they would circulate after the watch has failed. So are
+// those of watches that have led to a newer configuration: who relies on this instance
+// would take the one in force here for the newest.
 func (p *peerTable) lowestWatchAge() uint32 {
 	age := uint32(unknownAge)
 	for _, state := range p.live() {
-		if !state.watchedAt.IsZero() {
-			age = min(age, ageMillis(p.clock.Since(state.watchedAt)))
+		if !state.vouchedAt.IsZero() {
+			age = min(age, ageMillis(p.clock.Since(state.vouchedAt)))
 		}
 	}
 	return age
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return fault.At(fault.StepPeer, address, err)
 	}
-	n, err := b.udpConn.WriteToUDPAddrPort(b.sealer.seal(kind, b.address, body), destination)
+	n, err := b.sendPacket(b.udpConn, b.sealer.seal(kind, b.address, body), destination)
 	transferredBytes.Add(uint64(n))
 	return fault.At(fault.StepPeer, address, err)
 }
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -40,11 +40,16 @@
 	Clock clockwork.Clock
 	// Dial opens connections to other instances; nil dials them over TCP.
 	Dial DialFunc
+	// SendPacket sends a packet to another instance; nil sends it over UDP.
+	SendPacket SendPacketFunc
 }
 
 // DialFunc opens a connection to an address of a network.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// SendPacketFunc sends a packet from a socket to an address.
+type SendPacketFunc func(from *net.UDPConn, packet []byte, to netip.AddrPort) (int, error)
+
 // NetBus is a Bus over TCP and UDP.
 //
 // Both sides of a TCP connection prove that they know the shared secret before the
@@ -63,7 +68,8 @@
 	callHandlers     map[string]CallHandler
 	datagramHandlers map[DatagramKind]DatagramHandler
 
-	dialTCP DialFunc
+	dialTCP    DialFunc
+	sendPacket SendPacketFunc
 	// streamHandler serves streams; nil rejects them.
 	streamHandler StreamHandler
 
@@ -107,6 +113,7 @@
 		callHandlers:     make(map[string]CallHandler),
 		datagramHandlers: make(map[DatagramKind]DatagramHandler),
 		dialTCP:          options.Dial,
+		sendPacket:       options.SendPacket,
 		handshakeSlots:   make(chan struct{}, maxHandshakes),
 		links:            make(map[string]*link),
 		incoming:         make(map[net.Conn]struct{}),
@@ -117,6 +124,9 @@
 	if b.dialTCP == nil {
 		b.dialTCP = new(net.Dialer).DialContext
 	}
+	if b.sendPacket == nil {
+		b.sendPacket = (*net.UDPConn).WriteToUDPAddrPort
+	}
 	if b.clock == nil {
 		b.clock = clockwork.NewRealClock()
 	}
