--- a/internal/node/gossip_test.go
+++ b/internal/node/gossip_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -26,7 +27,7 @@
 		WatchAgeMs: 1800, PeerWatchAgeMs: 1800,
 	}
 	state.TargetsPosition = 100000
-	assert.NilError(t, state.setAdditions(1000, []string{address(0), address(1)}, 100000))
+	assert.NilError(t, state.setAdditions(1000, []string{address(0), address(1)}, 100000, 365*24*time.Hour))
 	for i := range maxKnownAddresses {
 		state.KnownAddresses = append(state.KnownAddresses, address(i))
 	}
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -92,7 +92,7 @@
 // newRenewalMessage returns a message with the age of the last renewal.
 func (l *memberList) newRenewalMessage(t *testing.T) *message {
 	m := &message{}
-	assert.NilError(t, m.setAdditions(0, nil, l.watchAgeMillis(&l.renewedNanos)))
+	assert.NilError(t, m.setAdditions(0, nil, l.watchAgeMillis(&l.renewedNanos), 0))
 	return m
 }
 
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -52,8 +52,9 @@
 	RolloutReports []rollout.Report
 	EndedRollouts  []rollout.Status
 	// Additions are fields that earlier versions ignore: the era of TargetsPosition, the
-	// addresses of the instances that watch the declarations, and the age in
-	// milliseconds of the last renewal of all announcements, unknownAge if none is known.
+	// addresses of the instances that watch the declarations, the age in milliseconds of
+	// the last renewal of all announcements, unknownAge if none is known, and the
+	// milliseconds from the sender's start to the message.
 	Additions []msgpack.RawMessage
 	// TargetsDigest and TargetsPosition describe the known list of targets.
 	TargetsDigest   uint32
@@ -106,10 +107,23 @@
 	return age, err
 }
 
+// sentAfter returns the time from the sender's start to the message; 0 if the sender does
+// not state it.
+func (m *message) sentAfter() time.Duration {
+	var ms uint64
+	if m.addition(3, &ms) != nil {
+		return 0
+	}
+	return time.Duration(min(ms, maxUptimeMs)) * time.Millisecond
+}
+
+// maxUptimeMs bounds the time that a message may state.
+const maxUptimeMs = 1 << 40
+
 // setAdditions sets the fields that earlier versions ignore.
-func (m *message) setAdditions(era uint64, watchers []string, renewalAgeMs uint32) error {
+func (m *message) setAdditions(era uint64, watchers []string, renewalAgeMs uint32, uptime time.Duration) error {
 	m.Additions = nil
-	for _, value := range []any{era, watchers, renewalAgeMs} {
+	for _, value := range []any{era, watchers, renewalAgeMs, uint64(uptime.Milliseconds())} {
 		encoded, err := msgpack.Marshal(value)
 		if err != nil {
 			return err
@@ -144,7 +158,7 @@
 	var position Position
 	m.TargetsDigest, position, m.TargetsAgeMs = n.targetsState()
 	m.TargetsPosition = position.Version
-	if err := m.setAdditions(position.Era, nil, n.watchAgeMillis(&n.renewedNanos)); err != nil {
+	if err := m.setAdditions(position.Era, nil, n.watchAgeMillis(&n.renewedNanos), n.clock.Since(n.startedAt)); err != nil {
 		n.logger.Error("cannot encode additions to a message", eventlog.ErrorField(err))
 	}
 	m.WatchAgeMs = n.watchAgeMillis(&n.lastWatchNanos)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -43,7 +43,7 @@
 	name string
 	// lastMentionedAt is when the address was last named by the settings, the
 	// control plane, another instance or a message of its own; lastMessageAt is
-	// when the last message was received from it, zero if none was.
+	// when the last message that was received from it was sent, zero if none was.
 	lastMentionedAt, lastMessageAt time.Time
 	incarnation                    int64
 	configVersion                  uint64
@@ -69,6 +69,7 @@
 	// aggregateRequestedAt is when the instance was first asked for the
 	// aggregate; zero if it is not being asked.
 	aggregateRequestedAt time.Time
+	transit              transit
 	// skippedUntil is the time until which the instance is not used as
 	// aggregator.
 	skippedUntil time.Time
@@ -118,7 +119,11 @@
 		return false
 	}
 	restarted = state.incarnation != m.Incarnation
+	if restarted {
+		state.transit = transit{}
+	}
 	now := p.clock.Now()
+	state.transit.record(m.sentAfter(), now)
 	inForce := p.configuration.Version()
 	switch {
 	case m.ConfigVersion >= inForce:
@@ -128,7 +133,7 @@
 	}
 	state.name, state.incarnation, state.configVersion = m.Name, m.Incarnation, m.ConfigVersion
 	state.capacity, state.draining = int(m.Capacity), m.Draining
-	state.lastMessageAt = now
+	state.lastMessageAt = now.Add(-state.transit.time)
 	state.watchedAt = state.timeOfAge(m.WatchAgeMs)
 	state.peerWatchedAt = state.timeOfAge(m.PeerWatchAgeMs)
 	if m.ConfigVersion <= inForce || state.watchedAt.IsZero() {
@@ -137,6 +142,16 @@
 	return restarted
 }
 
+// transitTime returns how long the last message from an instance took.
+func (p *peerTable) transitTime(address string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.byAddress[address]; state != nil {
+		return state.transit.time
+	}
+	return 0
+}
+
 // behindFor returns how long an instance has named the same configuration, while a newer
 // one is in force here; 0 if it is not older.
 func (p *peerTable) behindFor(address string) time.Duration {
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -201,7 +201,7 @@
 func TestVersionsWithAndWithoutAnEraUnderstandEachOther(t *testing.T) {
 	m := message{Name: "edge-1", TargetsDigest: 8, PeerWatchAgeMs: 9}
 	m.TargetsPosition = 7
-	assert.NilError(t, m.setAdditions(300, []string{"10.0.0.1:1", "10.0.0.2:1"}, unknownAge))
+	assert.NilError(t, m.setAdditions(300, []string{"10.0.0.1:1", "10.0.0.2:1"}, unknownAge, 0))
 	body, err := encodeMessage(&m)
 	assert.NilError(t, err)
 	var former formerMessage
