--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -165,12 +165,17 @@
 func (n *Node) untilNextTargetRead() time.Duration {
 	n.targetsMu.Lock()
 	readAt := n.targets.readAt
+	graceEndsIn, keeps := n.targets.graceEndsIn(n.clock.Now())
 	n.targetsMu.Unlock()
 	if readAt.IsZero() {
 		return 0
 	}
 	rank := min(n.rank(), maxRank)
-	return targetReadInterval + time.Duration(rank)*targetReadStagger - n.clock.Since(readAt)
+	delay := targetReadInterval + time.Duration(rank)*targetReadStagger - n.clock.Since(readAt)
+	if keeps {
+		delay = min(delay, graceEndsIn)
+	}
+	return delay
 }
 
 // applyTargets applies a read of the targets at the store's position.
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -39,8 +39,9 @@
 	// readSince is the time since which reads have succeeded regularly.
 	readSince time.Time
 	// graceUntil is the time until which missing entries are kept, since they
-	// may reappear.
+	// may reappear; keeps is set while any are.
 	graceUntil time.Time
+	keeps      bool
 	returnHold
 }
 
@@ -142,9 +143,11 @@
 			ids[key.ID] = true
 		}
 	}
+	l.keeps = false
 	if now.Before(l.graceUntil) {
 		for key, target := range l.present {
 			if next[key] == nil && !ids[key.ID] {
+				l.keeps = true
 				next[key] = target
 			}
 		}
@@ -156,6 +159,17 @@
 	return changed
 }
 
+// graceEndsIn returns the time until entries that are kept have to be read again; ok is
+// false if that is not due. It tells the end of the grace once.
+func (l *targetList) graceEndsIn(now time.Time) (remaining time.Duration, ok bool) {
+	if !l.keeps {
+		return 0, false
+	}
+	remaining = max(0, l.graceUntil.Sub(now))
+	l.keeps = remaining > 0
+	return remaining, true
+}
+
 // advance moves to a position that is not before the current one. In a new era, the
 // list may be some seconds older than what is known: missing entries may reappear
 // as after an outage, and others are held against what is known.
