--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -90,7 +90,7 @@
 	round := n.peers.countAggregate(address)
 	n.sendQuarantine([]string{address}, quarantineScope(round))
 	m := n.newMessage(round)
-	if err := m.setAdditions(m.targetsPosition().Era, n.watchers(), n.watchAgeMillis(&n.renewedNanos), n.clock.Since(n.startedAt)); err != nil {
+	if err := m.setAdditions(m.targetsPosition().Era, n.watchers(), n.watchAgeMillis(&n.renewedNanos), n.uptime()); err != nil {
 		n.logger.Error("cannot encode additions to a message", eventlog.ErrorField(err))
 	}
 	if round%rolloutReportEvery == 0 {
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -148,6 +148,10 @@
 // unknownAge stands for the age of a read or watch that has not taken place.
 const unknownAge = 1<<32 - 1
 
+// uptime returns the time since the start that messages state. It counts what the machine was
+// suspended: the recipients would take that for a delay of all further messages.
+func (n *Node) uptime() time.Duration { return bootTime() - n.startedAtBoot }
+
 // newMessage returns a message with this instance's state, without quota usages.
 func (n *Node) newMessage(round int) *message {
 	m := &message{
@@ -158,7 +162,7 @@
 	var position Position
 	m.TargetsDigest, position, m.TargetsAgeMs = n.targetsState()
 	m.TargetsPosition = position.Version
-	if err := m.setAdditions(position.Era, nil, n.watchAgeMillis(&n.renewedNanos), n.clock.Since(n.startedAt)); err != nil {
+	if err := m.setAdditions(position.Era, nil, n.watchAgeMillis(&n.renewedNanos), n.uptime()); err != nil {
 		n.logger.Error("cannot encode additions to a message", eventlog.ErrorField(err))
 	}
 	m.WatchAgeMs = n.watchAgeMillis(&n.lastWatchNanos)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,8 +112,9 @@
 	requestCounters                 gateway.Counters
 	metrics                         *metrics.Set
 
-	// startedAt is the origin of lastWatchNanos.
-	startedAt time.Time
+	// startedAt is the origin of lastWatchNanos, startedAtBoot that of uptime.
+	startedAt     time.Time
+	startedAtBoot time.Duration
 	// lastWatchNanos is the time of the last response to this instance's own
 	// read or watch of the operator's declarations, in nanoseconds since
 	// startedAt; 0 if there was none or the last one failed.
@@ -167,6 +168,7 @@
 		incarnation:   options.Clock.Now().UnixNano() ^ int64(rand.Uint32()),
 		configuration: &catalog.Holder{}, retryBudgets: make(map[string]*routing.WindowRetryBudget),
 	}
+	n.startedAtBoot = bootTime()
 	n.startedAt, n.newerTargetsAt, n.newerConfiguration = options.Clock.Now(), make(chan string, 1), make(chan struct{}, 1)
 	n.announceNow = make(chan struct{}, 1)
 	n.uploads = n.newUploads()
