Survive an output that its reader has closed

Whoever collects the output of an instance, or of several through one collector, ended them by leaving: Go ends a process that writes to a closed pipe on descriptor 1 or 2 with SIGPIPE, unless the program handles or ignores that signal. Requests in flight were lost, and a restarted instance ended again with its first line.

The lines of a failed write are counted, each; a batch counted as one before.

That it is what the users saw is not shown.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/exit"
 	"github.com/hibiscuspost/hibiscuspost/internal/instance"
 	"github.com/hibiscuspost/hibiscuspost/internal/settings"
@@ -25,6 +26,7 @@
 // Run runs the instance until SIGTERM, SIGINT or the end of ctx, and then
 // shuts it down gracefully. A second signal ends the grace period.
 func (s *Serve) Run(ctx context.Context) error {
+	eventlog.SurviveClosedOutput()
 	// Signals are received before the instance serves, so that none ends it
 	// without a shutdown.
 	signals := make(chan os.Signal, 2)
--- a/internal/endtoend/process_test.go
+++ b/internal/endtoend/process_test.go
@@ -54,6 +54,7 @@
 	addresses logEntry
 	// exited is closed once the process has exited and has been waited for.
 	exited    chan struct{}
+	stderr    io.ReadCloser
 	logReader conc.WaitGroup
 
 	// mu guards lines.
@@ -68,6 +69,7 @@
 	p := &process{name: config.Name, command: exec.Command(program, "serve", "--settings", settingsFile), exited: make(chan struct{})}
 	stderr, err := p.command.StderrPipe()
 	assert.NilError(t, err)
+	p.stderr = stderr
 	assert.NilError(t, p.command.Start())
 	p.logReader.Go(func() { p.readLog(stderr) })
 	t.Cleanup(func() { p.stop(t) })
--- a/internal/endtoend/shutdown_test.go
+++ b/internal/endtoend/shutdown_test.go
@@ -71,3 +71,13 @@
 	}
 	t.Logf("exit code %d", exitCode)
 }
+
+// TestClosedStandardErrorDoesNotEndAnInstance guards against SIGPIPE, which by default ends a
+// process that writes to a standard error whose reader has closed it.
+func TestClosedStandardErrorDoesNotEndAnInstance(t *testing.T) {
+	c := startCluster(t, 1, longRouteDeadline)
+	terminated := c.processes[0]
+	assert.NilError(t, terminated.stderr.Close())
+	terminated.signal(t, syscall.SIGTERM)
+	assert.Equal(t, terminated.waitForExit(t), exit.Success)
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -8,10 +8,13 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
+	"os/signal"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -76,6 +79,10 @@
 // Dropped returns the number of dropped lines.
 func (l *Log) Dropped() uint64 { return l.dropped.Load() }
 
+// SurviveClosedOutput makes writes to a standard output or error that its reader has closed
+// fail. By default, they end a process with SIGPIPE.
+func SurviveClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 // Close writes the queued lines, and gives up after flushTimeout.
 func (l *Log) Close() {
 	l.closeOnce.Do(func() { close(l.stop) })
@@ -137,7 +144,7 @@
 		}
 		if _, err := l.output.Write(batch); err != nil {
 			// A failing output can be reported by the counter only.
-			l.dropped.Add(1)
+			l.dropped.Add(uint64(bytes.Count(batch, []byte{'\n'})))
 		}
 	}
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -68,3 +69,25 @@
 	close(out.unblocked)
 	l.Close()
 }
+
+// failingWriter fails each write and counts the lines in it.
+type failingWriter struct{ lines int }
+
+func (w *failingWriter) Write(p []byte) (int, error) {
+	w.lines += bytes.Count(p, []byte{'\n'})
+	return 0, io.ErrClosedPipe
+}
+
+// Each write to an output that fails was counted as one line, whatever their number.
+func TestAllLinesOfAFailedWriteAreCounted(t *testing.T) {
+	out := &failingWriter{}
+	l := New(clockwork.NewRealClock(), out)
+	logger := l.Logger("edge-1")
+	for range 10 {
+		logger.Warn("line")
+	}
+	l.Close()
+	// A report of dropped lines is written, and lost, as well.
+	assert.Assert(t, out.lines >= 10)
+	assert.Equal(t, l.Dropped(), uint64(out.lines))
+}
