Report restarts of instances that had not shut down

An instance that is ended from outside, or by its runtime, leaves no line, and the one after it doesn't know of it: neither logs nor metrics told how often instances ended by themselves.

The other instances know: they hear a new incarnation at an address, and whether the one before had announced its shutdown. `instance heard` now says that, how long nothing was heard and how often, and `instances_restarted_without_shutdown` counts it. No decision uses it.

TestRestartsWithoutShutdownAreCounted covers both ways to end.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -178,9 +178,10 @@
 		return
 	}
 	if m.Name != "" {
-		if n.peers.recordMessage(from, &m) {
+		if r := n.peers.recordMessage(from, &m); r != nil {
 			n.logger.Info("instance heard", zap.String("peer", m.Name), zap.String("address", from),
-				zap.Int64("incarnation", m.Incarnation))
+				zap.Int64("incarnation", m.Incarnation), zap.Int64("incarnation_before", r.before), zap.Bool("had_shut_down", r.hadShutDown),
+				zap.Duration("silence", r.silence), zap.Int("restarts", r.restarts), zap.Int("restarts_without_shutdown", r.endedAlone))
 			n.sendQuarantine([]string{from}, quarantine.Everything)
 		}
 		if m.Draining {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -32,13 +32,17 @@
 	ConfigVersion uint64 `json:"config"`
 	// ConfigBehindMs is how long another instance has been known to have a newer version;
 	// 0 if none has.
-	ConfigBehindMs        int64  `json:"config_behind_ms"`
-	UpdateBytesReceived   uint64 `json:"config_update_bytes_received"`
-	UpdateBytesSent       uint64 `json:"config_update_bytes_sent"`
-	UpdatesReferred       uint64 `json:"config_updates_referred"`
-	UpdateFailures        uint64 `json:"config_update_failures"`
-	Draining              bool   `json:"draining"`
-	InstanceCount         int    `json:"instances"`
+	ConfigBehindMs      int64  `json:"config_behind_ms"`
+	UpdateBytesReceived uint64 `json:"config_update_bytes_received"`
+	UpdateBytesSent     uint64 `json:"config_update_bytes_sent"`
+	UpdatesReferred     uint64 `json:"config_updates_referred"`
+	UpdateFailures      uint64 `json:"config_update_failures"`
+	Draining            bool   `json:"draining"`
+	InstanceCount       int    `json:"instances"`
+	// PeerRestarts and PeersEndedAlone count the restarts of other instances that this one has
+	// heard, all and those without a shutdown before.
+	PeerRestarts          int    `json:"instances_restarted"`
+	PeersEndedAlone       int    `json:"instances_restarted_without_shutdown"`
 	TargetsAgeMs          int64  `json:"targets_age_ms"`
 	WatchAgeMs            uint32 `json:"watch_age_ms"`
 	CallerConnections     int    `json:"caller_connections"`
@@ -87,7 +91,9 @@
 	paths := n.pool.PathCounters()
 	slowCallers, _ := n.pool.HeldForCallers()
 	evacuated, evacuationsAge := n.evacuationsState()
+	restarts, endedAlone := n.peers.restartCounts()
 	return instanceState{
+		PeerRestarts: restarts, PeersEndedAlone: endedAlone,
 		EvacuatedDomains: evacuated, EvacuationsAgeMs: evacuationsAge, ColdTargets: n.cold.count(n.clock.Now()),
 		PathsLostNow: n.pool.LostPaths(), PathsLost: paths.Lost.Load(), PathChecks: paths.Checks.Load(), ConnsViaPeers: paths.Relayed.Load(),
 		RequestsNotPassedOn: n.relay.NotBegun.Load(), ConnsForPeers: n.relay.Relayed.Load(), ConnsForPeersNow: n.relay.Active(),
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -49,7 +49,10 @@
 	// when the last message that was received from it was sent, zero if none was.
 	lastMentionedAt, lastMessageAt time.Time
 	incarnation                    int64
-	configVersion                  uint64
+	// restarts counts the changes of the incarnation since the address is known, endedAlone those
+	// after which the incarnation before had not announced a shutdown.
+	restarts, endedAlone int
+	configVersion        uint64
 	// capacity is the instance's CPU share in hundredths of a core; draining is
 	// set while it shuts down.
 	capacity int
@@ -114,15 +117,16 @@
 
 // recordMessage stores the state in a message. It reports whether the sender has
 // restarted or was not known before.
-func (p *peerTable) recordMessage(address string, m *message) (restarted bool) {
+func (p *peerTable) recordMessage(address string, m *message) *restart {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state := p.add(address)
 	if state == nil {
-		return false
+		return nil
 	}
-	restarted = state.incarnation != m.Incarnation
-	if restarted {
+	var heard *restart
+	if state.incarnation != m.Incarnation {
+		heard = state.restart(p.clock.Now())
 		state.transit = transit{}
 	}
 	now := p.clock.Now()
@@ -142,7 +146,43 @@
 	if m.ConfigVersion <= inForce || state.watchedAt.IsZero() {
 		state.vouchedAt = state.watchedAt
 	}
-	return restarted
+	return heard
+}
+
+// restart describes how an instance was heard for the first time since it has started.
+type restart struct {
+	// before is the incarnation before; 0 if none was heard. hadShutDown reports whether that one
+	// had announced its shutdown, and silence is the time since its last message.
+	before      int64
+	hadShutDown bool
+	silence     time.Duration
+	// restarts and endedAlone are the counts of the address.
+	restarts, endedAlone int
+}
+
+// restart counts a change of the incarnation.
+func (s *peerState) restart(now time.Time) *restart {
+	r := &restart{before: s.incarnation, hadShutDown: s.draining}
+	if s.incarnation != 0 {
+		r.silence = now.Sub(s.lastMessageAt)
+		s.restarts++
+		if !s.draining {
+			s.endedAlone++
+		}
+	}
+	r.restarts, r.endedAlone = s.restarts, s.endedAlone
+	return r
+}
+
+// restartCounts returns the restarts of all known instances, and those without a shutdown before.
+func (p *peerTable) restartCounts() (restarts, endedAlone int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, state := range p.byAddress {
+		restarts += state.restarts
+		endedAlone += state.endedAlone
+	}
+	return restarts, endedAlone
 }
 
 // steadyTime returns a time that goes on while the machine is suspended, like the uptime that
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -24,3 +25,22 @@
 		assert.Equal(t, received[address], 2, address)
 	}
 }
+
+// Nothing told an instance that ended by itself from one that was stopped, or how often it did.
+func TestRestartsWithoutShutdownAreCounted(t *testing.T) {
+	const address = "10.0.0.1:1"
+	clock := clockwork.NewFakeClock()
+	peers := newPeerTable(clock, "10.0.0.9:1", []string{address})
+	first := peers.recordMessage(address, &message{Name: "edge-1", Incarnation: 1})
+	assert.Equal(t, *first, restart{})
+	assert.Assert(t, peers.recordMessage(address, &message{Name: "edge-1", Incarnation: 1}) == nil)
+	clock.Advance(time.Second)
+	ended := peers.recordMessage(address, &message{Name: "edge-1", Incarnation: 2})
+	assert.Equal(t, *ended, restart{before: 1, silence: time.Second, restarts: 1, endedAlone: 1})
+	assert.Assert(t, peers.recordMessage(address, &message{Name: "edge-1", Incarnation: 2, Draining: true}) == nil)
+	stopped := peers.recordMessage(address, &message{Name: "edge-1", Incarnation: 3})
+	assert.Equal(t, *stopped, restart{before: 2, hadShutDown: true, restarts: 2, endedAlone: 1})
+	restarts, endedAlone := peers.restartCounts()
+	assert.Equal(t, restarts, 2)
+	assert.Equal(t, endedAlone, 1)
+}
