Test that a panic in a handler does not end the reception from peers

Goroutines of a conc.WaitGroup keep a panic until Wait, which a bus calls when it is closed. A panic in the handler of one datagram therefore ends the loop that receives all datagrams, silently: the instance goes on, deaf to gossip and placement.

--- a/internal/peer/net_test.go
+++ b/internal/peer/net_test.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 )
 
@@ -245,3 +247,36 @@
 	wg.Wait()
 	assert.NilError(t, conn.Close())
 }
+
+// A panic in the handler of one datagram, or of one call, ended the reception of all others until
+// the bus was closed, without a log line.
+func TestPanicInAHandlerDoesNotEndTheReception(t *testing.T) {
+	a, b := newBus(t, testSecret), newBus(t, testSecret)
+	core, lines := observer.New(zap.ErrorLevel)
+	b.logger = zap.New(core)
+	got := make(chan string, 1)
+	b.HandleDatagram(KindCredit, func(_ string, body []byte) {
+		if string(body) == "odd" {
+			panic("unexpected value")
+		}
+		got <- string(body)
+	})
+	b.Handle("odd", func(context.Context, string, json.RawMessage) (any, error) { panic("unexpected value") })
+	b.Handle("echo", echoHandler)
+	assert.NilError(t, a.Start())
+	assert.NilError(t, b.Start())
+	assert.NilError(t, a.Send(b.Address(), KindCredit, []byte("odd")))
+	assert.NilError(t, a.Send(b.Address(), KindCredit, []byte("sound")))
+	select {
+	case body := <-got:
+		assert.Equal(t, body, "sound")
+	case <-time.After(10 * time.Second):
+		t.Error("no datagram is received after one whose handler panicked")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	assert.Check(t, a.Call(ctx, b.Address(), "odd", 1, nil) != nil)
+	assert.NilError(t, ctx.Err(), "the call got no response")
+	assert.NilError(t, a.Call(ctx, b.Address(), "echo", 1, &echoResult{}))
+	assert.Equal(t, lines.Len(), 2)
+}
