Contain panics in the handlers of peers' messages

A panic in the handler of one datagram ended the reception of all, since conc.WaitGroup keeps panics until Wait, which is called when the bus is closed. The instance went on, heard no gossip and gave no slots, and left no line. A call whose handler panicked got no response.

Each message, call and stream of a peer is now handled within contain.Run, which logs a panic with its stack, counts it and lets the next one be handled; a call gets an error.

--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
 )
 
@@ -98,7 +99,7 @@
 			continue
 		}
 		if handler := b.datagramHandlers[kind]; handler != nil {
-			handler(from, body)
+			contain.Run(b.logger, "datagram of a peer", func() { handler(from, body) })
 		}
 	}
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -6,8 +6,11 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 )
 
 const (
@@ -17,6 +20,9 @@
 	codeHandlerError = -32000
 )
 
+// errHandlerPanicked is the response to a call whose handler panicked.
+var errHandlerPanicked = errors.New("internal error")
+
 // acceptConnections accepts connections until the bus is closed. Connections above
 // maxHandshakes are closed.
 func (b *NetBus) acceptConnections() {
@@ -126,7 +132,8 @@
 	if request.Params != nil {
 		params = *request.Params
 	}
-	result, err := handler(ctx, s.callerAddress, params)
+	result, err := any(nil), errHandlerPanicked
+	contain.Run(s.bus.logger, "call of a peer", func() { result, err = handler(ctx, s.callerAddress, params) })
 	if err != nil {
 		s.reply(ctx, conn, request, nil, &jsonrpc2.Error{Code: codeHandlerError, Message: err.Error()})
 		return
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
 )
 
@@ -38,6 +39,6 @@
 func (b *NetBus) serveStream(from string, conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	if b.streamHandler != nil {
-		b.streamHandler(from, conn)
+		contain.Run(b.logger, "stream of a peer", func() { b.streamHandler(from, conn) })
 	}
 }
