Run background tasks of an instance again after a panic

A panic in a task that follows targets or the configuration, gossips or coordinates ended that task for the life of the instance: conc.WaitGroup keeps panics until Wait, which nothing calls. The instance went on without it, without a line. The loop that expires leases ran in a goroutine of its own, where a panic ended the process with its requests.

Each task is now run by contain.Repeat: a panic is logged with its stack and counted (`panics` in the metrics), and the task is run again after a second. The two loops of package placement are tasks of their own, so that neither is started twice.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/configsync"
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
@@ -320,10 +321,13 @@
 func (n *Node) startBackground() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	for _, task := range []func(context.Context){
-		n.followDeclarations, n.followEvacuations, n.followTargets, n.followMembers, n.gossip, n.syncWithPeers, n.sweepIdle, n.followRollouts, n.followNewerConfigurations, n.placement.Run, n.maintainRoster, n.watchCrashes, n.pool.WatchPaths,
+	for name, task := range map[string]func(context.Context){
+		"follow declarations": n.followDeclarations, "follow evacuations": n.followEvacuations, "follow targets": n.followTargets,
+		"follow members": n.followMembers, "follow rollouts": n.followRollouts, "follow newer configurations": n.followNewerConfigurations,
+		"gossip": n.gossip, "sync with peers": n.syncWithPeers, "sweep idle": n.sweepIdle, "coordinate": n.placement.Run, "renew leases": n.placement.RunClient,
+		"maintain roster": n.maintainRoster, "watch crashes": n.watchCrashes, "watch paths": n.pool.WatchPaths,
 	} {
-		n.background.Go(func() { task(ctx) })
+		n.background.Go(func() { contain.Repeat(ctx, n.clock, n.logger, name, task) })
 	}
 }
 
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -58,11 +58,11 @@
 	return s
 }
 
-// Run renews and expires leases until the context ends.
-func (s *Service) Run(ctx context.Context) {
-	go s.server.run(ctx)
-	s.client.run(ctx)
-}
+// Run expires leases of this instance's groups until the context ends.
+func (s *Service) Run(ctx context.Context) { s.server.run(ctx) }
+
+// RunClient renews the leases of this instance's requests until the context ends.
+func (s *Service) RunClient(ctx context.Context) { s.client.run(ctx) }
 
 // Acquire waits until the request may start. The error is a
 // *schedule.RefusedError or that of the context.
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -85,6 +85,7 @@
 		}
 	}()
 	go service.Run(t.Context())
+	go service.RunClient(t.Context())
 	return service
 }
 
