Contain a panic to the request that is being served

A panic while a request was served ended the process and, with it, all requests of the instance: fasthttp does not recover. A fault that one request shows ended instance after instance while it was sent again.

The request now gets 502, which promises nothing about what has run, and its connection is closed; the panic is logged with its stack and counted. Parts of a response that are written after the handler has returned are not covered.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 )
@@ -213,20 +214,29 @@
 		return
 	}
 	conn, _ := ctx.Conn().(*callerConn)
-	request := s.readRequest(ctx)
-	if conn != nil {
-		request.Delivery = conn.delivery(request.ReceivedAt)
-	}
 	requestCtx, cancel := context.WithCancelCause(s.baseContext)
-	if conn != nil {
-		conn.WatchClose(func() { cancel(nil) })
-	}
 	finish := func() {
 		cancel(nil)
 		if conn != nil {
 			conn.StopWatch()
 		}
 	}
+	if !contain.Run(s.gateway.Logger, "request", func() { s.serveRequest(requestCtx, ctx, conn, cancel, finish) }) {
+		// Whether a target has run it is not known: this status promises nothing.
+		finish()
+		ctx.Response.Reset()
+		ctx.SetStatusCode(http.StatusBadGateway)
+		ctx.SetConnectionClose()
+	}
+}
+
+// serveRequest serves one request and writes its response, after which finish is called.
+func (s *Server) serveRequest(requestCtx context.Context, ctx *fasthttp.RequestCtx, conn *callerConn, cancel context.CancelCauseFunc, finish func()) {
+	request := s.readRequest(ctx)
+	if conn != nil {
+		request.Delivery = conn.delivery(request.ReceivedAt)
+		conn.WatchClose(func() { cancel(nil) })
+	}
 	response := s.gateway.Serve(requestCtx, request)
 	if s.gateway.Draining() || conn != nil && !conn.mayReuse() {
 		ctx.SetConnectionClose()
