Wait for ports that are in use at the start

An instance whose port was still in use when it started, for instance by the process before, or whose address was not assigned yet, ended at once with status 4: no caller was served by it until something started it again, and each try counted as an end.

Any failure to listen was taken for final. An address that is in use or not assigned (EADDRINUSE, EADDRNOTAVAIL) is now tried again each 250 ms until it is available or a signal ends the start; other errors end the start as before. All sockets are opened together or none is, so that no connection or message of another instance waits at one socket for the port of another, and readiness is only answered when callers are served. The port of the metrics is waited for in the background. Times that begin with the start are taken after the wait. Sockets of a start that fails are closed.

That addresses not assigned are retried is shown by unit tests only. That the users saw this is not shown.

--- /dev/null
+++ b/internal/listen/listen.go
@@ -0,0 +1,82 @@
+// Package listen opens sockets whose address may not be available yet, and accepts
+// connections as long as their listener is open.
+package listen
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
+)
+
+// bindRetryInterval is the interval at which Retry tries again.
+const bindRetryInterval = 250 * time.Millisecond
+
+// Error is a failure to listen.
+type Error struct {
+	// Server is what the address is for.
+	Server, Address string
+	Err             error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "listen for " + e.Server + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// IsPassing reports whether the address may become available: it is in use, or not assigned to
+// an interface.
+func IsPassing(err error) bool {
+	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
+// TCP listens on an address for a server. It returns an *Error.
+func TCP(server, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &Error{Server: server, Address: address, Err: err}
+	}
+	return l, nil
+}
+
+// Retry calls open until all addresses are available. It returns the error of open if that is
+// any other than that an address is in use or not assigned, and that of ctx if it ends before.
+// open leaves no socket open when it fails.
+func Retry(ctx context.Context, clock clockwork.Clock, logger *zap.Logger, open func() error) error {
+	type wait struct {
+		failure *Error
+		since   time.Time
+	}
+	waits := make(map[string]wait)
+	for {
+		err := open()
+		if err == nil {
+			for _, w := range waits {
+				logger.Info("address bound", zap.String("server", w.failure.Server), zap.String("address", w.failure.Address),
+					zap.Duration("waited", clock.Since(w.since)))
+			}
+			return nil
+		}
+		var failure *Error
+		if !errors.As(err, &failure) || !IsPassing(err) {
+			return err
+		}
+		if _, known := waits[failure.Server]; !known {
+			waits[failure.Server] = wait{failure, clock.Now()}
+			logger.Warn("address not available; it is tried again", zap.String("server", failure.Server),
+				zap.String("address", failure.Address), zap.Duration("interval", bindRetryInterval), eventlog.ErrorField(err))
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), err.Error())
+		case <-clock.After(bindRetryInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/listen/listen_test.go
@@ -0,0 +1,69 @@
+package listen
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+)
+
+// bindError is the error of a system call of net.Listen.
+func bindError(server string, cause syscall.Errno) error {
+	return &Error{Server: server, Address: "192.0.2.1:80", Err: &net.OpError{Op: "listen", Net: "tcp", Err: os.NewSyscallError("bind", cause)}}
+}
+
+func TestRetryUntilAddressesAreAvailable(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	core, logs := observer.New(zap.InfoLevel)
+	failures := []error{
+		bindError("callers", syscall.EADDRNOTAVAIL), bindError("callers", syscall.EADDRNOTAVAIL),
+		errors.Wrap(bindError("metrics", syscall.EADDRINUSE), "wrapped"), bindError("callers", syscall.EADDRINUSE),
+	}
+	result := make(chan error)
+	go func() {
+		result <- Retry(t.Context(), clock, zap.New(core), func() error {
+			if len(failures) == 0 {
+				return nil
+			}
+			err := failures[0]
+			failures = failures[1:]
+			return err
+		})
+	}()
+	for range 4 {
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(bindRetryInterval)
+	}
+	assert.NilError(t, <-result)
+	waits := make(map[string]any)
+	for _, entry := range logs.FilterMessage("address bound").All() {
+		waits[entry.ContextMap()["server"].(string)] = entry.ContextMap()["waited"]
+	}
+	assert.DeepEqual(t, waits, map[string]any{"callers": 4 * bindRetryInterval, "metrics": 2 * bindRetryInterval})
+	assert.Equal(t, logs.FilterMessage("address not available; it is tried again").Len(), 2)
+	assert.Equal(t, logs.Len(), 4)
+}
+
+func TestRetryEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	err := Retry(ctx, clockwork.NewFakeClock(), zap.NewNop(), func() error {
+		cancel()
+		return bindError("callers", syscall.EADDRINUSE)
+	})
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.ErrorContains(t, err, "address already in use")
+}
+
+func TestRetryReturnsOtherErrors(t *testing.T) {
+	for _, failure := range []error{bindError("callers", syscall.EACCES), errors.New("a setting is wrong")} {
+		err := Retry(t.Context(), clockwork.NewFakeClock(), zap.NewNop(), func() error { return failure })
+		assert.ErrorIs(t, err, failure)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
+	"github.com/hibiscuspost/hibiscuspost/internal/listen"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/placement"
@@ -169,8 +170,13 @@
 	background conc.WaitGroup
 }
 
-// Start listens on the addresses of the settings and starts to serve.
-func Start(options Options) (*Node, error) {
+// Start listens on the addresses of the settings and starts to serve. It waits for addresses
+// that are not available yet until ctx ends, which bounds nothing but the start.
+func Start(ctx context.Context, options Options) (*Node, error) {
+	sockets, err := openSockets(ctx, options)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		settings: options.Settings, controlPlane: options.ControlPlane, clock: options.Clock, bootTime: bootTime, logger: options.Logger,
 		incarnation:   options.Clock.Now().UnixNano() ^ int64(rand.Uint32()),
@@ -197,9 +203,7 @@
 	n.pool.SetMaxIdle(n.idleConnectionLimit)
 	n.quota = quota.New(options.Clock, n.newRandom(), options.Settings.QuotaTolerance, options.Settings.FirstStart)
 	n.quotaGate = newQuotaGate(n, n.quota)
-	if err := n.listenPeers(options); err != nil {
-		return nil, err
-	}
+	n.connectPeers(sockets.bus)
 	n.divideBudgets()
 	n.callerServer = gateway.NewServer(gateway.New(gateway.Options{
 		Protocol: options.Protocol, Catalog: n.configuration, Placer: n.placement, Pool: n.pool, Quota: n.quotaGate, Rollouts: n.rollouts, Quarantine: n.quarantine,
@@ -207,11 +211,13 @@
 		ObserveLatency: n.observeLatency, ClusterView: n.clusterView, FailureDomain: options.Settings.FailureDomain, Clock: options.Clock, Logger: options.Logger,
 	}))
 	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
-	if err := n.listenAll(options.ReadinessPath); err != nil {
-		return nil, err
+	if err := n.bus.Start(); err != nil {
+		sockets.close()
+		return nil, errors.Wrap(err, "start to receive from other instances")
 	}
 	n.publishMetrics(options.LogDrops)
-	n.startBackground()
+	n.serve(sockets, options.ReadinessPath)
+	n.startBackground(sockets.metrics)
 	n.logger.Info("instance started",
 		zap.String("callers", n.callerAddress), zap.String("peers", n.settings.PeerAddress),
 		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", options.Settings.FirstStart))
@@ -238,16 +244,78 @@
 	debug.SetGCPercent(gcPercent)
 }
 
-// listenPeers binds the address for other instances, which identifies this
-// instance from then on.
-func (n *Node) listenPeers(options Options) error {
-	var err error
-	n.bus, err = peer.Listen(peer.Options{
-		Address: n.settings.PeerAddress, Secret: deploymentSecret(n.settings.Deployment), Logger: n.logger, Dial: options.DialPeer, SendPacket: options.SendPeer,
+// The servers of an instance, by whom they serve.
+const (
+	serverCallers   = "callers"
+	serverReadiness = "readiness checks"
+	serverPeers     = "other instances"
+	serverMetrics   = "metrics"
+)
+
+// sockets are the sockets of an instance before it serves.
+type sockets struct {
+	callers, readiness net.Listener
+	// metrics is nil if the address is not available yet, or none is set.
+	metrics net.Listener
+	bus     *peer.NetBus
+}
+
+func (s *sockets) close() {
+	for _, l := range []net.Listener{s.callers, s.readiness, s.metrics} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+	if s.bus != nil {
+		_ = s.bus.Close()
+	}
+}
+
+// openSockets opens all sockets or none, so that no connection or message waits at some while
+// the instance waits for the address of another. It does not wait for that of the metrics.
+func openSockets(ctx context.Context, options Options) (*sockets, error) {
+	var opened *sockets
+	err := listen.Retry(ctx, options.Clock, options.Logger, func() error {
+		s := &sockets{}
+		if err := s.open(options); err != nil {
+			s.close()
+			return err
+		}
+		opened = s
+		return nil
+	})
+	if err != nil || options.Settings.MetricsAddress == "" {
+		return opened, err
+	}
+	opened.metrics, err = listen.TCP(serverMetrics, options.Settings.MetricsAddress)
+	if err != nil && !listen.IsPassing(err) {
+		opened.close()
+		return nil, err
+	}
+	return opened, nil
+}
+
+func (s *sockets) open(options Options) (err error) {
+	settings := &options.Settings
+	if s.callers, err = listen.TCP(serverCallers, settings.CallerAddress); err != nil {
+		return err
+	}
+	if s.readiness, err = listen.TCP(serverReadiness, settings.ReadinessAddress); err != nil {
+		return err
+	}
+	s.bus, err = peer.Listen(peer.Options{
+		Address: settings.PeerAddress, Secret: deploymentSecret(settings.Deployment), Logger: options.Logger, Dial: options.DialPeer, SendPacket: options.SendPeer,
 	})
 	if err != nil {
-		return errors.Wrap(err, "listen for other instances")
+		return &listen.Error{Server: serverPeers, Address: settings.PeerAddress, Err: err}
 	}
+	return nil
+}
+
+// connectPeers connects the components to other instances. The address of the bus identifies
+// this instance from then on.
+func (n *Node) connectPeers(bus *peer.NetBus) {
+	n.bus = bus
 	n.settings.PeerAddress = n.bus.Address()
 	n.peers = newPeerTable(n.clock, n.settings.PeerAddress, n.settings.Seeds)
 	n.peers.configuration = n.configuration
@@ -263,43 +331,34 @@
 	n.bus.HandleDatagram(peer.KindPlacement, n.placement.HandleMessage)
 	n.registerCallHandlers()
 	n.connectRelay()
-	return nil
 }
 
-// listenAll starts to receive from other instances, binds the addresses for
-// callers, readiness checks and metrics, and starts to serve them.
-func (n *Node) listenAll(readinessPath string) error {
-	if err := n.bus.Start(); err != nil {
-		return errors.Wrap(err, "start to receive from other instances")
-	}
-	callerListener, err := net.Listen("tcp", n.settings.CallerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	readinessListener, err := net.Listen("tcp", n.settings.ReadinessAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for readiness checks")
-	}
-	n.callerAddress, n.readinessAddress = callerListener.Addr().String(), readinessListener.Addr().String()
+// serve starts to serve callers and readiness checks.
+func (n *Node) serve(s *sockets, readinessPath string) {
+	n.callerAddress, n.readinessAddress = s.callers.Addr().String(), s.readiness.Addr().String()
 	n.readinessServer = fiber.New(fiber.Config{DisableStartupMessage: true})
 	n.readinessServer.Get(readinessPath, n.handleReadiness)
-	n.background.Go(func() { n.logServerEnd("callers", n.callerServer.Serve(callerListener)) })
-	n.background.Go(func() { n.logServerEnd("balancer", n.readinessServer.Listener(readinessListener)) })
-	return n.listenMetrics()
+	n.background.Go(func() { n.logServerEnd(serverCallers, n.callerServer.Serve(s.callers)) })
+	n.background.Go(func() { n.logServerEnd(serverReadiness, n.readinessServer.Listener(s.readiness)) })
 }
 
-func (n *Node) listenMetrics() error {
-	if n.settings.MetricsAddress == "" {
-		return nil
-	}
-	l, err := net.Listen("tcp", n.settings.MetricsAddress)
+// serveMetrics serves the metrics until ctx ends. l is nil if the address was not available at
+// the start.
+func (n *Node) serveMetrics(ctx context.Context, l net.Listener) {
+	err := listen.Retry(ctx, n.clock, n.logger, func() (err error) {
+		if l == nil {
+			l, err = listen.TCP(serverMetrics, n.settings.MetricsAddress)
+		}
+		return err
+	})
 	if err != nil {
-		return errors.Wrap(err, "listen for metrics")
+		n.logServerEnd(serverMetrics, err)
+		return
 	}
+	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	app.Get("/*", adaptor.HTTPHandler(expvar.Handler()))
-	n.background.Go(func() { n.logServerEnd("metrics", app.Listener(l)) })
-	return nil
+	n.logServerEnd(serverMetrics, app.Listener(l))
 }
 
 // logServerEnd logs why a server stopped, unless the instance is shutting down.
@@ -316,8 +375,9 @@
 	return []byte("hibiscuspost instances of " + deployment)
 }
 
-// startBackground starts the background tasks.
-func (n *Node) startBackground() {
+// startBackground starts the background tasks. metrics is the listener of the metrics, if it is
+// open.
+func (n *Node) startBackground(metrics net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	for _, task := range []func(context.Context){
@@ -325,6 +385,9 @@
 	} {
 		n.background.Go(func() { task(ctx) })
 	}
+	if n.settings.MetricsAddress != "" {
+		n.background.Go(func() { n.serveMetrics(ctx, metrics) })
+	}
 }
 
 // sweepIdle closes idle connections and divides the shared budgets anew, until
