Accept connections again after a shortage of descriptors

An instance whose descriptors were used up for a moment served no callers and answered no readiness checks from then on, while the process went on: nothing restarted it.

Accept returns an error when the system has no descriptor or memory for a connection (EMFILE, ENFILE, ENOBUFS, ENOMEM), and the HTTP servers take any error of Accept for the end. Listeners are now wrapped so that Accept fails only when they are closed, and tries again 50 ms after other errors. The wrapper serves callers, readiness checks, metrics, and the listeners of `serve`, which had the same fault; it replaces the loop that messages of other instances had of their own. The failures are counted in accept_failures and logged at most once a second.

For `serve` there is no test of a process. That the users saw this is not shown.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/directory"
 	"github.com/hibiscuspost/hibiscuspost/internal/entry"
 	"github.com/hibiscuspost/hibiscuspost/internal/executor"
+	"github.com/hibiscuspost/hibiscuspost/internal/listen"
 	"github.com/hibiscuspost/hibiscuspost/internal/membership"
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/move"
@@ -111,21 +112,27 @@
 }
 
 func (i *Instance) listen() error {
-	listen := &i.options.Settings.Listen
-	listener, err := net.Listen("tcp", listen.Callers)
+	addresses := &i.options.Settings.Listen
+	listener, err := net.Listen("tcp", addresses.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	i.callerListener = newTrackedListener(listener)
-	if i.adminListener, err = net.Listen("tcp", listen.Admin); err != nil {
+	i.callerListener = newTrackedListener(i.retrying("callers", listener))
+	if listener, err = net.Listen("tcp", addresses.Admin); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
+	i.adminListener = i.retrying("operators", listener)
 	i.bus, err = peer.Listen(peer.Options{
-		Address: listen.Peers, Secret: i.options.Secrets.PeerSecret, Logger: i.logger,
+		Address: addresses.Peers, Secret: i.options.Secrets.PeerSecret, Logger: i.logger,
 	})
 	return errors.Wrap(err, "listen for instances")
 }
 
+// retrying returns a listener for a server that accepts from l as long as it is open.
+func (i *Instance) retrying(server string, l net.Listener) net.Listener {
+	return listen.NewListener(l, listen.ListenerOptions{Server: server, Clock: i.clock, Logger: i.logger})
+}
+
 func (i *Instance) closeListeners() {
 	if i.callerListener != nil {
 		_ = i.callerListener.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,7 +111,9 @@
 	counters                        gossipCounters
 	updateCounters                  updateCounters
 	requestCounters                 gateway.Counters
-	metrics                         *metrics.Set
+	// acceptFailures counts connections that could not be accepted.
+	acceptFailures *atomic.Uint64
+	metrics        *metrics.Set
 
 	// bootTime returns the time since the machine was started, with that for which it was suspended.
 	bootTime func() time.Duration
@@ -203,6 +205,7 @@
 	n.pool.SetMaxIdle(n.idleConnectionLimit)
 	n.quota = quota.New(options.Clock, n.newRandom(), options.Settings.QuotaTolerance, options.Settings.FirstStart)
 	n.quotaGate = newQuotaGate(n, n.quota)
+	n.acceptFailures = &sockets.acceptFailures
 	n.connectPeers(sockets.bus)
 	n.divideBudgets()
 	n.callerServer = gateway.NewServer(gateway.New(gateway.Options{
@@ -258,6 +261,8 @@
 	// metrics is nil if the address is not available yet, or none is set.
 	metrics net.Listener
 	bus     *peer.NetBus
+	// acceptFailures counts connections that could not be accepted at any of them.
+	acceptFailures atomic.Uint64
 }
 
 func (s *sockets) close() {
@@ -305,6 +310,7 @@
 	}
 	s.bus, err = peer.Listen(peer.Options{
 		Address: settings.PeerAddress, Secret: deploymentSecret(settings.Deployment), Logger: options.Logger, Dial: options.DialPeer, SendPacket: options.SendPeer,
+		AcceptFailures: &s.acceptFailures,
 	})
 	if err != nil {
 		return &listen.Error{Server: serverPeers, Address: settings.PeerAddress, Err: err}
@@ -338,8 +344,15 @@
 	n.callerAddress, n.readinessAddress = s.callers.Addr().String(), s.readiness.Addr().String()
 	n.readinessServer = fiber.New(fiber.Config{DisableStartupMessage: true})
 	n.readinessServer.Get(readinessPath, n.handleReadiness)
-	n.background.Go(func() { n.logServerEnd(serverCallers, n.callerServer.Serve(s.callers)) })
-	n.background.Go(func() { n.logServerEnd(serverReadiness, n.readinessServer.Listener(s.readiness)) })
+	n.background.Go(func() { n.logServerEnd(serverCallers, n.callerServer.Serve(n.retrying(serverCallers, s.callers))) })
+	n.background.Go(func() {
+		n.logServerEnd(serverReadiness, n.readinessServer.Listener(n.retrying(serverReadiness, s.readiness)))
+	})
+}
+
+// retrying returns a listener for a server that accepts from l as long as it is open.
+func (n *Node) retrying(server string, l net.Listener) net.Listener {
+	return listen.NewListener(l, listen.ListenerOptions{Server: server, Clock: n.clock, Logger: n.logger, Failures: n.acceptFailures})
 }
 
 // serveMetrics serves the metrics until ctx ends. l is nil if the address was not available at
@@ -355,6 +368,7 @@
 		n.logServerEnd(serverMetrics, err)
 		return
 	}
+	l = n.retrying(serverMetrics, l)
 	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	app.Get("/*", adaptor.HTTPHandler(expvar.Handler()))
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -5,12 +5,15 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/listen"
 )
 
 // Limits of a NetBus.
@@ -42,6 +45,8 @@
 	Dial DialFunc
 	// SendPacket sends a packet to another instance; nil sends it over UDP.
 	SendPacket SendPacketFunc
+	// AcceptFailures counts connections that could not be accepted; it may be nil.
+	AcceptFailures *atomic.Uint64
 }
 
 // DialFunc opens a connection to an address of a network.
@@ -62,7 +67,7 @@
 	secret           []byte
 	logger           *zap.Logger
 	clock            clockwork.Clock
-	listener         *net.TCPListener
+	listener         net.Listener
 	udpConn          *net.UDPConn
 	sealer           *sealer
 	callHandlers     map[string]CallHandler
@@ -107,7 +112,6 @@
 		secret:           append([]byte(nil), options.Secret...),
 		logger:           options.Logger,
 		clock:            options.Clock,
-		listener:         listener,
 		udpConn:          udpConn,
 		sealer:           newSealer(options.Secret),
 		callHandlers:     make(map[string]CallHandler),
@@ -130,6 +134,7 @@
 	if b.clock == nil {
 		b.clock = clockwork.NewRealClock()
 	}
+	b.listener = listen.NewListener(listener, listen.ListenerOptions{Server: "other instances", Clock: b.clock, Logger: b.logger, Failures: options.AcceptFailures})
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	return b, nil
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -4,33 +4,21 @@
 	"context"
 	"encoding/json"
 	"net"
-	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 )
 
-const (
-	// acceptRetryDelay is the delay after a failed accept.
-	acceptRetryDelay = 50 * time.Millisecond
-	// codeHandlerError is the jsonrpc2 code of errors returned by a CallHandler.
-	codeHandlerError = -32000
-)
+// codeHandlerError is the jsonrpc2 code of errors returned by a CallHandler.
+const codeHandlerError = -32000
 
 // acceptConnections accepts connections until the bus is closed. Connections above
 // maxHandshakes are closed.
 func (b *NetBus) acceptConnections() {
 	for {
 		conn, err := b.listener.Accept()
-		if b.ctx.Err() != nil {
-			if err == nil {
-				_ = conn.Close()
-			}
-			return
-		}
 		if err != nil {
-			b.waitAcceptRetry()
-			continue
+			return
 		}
 		select {
 		case b.handshakeSlots <- struct{}{}:
@@ -44,15 +32,6 @@
 	}
 }
 
-// waitAcceptRetry delays the next accept, so that the loop does not spin while
-// accepting fails, for instance for lack of file descriptors.
-func (b *NetBus) waitAcceptRetry() {
-	select {
-	case <-b.ctx.Done():
-	case <-b.clock.After(acceptRetryDelay):
-	}
-}
-
 // serveConn authenticates one connection and serves its calls until it is closed.
 func (b *NetBus) serveConn(conn net.Conn) {
 	if !b.trackIncoming(conn) {
