Bound the operator's priorities where coordinators compare queues

A tenant's priority of -1 or a route's of -2 in the configuration ended every instance that coordinates a full service, and again after each restart. The scheduler bounds priorities to those of its queues, but the expected wait and the count of redirected requests took them as they are and sliced by them.

Both now use the same bound, so that priorities below 0 count as 0, as they do in the queues.

--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -72,7 +72,7 @@
 		return groupKey{}, false
 	}
 	joined := s.capacities[best]
-	joined.QueuedByPriority[min(priority, schedule.PriorityCount-1)]++
+	joined.AddQueued(priority)
 	s.capacities[best] = joined
 	return s.groups.Load().ordered[best], true
 }
--- a/internal/schedule/availability.go
+++ b/internal/schedule/availability.go
@@ -24,11 +24,14 @@
 	return time.Duration(a.queuedAhead(priority)) * a.SlotInterval
 }
 
+// AddQueued counts a request that joins the queue.
+func (a *Availability) AddQueued(priority int) { a.QueuedByPriority[queuePriority(priority)]++ }
+
 // queuedAhead returns the number of queued requests that go before one of the
 // priority that joins the queue.
 func (a *Availability) queuedAhead(priority int) int {
 	ahead := 0
-	for _, queued := range a.QueuedByPriority[:min(priority, PriorityCount-1)+1] {
+	for _, queued := range a.QueuedByPriority[:queuePriority(priority)+1] {
 		ahead += queued
 	}
 	return ahead
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -91,7 +91,10 @@
 // part and all parts before it.
 type PrefixPart = routing.PrefixBlock
 
-func (r *Request) priority() int { return min(max(r.Priority, 0), PriorityCount-1) }
+func (r *Request) priority() int { return queuePriority(r.Priority) }
+
+// queuePriority returns the priority as that of a queue: the operator's may be any number.
+func queuePriority(priority int) int { return min(max(priority, 0), PriorityCount-1) }
 
 // HasVersionConstraint reports whether the targets are restricted by version.
 func (r *Request) HasVersionConstraint() bool { return r.Version != "" || r.ExcludedVersion != "" }
