Test that leaving targets do not end a coordinator that redirects

The division of the targets into groups is replaced without the lock under which a coordinator looks for another group, and read twice there. If the targets of groups leave in between, the position found in the first is out of range in the second.

--- /dev/null
+++ b/internal/placement/capacity_groups_test.go
@@ -0,0 +1,34 @@
+package placement
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+)
+
+// Targets that left while a coordinator redirected a request ended it by a panic: the position of
+// the other group was that of the list before.
+func TestTargetsThatLeaveDuringARedirectionDoNotEndTheCoordinator(t *testing.T) {
+	const duration = 2 * time.Second
+	ts := newTestServer(t, newEngineGroups()...)
+	many, one := ts.server.groups.Load(), NewGroups([]*catalog.Target{newEngine("a", 1)})
+	last := len(many.ordered) - 1
+	ts.server.handleCapacityReport(&capacityReport{IntervalMs: time.Hour.Milliseconds(), Groups: []groupCapacity{{Position: last, FreeSlots: 1 << 40}}})
+	var stop atomic.Bool
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for !stop.Load() {
+			ts.server.groups.Store(one)
+			ts.server.groups.Store(many)
+		}
+	})
+	defer changes.Wait()
+	defer stop.Store(true)
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		ts.server.reserveElsewhere(groupKey{"engines", 0})
+		ts.server.queueElsewhere(groupKey{"engines", 0}, 0, time.Hour)
+	}
+}
