Look for another group in one division of the targets

A coordinator that redirected a request while targets left, so that a service had fewer groups, could end by a panic: it found the position of another group in one division of the targets and read it from the next one. Both now come from the division that is in force at the start.

--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -29,10 +29,11 @@
 // reserveElsewhere returns the group of the service with the most free slots by
 // the reports of coordinators, and deducts one slot from the report.
 func (s *Server) reserveElsewhere(group groupKey) (groupKey, bool) {
+	groups := s.groups.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	best, bestFree := -1, 0
-	for _, position := range s.reportedPositions(group) {
+	for _, position := range s.reportedPositions(groups, group) {
 		if free := s.capacities[position].FreeSlots; free > bestFree {
 			best, bestFree = position, free
 		}
@@ -43,7 +44,7 @@
 	reserved := s.capacities[best]
 	reserved.FreeSlots--
 	s.capacities[best] = reserved
-	return s.groups.Load().ordered[best], true
+	return groups.ordered[best], true
 }
 
 // queueElsewhere returns a group of the service where a request of the priority
@@ -54,9 +55,10 @@
 	if ownWait < minQueueGain {
 		return groupKey{}, false
 	}
+	groups := s.groups.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	positions := s.reportedPositions(group)
+	positions := s.reportedPositions(groups, group)
 	if len(positions) == 0 {
 		return groupKey{}, false
 	}
@@ -74,13 +76,13 @@
 	joined := s.capacities[best]
 	joined.AddQueued(priority)
 	s.capacities[best] = joined
-	return s.groups.Load().ordered[best], true
+	return groups.ordered[best], true
 }
 
 // reportedPositions returns the positions of the other groups of the service
-// whose last report is still valid. The caller holds s.mu.
-func (s *Server) reportedPositions(group groupKey) []int {
-	groups := s.groups.Load()
+// whose last report is still valid. Positions belong to one division of the targets, which is
+// replaced without s.mu. The caller holds s.mu.
+func (s *Server) reportedPositions(groups *Groups, group groupKey) []int {
 	now := s.clock.Now()
 	var positions []int
 	for position, capacity := range s.capacities {
