Skip instances that are forgotten while aggregators are chosen

With more than twelve instances, the choice of aggregators could end the process by a nil pointer dereference if another goroutine forgot an instance between the read of the addresses and the choice. Forgotten ones are skipped, as mayRelay does.

--- a/internal/node/topology.go
+++ b/internal/node/topology.go
@@ -54,7 +54,8 @@
 		if chosen == aggregatorCount {
 			break
 		}
-		if state := p.byAddress[address]; state.mayAggregate(now) {
+		// An instance may have been forgotten since its address was read.
+		if state := p.byAddress[address]; state != nil && state.mayAggregate(now) {
 			t.recipients = append(t.recipients, address)
 			chosen++
 		}
