Bound the operator's limit on request bodies by what can be held

Memory for a body is allocated at once by the length that its request states. With a max_body_bytes that means "none", one request ended the process, by "out of memory" or by a panic of the allocation. The limit is now at most 1 GiB and the instance's memory limit, for both the parser and the reservation; longer bodies get 413. A limit below 0, which the parser took for none of the instance's, is 16 MiB as one of 0.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,9 @@
 	maxHeaderBytes = 17 << 10
 	// maxBodyBytes bounds a request body until a configuration is known.
 	maxBodyBytes = 16 << 20
+	// maxConfiguredBodyBytes bounds the operator's limit on request bodies, as does the
+	// instance's memory: a body is allocated at once by the length that a caller states.
+	maxConfiguredBodyBytes = 1 << 30
 	// maxConnections bounds callers' connections; connectionLimit may be lower.
 	maxConnections = 3000
 	// maxPooledBody is the size up to which buffers of bodies are reused.
@@ -44,6 +48,8 @@
 	conns connCounts
 	// callers bounds the callers' memory and connections.
 	callers *callers
+	// memoryLimit is the instance's memory in bytes; 0 if it is not bounded.
+	memoryLimit atomic.Int64
 }
 
 // NewServer returns a server for the gateway.
@@ -83,13 +89,22 @@
 
 // SetMemoryLimit bounds the memory for callers' requests by the instance's limit in bytes; 0
 // means no bound.
-func (s *Server) SetMemoryLimit(bytes int64) { s.callers.setMemory(bytes) }
+func (s *Server) SetMemoryLimit(bytes int64) {
+	s.memoryLimit.Store(bytes)
+	s.callers.setMemory(bytes)
+}
 
+// longestBody returns the limit on a request body.
 func (s *Server) longestBody() int {
-	if c := s.gateway.Catalog.Current(); c != nil && c.Limits().MaxBodyBytes > 0 {
-		return c.Limits().MaxBodyBytes
+	c := s.gateway.Catalog.Current()
+	if c == nil || c.Limits().MaxBodyBytes <= 0 {
+		return maxBodyBytes
 	}
-	return maxBodyBytes
+	limit := min(c.Limits().MaxBodyBytes, maxConfiguredBodyBytes)
+	if memory := s.memoryLimit.Load(); memory > 0 {
+		limit = min(limit, int(memory))
+	}
+	return limit
 }
 
 // Shutdown stops accepting connections, closes idle ones and waits for the
@@ -157,11 +172,7 @@
 // requestConfig returns the limits on a request body; it is called once the
 // header has been read.
 func (s *Server) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	config := fasthttp.RequestConfig{ReadTimeout: bodyReadTimeout}
-	if c := s.gateway.Catalog.Current(); c != nil {
-		config.MaxRequestBodySize = c.Limits().MaxBodyBytes
-	}
-	return config
+	return fasthttp.RequestConfig{ReadTimeout: bodyReadTimeout, MaxRequestBodySize: s.longestBody()}
 }
 
 // headerExceedsLimit reports whether the header exceeds the configured limit.
