Bound the epochs of a rollout order from below

An order whose duration_s is a few nanoseconds ended each instance that read it, since an epoch, a tenth of it, was 0; with somewhat longer ones epochs were so many that adding them up held the lock of all requests. An epoch is now 100 ms or more, so that orders of less than a second have fewer of them.

--- a/internal/evidence/analyzer.go
+++ b/internal/evidence/analyzer.go
@@ -363,8 +363,10 @@
 const (
 	// maxEpochDuration is the epoch of long moves.
 	maxEpochDuration = 30 * time.Second
-	// minEpochCount is the number of epochs that a short move is divided into.
-	minEpochCount = 10
+	// minEpochCount is the number of epochs that a short move is divided into, unless they
+	// are shorter than minEpochDuration: each costs time at every evaluation.
+	minEpochCount    = 10
+	minEpochDuration = 100 * time.Millisecond
 )
 
 // newEpochDuration returns the epoch for a move of the planned duration, 0 if it is
@@ -373,7 +375,7 @@
 	if planned <= 0 {
 		return maxEpochDuration
 	}
-	return min(maxEpochDuration, planned/minEpochCount)
+	return min(maxEpochDuration, max(minEpochDuration, planned/minEpochCount))
 }
 
 // addStartingTimes adds the starting times that have passed to all tests.
