--- a/internal/routing/window_test.go
+++ b/internal/routing/window_test.go
@@ -25,3 +25,14 @@
 	clock.Advance(7 * time.Second)
 	assert.Assert(t, b.TakeRetry())
 }
+
+// A window of a few nanoseconds in the settings ended the instance with its first request.
+func TestWindowOfNanosecondsDoesNotEndInstances(t *testing.T) {
+	for _, window := range []time.Duration{0, 1, 9, 10} {
+		clock := clockwork.NewFakeClock()
+		b := NewWindowRetryBudget(clock, 0, 50, window)
+		clock.Advance(time.Second)
+		b.RecordRequest()
+		assert.Assert(t, b.TakeRetry(), "window %v", window)
+	}
+}
