Give the buckets of a retry window a length

A retry_window_s of less than 10 ns, which the settings accept as positive, ended the process at its first request by a division by zero. A bucket now has at least 1 ns.

--- a/internal/routing/window.go
+++ b/internal/routing/window.go
@@ -85,7 +85,7 @@
 // currentBucket returns the current bucket and clears the ones that have
 // expired.
 func (b *WindowRetryBudget) currentBucket() *windowBucket {
-	bucketLength := b.window / windowBuckets
+	bucketLength := max(1, b.window/windowBuckets)
 	index := int64(b.clock.Since(b.origin) / bucketLength)
 	for passed := 0; b.bucketIndex < index && passed < len(b.buckets); passed++ {
 		b.bucketIndex++
