--- a/internal/placement/capacity_groups_test.go
+++ b/internal/placement/capacity_groups_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 )
 
@@ -32,3 +34,16 @@
 		ts.server.queueElsewhere(groupKey{"engines", 0}, 0, time.Hour)
 	}
 }
+
+// A report from an instance of another build with a position below zero ended the coordinator that
+// received it by a panic.
+func TestReportOfAnInvalidPositionDoesNotEndTheCoordinator(t *testing.T) {
+	ts := newTestServer(t, newEngineGroups()...)
+	groups := len(ts.server.groups.Load().ordered)
+	for _, position := range []int{-1, -1 << 63, groups, 1<<63 - 1} {
+		ts.server.handleCapacityReport(&capacityReport{IntervalMs: 60, Groups: []groupCapacity{{Position: position, FreeSlots: 1}}})
+	}
+	_, found := ts.server.reserveElsewhere(groupKey{"engines", 0})
+	assert.Assert(t, !found)
+	assert.Equal(t, len(ts.server.capacities), 0)
+}
