Leave out reported positions that are those of no group

A capacity report with a position below 0 ended the coordinator that received it, and any number of others was kept for good. Positions that no group has here are left out.

--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -15,13 +15,17 @@
 	validFor   time.Duration
 }
 
-// handleCapacityReport stores a coordinator's report on its groups.
+// handleCapacityReport stores a coordinator's report on its groups. Positions that are none here
+// are left out; the next report follows soon.
 func (s *Server) handleCapacityReport(r *capacityReport) {
-	now := s.clock.Now()
+	now, known := s.clock.Now(), len(s.groups.Load().ordered)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range r.Groups {
 		g := &r.Groups[i]
+		if g.Position < 0 || g.Position >= known {
+			continue
+		}
 		s.capacities[g.Position] = reportedCapacity{Availability: g.availability(), receivedAt: now, validFor: capacityValidIntervals * fromMillis(r.IntervalMs)}
 	}
 }
