--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -15,13 +15,17 @@
 	validFor   time.Duration
 }
 
-// handleCapacityReport stores a coordinator's report on its groups.
+// handleCapacityReport stores a coordinator's report on its groups. Positions that are none here
+// are left out; the next report follows soon.
 func (s *Server) handleCapacityReport(r *capacityReport) {
-	now := s.clock.Now()
+	now, known := s.clock.Now(), len(s.groups.Load().ordered)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range r.Groups {
 		g := &r.Groups[i]
+		if g.Position < 0 || g.Position >= known {
+			continue
+		}
 		s.capacities[g.Position] = reportedCapacity{Availability: g.availability(), receivedAt: now, validFor: capacityValidIntervals * fromMillis(r.IntervalMs)}
 	}
 }
@@ -29,10 +33,11 @@
 // reserveElsewhere returns the group of the service with the most free slots by
 // the reports of coordinators, and deducts one slot from the report.
 func (s *Server) reserveElsewhere(group groupKey) (groupKey, bool) {
+	groups := s.groups.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	best, bestFree := -1, 0
-	for _, position := range s.reportedPositions(group) {
+	for _, position := range s.reportedPositions(groups, group) {
 		if free := s.capacities[position].FreeSlots; free > bestFree {
 			best, bestFree = position, free
 		}
@@ -43,7 +48,7 @@
 	reserved := s.capacities[best]
 	reserved.FreeSlots--
 	s.capacities[best] = reserved
-	return s.groups.Load().ordered[best], true
+	return groups.ordered[best], true
 }
 
 // queueElsewhere returns a group of the service where a request of the priority
@@ -54,9 +59,10 @@
 	if ownWait < minQueueGain {
 		return groupKey{}, false
 	}
+	groups := s.groups.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	positions := s.reportedPositions(group)
+	positions := s.reportedPositions(groups, group)
 	if len(positions) == 0 {
 		return groupKey{}, false
 	}
@@ -72,15 +78,15 @@
 		return groupKey{}, false
 	}
 	joined := s.capacities[best]
-	joined.QueuedByPriority[min(priority, schedule.PriorityCount-1)]++
+	joined.AddQueued(priority)
 	s.capacities[best] = joined
-	return s.groups.Load().ordered[best], true
+	return groups.ordered[best], true
 }
 
 // reportedPositions returns the positions of the other groups of the service
-// whose last report is still valid. The caller holds s.mu.
-func (s *Server) reportedPositions(group groupKey) []int {
-	groups := s.groups.Load()
+// whose last report is still valid. Positions belong to one division of the targets, which is
+// replaced without s.mu. The caller holds s.mu.
+func (s *Server) reportedPositions(groups *Groups, group groupKey) []int {
 	now := s.clock.Now()
 	var positions []int
 	for position, capacity := range s.capacities {
