Bound the connections for readiness checks and metrics

Whoever opened many connections to the ports for readiness checks or metrics and kept them took all descriptors of an instance, which then was not ready and served no callers: only callers' connections were bounded, and without timeouts idle ones stayed for ever.

Each of the two servers now keeps 64 connections; a further one replaces the one that has sent nothing for the longest time, so that a check is still answered while others hold connections. Reads end after 10 s, idle connections after 2 minutes.

That the users saw this is not shown.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,12 @@
 	// sweepInterval is the interval at which idle connections are closed and
 	// shared budgets are divided anew.
 	sweepInterval = 2 * time.Second
+	// maxCheckConns bounds the connections for readiness checks, and those for metrics.
+	maxCheckConns = 64
+	// checkReadTimeout bounds the reading of one of their requests, checkIdleTimeout the time
+	// between two.
+	checkReadTimeout = 10 * time.Second
+	checkIdleTimeout = 2 * time.Minute
 )
 
 // Options configure a Node.
@@ -111,6 +117,8 @@
 	counters                        gossipCounters
 	updateCounters                  updateCounters
 	requestCounters                 gateway.Counters
+	// checksEvicted counts connections for readiness checks and metrics beyond maxCheckConns.
+	checksEvicted atomic.Uint64
 	// acceptFailures counts connections that could not be accepted.
 	acceptFailures *atomic.Uint64
 	metrics        *metrics.Set
@@ -342,11 +350,11 @@
 // serve starts to serve callers and readiness checks.
 func (n *Node) serve(s *sockets, readinessPath string) {
 	n.callerAddress, n.readinessAddress = s.callers.Addr().String(), s.readiness.Addr().String()
-	n.readinessServer = fiber.New(fiber.Config{DisableStartupMessage: true})
+	n.readinessServer = newCheckServer()
 	n.readinessServer.Get(readinessPath, n.handleReadiness)
 	n.background.Go(func() { n.logServerEnd(serverCallers, n.callerServer.Serve(n.retrying(serverCallers, s.callers))) })
 	n.background.Go(func() {
-		n.logServerEnd(serverReadiness, n.readinessServer.Listener(n.retrying(serverReadiness, s.readiness)))
+		n.logServerEnd(serverReadiness, n.readinessServer.Listener(n.limited(serverReadiness, s.readiness)))
 	})
 }
 
@@ -355,6 +363,16 @@
 	return listen.NewListener(l, listen.ListenerOptions{Server: server, Clock: n.clock, Logger: n.logger, Failures: n.acceptFailures})
 }
 
+// limited is like retrying for a server of few connections.
+func (n *Node) limited(server string, l net.Listener) net.Listener {
+	return listen.Limit(n.retrying(server, l), maxCheckConns, n.clock, &n.checksEvicted)
+}
+
+// newCheckServer returns a server for readiness checks or metrics.
+func newCheckServer() *fiber.App {
+	return fiber.New(fiber.Config{DisableStartupMessage: true, ReadTimeout: checkReadTimeout, IdleTimeout: checkIdleTimeout})
+}
+
 // serveMetrics serves the metrics until ctx ends. l is nil if the address was not available at
 // the start.
 func (n *Node) serveMetrics(ctx context.Context, l net.Listener) {
@@ -368,9 +386,9 @@
 		n.logServerEnd(serverMetrics, err)
 		return
 	}
-	l = n.retrying(serverMetrics, l)
+	l = n.limited(serverMetrics, l)
 	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
-	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	app := newCheckServer()
 	app.Get("/*", adaptor.HTTPHandler(expvar.Handler()))
 	n.logServerEnd(serverMetrics, app.Listener(l))
 }
