End the process on a panic that nothing contains

Goroutines of the bus and of an instance that are not contained, such as the loops that accept and receive, were run by conc.WaitGroup, which keeps a panic until Wait; nothing waits before the end. They now run in a sync.WaitGroup, so that such a panic ends the process, with its stack on standard error. Lines of contained panics are limited to one a second for each step, and are counted.

--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -2,12 +2,14 @@
 // request, or one run of a background task. What other pieces need must be left as it was, so
 // that work that holds a lock releases it in a deferred call.
 //
-// A panic is a fault of the program. It is logged with its stack and counted.
+// A panic is a fault of the program. It is logged with its stack, at most once in lineInterval for
+// each step, and counted.
 package contain
 
 import (
 	"context"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,12 +17,25 @@
 	"go.uber.org/zap"
 )
 
-// restartDelay is the delay before a background task is run again.
-const restartDelay = time.Second
+const (
+	// restartDelay is the delay before a background task is run again.
+	restartDelay = time.Second
+	// lineInterval is the least time between two lines of one step.
+	lineInterval = time.Second
+)
 
 // panics counts the panics of the process that were contained.
 var panics atomic.Uint64
 
+// lines holds when the last line of each source was logged.
+var lines sync.Map
+
+// source is a step of an instance, which has one logger.
+type source struct {
+	logger *zap.Logger
+	step   string
+}
+
 // Panics returns the number of panics of the process that were contained.
 func Panics() uint64 { return panics.Load() }
 
@@ -35,13 +50,25 @@
 			// The goroutine ends without a panic.
 			return
 		}
-		panics.Add(1)
-		logger.Error("panic", zap.String("step", step), zap.Any("value", value), zap.ByteString("stack", debug.Stack()))
+		count := panics.Add(1)
+		if mayLog(source{logger, step}, time.Now()) {
+			logger.Error("panic", zap.String("step", step), zap.Any("value", value), zap.Uint64("panics", count), zap.ByteString("stack", debug.Stack()))
+		}
 	}()
 	work()
 	return true
 }
 
+// mayLog reports whether a line of the source is due.
+func mayLog(s source, now time.Time) bool {
+	last, seen := lines.Swap(s, now)
+	if seen && now.Sub(last.(time.Time)) < lineInterval {
+		lines.Store(s, last)
+		return false
+	}
+	return true
+}
+
 // Repeat runs a background task until it returns or the context ends. After a panic it runs the
 // task again, since the instance does not work without it.
 func Repeat(ctx context.Context, clock clockwork.Clock, logger *zap.Logger, step string, task func(context.Context)) {
--- a/internal/contain/contain_test.go
+++ b/internal/contain/contain_test.go
@@ -50,3 +50,22 @@
 	Repeat(ctx, clockwork.NewFakeClock(), zap.NewNop(), "task", func(context.Context) { runs++; panic("unexpected value") })
 	assert.Equal(t, runs, 1)
 }
+
+// A message that was sent again and again filled the log with stacks.
+func TestLinesOfOneStepAreLimited(t *testing.T) {
+	core, observed := observer.New(zap.ErrorLevel)
+	logger, before := zap.New(core), Panics()
+	for range 100 {
+		Run(logger, "limited step", func() { panic("unexpected value") })
+		Run(logger, "other step", func() { panic("unexpected value") })
+	}
+	assert.Equal(t, Panics(), before+200)
+	assert.Assert(t, observed.FilterField(zap.String("step", "limited step")).Len() >= 1)
+	assert.Assert(t, observed.FilterField(zap.String("step", "other step")).Len() >= 1)
+	assert.Assert(t, observed.Len() < 100)
+	now := time.Now()
+	s := source{logger, "a step"}
+	assert.Assert(t, mayLog(s, now))
+	assert.Assert(t, !mayLog(s, now.Add(lineInterval-1)))
+	assert.Assert(t, mayLog(s, now.Add(lineInterval)))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,7 +16,6 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
 	"github.com/jonboulle/clockwork"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
@@ -178,7 +177,7 @@
 	shutdownGrace atomic.Int64
 
 	cancel     context.CancelFunc
-	background conc.WaitGroup
+	background sync.WaitGroup
 }
 
 // Start listens on the addresses of the settings and starts to serve. It waits for addresses
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// recordMessage stores the state in a message. It reports whether the sender has
-// restarted or was not known before.
+// recordMessage stores the state in a message. It returns a restart if the sender has restarted
+// or was not known before, else nil.
 func (p *peerTable) recordMessage(address string, m *message) *restart {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/listen"
@@ -82,8 +81,8 @@
 	cancel context.CancelFunc
 	// loops tracks the goroutines of Start, and tasks those that dial, serve incoming
 	// connections and execute calls.
-	loops conc.WaitGroup
-	tasks conc.WaitGroup
+	loops sync.WaitGroup
+	tasks sync.WaitGroup
 	// handshakeSlots bounds the incoming connections that are not yet authenticated.
 	handshakeSlots chan struct{}
 
