Do not use a list of targets with an empty entry

A null among the targets that another instance sends ended the recipient by a nil pointer dereference. Such a list is logged and not used; the targets are read from the store as without an answer.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -103,6 +104,10 @@
 		n.logger.Warn("cannot fetch targets from peer", zap.String("from", address), eventlog.ErrorField(err))
 		return
 	}
+	if slices.Contains(response.Targets, nil) {
+		n.logger.Warn("list of targets from peer not used, it has an empty entry", zap.String("from", address))
+		return
+	}
 	targets, ok := response.Targets, true
 	if response.Base != 0 {
 		n.targetsMu.Lock()
