Release locks after a panic in contained work

A panic while a request, a message of a peer or a background task was handled is contained, but locks that were held without a deferred unlock stayed locked: in dispatch.Pool, in the client of placement, and in a node those of the declarations, evacuations and targets. Further requests then waited for the lock until the process was killed, where before the panic had ended it.

The locked parts that do more than assign are functions with a deferred unlock now. What they do under the lock and the order of locks are unchanged.

The two tests failed before: TestPanicWhileEvacuationsChangeLeavesThemUsable and TestPanicWhileAConnectionIsKeptLeavesThePoolUsable found their lock held after the panic. go test -race passes for internal/node, internal/placement and internal/dispatch.

--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -146,9 +146,21 @@
 	if !p.lose(state, cause, via) {
 		return
 	}
+	checked, lost := p.pathsAfterLoss()
+	for _, other := range checked {
+		p.startCheck(other)
+	}
+	for _, other := range lost {
+		p.lose(other, errMostLost, "")
+	}
+}
+
+// pathsAfterLoss returns the paths that are checked after another one was lost, and those that
+// count as lost as well.
+func (p *Pool) pathsAfterLoss() (checked, lost []*path) {
 	now := p.clock.Now()
-	var checked, lost []*path
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	mostLost := areMostLost(p.countPaths())
 	for _, other := range p.paths {
 		switch {
@@ -159,25 +171,15 @@
 			checked = append(checked, other)
 		}
 	}
-	p.mu.Unlock()
-	for _, other := range checked {
-		p.startCheck(other)
-	}
-	for _, other := range lost {
-		p.lose(other, errMostLost, "")
-	}
+	return checked, lost
 }
 
 // lose records that a path is lost and ends what uses it. It reports whether that is new.
 func (p *Pool) lose(state *path, cause error, via string) bool {
-	p.mu.Lock()
-	if !state.lostSince.IsZero() {
-		p.mu.Unlock()
+	closing, isNew := p.setLost(state)
+	if !isNew {
 		return false
 	}
-	state.lose(p.clock.Now())
-	closing := p.takeIdle(state.address, func(conn *pooledConn) bool { return conn.via == "" })
-	p.mu.Unlock()
 	p.pathCounters.Lost.Add(1)
 	p.logger.Warn("path to a target lost", zap.String("target_address", state.address), zap.String("via", via), eventlog.ErrorField(cause))
 	for _, conn := range closing {
@@ -187,6 +189,17 @@
 	return true
 }
 
+// setLost records that a path is lost, and returns its idle connections and whether that is new.
+func (p *Pool) setLost(state *path) (idle []*pooledConn, isNew bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !state.lostSince.IsZero() {
+		return nil, false
+	}
+	state.lose(p.clock.Now())
+	return p.takeIdle(state.address, func(conn *pooledConn) bool { return conn.via == "" }), true
+}
+
 // countPaths returns the number of paths known and of those lost. The caller holds p.mu.
 func (p *Pool) countPaths() (known, lost int) {
 	for _, state := range p.paths {
@@ -393,11 +406,25 @@
 }
 
 func (p *Pool) watchPaths() {
+	suspects, silentOnLost, retried := p.duePaths()
+	for state := range suspects {
+		p.startCheck(state)
+	}
+	for state := range silentOnLost {
+		p.endExchanges(state)
+	}
+	for _, state := range retried {
+		go p.retryPath(state)
+	}
+}
+
+// duePaths returns the paths that are to be checked, the lost ones on which responses are waited
+// for in vain, and those that are to be tried again.
+func (p *Pool) duePaths() (suspects, silentOnLost map[*path]bool, retried []*path) {
 	now := p.clock.Now()
-	suspects := make(map[*path]bool)
-	var retried []*path
-	silentOnLost := make(map[*path]bool)
+	suspects, silentOnLost = make(map[*path]bool), make(map[*path]bool)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for conn := range p.inflight {
 		switch {
 		case conn.via != "" || now.Sub(conn.heardAt()) <= suspicionTime:
@@ -421,31 +448,27 @@
 			retried = append(retried, state)
 		}
 	}
-	p.mu.Unlock()
-	for state := range suspects {
-		p.startCheck(state)
-	}
-	for state := range silentOnLost {
-		p.endExchanges(state)
-	}
-	for _, state := range retried {
-		go p.retryPath(state)
-	}
+	return suspects, silentOnLost, retried
 }
 
 // LeaveRelay stops the use of connections through an instance that shuts down; the
 // exchanges on them go on. It is called repeatedly until the instance has ended.
 func (p *Pool) LeaveRelay(via string) {
+	for _, conn := range p.takeIdleThrough(via) {
+		conn.close()
+	}
+}
+
+// takeIdleThrough records that an instance shuts down, and returns the idle connections through it.
+func (p *Pool) takeIdleThrough(via string) []*pooledConn {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.leftRelays[via] = p.clock.Now()
 	var idle []*pooledConn
 	for address := range p.idle {
 		idle = append(idle, p.takeIdle(address, func(conn *pooledConn) bool { return conn.via == via })...)
 	}
-	p.mu.Unlock()
-	for _, conn := range idle {
-		conn.close()
-	}
+	return idle
 }
 
 // hasLeftRelay reports whether the instance between is shutting down. The caller holds
@@ -459,13 +482,7 @@
 // enough.
 func (p *Pool) retryPath(state *path) {
 	conn, err := p.connectDirect(context.Background(), state, checkDialTimeout)
-	p.mu.Lock()
-	lostFor, regained := state.reach(err == nil, p.clock.Now())
-	var relayed []*pooledConn
-	if regained {
-		relayed = p.takeIdle(state.address, func(conn *pooledConn) bool { return conn.via != "" })
-	}
-	p.mu.Unlock()
+	lostFor, regained, relayed := p.recordReach(state, err == nil)
 	if err != nil {
 		return
 	}
@@ -480,4 +497,15 @@
 	p.release(conn, 0)
 }
 
+// recordReach records whether a target has been reached directly while its path was lost. If that
+// regains the path, it returns the idle connections through other instances.
+func (p *Pool) recordReach(state *path, reached bool) (lostFor time.Duration, regained bool, relayed []*pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lostFor, regained = state.reach(reached, p.clock.Now()); regained {
+		relayed = p.takeIdle(state.address, func(conn *pooledConn) bool { return conn.via != "" })
+	}
+	return lostFor, regained, relayed
+}
+
 func (s *path) heardAt() time.Time { return time.Unix(0, s.heardNanos.Load()) }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -278,14 +278,20 @@
 	conn.reused = true
 	conn.lastUsedAt = p.clock.Now()
 	conn.expiresAt = conn.lastUsedAt.Add(idleTime)
+	if !p.keepIdle(conn) {
+		conn.close()
+	}
+}
+
+// keepIdle keeps an idle connection, and reports whether there is room for it.
+func (p *Pool) keepIdle(conn *pooledConn) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if len(p.idle[conn.address]) >= p.maxIdle(conn.address) || p.hasLeftRelay(conn) {
-		p.mu.Unlock()
-		conn.close()
-		return
+		return false
 	}
 	p.idle[conn.address] = append(p.idle[conn.address], conn)
-	p.mu.Unlock()
+	return true
 }
 
 // CloseIdle closes the idle connections to an address, for example because the
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -12,7 +12,10 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 )
 
 // startScriptedServer answers each request with the next of the responses.
@@ -235,3 +238,12 @@
 	assert.Assert(t, err != nil)
 	response.Close()
 }
+
+// A panic while a connection was kept for later requests left the pool locked, and all further
+// requests waited.
+func TestPanicWhileAConnectionIsKeptLeavesThePoolUsable(t *testing.T) {
+	pool := NewPool(clockwork.NewFakeClock())
+	pool.SetMaxIdle(func(string) int { panic("unexpected value") })
+	assert.Assert(t, !contain.Run(zap.NewNop(), "step", func() { pool.release(&pooledConn{}, 0) }))
+	assert.Assert(t, pool.mu.TryLock())
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -95,9 +95,7 @@
 func (n *Node) fetchTargets(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	n.targetsMu.Lock()
-	request := targetsRequest{Known: n.targets.digest()}
-	n.targetsMu.Unlock()
+	request := targetsRequest{Known: n.targetsDigest()}
 	var response targetsResponse
 	if err := n.bus.Call(ctx, address, methodTargets, request, &response); err != nil {
 		n.logger.Warn("cannot fetch targets from peer", zap.String("from", address), eventlog.ErrorField(err))
@@ -105,11 +103,24 @@
 	}
 	targets, ok := response.Targets, true
 	if response.Base != 0 {
-		n.targetsMu.Lock()
-		targets, ok = n.targets.withChanges(response.Base, response.Targets, response.Removed)
-		n.targetsMu.Unlock()
+		targets, ok = n.targetsWithChanges(&response)
 	}
 	if ok && len(targets) > 0 {
 		n.applyTargets(targets, Position{Era: response.Era, Version: response.Position})
 	}
 }
+
+// targetsDigest identifies the last read of the list of targets.
+func (n *Node) targetsDigest() uint32 {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	return n.targets.digest()
+}
+
+// targetsWithChanges returns the list of targets with the changes of a response; ok is false
+// if they were made from another list.
+func (n *Node) targetsWithChanges(response *targetsResponse) (targets []*catalog.Target, ok bool) {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	return n.targets.withChanges(response.Base, response.Targets, response.Removed)
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -46,48 +46,59 @@
 
 // adoptDeclaration puts a declared configuration in force if it is newer.
 func (n *Node) adoptDeclaration(d *catalog.Declaration, source string) error {
+	replaced, err := n.replaceConfiguration(d, source)
+	if replaced {
+		n.announceConfiguration()
+	}
+	return errors.Wrap(err, "replace configuration")
+}
+
+// replaceConfiguration is adoptDeclaration without the announcement. It reports whether the
+// configuration is in force now.
+func (n *Node) replaceConfiguration(d *catalog.Declaration, source string) (replaced bool, err error) {
 	startedAt := n.clock.Now()
 	n.declared.mu.Lock()
+	defer n.declared.mu.Unlock()
 	current := n.configuration.Current()
 	if d.Version <= current.Revision().Version {
-		n.declared.mu.Unlock()
-		return nil
+		return false, nil
 	}
 	next, change, err := current.Replace(d.Version, d.Contents)
-	if err == nil {
-		n.putInForce(next, change, source, zap.Duration("took", n.clock.Since(startedAt)))
-	}
-	n.declared.mu.Unlock()
-	if err == nil {
-		n.announceConfiguration()
+	if err != nil {
+		return false, err
 	}
-	return errors.Wrap(err, "replace configuration")
+	n.putInForce(next, change, source, zap.Duration("took", n.clock.Since(startedAt)))
+	return true, nil
 }
 
 // adoptChange puts the configuration in force that a change leads to, which was read
 // from the store at a position.
 func (n *Node) adoptChange(change *catalog.Change, position Position, source string, details ...zap.Field) error {
+	changed, err := n.changeConfiguration(change, position, source, details...)
+	if changed {
+		n.announceConfiguration()
+	}
+	return err
+}
+
+// changeConfiguration is adoptChange without the announcement. It reports whether the
+// configuration is in force now.
+func (n *Node) changeConfiguration(change *catalog.Change, position Position, source string, details ...zap.Field) (changed bool, err error) {
 	n.declared.mu.Lock()
+	defer n.declared.mu.Unlock()
 	base := n.configuration.Current()
 	if change.From == (catalog.Revision{}) {
 		base = nil
 	}
 	next, err := base.Apply(change)
-	if err == nil && next.Version <= n.configuration.Version() {
-		n.declared.mu.Unlock()
-		return nil
-	}
-	if err == nil {
-		n.putInForce(next, change, source, details...)
-		if n.declared.position.Before(position) {
-			n.declared.position = position
-		}
+	if err != nil || next.Version <= n.configuration.Version() {
+		return false, err
 	}
-	n.declared.mu.Unlock()
-	if err == nil {
-		n.announceConfiguration()
+	n.putInForce(next, change, source, details...)
+	if n.declared.position.Before(position) {
+		n.declared.position = position
 	}
-	return err
+	return true, nil
 }
 
 // putInForce replaces the configuration in force. The caller holds declared.mu.
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -284,27 +284,36 @@
 	return slices.Contains(n.evacuatedDomains(), target.FailureDomain)
 }
 
-// updateEvacuations changes the known set and puts the result in force.
-func (n *Node) updateEvacuations(source string, update func(*evacuationSet)) {
-	e := &n.evacuations
+// update changes the known set, and returns it as it was before and as it is after.
+func (e *evacuations) update(update func(*evacuationSet)) (before, after evacuationSet) {
 	e.mu.Lock()
-	before := e.set
+	defer e.mu.Unlock()
+	before = e.set
 	update(&e.set)
-	after := e.set
-	e.mu.Unlock()
+	return before, e.set
+}
+
+// updateEvacuations changes the known set and puts the result in force.
+func (n *Node) updateEvacuations(source string, update func(*evacuationSet)) {
+	before, after := n.evacuations.update(update)
 	if slices.Equal(before.domains, after.domains) {
 		return
 	}
 	n.logEvacuations(before.domains, after, source)
+	n.placeEvacuated(before.domains)
+	if n.peers.topology().isAggregator || source == sourceStore {
+		n.announceConfiguration()
+	}
+}
+
+// placeEvacuated has targets placed by the known set; before are the domains evacuated earlier.
+func (n *Node) placeEvacuated(before []string) {
 	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
 	// A concurrent update has the lists in the order of their changes: the last call uses
 	// the current set.
-	n.cold.assumeAll(n.targets.present, before.domains, n.evacuatedDomains(), n.traits.current(), n.clock.Now())
+	n.cold.assumeAll(n.targets.present, before, n.evacuatedDomains(), n.traits.current(), n.clock.Now())
 	n.reuseTargets()
-	n.targetsMu.Unlock()
-	if n.peers.topology().isAggregator || source == sourceStore {
-		n.announceConfiguration()
-	}
 }
 
 // sourceStore is the source of what this instance has read itself.
@@ -439,11 +448,13 @@
 // targets.
 func (n *Node) appendAdditions(m *message) error {
 	now, uptime := n.clock.Now(), n.uptime()
-	n.evacuations.mu.Lock()
-	// Answers to messages that waited during a freeze may precede the next beat of the timer.
-	n.evacuations.beat(uptime, now)
-	sent := n.evacuations.set.encode(now)
-	n.evacuations.mu.Unlock()
+	sent := func() *sentEvacuations {
+		n.evacuations.mu.Lock()
+		defer n.evacuations.mu.Unlock()
+		// Answers to messages that waited during a freeze may precede the next beat of the timer.
+		n.evacuations.beat(uptime, now)
+		return n.evacuations.set.encode(now)
+	}()
 	return m.append(sent, n.traits.current().Version, n.cold.encode(now))
 }
 
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 )
 
 var evacuationStart = time.Unix(1000, 0)
@@ -235,3 +237,13 @@
 	assert.Equal(t, c.until(a.Key(), now), until)
 	assert.Equal(t, other.until(a.Key(), now), until.Add(50*time.Millisecond))
 }
+
+// A panic while the set of evacuated domains was changed left it locked, and all further requests
+// waited.
+func TestPanicWhileEvacuationsChangeLeavesThemUsable(t *testing.T) {
+	n := &Node{clock: clockwork.NewFakeClock()}
+	assert.Assert(t, !contain.Run(zap.NewNop(), "step", func() {
+		n.updateEvacuations(sourceStore, func(*evacuationSet) { panic("unexpected value") })
+	}))
+	assert.Assert(t, n.evacuations.mu.TryLock())
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -167,10 +167,7 @@
 // untilNextTargetRead returns the time until this instance should read the
 // targets.
 func (n *Node) untilNextTargetRead() time.Duration {
-	n.targetsMu.Lock()
-	readAt := n.targets.readAt
-	graceEndsIn, keeps := n.targets.graceEndsIn(n.clock.Now())
-	n.targetsMu.Unlock()
+	readAt, graceEndsIn, keeps := n.lastTargetRead()
 	if readAt.IsZero() {
 		return 0
 	}
@@ -182,6 +179,15 @@
 	return delay
 }
 
+// lastTargetRead returns when the targets were last read and, if missing entries are kept, the
+// time until their grace ends.
+func (n *Node) lastTargetRead() (readAt time.Time, graceEndsIn time.Duration, keeps bool) {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	graceEndsIn, keeps = n.targets.graceEndsIn(n.clock.Now())
+	return n.targets.readAt, graceEndsIn, keeps
+}
+
 // applyTargets applies a read of the targets at the store's position.
 func (n *Node) applyTargets(targets []*catalog.Target, position Position) {
 	n.observeEra(position.Era)
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -312,6 +312,13 @@
 	return nil, nil, false
 }
 
+// currentCoordinator returns the coordinator of a group; "" if there is none.
+func (c *Client) currentCoordinator(group groupKey) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.coordinatorFor(group, c.clock.Now())
+}
+
 // redirect requests a slot in another group. If the group is unknown or has no
 // coordinator, the request stays as it is and is sent again later.
 func (a *acquisition) redirect(index int) {
@@ -320,9 +327,7 @@
 	if _, known := c.groups.Load().positions[group]; !known {
 		return
 	}
-	c.mu.Lock()
-	next := c.coordinatorFor(group, c.clock.Now())
-	c.mu.Unlock()
+	next := c.currentCoordinator(group)
 	if next == "" {
 		return
 	}
--- a/internal/placement/execution.go
+++ b/internal/placement/execution.go
@@ -59,19 +59,24 @@
 		client: c, id: id, target: idOf(grant.Target.Key()), key: grant.Target.Key(), request: r, startedAt: c.clock.Now(), localGrant: localGrant,
 		grantedBy: grant.Coordinator, coordinator: grant.Coordinator, memoryKnown: grant.Target.Limits.MemoryTokens > 0,
 	}
-	c.mu.Lock()
-	c.running[id] = e
-	current := ""
-	if group, known := c.groups.Load().groupOf[e.target]; known {
-		current = c.coordinatorFor(group, c.clock.Now())
-	}
-	c.mu.Unlock()
+	current := c.addRunning(e)
 	if current != grant.Coordinator && current != "" {
 		c.sendRenewals(current, []*execution{e}, true)
 	}
 	return schedule.NewGrant(grant, e)
 }
 
+// addRunning registers a request, and returns the coordinator of its group; "" if there is none.
+func (c *Client) addRunning(e *execution) (coordinator string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[e.id] = e
+	if group, known := c.groups.Load().groupOf[e.target]; known {
+		return c.coordinatorFor(group, c.clock.Now())
+	}
+	return ""
+}
+
 // ResponseStarted implements schedule.ExecutionObserver.
 func (e *execution) ResponseStarted(after time.Duration) {
 	if e.localGrant != nil {
@@ -205,11 +210,24 @@
 // renewLeases reports to each coordinator all requests that run on its targets, and
 // the terms of those that state any.
 func (c *Client) renewLeases() {
+	byCoordinator, termsFor := c.dueRenewals()
+	for address, executions := range byCoordinator {
+		c.sendRenewals(address, executions, false)
+	}
+	for address, terms := range termsFor {
+		c.sendTerms(address, terms)
+	}
+}
+
+// dueRenewals returns, by coordinator, the requests that run on its targets and the terms of
+// those that state any.
+func (c *Client) dueRenewals() (byCoordinator map[string][]*execution, termsFor map[string][]targetTerms) {
 	groups := c.groups.Load()
 	now := c.clock.Now()
 	stated := c.local.StatedTerms()
 	c.mu.Lock()
-	byCoordinator := make(map[string][]*execution)
+	defer c.mu.Unlock()
+	byCoordinator = make(map[string][]*execution)
 	for _, e := range c.running {
 		group, known := groups.groupOf[e.target]
 		if !known {
@@ -219,7 +237,7 @@
 			byCoordinator[address] = append(byCoordinator[address], e)
 		}
 	}
-	termsFor := make(map[string][]targetTerms)
+	termsFor = make(map[string][]targetTerms)
 	for _, t := range stated {
 		if group, known := groups.groupOf[idOf(t.Key)]; known {
 			if address := c.coordinatorFor(group, now); address != "" {
@@ -227,13 +245,7 @@
 			}
 		}
 	}
-	c.mu.Unlock()
-	for address, executions := range byCoordinator {
-		c.sendRenewals(address, executions, false)
-	}
-	for address, terms := range termsFor {
-		c.sendTerms(address, terms)
-	}
+	return byCoordinator, termsFor
 }
 
 // sendTerms tells a coordinator the terms of targets.
