Show the memory and limits of the process in metrics and the start line

After an end that nothing in the program decided, operators could not tell from logs or metrics what the process had taken as the system counts it: the metrics had no memory, and the runtime's own figures leave out thread stacks, static data and mapped memory.

The metrics' part `process` has resident pages and their peak, the data segment, the address space, threads, descriptors, GOMAXPROCS and the limits in force, read only when metrics are. `instance started` states the process id, GOMAXPROCS, the limits and the memory of the settings. Bytes in sockets' queues are left out: /proc/self/net/tcp lists all sockets of the machine.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
+	"github.com/hibiscuspost/hibiscuspost/internal/process"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
@@ -21,6 +22,7 @@
 	n.metrics.RegisterPart("quarantine", func() any { return n.quarantine.Counters.Snapshot() })
 	n.metrics.RegisterPart("placement", func() any { return n.placement.Counters.Snapshot() })
 	n.metrics.RegisterPart("instance", func() any { return n.instanceState() })
+	n.metrics.RegisterPart("process", func() any { return process.ReadUsage() })
 	if drops != nil {
 		n.metrics.RegisterPart("log_lines_dropped", func() any { return drops.Dropped() })
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/placement"
+	"github.com/hibiscuspost/hibiscuspost/internal/process"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
 	"github.com/hibiscuspost/hibiscuspost/internal/relay"
@@ -214,7 +215,8 @@
 	n.startBackground()
 	n.logger.Info("instance started",
 		zap.String("callers", n.callerAddress), zap.String("peers", n.settings.PeerAddress),
-		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", options.Settings.FirstStart))
+		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", options.Settings.FirstStart),
+		zap.Int64("memory_bytes", options.Settings.MemoryLimitBytes), zap.Dict("process", process.StartFields()...))
 	return n, nil
 }
 
--- /dev/null
+++ b/internal/process/process_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package process
+
+func readUsage() Usage { return Usage{} }
+
+func readLimits() Limits { return Limits{} }
