--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
+	"github.com/hibiscuspost/hibiscuspost/internal/process"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
 
@@ -23,6 +24,7 @@
 	n.metrics.RegisterPart("placement", func() any { return n.placement.Counters.Snapshot() })
 	n.metrics.RegisterPart("instance", func() any { return n.instanceState() })
 	n.metrics.RegisterPart("panics", func() any { return contain.Panics() })
+	n.metrics.RegisterPart("process", func() any { return process.ReadUsage() })
 	if drops != nil {
 		n.metrics.RegisterPart("log_lines_dropped", func() any { return drops.Dropped() })
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/metrics"
 	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/placement"
+	"github.com/hibiscuspost/hibiscuspost/internal/process"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
 	"github.com/hibiscuspost/hibiscuspost/internal/relay"
@@ -231,7 +232,8 @@
 	n.startBackground(sockets.metrics)
 	n.logger.Info("instance started",
 		zap.String("callers", n.callerAddress), zap.String("peers", n.settings.PeerAddress),
-		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", options.Settings.FirstStart))
+		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", options.Settings.FirstStart),
+		zap.Int64("memory_bytes", options.Settings.MemoryLimitBytes), zap.Dict("process", process.StartFields()...))
 	return n, nil
 }
 
