Release the slot of a request that ends by a panic

Operators saw, after a contained panic of a request, a slot of its target in use until the process ended: Client.running of placement kept the request and renewed its lease. The connection to the target stayed among those with an exchange, and a search for another target that was running kept what it had found.

The grant is now released by deferred calls wherever it is held: after it was acquired, while an exchange is set up and runs, and while an execution is registered in placement. Exchanges hand it over to streams as before. Pool.Send ends the exchange and closes the connection in a deferred call too, and a panic while a stream is handed to the HTTP server closes it. The outcome of the attempt is no evidence against the target or the request.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -101,28 +101,32 @@
 // The context cancels the request, also while the body is read. Errors carry
 // fault.StepDispatch and the target; IsNotSent identifies those that prove that
 // nothing was sent.
-func (p *Pool) Send(ctx context.Context, r *PooledRequest) (*PooledResponse, error) {
+func (p *Pool) Send(ctx context.Context, r *PooledRequest) (sent *PooledResponse, err error) {
 	conn, err := p.acquire(ctx, r.Address, r.RequireFreshConn)
 	if err != nil {
 		return nil, fault.At(fault.StepDispatch, r.Address, &NotSentError{err})
 	}
+	stopCancel := func() bool { return true }
+	// Match and other functions of the request may panic.
+	defer func() {
+		if sent == nil {
+			p.end(conn)
+			stopCancel()
+			conn.close()
+		}
+	}()
 	if err := ctx.Err(); err != nil {
-		conn.close()
 		return nil, fault.At(fault.StepDispatch, r.Address, &NotSentError{err})
 	}
 	if r.Permit != nil {
 		if err := r.Permit(); err != nil {
-			conn.close()
 			return nil, fault.At(fault.StepDispatch, r.Address, &NotSentError{err})
 		}
 	}
-	stopCancel := context.AfterFunc(ctx, conn.close)
+	stopCancel = context.AfterFunc(ctx, conn.close)
 	p.begin(conn, r)
 	response, err := r.roundTrip(conn)
 	if err != nil {
-		p.end(conn)
-		stopCancel()
-		conn.close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,13 @@
 func (r *inflightRequest) attempt(ctx context.Context, grant *schedule.Grant) attemptResult {
 	x := r.newExchange(ctx, grant, r.request.LastEventID)
 	var t *takeover[*Response]
+	concluded := false
+	defer func() {
+		if !concluded {
+			x.abandon()
+			t.abandon()
+		}
+	}()
 	x.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
 		if t == nil {
 			t = &takeover[*Response]{
@@ -38,9 +45,12 @@
 	reply := x.run()
 	if response, replaced := t.settle(x.isSuccess(reply)); replaced {
 		r.recordReplaced(x)
+		concluded = true
 		return attemptResult{response: response}
 	}
-	return r.conclude(ctx, x, reply)
+	result := r.conclude(ctx, x, reply)
+	concluded = true
+	return result
 }
 
 // searchResponse tries other targets until one responds well; see takeover.
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -79,15 +79,27 @@
 		if err != nil {
 			return nil, err
 		}
-		if err = r.checkTarget(grant.Target); err == nil {
+		if r.mayUse(grant) {
 			return grant, nil
 		}
-		r.returnGrant(grant, err)
-		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 	}
 	return nil, &refusedError{reason: errEvacuated.Error(), retryAfter: defaultRetryAfter}
 }
 
+// mayUse reports whether something may be sent to the target of a grant, and releases it if not.
+func (r *inflightRequest) mayUse(grant *schedule.Grant) (usable bool) {
+	defer func() {
+		if !usable {
+			grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		}
+	}()
+	if err := r.checkTarget(grant.Target); err != nil {
+		r.returnGrant(grant, err)
+		return false
+	}
+	return true
+}
+
 // returnGrant records why a grant is not used.
 func (r *inflightRequest) returnGrant(grant *schedule.Grant, cause error) {
 	if errors.Is(cause, errEvacuationsLag) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -29,12 +29,20 @@
 	counted, silent bool
 
 	response *dispatch.PooledResponse
-	events   *receivedEvents
+	// closed is set once the response has been closed at the end of the exchange.
+	closed bool
+	events *receivedEvents
 	// ended is set if the stream has ended without a further event.
 	ended bool
 }
 
-func (r *inflightRequest) newExchange(ctx context.Context, grant *schedule.Grant, lastEventID string) *exchange {
+// newExchange returns an exchange with the target of a grant, which belongs to the exchange then.
+func (r *inflightRequest) newExchange(ctx context.Context, grant *schedule.Grant, lastEventID string) (x *exchange) {
+	defer func() {
+		if x == nil {
+			grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		}
+	}()
 	ctx, cancel := context.WithCancel(ctx)
 	return &exchange{
 		inflight: r, ctx: ctx, cancel: cancel, grant: grant, tracked: r.observe(grant), startedAt: r.Clock.Now(),
@@ -173,11 +181,22 @@
 func (x *exchange) finish(outcome schedule.Outcome) {
 	if x.response != nil {
 		x.response.Close()
+		x.closed = true
 	}
 	x.cancel()
 	x.grant.Done(outcome)
 }
 
+// abandon releases, after a panic, what the exchange still holds.
+func (x *exchange) abandon() {
+	defer x.grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+	defer x.tracked.End(quarantine.NoEvidence)
+	x.cancel()
+	if x.response != nil && !x.closed {
+		x.response.Close()
+	}
+}
+
 // discard ends an exchange whose response is not used.
 func (x *exchange) discard() {
 	x.tracked.End(quarantine.Unanswered)
--- a/internal/gateway/observation.go
+++ b/internal/gateway/observation.go
@@ -19,9 +19,15 @@
 }
 
 // observe records the start of an attempt.
-func (r *inflightRequest) observe(grant *schedule.Grant) *observation {
+func (r *inflightRequest) observe(grant *schedule.Grant) (o *observation) {
+	attempt := r.trackAttempt(grant)
+	defer func() {
+		if o == nil {
+			attempt.End(quarantine.NoEvidence)
+		}
+	}()
 	return &observation{
-		Attempt: r.trackAttempt(grant),
+		Attempt: attempt,
 		trial:   r.Rollouts.Start(r.service.Name, grant.Target.Version, r.route.Name, r.scheduleRequest().OutputTokens),
 	}
 }
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -7,12 +7,16 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
+	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
 // panickingProtocol panics at requests with a header field.
@@ -56,3 +60,77 @@
 	assert.NilError(t, <-served)
 	awaitConnections(t, server, 0)
 }
+
+// dispatchProtocol calls functions before it writes a request to a target and reads a response.
+type dispatchProtocol struct {
+	headerProtocol
+	onDispatch func(DispatchMetadata)
+	onResponse func()
+}
+
+func (p dispatchProtocol) DispatchFields(m DispatchMetadata) []dispatch.Field {
+	if p.onDispatch != nil {
+		p.onDispatch(m)
+	}
+	return p.headerProtocol.DispatchFields(m)
+}
+
+func (p dispatchProtocol) ParseResponse(h http.Header) ResponseMetadata {
+	if p.onResponse != nil {
+		p.onResponse()
+	}
+	return p.headerProtocol.ParseResponse(h)
+}
+
+// A slot stayed in use until the process ended if a panic occurred while its request ran. The
+// cleanup of the case checks that all grants, connections and goroutines have ended.
+func TestPanicWhileARequestRunsLeavesNoSlotInUse(t *testing.T) {
+	panicAt := func(call int) func() {
+		calls := 0
+		return func() {
+			if calls++; calls == call {
+				panic("unexpected value")
+			}
+		}
+	}
+	for name, change := range map[string]func(*takeoverCase){
+		"after the grant": func(c *takeoverCase) { c.IsEvacuated = func(*catalog.Target) bool { panic("unexpected value") } },
+		"before the connection": func(c *takeoverCase) {
+			c.Protocol = dispatchProtocol{onDispatch: func(DispatchMetadata) { panic("unexpected value") }}
+		},
+		"before the request":      func(c *takeoverCase) { c.IsEvacuated = func(*catalog.Target) bool { panicAfterGrant(c); return false } },
+		"while a response is met": func(c *takeoverCase) { c.Protocol = dispatchProtocol{onResponse: panicAt(1)} },
+		"after the header":        func(c *takeoverCase) { c.Protocol = dispatchProtocol{onResponse: panicAt(2)} },
+	} {
+		for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.Streaming} {
+			t.Run(fmt.Sprint(name, " ", kind), func(t *testing.T) {
+				script := []scriptStep{plain(http.StatusOK, "first")}
+				if kind == catalog.Streaming {
+					script = []scriptStep{chunkedOK, events(1), hang{}}
+				}
+				c := newTakeoverCase(t, kind, 2, script)
+				change(c)
+				assert.Assert(t, !contain.Run(zap.NewNop(), "request", func() { _, _, _ = c.send() }))
+				assert.DeepEqual(t, c.placer.results(), []schedule.Result{schedule.Cancelled})
+			})
+		}
+	}
+}
+
+// panicAfterGrant panics once the target of the first grant has been checked.
+func panicAfterGrant(c *takeoverCase) {
+	if !c.request.firstPlacedAt.IsZero() {
+		panic("unexpected value")
+	}
+}
+
+// A search that was running when its request ended by a panic went on, and kept the slot that it
+// had found.
+func TestPanicOfARequestEndsItsSearch(t *testing.T) {
+	c := newTakeoverCase(t, catalog.Idempotent, 2, []scriptStep{longPause, plain(http.StatusOK, "first")}, []scriptStep{longPause, longPause, plain(http.StatusOK, "second")})
+	c.Protocol = dispatchProtocol{onResponse: func() { panic("unexpected value") }}
+	startedAt := time.Now()
+	assert.Assert(t, !contain.Run(zap.NewNop(), "request", func() { _, _, _ = c.send() }))
+	assert.Assert(t, time.Since(startedAt) >= longPause)
+	assert.DeepEqual(t, c.placer.results(), []schedule.Result{schedule.Cancelled, schedule.Cancelled})
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -52,12 +52,19 @@
 	}
 	const unknownLength = -1
 	ctx.Response.ImmediateHeaderFlush = true
+	handedOver := false
+	defer func() {
+		if !handedOver {
+			_ = r.Stream.Close()
+		}
+	}()
 	body := &streamBody{ReadCloser: r.Stream, onClose: onDone}
 	if s, ok := r.Stream.(*stream); ok && conn != nil && conn.backlog != nil {
 		body.stream, body.backlog = s, conn.backlog
 		conn.backlog.beginStream(s.ctx, cancel)
 	}
 	ctx.SetBodyStream(body, unknownLength)
+	handedOver = true
 }
 
 // streamBody calls onClose when fasthttp closes the body.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -308,7 +308,7 @@
 
 // placeRetry places the request on another target and then takes a retry from the
 // budget, so that a search that finds no target takes none.
-func (r *inflightRequest) placeRetry(ctx context.Context) (*schedule.Grant, error) {
+func (r *inflightRequest) placeRetry(ctx context.Context) (placed *schedule.Grant, err error) {
 	if err := r.checkAttempts(); err != nil {
 		return nil, err
 	}
@@ -316,8 +316,12 @@
 	if err != nil {
 		return nil, err
 	}
+	defer func() {
+		if placed == nil {
+			grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		}
+	}()
 	if err := r.takeRetry(); err != nil {
-		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		return nil, err
 	}
 	return grant, nil
@@ -341,24 +345,26 @@
 // place waits for the scheduler to place the request. A request that has crashed
 // targets since it was admitted is refused, and so are all at the end of a shutdown. The
 // error is a *refusedError, a *schedule.RefusedError or the context's error.
-func (r *inflightRequest) place(ctx context.Context) (*schedule.Grant, error) {
+func (r *inflightRequest) place(ctx context.Context) (placed *schedule.Grant, err error) {
 	grant, err := r.acquireOutsideEvacuations(ctx)
 	if err != nil {
 		return nil, err
 	}
+	defer func() {
+		if placed == nil {
+			grant.Done(schedule.Outcome{Result: schedule.Cancelled})
+		}
+	}()
 	if r.stopped.Load() {
 		// The place may be that of a request that has just been cancelled.
-		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		r.log.addStep("stopped before it was sent to", grant.Target.ID, 0)
 		return nil, &refusedError{reason: errStopping.Error(), retryAfter: defaultRetryAfter}
 	}
 	if err := r.checkStart(grant); err != nil {
-		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		r.log.addStep(r.describeStart(grant), grant.Target.ID, 0)
 		return nil, err
 	}
 	if r.Quarantine.RefuseDispatch(r.fingerprint, r.promptParts...) {
-		grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		r.log.addStep("quarantined before it was sent to", grant.Target.ID, 0)
 		return nil, &refusedError{reason: reasonQuarantined}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -201,10 +201,17 @@
 
 // resumeAt requests the rest of a stream from another target, and waits until it
 // has begun. While that is silent, too, a further one is looked for.
-func (r *inflightRequest) resumeAt(ctx context.Context, grant *schedule.Grant, from streamPosition) (*exchange, bool) {
+func (r *inflightRequest) resumeAt(ctx context.Context, grant *schedule.Grant, from streamPosition) (next *exchange, ok bool) {
 	x := r.newExchange(ctx, grant, from.lastEventID)
 	x.events.identified = from.identified
 	var t *takeover[*exchange]
+	concluded := false
+	defer func() {
+		if !concluded {
+			x.abandon()
+			t.abandon()
+		}
+	}()
 	x.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
 		if t == nil {
 			t = &takeover[*exchange]{
@@ -215,12 +222,21 @@
 		t.start()
 	}}
 	p := x.run()
-	if next, replaced := t.settle(p.stream && (p.err == nil || p.err == io.EOF)); replaced {
+	if next, ok = t.settle(p.stream && (p.err == nil || p.err == io.EOF)); ok {
 		r.recordReplaced(x)
-		return next, true
+	} else if r.concludeResume(ctx, x, p, from) {
+		next, ok = x, true
 	}
+	concluded = true
+	return next, ok
+}
+
+// concludeResume evaluates what a target has sent that was asked for the rest of a stream. It
+// reports whether the stream goes on there; if not, the exchange has been ended.
+func (r *inflightRequest) concludeResume(ctx context.Context, x *exchange, p reply, from streamPosition) bool {
+	grant := x.grant
 	if r.endEvacuated(ctx, x, p.err) {
-		return nil, false
+		return false
 	}
 	if dispatch.IsNotSent(p.err) {
 		r.unreachable++
@@ -230,22 +246,22 @@
 	if p.stream && (p.err == nil || p.err == io.EOF) {
 		x.ended = p.err == io.EOF
 		r.log.addStep("resumed after "+from.lastEventID, grant.Target.ID, p.took)
-		return x, true
+		return true
 	}
 	if ctx.Err() != nil {
 		x.discard()
 		r.log.addStep("resume cancelled", grant.Target.ID, p.took)
-		return nil, false
+		return false
 	}
 	if p.err != nil {
 		r.recordResumeError(ctx, x, p)
-		return nil, false
+		return false
 	}
 	r.excludedTargets = append(r.excludedTargets, grant.Target.Key())
 	x.tracked.End(quarantine.NoEvidence)
 	r.log.addStep("resume refused", grant.Target.ID, p.took)
 	x.end(schedule.Full)
-	return nil, false
+	return false
 }
 
 // recordResumeError records that a target did not begin with the rest of a stream.
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -66,18 +66,23 @@
 	t.cancel, t.done = cancel, done
 	go func() {
 		defer close(done)
-		response, ok := t.search(ctx)
-		switch {
-		case !ok:
-		case t.winner.CompareAndSwap(undecided, otherTarget):
-			t.response = response
-			t.cancelCurrent()
-		default:
-			t.discard(response)
-		}
+		t.run(ctx)
 	}()
 }
 
+// run searches, and hands the response over if the current target has not sent anything.
+func (t *takeover[R]) run(ctx context.Context) {
+	response, ok := t.search(ctx)
+	switch {
+	case !ok:
+	case t.winner.CompareAndSwap(undecided, otherTarget):
+		t.response = response
+		t.cancelCurrent()
+	default:
+		t.discard(response)
+	}
+}
+
 // stop ends the search, if there is one, and waits for its end.
 func (t *takeover[R]) stop() {
 	if t.cancel != nil {
@@ -105,3 +110,14 @@
 	t.cancel()
 	return response, false
 }
+
+// abandon ends the search, and a response that it has found, after a panic in the goroutine that
+// serves the request.
+func (t *takeover[R]) abandon() {
+	if t == nil || t.done == nil {
+		return
+	}
+	if response, replaced := t.settle(true); replaced {
+		t.discard(response)
+	}
+}
--- a/internal/placement/execution.go
+++ b/internal/placement/execution.go
@@ -59,10 +59,17 @@
 		client: c, id: id, target: idOf(grant.Target.Key()), key: grant.Target.Key(), request: r, startedAt: c.clock.Now(), localGrant: localGrant,
 		grantedBy: grant.Coordinator, coordinator: grant.Coordinator, memoryKnown: grant.Target.Limits.MemoryTokens > 0,
 	}
+	tracked := false
+	defer func() {
+		if !tracked {
+			e.Done(schedule.Outcome{Result: schedule.Cancelled})
+		}
+	}()
 	current := c.addRunning(e)
 	if current != grant.Coordinator && current != "" {
 		c.sendRenewals(current, []*execution{e}, true)
 	}
+	tracked = true
 	return schedule.NewGrant(grant, e)
 }
 
