Contain a panic in the search for another target

The search for another target, while the first one is silent, runs in a goroutine of its own: a panic in it ended the process, although a panic of its request would have been contained.

The search has found nothing then: it is logged, and the exchange with the first target goes on or ends as after any other search in vain. What the search held is released by deferred calls.

TestPanicInASearchDoesNotEndTheProcess failed before: the test process ended with the panic.

--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -124,6 +125,28 @@
 	}
 }
 
+// A panic in the goroutine that looks for another target, while the first one is silent, ended the
+// process. The search finds nothing then, and the first target is waited for.
+func TestPanicInASearchDoesNotEndTheProcess(t *testing.T) {
+	for kind, script := range map[catalog.Kind][]scriptStep{
+		catalog.Idempotent: {longPause, plain(http.StatusOK, "first")},
+		catalog.Streaming:  {chunkedOK, events(1), longPause, events(2), lastChunk},
+	} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			c := newTakeoverCase(t, kind, 2, script, []scriptStep{hang{}})
+			c.Protocol = dispatchProtocol{onDispatch: func(m DispatchMetadata) {
+				if m.TargetID == "t2" {
+					panic("unexpected value")
+				}
+			}}
+			c.checkSend(t, map[catalog.Kind]string{catalog.Idempotent: "first", catalog.Streaming: rawEvents(1, 2)}[kind])
+			results := c.placer.results()
+			assert.Equal(t, results[0], schedule.Complete)
+			assert.Assert(t, len(results) > 1 && !slices.ContainsFunc(results[1:], func(r schedule.Result) bool { return r != schedule.Cancelled }), "%v", results)
+		})
+	}
+}
+
 // A search that was running when its request ended by a panic went on, and kept the slot that it
 // had found.
 func TestPanicOfARequestEndsItsSearch(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -127,7 +127,7 @@
 	if s.takeover == nil {
 		position := s.position()
 		s.takeover = &takeover[*exchange]{
-			ctx: s.ctx, cancelCurrent: s.current.cancel, onStart: s.current.recordSilence, discard: (*exchange).discard,
+			ctx: s.ctx, logger: s.inflight.Logger, cancelCurrent: s.current.cancel, onStart: s.current.recordSilence, discard: (*exchange).discard,
 			search: func(ctx context.Context) (*exchange, bool) { return s.inflight.searchContinuation(ctx, position) },
 		}
 	}
@@ -215,7 +215,7 @@
 	x.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
 		if t == nil {
 			t = &takeover[*exchange]{
-				ctx: ctx, cancelCurrent: x.cancel, onStart: x.recordSilence, discard: (*exchange).discard,
+				ctx: ctx, logger: r.Logger, cancelCurrent: x.cancel, onStart: x.recordSilence, discard: (*exchange).discard,
 				search: func(ctx context.Context) (*exchange, bool) { return r.searchContinuation(ctx, from) },
 			}
 		}
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 )
 
 // takeover looks for another target while the current one is silent. The current
@@ -13,7 +17,8 @@
 // While a search runs, the state of the request belongs to its goroutine; settle
 // gives it back to the goroutine that serves the request.
 type takeover[R any] struct {
-	ctx context.Context
+	ctx    context.Context
+	logger *zap.Logger
 	// cancelCurrent ends the current exchange.
 	cancelCurrent context.CancelFunc
 	// search looks for another target until the context ends, and returns its
@@ -66,7 +71,8 @@
 	t.cancel, t.done = cancel, done
 	go func() {
 		defer close(done)
-		t.run(ctx)
+		// After a panic, the search has found nothing.
+		contain.Run(t.logger, "search for another target", func() { t.run(ctx) })
 	}()
 }
 
