Use targets after a panic although they have not changed again

A change of the list of targets was recorded before the targets were put in use. If that ended by a panic, the next run of the task, or the next message of another instance, found the list unchanged: requests were placed on the earlier targets until the next change, or refused on an instance that had none yet.

The change stays due now until the targets have been put in use, and is compared with those that last were.

--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -242,6 +241,6 @@
 // targetsMu.
 func (n *Node) reuseTargets() {
 	if n.targetsKnown.Load() {
-		n.useTargets(maps.Clone(n.targets.present))
+		n.useTargets()
 	}
 }
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -310,6 +310,7 @@
 func (n *Node) placeEvacuated(before []string) {
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
+	n.targetsDue = n.targetsDue || n.targetsKnown.Load()
 	// A concurrent update has the lists in the order of their changes: the last call uses
 	// the current set.
 	n.cold.assumeAll(n.targets.present, before, n.evacuatedDomains(), n.traits.current(), n.clock.Now())
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -193,11 +193,12 @@
 	n.observeEra(position.Era)
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
-	previous := n.targets.present
 	now := n.clock.Now()
-	changed := n.targets.apply(targets, position, now)
-	if n.cold.observe(n.targets.present, n.traits.current(), now) || changed {
-		n.useTargets(previous)
+	if n.targets.apply(targets, position, now) {
+		n.targetsDue = true
+	}
+	if n.cold.observe(n.targets.present, n.traits.current(), now) || n.targetsDue {
+		n.useTargets()
 	}
 	n.logHeldEntries()
 }
@@ -211,10 +212,10 @@
 	}
 }
 
-// useTargets uses the targets that are present now; previous are those in use
-// before. The caller holds targetsMu.
-func (n *Node) useTargets(previous map[catalog.TargetKey]*catalog.Target) {
-	position := n.targets.position
+// useTargets uses the targets that are present now. The caller holds targetsMu.
+func (n *Node) useTargets() {
+	n.targetsDue = true
+	previous, position := n.targetsInUse, n.targets.position
 	for key, target := range previous {
 		if n.targets.present[key] == nil {
 			n.pool.CloseIdle(target.Address)
@@ -243,4 +244,5 @@
 	n.targetByAddress.Store(&byAddress)
 	n.placement.SetTargets(usable)
 	n.targetsKnown.Store(true)
+	n.targetsInUse, n.targetsDue = n.targets.present, false
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -286,10 +286,12 @@
 		return
 	}
 	if m.TargetsDigest == n.targets.digest() {
-		previous := n.targets.present
 		if n.targets.confirm(n.clock.Now().Add(-age), position) {
+			n.targetsDue = true
+		}
+		if n.targetsDue {
 			n.cold.observe(n.targets.present, n.traits.current(), n.clock.Now())
-			n.useTargets(previous)
+			n.useTargets()
 		}
 		n.logHeldEntries()
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,9 +154,13 @@
 	// targetByAddress maps target addresses to targets.
 	targetByAddress atomic.Pointer[map[string]*catalog.Target]
 
-	// targetsMu guards targets.
+	// targetsMu guards the fields below.
 	targetsMu sync.Mutex
 	targets   targetList
+	// targetsInUse are the targets that were last put in use. targetsDue is set from a change
+	// until the targets have been put in use, which may take several calls after a panic.
+	targetsInUse map[catalog.TargetKey]*catalog.Target
+	targetsDue   bool
 
 	// rosterMu makes the comparison with the current roster and its replacement
 	// one step.
