--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 )
 
 // takeover looks for another target while the current one is silent. The current
@@ -13,7 +17,8 @@
 // While a search runs, the state of the request belongs to its goroutine; settle
 // gives it back to the goroutine that serves the request.
 type takeover[R any] struct {
-	ctx context.Context
+	ctx    context.Context
+	logger *zap.Logger
 	// cancelCurrent ends the current exchange.
 	cancelCurrent context.CancelFunc
 	// search looks for another target until the context ends, and returns its
@@ -66,18 +71,24 @@
 	t.cancel, t.done = cancel, done
 	go func() {
 		defer close(done)
-		response, ok := t.search(ctx)
-		switch {
-		case !ok:
-		case t.winner.CompareAndSwap(undecided, otherTarget):
-			t.response = response
-			t.cancelCurrent()
-		default:
-			t.discard(response)
-		}
+		// After a panic, the search has found nothing.
+		contain.Run(t.logger, "search for another target", func() { t.run(ctx) })
 	}()
 }
 
+// run searches, and hands the response over if the current target has not sent anything.
+func (t *takeover[R]) run(ctx context.Context) {
+	response, ok := t.search(ctx)
+	switch {
+	case !ok:
+	case t.winner.CompareAndSwap(undecided, otherTarget):
+		t.response = response
+		t.cancelCurrent()
+	default:
+		t.discard(response)
+	}
+}
+
 // stop ends the search, if there is one, and waits for its end.
 func (t *takeover[R]) stop() {
 	if t.cancel != nil {
@@ -105,3 +116,14 @@
 	t.cancel()
 	return response, false
 }
+
+// abandon ends the search, and a response that it has found, after a panic in the goroutine that
+// serves the request.
+func (t *takeover[R]) abandon() {
+	if t == nil || t.done == nil {
+		return
+	}
+	if response, replaced := t.settle(true); replaced {
+		t.discard(response)
+	}
+}
