Bound the bytes that callers leave unread in the system

Callers that had to wait for memory were left unread: 1,000 clients with bodies of 1 MiB had 110 MB in the system's receive queues beside 109 MB in the process, on a machine of 136 MB, where unread bytes count. The bound on callers' memory did not cover them: the system takes what its own receive buffers hold, times the connections allowed.

Connections now begin with a receive buffer of 4 KiB, set at the listener, so that those not accepted yet have it too, and each is charged the 8 KiB that the kernel may hold. The buffer is enlarged once the memory for a body is reserved, and made small again when the request is complete. At most 1,024 connections wait to be accepted. The charge is part of the memory for callers, now 0.35, of which connections may take a third.

A body over the limit is refused without reserving memory for it.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// callersShare is the part of an instance's memory for what callers have sent. Discarded
-	// bodies take memory until the next collection, and the runtime's limit is 0.75.
-	callersShare = 0.3
+	// callersShare is the part of an instance's memory for what callers have sent, read or not.
+	// Discarded bodies take memory until the next collection, and the runtime's limit is 0.75.
+	callersShare = 0.35
 	// requestBytes is charged for each request that is received or served: fasthttp's read
 	// buffer, its context and the stacks of two goroutines.
 	requestBytes = 24 << 10
@@ -26,6 +26,21 @@
 	// takes besides: entries of two lists and up to four small allocations.
 	headerCopies = 3
 	lineBytes    = 256
+	// receiveBuffer is the size in bytes of a caller's receive buffer, of which the kernel may
+	// hold the double unread: receiveMemory is charged for each connection. While a longer body is
+	// received the memory for unread bytes is as large as the body, up to maxReceiveMemory; the
+	// window cannot exceed 64 KiB on connections that begin with a small buffer.
+	receiveBuffer    = 4 << 10
+	receiveMemory    = 2 * receiveBuffer
+	maxReceiveMemory = 64 << 10
+	// connectionMemoryShare is the part of the memory for callers that may be charged for
+	// connections rather than for requests.
+	connectionMemoryShare = 1.0 / 3
+	// growthShare is the part of the memory for requests up to which chunked bodies may grow. They
+	// hold what they have while they wait for more, and would leave none for others.
+	growthShare = 0.75
+	// acceptBacklog bounds the connections that are not accepted yet.
+	acceptBacklog = 1024
 	// stallTime and stallBytes are the minimum rate at which a request must come in while
 	// memory or connections are short. It is far below that of a sound caller's link, and
 	// long enough for an instance whose processor share is used up for some 100 ms.
@@ -57,7 +72,7 @@
 
 	// mu guards the fields below and the charge of each connection.
 	mu sync.Mutex
-	// memory is the bound in bytes, 0 if there is none, used the sum of all charges.
+	// memory is the bound in bytes, 0 if there is none, used the sum of all charges of requests.
 	memory, used int64
 	maxConns     int
 	conns        map[*callerConn]struct{}
@@ -74,12 +89,16 @@
 	conn *callerConn
 	// bytes is the charge that is waited for, missing what it lacked at first.
 	bytes, missing int64
-	granted        chan struct{}
+	// growing is set for a chunked body.
+	growing bool
+	granted chan struct{}
 }
 
 // charge is what a connection holds of the bound on memory; callers.mu guards it.
 type charge struct {
 	bytes int64
+	// unread is the part of bytes for a receive buffer that is larger than at first.
+	unread int64
 	// receiving is set while a request is received, except during a wait for memory; evicted
 	// once its connection gives way to others.
 	receiving, evicted bool
@@ -115,6 +134,22 @@
 	s.grantWaiting()
 }
 
+// requestMemory returns the bound on the charges of requests: what the connections may hold
+// unread is left out. The caller holds mu.
+func (s *callers) requestMemory() int64 { return s.memory - int64(len(s.conns))*receiveMemory }
+
+// growthMemory returns the bound on the charges of requests up to which chunked bodies may grow.
+// The caller holds mu.
+func (s *callers) growthMemory() int64 { return int64(growthShare * float64(s.requestMemory())) }
+
+// connectionBound returns the bound on connections. The caller holds mu.
+func (s *callers) connectionBound() int {
+	if s.memory == 0 {
+		return s.maxConns
+	}
+	return max(1, min(s.maxConns, int(connectionMemoryShare*float64(s.memory))/receiveMemory))
+}
+
 // add counts a new connection. It returns false if there are too many.
 func (s *callers) add(c *callerConn) bool {
 	if s == nil {
@@ -123,7 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if len(s.conns) >= s.maxConns {
+	if len(s.conns) >= s.connectionBound() {
 		victim := s.leastUseful(now)
 		if victim == nil {
 			s.counters.ConnectionsRefused.Add(1)
@@ -161,8 +196,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.release(c)
 	delete(s.conns, c)
+	s.used -= c.charge.bytes
+	c.charge.bytes, c.charge.unread = 0, 0
+	s.grantWaiting()
 }
 
 // release releases the charge of a connection. The caller holds mu.
@@ -171,7 +208,7 @@
 		return
 	}
 	s.used -= c.charge.bytes
-	c.charge.bytes = 0
+	c.charge.bytes, c.charge.unread = 0, 0
 	s.grantWaiting()
 }
 
@@ -202,6 +239,11 @@
 // reserve raises the charge of a connection to the given bytes. It waits up to the given time,
 // and returns errMemoryShort after that.
 func (s *callers) reserve(c *callerConn, bytes int64, wait time.Duration) error {
+	return s.reserveFor(c, bytes, wait, false)
+}
+
+// reserveFor is reserve; growing is set for a chunked body.
+func (s *callers) reserveFor(c *callerConn, bytes int64, wait time.Duration, growing bool) error {
 	if s == nil {
 		return nil
 	}
@@ -210,14 +252,14 @@
 	switch {
 	case c.charge.evicted:
 		return errMemoryShort
-	case s.raise(c, bytes):
+	case s.raise(c, bytes, growing):
 		return nil
 	}
 	// A wait is no lack of progress.
 	receiving := c.charge.receiving
 	c.charge.receiving, c.charge.waiting = false, true
 	defer func() { c.charge.receiving, c.charge.waiting, c.charge.progressAt = receiving, false, time.Now() }()
-	w := &memoryWaiter{conn: c, bytes: bytes, missing: bytes - c.charge.bytes, granted: make(chan struct{})}
+	w := &memoryWaiter{conn: c, bytes: bytes, missing: bytes - c.charge.bytes, growing: growing, granted: make(chan struct{})}
 	s.waiters.PushBack(w)
 	s.wanted += w.missing
 	if !s.awaitGrant(w, wait) {
@@ -259,10 +301,13 @@
 }
 
 // raise raises the charge of a connection if there is memory. The caller holds mu.
-func (s *callers) raise(c *callerConn, bytes int64) bool {
-	missing := bytes - c.charge.bytes
+func (s *callers) raise(c *callerConn, bytes int64, growing bool) bool {
+	missing, bound := bytes-c.charge.bytes, s.requestMemory()
+	if growing {
+		bound = s.growthMemory()
+	}
 	// A request that is the only one is always received.
-	if missing > 0 && s.memory > 0 && s.used+missing > s.memory && s.used > c.charge.bytes {
+	if missing > 0 && s.memory > 0 && s.used+missing > bound && s.used > c.charge.bytes {
 		return false
 	}
 	if missing > 0 {
@@ -287,7 +332,7 @@
 func (s *callers) grantWaiting() {
 	for e := s.waiters.Front(); e != nil; {
 		next, w := e.Next(), e.Value.(*memoryWaiter)
-		if s.raise(w.conn, w.bytes) {
+		if s.raise(w.conn, w.bytes, w.growing) {
 			s.waiters.Remove(e)
 			s.wanted -= w.missing
 			close(w.granted)
@@ -303,7 +348,7 @@
 		return
 	}
 	s.scannedAt = now
-	short := s.used + s.wanted - s.memory
+	short := s.used + s.wanted - s.growthMemory()
 	var stalled []*callerConn
 	for c := range s.conns {
 		switch {
@@ -337,6 +382,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.charge.receiving, c.charge.evicted, c.charge.serving = false, false, true
+	if c.charge.unread > 0 {
+		s.used -= c.charge.unread
+		c.charge.bytes, c.charge.unread = c.charge.bytes-c.charge.unread, 0
+		s.grantWaiting()
+	}
 }
 
 // finish records that a request has been served.
@@ -358,7 +408,7 @@
 	}
 	s.lastLine[reason] = now
 	s.logger.Warn("caller refused before its request was received", zap.String("reason", reason), zap.Int64("memory_used", s.used),
-		zap.Int64("memory_bound", s.memory), zap.Int("connections", len(s.conns)), zap.Int("connections_bound", s.maxConns))
+		zap.Int64("memory_bound", s.memory), zap.Int("connections", len(s.conns)), zap.Int("connections_bound", s.connectionBound()))
 }
 
 // bodyMemory returns the memory for a body that fasthttp reads: the next power of two. While a
@@ -374,6 +424,14 @@
 	return buffer
 }
 
+// unreadMemory returns the memory for unread bytes of a body beyond receiveMemory.
+func unreadMemory(length int) int64 {
+	if length <= receiveMemory {
+		return 0
+	}
+	return min(bodyMemory(length, false), maxReceiveMemory)
+}
+
 // evictionError converts the end of a read that was cut by an eviction.
 func (c *callerConn) evictionError(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.callers.isEvicted(c) {
@@ -382,6 +440,22 @@
 	return err
 }
 
+// reserveBody reserves memory for a request and for the unread bytes of its body, and enlarges the
+// receive buffer accordingly.
+func (s *callers) reserveBody(c *callerConn, request, unread int64) error {
+	if err := s.reserveFor(c, request+unread, memoryWait, c.phase == bodyPhase); err != nil || s == nil {
+		return err
+	}
+	s.mu.Lock()
+	grown := unread > c.charge.unread
+	c.charge.unread = max(c.charge.unread, unread)
+	s.mu.Unlock()
+	if grown {
+		c.resizeReceiveBuffer(int(unread / 2))
+	}
+	return nil
+}
+
 // tooManyLines counts a header with too many lines.
 func (s *callers) tooManyLines() {
 	if s == nil {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,8 @@
 	maxBody func() int
 	counts  *connCounts
 	gateway *Gateway
+	// smallBuffers is set if connections begin with a small receive buffer.
+	smallBuffers bool
 }
 
 // Accept implements net.Listener.
@@ -56,6 +59,9 @@
 		}
 		now := time.Now()
 		c := &callerConn{Conn: conn, timeouts: l.timeouts, phaseSince: now, openedAt: now, callers: l.callers, maxBody: l.maxBody, counts: l.counts, backlog: newBacklog(l.gateway, conn)}
+		if system, ok := conn.(syscall.Conn); ok && l.smallBuffers {
+			c.raw, _ = system.SyscallConn()
+		}
 		if l.callers.add(c) {
 			l.counts.opened()
 			return c, nil
@@ -138,6 +144,10 @@
 	state              atomic.Int32
 	reading, responded atomic.Bool
 	counts             *connCounts
+	// raw is set if the receive buffer follows what is received; isBufferLarge is set once it has
+	// been enlarged.
+	raw           syscall.RawConn
+	isBufferLarge atomic.Bool
 	// backlog writes the responses; nil if the connection does that itself.
 	backlog *backlog
 
@@ -207,11 +217,13 @@
 		c.callers.tooManyLines()
 		return 0, errHeaderTooLong
 	}
-	memory := c.header.memory()
-	if c.header.done && !c.header.chunked {
-		memory += bodyMemory(min(c.header.bodyLength, c.maxBodyBytes()), false)
+	memory, unread := c.header.memory(), int64(0)
+	// A longer body is refused before it is allocated.
+	if length := c.header.bodyLength; c.header.done && !c.header.chunked && length <= c.maxBodyBytes() {
+		unread = unreadMemory(length)
+		memory += bodyMemory(length, false)
 	}
-	if err := c.callers.reserve(c, memory, memoryWait); err != nil {
+	if err := c.callers.reserveBody(c, memory, unread); err != nil {
 		return 0, err
 	}
 	c.keepAhead(data[n:])
@@ -249,7 +261,7 @@
 		// A longer body is refused before it is allocated.
 		length := min(c.chunks.length, c.maxBodyBytes()) + len("\r\n")
 		trailer := headerCopies*int64(c.chunks.trailerBytes) + lineBytes*int64(c.chunks.trailerLines)
-		if err := c.callers.reserve(c, c.header.memory()+bodyMemory(length, true)+trailer, memoryWait); err != nil {
+		if err := c.callers.reserveBody(c, c.header.memory()+bodyMemory(length, true)+trailer, unreadMemory(length)); err != nil {
 			return 0, err
 		}
 	} else if left := c.header.bodyLength - c.bodyBytes; left > 0 {
@@ -290,6 +302,22 @@
 	return c.maxBody()
 }
 
+// resizeReceiveBuffer sets the size of the receive buffer.
+func (c *callerConn) resizeReceiveBuffer(bytes int) {
+	if c.raw == nil {
+		return
+	}
+	setReceiveBuffer(c.raw, bytes)
+	c.isBufferLarge.Store(true)
+}
+
+// shrinkReceiveBuffer makes the receive buffer as small as at first.
+func (c *callerConn) shrinkReceiveBuffer() {
+	if c.isBufferLarge.Swap(false) {
+		setReceiveBuffer(c.raw, receiveBuffer)
+	}
+}
+
 // setState changes the state, unless the connection is closed.
 func (c *callerConn) setState(next connState) {
 	for {
@@ -340,6 +368,7 @@
 }
 
 func (c *callerConn) closeAfterResponse() error {
+	c.shrinkReceiveBuffer()
 	c.callers.finish(c)
 	conn, isTCP := c.Conn.(interface{ CloseWrite() error })
 	if !isTCP || !c.responded.Swap(false) || c.reading.Load() || conn.CloseWrite() != nil {
@@ -422,6 +451,7 @@
 	c.closeWatch = w
 	c.setState(connServing)
 	c.callers.serve(c)
+	c.shrinkReceiveBuffer()
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(w.done)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,7 +79,27 @@
 
 // Serve accepts connections on the listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return s.server.Serve(&listener{Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}, callers: s.callers, maxBody: s.longestBody, counts: &s.conns, gateway: s.gateway})
+	return s.server.Serve(&listener{
+		Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}, callers: s.callers, maxBody: s.longestBody,
+		counts: &s.conns, gateway: s.gateway, smallBuffers: s.limitUnread(l),
+	})
+}
+
+// limitUnread limits what the system holds unread of callers' connections, and reports whether it
+// has.
+func (s *Server) limitUnread(l net.Listener) bool {
+	system, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := system.SyscallConn()
+	if err == nil {
+		err = limitUnread(raw, receiveBuffer, acceptBacklog)
+	}
+	if err != nil {
+		s.gateway.Logger.Warn("failed to limit receive buffers of callers", eventlog.ErrorField(err))
+	}
+	return err == nil
 }
 
 // SetMemoryLimit bounds the memory for callers' requests by the instance's limit in bytes; 0
