--- a/internal/listen/accept.go
+++ b/internal/listen/accept.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,6 +73,15 @@
 	}
 }
 
+// SyscallConn implements syscall.Conn. The error says that the listener has no descriptor.
+func (l *Listener) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("listener for %s has no descriptor", l.options.Server)
+	}
+	return conn.SyscallConn()
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
