Contain panics while connections to targets are opened and checked

Connections are opened and paths checked in goroutines of their own, on behalf of requests: a panic there ended the process, although one in the request itself is contained.

A connection attempt that panics ends with an error that is no evidence against the target. The check of a path ends in a deferred call, so that those that wait for it go on; it has found nothing then.

TestPanicWhileAConnectionIsOpenedDoesNotEndTheProcess and TestPanicInTheCheckOfAPathEndsTheCheck failed before: the test process ended with the panic. go test -race passes for internal/dispatch, and these tests 200 times in a row.

--- a/internal/dispatch/connect.go
+++ b/internal/dispatch/connect.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/relay"
 )
 
@@ -75,7 +76,7 @@
 // connectFirst connects directly and, if that fails or takes too long, through
 // another instance as well; the first connection is used.
 func (p *Pool) connectFirst(ctx context.Context, state *path) (*pooledConn, error) {
-	direct := inBackground(func() (*pooledConn, error) { return p.connectDirect(ctx, state, poolDialTimeout) })
+	direct := p.inBackground(func() (*pooledConn, error) { return p.connectDirect(ctx, state, poolDialTimeout) })
 	if p.relay == nil {
 		d := <-direct
 		return d.conn, d.err
@@ -92,7 +93,7 @@
 	}
 	relayCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	relayed := inBackground(func() (*pooledConn, error) { return p.connectRelayed(relayCtx, state) })
+	relayed := p.inBackground(func() (*pooledConn, error) { return p.connectRelayed(relayCtx, state) })
 	r, usesDirect := dialed{}, false
 	if d.err != nil {
 		r = <-relayed
@@ -129,12 +130,16 @@
 	}
 }
 
+// errConnectPanicked is no evidence against the target.
+var errConnectPanicked = errors.Mark(errors.New("panic while a connection was opened"), ErrPathLost)
+
 // inBackground returns the outcome of one way to connect once it is there.
-func inBackground(connect func() (*pooledConn, error)) <-chan dialed {
+func (p *Pool) inBackground(connect func() (*pooledConn, error)) <-chan dialed {
 	outcome := make(chan dialed, 1)
 	go func() {
-		conn, err := connect()
-		outcome <- dialed{conn, err}
+		d := dialed{err: errConnectPanicked}
+		defer func() { outcome <- d }()
+		contain.Run(p.logger, "connection to a target", func() { d.conn, d.err = connect() })
 	}()
 	return outcome
 }
--- a/internal/dispatch/path.go
+++ b/internal/dispatch/path.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/relay"
 )
@@ -300,15 +301,20 @@
 	state.check = check
 	p.pathCounters.Checks.Add(1)
 	go func() {
-		check.lost = p.checkPath(state)
-		p.mu.Lock()
-		state.check = nil
-		p.mu.Unlock()
-		close(check.done)
+		defer p.endCheck(state, check)
+		contain.Run(p.logger, "check of a path", func() { check.lost = p.checkPath(state) })
 	}()
 	return check
 }
 
+// endCheck ends a check of a path.
+func (p *Pool) endCheck(state *path, check *pathCheck) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state.check = nil
+	close(check.done)
+}
+
 // checkPath reports whether the path is lost: the target cannot be reached directly,
 // and others reach it or cannot tell. Exchanges on a lost path end.
 func (p *Pool) checkPath(state *path) bool {
@@ -414,7 +420,7 @@
 		p.endExchanges(state)
 	}
 	for _, state := range retried {
-		go p.retryPath(state)
+		go contain.Run(p.logger, "retry of a path", func() { p.retryPath(state) })
 	}
 }
 
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -274,3 +274,31 @@
 	assert.Assert(t, p.HeardOther(addresses[3], started))
 	assert.Assert(t, !p.HeardOther(addresses[0], started))
 }
+
+// A panic while a connection was opened in the background ended the process.
+func TestPanicWhileAConnectionIsOpenedDoesNotEndTheProcess(t *testing.T) {
+	pool := NewPool(clockwork.NewRealClock())
+	pool.SetDial(func(context.Context, string) (net.Conn, error) { panic("unexpected value") })
+	_, err := pool.Send(t.Context(), &PooledRequest{Address: "127.0.0.1:1", Method: http.MethodGet, URI: "/x"})
+	assert.Assert(t, IsNotSent(err))
+	assert.Assert(t, pool.IsPathLost("127.0.0.1:1", err), "the target would be taken for the cause")
+}
+
+// panickingRelay panics instead of opening a connection.
+type panickingRelay struct{}
+
+func (panickingRelay) Dial(context.Context, string) (net.Conn, error) { panic("unexpected value") }
+
+// A panic in the check of a path ended the process, and would leave those waiting that ask for its
+// result.
+func TestPanicInTheCheckOfAPathEndsTheCheck(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	pool := NewPool(clock)
+	pool.SetRelay(panickingRelay{}, zap.NewNop())
+	pool.SetDial(func(context.Context, string) (net.Conn, error) { return nil, io.ErrUnexpectedEOF })
+	for range 2 {
+		assert.Assert(t, !pool.IsPathLost("127.0.0.1:1", io.EOF))
+		clock.Advance(minCheckInterval)
+	}
+	assert.Equal(t, pool.PathCounters().Checks.Load(), uint64(2))
+}
