Contain a panic while a request is queued at its coordinator

A coordinator waits for the grant of a queued request in a goroutine of its own: a panic there ended its process.

The request is now deleted and refused, and leaves the queue, or keeps its slot if it has been granted: the response is sent again when the request is repeated. The result is stored under a deferred unlock, and a grant that could not be stored is released.

TestPanicWhileARequestIsQueuedRefusesIt and TestPanicWhileAGrantIsSentKeepsTheGrant failed before: the test process ended with the panic. go test -race passes for internal/placement, and these tests 500 times in a row. Before their logger was replaced, the second one failed once in a run of the package: the panic was logged after the end of the test.

--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
@@ -287,34 +288,73 @@
 	}
 }
 
-// awaitGrant responds to a queued request once it is granted or its wait ends.
+// awaitGrant responds to a queued request once it is granted or its wait ends, also by a panic.
 func (s *Server) awaitGrant(from string, id uint32, h *heldRequest, queued *schedule.QueuedRequest) {
+	const step = "wait for a slot"
+	if !contain.Run(s.logger, step, func() { s.replyOnceDecided(from, id, h, queued) }) {
+		contain.Run(s.logger, step, func() { s.dropQueued(from, id, h, queued) })
+	}
+}
+
+func (s *Server) replyOnceDecided(from string, id uint32, h *heldRequest, queued *schedule.QueuedRequest) {
 	grant, err := s.awaitDecision(queued)
-	s.mu.Lock()
-	if s.requests[from][id] != h {
-		// The request was cancelled or its lease has expired.
-		s.mu.Unlock()
-		if grant != nil {
+	now := s.clock.Now()
+	response := s.storeDecision(from, id, h, grant, err, now)
+	if response == nil {
+		return
+	}
+	if grant != nil {
+		s.sendTerms(from, grant, now)
+	}
+	s.sendResponse(from, response)
+}
+
+// storeDecision stores the result of a queued request, and returns the response; nil if the request
+// was cancelled or its lease has expired, as then the grant is released.
+func (s *Server) storeDecision(from string, id uint32, h *heldRequest, grant *schedule.Grant, err error, now time.Time) (response *slotResponse) {
+	defer func() {
+		if response == nil && grant != nil {
 			grant.Done(schedule.Outcome{Result: schedule.Cancelled})
 		}
-		return
+	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requests[from][id] != h {
+		return nil
 	}
-	now := s.clock.Now()
 	if grant == nil {
 		delete(s.requests[from], id)
-		s.mu.Unlock()
-		s.sendResponse(from, refusedResponse(id, err))
-		return
+		return refusedResponse(id, err)
 	}
-	h.grant, h.queued = grant, nil
-	h.response = grantedResponse(id, grant)
+	granted := grantedResponse(id, grant)
+	h.grant, h.queued, h.response = grant, nil, granted
 	h.decidedAt, h.renewedAt, h.sentAt = now, now, now
-	response := h.response
-	s.mu.Unlock()
-	s.sendTerms(from, grant, now)
-	s.sendResponse(from, response)
+	return granted
+}
+
+// dropQueued refuses a queued request whose wait has ended by a panic. One that has been granted
+// keeps its slot: the response is sent again when the request is.
+func (s *Server) dropQueued(from string, id uint32, h *heldRequest, queued *schedule.QueuedRequest) {
+	if !s.deleteQueued(from, id, h) {
+		return
+	}
+	queued.Cancel()
+	s.sendResponse(from, refusedResponse(id, errWaitPanicked))
+}
+
+// deleteQueued deletes a request that is still queued, and reports whether it was.
+func (s *Server) deleteQueued(from string, id uint32, h *heldRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requests[from][id] != h || h.grant != nil {
+		return false
+	}
+	delete(s.requests[from], id)
+	return true
 }
 
+var errWaitPanicked = errors.New("panic while the request was queued")
+
 // awaitDecision waits until the request is granted or its wait ends.
 func (s *Server) awaitDecision(queued *schedule.QueuedRequest) (*schedule.Grant, error) {
 	for {
--- a/internal/placement/server_test.go
+++ b/internal/placement/server_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -536,3 +537,38 @@
 	ts.advanceUntilResponse("a")
 	assert.Equal(t, ts.lastResponse("a").Decision, decisionQueued)
 }
+
+// timerlessClock is a clock whose timers panic.
+type timerlessClock struct{ clockwork.Clock }
+
+func (timerlessClock) NewTimer(time.Duration) clockwork.Timer { panic("unexpected value") }
+
+// A panic while a request was queued ended the coordinator's process. The request is refused instead
+// and gets no slot.
+func TestPanicWhileARequestIsQueuedRefusesIt(t *testing.T) {
+	ts := newTestServer(t, newEngine("one", 1))
+	ts.server.clock, ts.server.logger = timerlessClock{ts.clock}, zap.NewNop()
+	ts.requestSlot("a", 1, 0)
+	ts.requestSlot("b", 2, 0)
+	ts.awaitDecision("b", decisionRefused)
+	assert.Equal(t, ts.requestCount("b"), 0)
+	ts.server.handleProgress("a", doneReport(1))
+	assert.Equal(t, ts.running(), 0)
+}
+
+// A panic while a grant was sent ended the coordinator's process. The response is sent when the
+// request is repeated.
+func TestPanicWhileAGrantIsSentKeepsTheGrant(t *testing.T) {
+	ts := newTestServer(t, newEngine("one", 1))
+	// The panic may be logged after the end of the test.
+	ts.server.logger = zap.NewNop()
+	ts.requestSlot("a", 1, 0)
+	ts.requestSlot("b", 2, 0)
+	panicked := make(chan struct{})
+	ts.server.send = func(string, []byte) error { defer close(panicked); panic("unexpected value") }
+	ts.server.handleProgress("a", doneReport(1))
+	<-panicked
+	ts.server.send = ts.recordMessage
+	assert.Equal(t, ts.requestSlot("b", 2, 0).Decision, decisionGranted)
+	assert.Equal(t, ts.running(), 1)
+}
