Keep a queued request queued after a panic in its first response

A coordinator stored a queued request, responded and only then waited for its grant. If the response ended by a panic, which is contained, nothing waited: the instance was told again and again that the request is queued, and the slot that became free was held for it until it gave up.

The wait starts in a deferred call now.

--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -270,13 +270,14 @@
 	byID[id] = h
 	response, queued, grant := h.response, h.queued, h.grant
 	s.mu.Unlock()
+	if queued != nil {
+		// Also after a panic, since the request is stored.
+		defer func() { go s.awaitGrant(from, id, h, queued) }()
+	}
 	if grant != nil {
 		s.sendTerms(from, grant, now)
 	}
 	s.sendResponse(from, response)
-	if queued != nil {
-		go s.awaitGrant(from, id, h, queued)
-	}
 }
 
 // release gives up the slot or ends the wait.
--- a/internal/placement/server_test.go
+++ b/internal/placement/server_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -572,3 +573,16 @@
 	assert.Equal(t, ts.requestSlot("b", 2, 0).Decision, decisionGranted)
 	assert.Equal(t, ts.running(), 1)
 }
+
+// A queued request was never granted a slot if its first response ended by a panic.
+func TestPanicWhileAQueuedRequestIsAnsweredLeavesItQueued(t *testing.T) {
+	ts := newTestServer(t, newEngine("one", 1))
+	ts.requestSlot("a", 1, 0)
+	ts.server.send = func(string, []byte) error { panic("unexpected value") }
+	assert.Assert(t, !contain.Run(zap.NewNop(), "message", func() { ts.requestSlot("b", 2, 0) }))
+	ts.server.send = ts.recordMessage
+	assert.Equal(t, ts.requestSlot("b", 2, 0).Decision, decisionQueued)
+	ts.server.handleProgress("a", doneReport(1))
+	ts.awaitDecision("b", decisionGranted)
+	assert.Equal(t, ts.running(), 1)
+}
