--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -106,7 +106,7 @@
 		"| memory of targets | a number for each request that runs | in renewals, some 4 bytes a request |\n" +
 		"| prompt prefixes | 2,048 parts for each of 8 to 16 targets of a group, some 3 MB for each group | 30 bytes of a slot request |\n" +
 		"| slow callers | 0.125 of the memory limit, 32 MiB at most | none |\n" +
-		"| callers' requests | 0.3 of the memory limit | none |\n\n" +
+		"| callers' requests, read or not | 0.35 of the memory limit | none |\n\n" +
 		"None grows with instances times accounts. Sizes are counted from the types, and not measured.\n\n")
 	b.WriteString("Measured growth, all parts together: middle and busiest instance of a day with 30, 100 and 300 instances before ten\n" +
 		"times as many targets (ckmr-logs-grown, code of b9dd954, 2026-12-06, arm64). The power is that of the busiest.\n\n" +
