Keep the receive buffer of a caller that has sent a long body

A caller that sent several bodies of 60 KB or more on one connection waited for up to many seconds from the second one on: the receive buffer was made small again after each request, but the window that had been offered could not be taken back. What the caller sent into it was dropped and sent again after timeouts.

The buffer now stays as it is, and so does its charge; connections that carry no request and hold one are closed when others wait for memory. Bodies of up to 64 KiB no longer enlarge it. This also counts what waits unread behind a long body that is being served. The charge for unread bytes is set under the lock under which it is granted.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -27,9 +27,9 @@
 	headerCopies = 3
 	lineBytes    = 256
 	// receiveBuffer is the size in bytes of a caller's receive buffer, of which the kernel may
-	// hold the double unread: receiveMemory is charged for each connection. While a longer body is
-	// received the memory for unread bytes is as large as the body, up to maxReceiveMemory; the
-	// window cannot exceed 64 KiB on connections that begin with a small buffer.
+	// hold the double unread: receiveMemory is charged for each connection. For bodies longer than
+	// maxReceiveMemory the memory for unread bytes is that much; the window cannot exceed 64 KiB on
+	// connections that begin with a small buffer.
 	receiveBuffer    = 4 << 10
 	receiveMemory    = 2 * receiveBuffer
 	maxReceiveMemory = 64 << 10
@@ -89,6 +89,8 @@
 	conn *callerConn
 	// bytes is the charge that is waited for, missing what it lacked at first.
 	bytes, missing int64
+	// unread is the part of bytes for unread bytes.
+	unread int64
 	// growing is set for a chunked body.
 	growing bool
 	granted chan struct{}
@@ -97,7 +99,8 @@
 // charge is what a connection holds of the bound on memory; callers.mu guards it.
 type charge struct {
 	bytes int64
-	// unread is the part of bytes for a receive buffer that is larger than at first.
+	// unread is the part of bytes for a receive buffer that is larger than at first. It is held
+	// as long as the connection is open: a window that was offered cannot be taken back.
 	unread int64
 	// receiving is set while a request is received, except during a wait for memory; evicted
 	// once its connection gives way to others.
@@ -109,6 +112,9 @@
 	pending    int
 }
 
+// isIdle reports whether the connection carries no request.
+func (c *charge) isIdle() bool { return !c.receiving && !c.serving && !c.waiting }
+
 func newCallers(counters *Counters, logger *zap.Logger) *callers {
 	return &callers{
 		counters: counters, logger: logger, maxConns: connectionLimit(), conns: make(map[*callerConn]struct{}),
@@ -202,13 +208,13 @@
 	s.grantWaiting()
 }
 
-// release releases the charge of a connection. The caller holds mu.
+// release releases the charge for the request of a connection. The caller holds mu.
 func (s *callers) release(c *callerConn) {
-	if c.charge.bytes == 0 {
+	if c.charge.bytes == c.charge.unread {
 		return
 	}
-	s.used -= c.charge.bytes
-	c.charge.bytes, c.charge.unread = 0, 0
+	s.used -= c.charge.bytes - c.charge.unread
+	c.charge.bytes = c.charge.unread
 	s.grantWaiting()
 }
 
@@ -239,35 +245,39 @@
 // reserve raises the charge of a connection to the given bytes. It waits up to the given time,
 // and returns errMemoryShort after that.
 func (s *callers) reserve(c *callerConn, bytes int64, wait time.Duration) error {
-	return s.reserveFor(c, bytes, wait, false)
+	_, err := s.reserveFor(c, bytes, 0, wait, false)
+	return err
 }
 
-// reserveFor is reserve; growing is set for a chunked body.
-func (s *callers) reserveFor(c *callerConn, bytes int64, wait time.Duration, growing bool) error {
+// reserveFor raises the charge of a connection to the given bytes for a request and for unread
+// bytes, and reports whether the latter are more than before. growing is set for a chunked body.
+func (s *callers) reserveFor(c *callerConn, request, unread int64, wait time.Duration, growing bool) (grown bool, err error) {
 	if s == nil {
-		return nil
+		return false, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	grown, unread = unread > c.charge.unread, max(unread, c.charge.unread)
+	bytes := request + unread
 	switch {
 	case c.charge.evicted:
-		return errMemoryShort
-	case s.raise(c, bytes, growing):
-		return nil
+		return false, errMemoryShort
+	case s.raise(c, bytes, unread, growing):
+		return grown, nil
 	}
 	// A wait is no lack of progress.
 	receiving := c.charge.receiving
 	c.charge.receiving, c.charge.waiting = false, true
 	defer func() { c.charge.receiving, c.charge.waiting, c.charge.progressAt = receiving, false, time.Now() }()
-	w := &memoryWaiter{conn: c, bytes: bytes, missing: bytes - c.charge.bytes, growing: growing, granted: make(chan struct{})}
+	w := &memoryWaiter{conn: c, bytes: bytes, missing: bytes - c.charge.bytes, unread: unread, growing: growing, granted: make(chan struct{})}
 	s.waiters.PushBack(w)
 	s.wanted += w.missing
 	if !s.awaitGrant(w, wait) {
 		s.counters.RefusedForMemory.Add(1)
 		s.logRefusal(errMemoryShort.Error(), time.Now())
-		return errMemoryShort
+		return false, errMemoryShort
 	}
-	return nil
+	return grown, nil
 }
 
 // awaitGrant waits until the waiter has got its memory, and reports whether it has. The caller
@@ -301,7 +311,7 @@
 }
 
 // raise raises the charge of a connection if there is memory. The caller holds mu.
-func (s *callers) raise(c *callerConn, bytes int64, growing bool) bool {
+func (s *callers) raise(c *callerConn, bytes, unread int64, growing bool) bool {
 	missing, bound := bytes-c.charge.bytes, s.requestMemory()
 	if growing {
 		bound = s.growthMemory()
@@ -314,6 +324,7 @@
 		s.used += missing
 		c.charge.bytes = bytes
 	}
+	c.charge.unread = unread
 	return true
 }
 
@@ -332,7 +343,7 @@
 func (s *callers) grantWaiting() {
 	for e := s.waiters.Front(); e != nil; {
 		next, w := e.Next(), e.Value.(*memoryWaiter)
-		if s.raise(w.conn, w.bytes, w.growing) {
+		if s.raise(w.conn, w.bytes, w.unread, w.growing) {
 			s.waiters.Remove(e)
 			s.wanted -= w.missing
 			close(w.granted)
@@ -341,8 +352,9 @@
 	}
 }
 
-// evictStalled makes stalled requests give way to those that wait, those without progress for
-// the longest time first. The caller holds mu.
+// evictStalled makes stalled requests, and connections that carry no request and hold memory for
+// unread bytes, give way to those that wait: those without progress for the longest time first.
+// The caller holds mu.
 func (s *callers) evictStalled(now time.Time) {
 	if now.Sub(s.scannedAt) < minScanInterval {
 		return
@@ -354,7 +366,7 @@
 		switch {
 		case c.charge.evicted:
 			short -= c.charge.bytes
-		case c.charge.receiving && now.Sub(c.charge.progressAt) >= stallTime:
+		case c.charge.receiving && now.Sub(c.charge.progressAt) >= stallTime, c.charge.isIdle() && c.charge.bytes > 0:
 			stalled = append(stalled, c)
 		}
 	}
@@ -367,6 +379,12 @@
 		}
 		short -= c.charge.bytes
 		c.charge.evicted = true
+		if c.charge.isIdle() {
+			_ = c.Conn.Close()
+			s.counters.ConnectionsEvicted.Add(1)
+			s.logRefusal("idle connection gives way", now)
+			continue
+		}
 		// The read in progress ends; its request is refused.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		s.counters.StalledRefused.Add(1)
@@ -382,11 +400,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.charge.receiving, c.charge.evicted, c.charge.serving = false, false, true
-	if c.charge.unread > 0 {
-		s.used -= c.charge.unread
-		c.charge.bytes, c.charge.unread = c.charge.bytes-c.charge.unread, 0
-		s.grantWaiting()
-	}
 }
 
 // finish records that a request has been served.
@@ -424,12 +437,13 @@
 	return buffer
 }
 
-// unreadMemory returns the memory for unread bytes of a body beyond receiveMemory.
+// unreadMemory returns the memory for unread bytes of a body beyond receiveMemory. Shorter bodies
+// need few windows of the size at first.
 func unreadMemory(length int) int64 {
-	if length <= receiveMemory {
+	if length <= maxReceiveMemory {
 		return 0
 	}
-	return min(bodyMemory(length, false), maxReceiveMemory)
+	return maxReceiveMemory
 }
 
 // evictionError converts the end of a read that was cut by an eviction.
@@ -443,17 +457,11 @@
 // reserveBody reserves memory for a request and for the unread bytes of its body, and enlarges the
 // receive buffer accordingly.
 func (s *callers) reserveBody(c *callerConn, request, unread int64) error {
-	if err := s.reserveFor(c, request+unread, memoryWait, c.phase == bodyPhase); err != nil || s == nil {
-		return err
+	grown, err := s.reserveFor(c, request, unread, memoryWait, c.phase == bodyPhase)
+	if err == nil && grown {
+		c.enlargeReceiveBuffer(int(unread / 2))
 	}
-	s.mu.Lock()
-	grown := unread > c.charge.unread
-	c.charge.unread = max(c.charge.unread, unread)
-	s.mu.Unlock()
-	if grown {
-		c.resizeReceiveBuffer(int(unread / 2))
-	}
-	return nil
+	return err
 }
 
 // tooManyLines counts a header with too many lines.
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -144,10 +144,8 @@
 	state              atomic.Int32
 	reading, responded atomic.Bool
 	counts             *connCounts
-	// raw is set if the receive buffer follows what is received; isBufferLarge is set once it has
-	// been enlarged.
-	raw           syscall.RawConn
-	isBufferLarge atomic.Bool
+	// raw is set if the connection begins with a small receive buffer.
+	raw syscall.RawConn
 	// backlog writes the responses; nil if the connection does that itself.
 	backlog *backlog
 
@@ -302,19 +300,11 @@
 	return c.maxBody()
 }
 
-// resizeReceiveBuffer sets the size of the receive buffer.
-func (c *callerConn) resizeReceiveBuffer(bytes int) {
-	if c.raw == nil {
-		return
-	}
-	setReceiveBuffer(c.raw, bytes)
-	c.isBufferLarge.Store(true)
-}
-
-// shrinkReceiveBuffer makes the receive buffer as small as at first.
-func (c *callerConn) shrinkReceiveBuffer() {
-	if c.isBufferLarge.Swap(false) {
-		setReceiveBuffer(c.raw, receiveBuffer)
+// enlargeReceiveBuffer sets the size of the receive buffer. It is not made smaller again: the
+// caller may send into the window that it was offered, and what does not fit then is dropped.
+func (c *callerConn) enlargeReceiveBuffer(bytes int) {
+	if c.raw != nil {
+		setReceiveBuffer(c.raw, bytes)
 	}
 }
 
@@ -368,7 +358,6 @@
 }
 
 func (c *callerConn) closeAfterResponse() error {
-	c.shrinkReceiveBuffer()
 	c.callers.finish(c)
 	conn, isTCP := c.Conn.(interface{ CloseWrite() error })
 	if !isTCP || !c.responded.Swap(false) || c.reading.Load() || conn.CloseWrite() != nil {
@@ -451,7 +440,6 @@
 	c.closeWatch = w
 	c.setState(connServing)
 	c.callers.serve(c)
-	c.shrinkReceiveBuffer()
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(w.done)
