--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -457,9 +457,15 @@
 // reserveBody reserves memory for a request and for the unread bytes of its body, and enlarges the
 // receive buffer accordingly.
 func (s *callers) reserveBody(c *callerConn, request, unread int64) error {
+	if c.raw == nil {
+		// The buffer is the system's own.
+		unread = 0
+	}
 	grown, err := s.reserveFor(c, request, unread, memoryWait, c.phase == bodyPhase)
 	if err == nil && grown {
-		c.enlargeReceiveBuffer(int(unread / 2))
+		// It is not made smaller again: the caller may send into the window that it was offered, and
+		// what does not fit then is dropped.
+		setReceiveBuffer(c.raw, int(unread/2))
 	}
 	return err
 }
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -300,14 +300,6 @@
 	return c.maxBody()
 }
 
-// enlargeReceiveBuffer sets the size of the receive buffer. It is not made smaller again: the
-// caller may send into the window that it was offered, and what does not fit then is dropped.
-func (c *callerConn) enlargeReceiveBuffer(bytes int) {
-	if c.raw != nil {
-		setReceiveBuffer(c.raw, bytes)
-	}
-}
-
 // setState changes the state, unless the connection is closed.
 func (c *callerConn) setState(next connState) {
 	for {
