Give callers receive buffers in which long segments fit

With receive buffers of 4 KiB, bodies of 12 KB and more were in part sent again after 0.2 s when the machine was busy: long segments did not fit.

Buffers are 16 KiB now, of which the kernel may hold 32; connections may take half of the memory for callers, and 512 wait to be accepted.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -27,20 +27,21 @@
 	headerCopies = 3
 	lineBytes    = 256
 	// receiveBuffer is the size in bytes of a caller's receive buffer, of which the kernel may
-	// hold the double unread: receiveMemory is charged for each connection. For bodies longer than
+	// hold the double unread: receiveMemory is charged for each connection. In a much smaller one
+	// long segments do not fit, and are dropped and sent again. For bodies longer than
 	// maxReceiveMemory the memory for unread bytes is that much; the window cannot exceed 64 KiB on
 	// connections that begin with a small buffer.
-	receiveBuffer    = 4 << 10
+	receiveBuffer    = 16 << 10
 	receiveMemory    = 2 * receiveBuffer
 	maxReceiveMemory = 64 << 10
 	// connectionMemoryShare is the part of the memory for callers that may be charged for
 	// connections rather than for requests.
-	connectionMemoryShare = 1.0 / 3
+	connectionMemoryShare = 0.5
 	// growthShare is the part of the memory for requests up to which chunked bodies may grow. They
 	// hold what they have while they wait for more, and would leave none for others.
 	growthShare = 0.75
 	// acceptBacklog bounds the connections that are not accepted yet.
-	acceptBacklog = 1024
+	acceptBacklog = 512
 	// stallTime and stallBytes are the minimum rate at which a request must come in while
 	// memory or connections are short. It is far below that of a sound caller's link, and
 	// long enough for an instance whose processor share is used up for some 100 ms.
