--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -32,6 +32,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	// The settings are read once. SIGHUP also reaches a stopped process when the shell that
+	// started its group exits.
+	signal.Ignore(syscall.SIGHUP)
 	config, err := settings.Load(s.Settings)
 	if err != nil {
 		return settingsError(err)
