Read routes of a kind that is not known without a panic

A configuration of a later build may hold kinds that this one does not know. The name of the kind, in log lines, was an index beyond the list; a route without shares was an index of -1. The panic was contained to the request, which got no true answer.

Such a route counts as not idempotent, and one without shares has no service. TestRouteOfALaterBuildIsNoPanic panics before and passes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -32,9 +32,14 @@
 	Streaming
 )
 
-// String returns the name of the kind.
+// String returns the name of the kind. Instances of a later build may send kinds that this one
+// does not know.
 func (k Kind) String() string {
-	return [...]string{"non_idempotent", "idempotent", "streaming"}[k]
+	names := [...]string{"non_idempotent", "idempotent", "streaming"}
+	if k < 0 || int(k) >= len(names) {
+		return "kind " + strconv.Itoa(int(k))
+	}
+	return names[k]
 }
 
 // Share is the part of a route's traffic that goes to one service.
@@ -60,7 +65,7 @@
 	EventGapObjective time.Duration
 	// Priority ranks routes; 0 is the highest.
 	Priority int
-	// Shares is never empty.
+	// Shares is never empty in a configuration that was checked.
 	Shares []Share
 	// MaxAttempts bounds the number of targets to which one request is sent.
 	MaxAttempts int
@@ -76,8 +81,11 @@
 }
 
 // PickService returns the service for a request; uniform is a random number,
-// uniformly distributed in [0, 1).
+// uniformly distributed in [0, 1). It is empty if the route has no shares.
 func (r *Route) PickService(uniform float64) string {
+	if len(r.Shares) == 0 {
+		return ""
+	}
 	total := 0
 	for _, share := range r.Shares {
 		total += share.Weight
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -58,3 +58,12 @@
 	assert.Equal(t, c.AccountForKey("k").Name, "one")
 	assert.Assert(t, c.AccountForKey("other") == nil)
 }
+
+// TestRouteOfALaterBuildIsNoPanic reads what a later build may send.
+func TestRouteOfALaterBuildIsNoPanic(t *testing.T) {
+	route := &Route{Kind: 7}
+	assert.Equal(t, route.Kind.String(), "kind 7")
+	assert.Equal(t, Kind(-1).String(), "kind -1")
+	assert.Equal(t, route.PickService(0.5), "")
+	assert.Assert(t, !route.Retryable())
+}
