Do not cut a response that is being written when others lack memory

A caller that read a stream slowly got a part of it, and then the end of the connection, when others waited for memory for their requests or all connections were in use. The last part of a stream is held and written in the background; once it has been handed over the connection counted as idle, and was closed with what it held.

Connections are closed for others only once the backlog is written.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -184,12 +184,12 @@
 }
 
 // leastUseful returns the connection that has been without progress for the longest time, and
-// is not serving a request; nil if all have made some lately.
+// has no request that is served and no response that is written; nil if there is none.
 func (s *callers) leastUseful(now time.Time) *callerConn {
 	var victim *callerConn
 	for c := range s.conns {
 		if !c.charge.serving && !c.charge.waiting && !c.charge.evicted && now.Sub(c.charge.progressAt) >= stallTime &&
-			(victim == nil || c.charge.progressAt.Before(victim.charge.progressAt)) {
+			(victim == nil || c.charge.progressAt.Before(victim.charge.progressAt)) && !c.isDelivering(now) {
 			victim = c
 		}
 	}
@@ -367,7 +367,7 @@
 		switch {
 		case c.charge.evicted:
 			short -= c.charge.bytes
-		case c.charge.receiving && now.Sub(c.charge.progressAt) >= stallTime, c.charge.isIdle() && c.charge.bytes > 0:
+		case c.charge.receiving && now.Sub(c.charge.progressAt) >= stallTime, c.charge.isIdle() && c.charge.bytes > 0 && !c.isDelivering(now):
 			stalled = append(stalled, c)
 		}
 	}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -363,6 +363,19 @@
 	return nil
 }
 
+// isDelivering reports whether the caller has not received all of the response before: the
+// connection must not be closed for others. What only the system holds counts for callerStallTime.
+// The caller holds callers.mu.
+func (c *callerConn) isDelivering(now time.Time) bool {
+	switch {
+	case c.backlog == nil:
+		return false
+	case c.backlog.isDraining():
+		return true
+	}
+	return now.Sub(c.charge.progressAt) < callerStallTime && unacknowledged(c.backlog.raw) > 0
+}
+
 func (c *callerConn) closeNow() error {
 	c.setState(connClosed)
 	c.callers.remove(c)
