Close connections above a bound that was lowered

After a reload that lowered the memory of an instance, callers that stayed connected left no memory for requests: each connection is charged for its receive buffer, and nothing closed those above the new bound. All requests with a body were refused, but for a single one at a time, until callers left.

Idle connections above the bound are closed at the reload, those idle for the longest time first, and others once their request is answered.

The functions that bound connections move to a file of their own.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -3,12 +3,10 @@
 import (
 	"cmp"
 	"container/list"
-	"math"
 	"math/bits"
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -123,21 +121,12 @@
 	}
 }
 
-// connectionLimit returns the bound on callers' connections from the descriptors that the
-// process may open.
-func connectionLimit() int {
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
-		return maxConnections
-	}
-	return max(1, min(maxConnections, int(connectionShare*float64(limit.Cur))))
-}
-
 // setMemory sets the instance's memory; 0 means no bound.
 func (s *callers) setMemory(bytes int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.memory = int64(callersShare * float64(bytes))
+	s.closeExcess(time.Now())
 	s.grantWaiting()
 }
 
@@ -149,53 +138,6 @@
 // The caller holds mu.
 func (s *callers) growthMemory() int64 { return int64(growthShare * float64(s.requestMemory())) }
 
-// connectionBound returns the bound on connections. The caller holds mu.
-func (s *callers) connectionBound() int {
-	if s.memory == 0 {
-		return s.maxConns
-	}
-	return max(1, min(s.maxConns, int(connectionMemoryShare*float64(s.memory))/receiveMemory))
-}
-
-// add counts a new connection. It returns false if there are too many.
-func (s *callers) add(c *callerConn) bool {
-	if s == nil {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	if len(s.conns) >= s.connectionBound() {
-		victim := s.leastUseful(now)
-		if victim == nil {
-			s.counters.ConnectionsRefused.Add(1)
-			s.logRefusal("too many connections", now)
-			return false
-		}
-		s.counters.ConnectionsEvicted.Add(1)
-		s.logRefusal("connection closed for a new one", now)
-		victim.charge.evicted = true
-		delete(s.conns, victim)
-		_ = victim.Conn.Close()
-	}
-	c.charge.progressAt = now
-	s.conns[c] = struct{}{}
-	return true
-}
-
-// leastUseful returns the connection that has been without progress for the longest time, and
-// has no request that is served and no response that is written; nil if there is none.
-func (s *callers) leastUseful(now time.Time) *callerConn {
-	var victim *callerConn
-	for c := range s.conns {
-		if !c.charge.serving && !c.charge.waiting && !c.charge.evicted && now.Sub(c.charge.progressAt) >= stallTime &&
-			(victim == nil || c.charge.progressAt.Before(victim.charge.progressAt)) && !c.isDelivering(now) {
-			victim = c
-		}
-	}
-	return victim
-}
-
 // remove releases what a connection holds and no longer counts it.
 func (s *callers) remove(c *callerConn) {
 	if s == nil {
@@ -411,7 +353,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.release(c)
-	c.charge.serving, c.charge.receiving, c.charge.pending, c.charge.progressAt = false, false, 0, time.Now()
+	now := time.Now()
+	c.charge.serving, c.charge.receiving, c.charge.pending, c.charge.progressAt = false, false, 0, now
+	s.closeExcess(now)
 }
 
 // logRefusal logs a refusal, at most once in refusalLogInterval for each reason; the counters
