Tell callers that their connection is above a lowered bound

After a reload that lowered the memory of an instance, connections above the new bound were closed right behind a response that did not say so. A caller that sent its next request on it got a reset in place of an answer, and cannot know whether the request has run. If bytes of that request had come in, the close was a reset as well, at which some systems drop what of the response is unread.

As many responses as there are connections above the bound now carry "Connection: close", and the connection is closed in order behind them. Idle connections are closed as before.

--- a/internal/gateway/callerlimit.go
+++ b/internal/gateway/callerlimit.go
@@ -43,7 +43,7 @@
 		s.counters.ConnectionsEvicted.Add(1)
 		s.logRefusal("connection closed for a new one", now)
 		victim.charge.evicted = true
-		delete(s.conns, victim)
+		s.forget(victim)
 		_ = victim.Conn.Close()
 	}
 	c.charge.progressAt = now
@@ -64,17 +64,47 @@
 	return victim
 }
 
+// excess returns the number of connections above the bound, which may have been lowered, without
+// those that are closed after their response. The caller holds mu.
+func (s *callers) excess() int { return len(s.conns) - s.leaving - s.connectionBound() }
+
+// forget no longer counts a connection. The caller holds mu.
+func (s *callers) forget(c *callerConn) {
+	if _, isCounted := s.conns[c]; isCounted && c.charge.leaving {
+		s.leaving--
+	}
+	delete(s.conns, c)
+}
+
+// leave reports whether a connection is to be closed after the response to its request, which tells
+// the caller so, since there are more than the bound.
+func (s *callers) leave(c *callerConn) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, isCounted := s.conns[c]; !isCounted || s.excess() <= 0 {
+		return false
+	}
+	if !c.charge.leaving {
+		c.charge.leaving = true
+		s.leaving++
+	}
+	return true
+}
+
 // closeExcess closes idle connections, those idle for the longest time first, while there are more
-// than the bound, which may have been lowered. The others are closed as they become idle. The
-// caller holds mu.
+// than the bound. The others are closed after their response, or as they become idle if that has
+// begun. The caller holds mu.
 func (s *callers) closeExcess(now time.Time) {
-	excess := len(s.conns) - s.connectionBound()
+	excess := s.excess()
 	if excess <= 0 {
 		return
 	}
 	var idle []*callerConn
 	for c := range s.conns {
-		if c.charge.isIdle() && !c.charge.evicted && !c.isDelivering(now) {
+		if c.charge.isIdle() && !c.charge.evicted && !c.charge.leaving && !c.isDelivering(now) {
 			idle = append(idle, c)
 		}
 	}
@@ -82,7 +112,7 @@
 	for _, c := range idle[:min(excess, len(idle))] {
 		s.counters.ConnectionsEvicted.Add(1)
 		c.charge.evicted = true
-		delete(s.conns, c)
+		s.forget(c)
 		_ = c.Conn.Close()
 	}
 	s.logRefusal("more connections than the lowered memory allows", now)
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -75,6 +75,8 @@
 	memory, used int64
 	maxConns     int
 	conns        map[*callerConn]struct{}
+	// leaving is the number of conns that are closed after their response.
+	leaving int
 	// waiters are the memoryWaiters in order, wanted is what they wait for together.
 	waiters list.List
 	wanted  int64
@@ -106,6 +108,8 @@
 	receiving, evicted bool
 	// serving is set while a request is served, waiting while memory is waited for.
 	serving, waiting bool
+	// leaving is set once the connection is to be closed after its response.
+	leaving bool
 	// progressAt is when the last stallBytes were complete, pending what has come in since.
 	progressAt time.Time
 	pending    int
@@ -145,7 +149,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, c)
+	s.forget(c)
 	s.used -= c.charge.bytes
 	c.charge.bytes, c.charge.unread = 0, 0
 	s.grantWaiting()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -269,7 +269,7 @@
 		conn.WatchClose(func() { cancel(nil) })
 	}
 	response := s.gateway.Serve(requestCtx, request)
-	if s.gateway.Draining() || conn != nil && !conn.mayReuse() {
+	if s.gateway.Draining() || conn != nil && (!conn.mayReuse() || s.callers.leave(conn)) {
 		ctx.SetConnectionClose()
 	}
 	if response == nil {
