--- a/internal/gateway/loweredmemory_test.go
+++ b/internal/gateway/loweredmemory_test.go
@@ -47,3 +47,28 @@
 	_, kept := bound.conns[served]
 	assert.Assert(t, kept, "the connection of a request that is served was closed")
 }
+
+// TestConnectionsAboveALoweredBoundAreClosedOnceAnswered lowers the bound while all connections
+// serve, whose responses have begun.
+func TestConnectionsAboveALoweredBoundAreClosedOnceAnswered(t *testing.T) {
+	const before, allowed, connections = 19 << 20, 16, 20
+	bound := newCallers(&Counters{}, zap.NewNop())
+	bound.setMemory(before)
+	minute := fixedTimeout(time.Minute)
+	var conns []*callerConn
+	for range connections {
+		_, conn := acceptCaller(t, minute, minute)
+		assert.Assert(t, bound.add(conn))
+		bound.serve(conn)
+		conns = append(conns, conn)
+	}
+	memory := float64(allowed*receiveMemory) / connectionMemoryShare / callersShare
+	bound.setMemory(int64(memory) + receiveMemory)
+	assert.Equal(t, len(bound.conns), connections)
+	for i, conn := range conns {
+		bound.finish(conn)
+		_, kept := bound.conns[conn]
+		assert.Equal(t, kept, i >= connections-allowed)
+		assert.Equal(t, len(bound.conns), max(allowed, connections-i-1))
+	}
+}
