Do not close the connection of a request that is complete

While all connections were in use, a new one closed that whose request had made the least progress, also one whose last bytes had just come in and that was not handed over yet: bytes count as progress by 4 KiB. The request was then run for a closed connection, and its caller got no answer. The time in between is short unless the process waits for its processor.

A complete request counts as progress, so that its connection is not chosen for the next second; one whose connection was closed just before is not run.

Not seen in a process.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -179,6 +179,22 @@
 	c.charge.receiving = true
 }
 
+// complete records that a request has come in completely, with the last n bytes: it is not one
+// without progress until it is served. Nothing is passed on, and errMemoryShort returned, if its
+// connection was closed for others before that.
+func (s *callers) complete(c *callerConn, n int) (int, error) {
+	if s == nil {
+		return n, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, isCounted := s.conns[c]; c.charge.evicted && !isCounted {
+		return 0, errMemoryShort
+	}
+	c.charge.progressAt, c.charge.pending = time.Now(), 0
+	return n, nil
+}
+
 // isEvicted reports whether the connection gives way to others.
 func (s *callers) isEvicted(c *callerConn) bool {
 	if s == nil {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -225,6 +225,9 @@
 		return 0, err
 	}
 	c.keepAhead(data[n:])
+	if c.header.done && !c.header.chunked && c.header.bodyLength <= 0 {
+		return c.callers.complete(c, n)
+	}
 	return n, nil
 }
 
@@ -267,6 +270,9 @@
 	}
 	c.keepAhead(data[n:])
 	c.bodyBytes += n
+	if n > 0 && (c.chunks.done || !c.header.chunked && c.bodyBytes == c.header.bodyLength) {
+		return c.callers.complete(c, n)
+	}
 	return n, nil
 }
 
