Introduce aggregators to instances that do not report to them

With more instances than form a mesh, some counted one instance too few for as long as 20 s and more, an instance watched the store every three seconds without being chosen, and its usage of quotas reached only a part of the others.

Instances report to the first six that they know. An instance that started before one of these was listed took the seventh for the sixth, and if that was the one that it preferred, asked it for the aggregate and for addresses. The seventh is no aggregator: it hears its own aggregator and those that ask it, and names only instances that it hears. So the instance never learned of the aggregator, which knew its address, but sent it nothing, heard nothing of it, and gave one instance too few to all that rely on it.

In the log of the failed run of TestSmallChangeOfAGrownConfigurationIsNotSentAsAWhole edge-13, started before edge-14 with the lowest address, prefers edge-6 without it; edge-7, which counted 13, is the only one that prefers edge-14.

An aggregator now introduces itself, every 2 s, to the known instances that it does not hear. Each reports to all aggregators that it knows, so that these are the ones that do not know it, or have ended and are forgotten after 30 s.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/bits"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
@@ -73,6 +75,9 @@
 		n.sendRollouts(t.recipients, *m)
 	}
 	n.sendToRelayClients(t.recipients, round)
+	if t.isAggregator {
+		n.introduceToUnheard(t.recipients, round)
+	}
 	m.WantsAggregate = t.aggregated && !t.isAggregator
 	usages := n.quota.OwnUsage()
 	if !m.WantsAggregate || len(t.recipients) < 2 {
@@ -245,13 +250,27 @@
 }
 
 // sendIntroduction sends this instance's state and addresses to an instance that knows too
-// few others to use aggregators, or does not hear of a newer configuration, until it does.
+// few others to use aggregators, does not report to this one, or does not hear of a newer
+// configuration, until it does.
 func (n *Node) sendIntroduction(address string) {
 	m := n.newMessage(knownAddressesEvery)
 	m.IsIntroduction = true
 	n.send([]string{address}, m)
 }
 
+// introduceToUnheard sends introductions to the known instances that do not report to this
+// one, although each reports to all aggregators that it knows. They cannot learn of it from
+// others if they take one that hears few instances for their preferred aggregator. Each of
+// them is sent one every knownAddressesEvery rounds.
+func (n *Node) introduceToUnheard(recipients []string, round int) {
+	for _, address := range n.peers.unheard() {
+		isDue := (xxhash.Sum64String(address)+uint64(round))%knownAddressesEvery == 0
+		if isDue && !slices.Contains(recipients, address) {
+			n.sendIntroduction(address)
+		}
+	}
+}
+
 // handleAggregate applies the aggregate received from the preferred aggregator;
 // aggregates of others are ignored.
 func (n *Node) handleAggregate(from string, m *message) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -387,6 +387,20 @@
 	return live
 }
 
+// unheard returns the known addresses of the instances that are not live.
+func (p *peerTable) unheard() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var addresses []string
+	for address, state := range p.byAddress {
+		if !state.isLive(now) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
