Introduce instances to one that knows just as many as form a mesh

An instance that started knowing 11 others of more made itself the only coordinator 3 to 4 s after its start; all others adopted that, and the groups were handed over for no reason. It counted 12 instances.

It sends to all that it knows, as in a mesh, but those use aggregators and send it nothing. They introduce themselves to instances that count too few others to use aggregators, by a bound that was one too low: 12 form a mesh. For its first seconds the instance counts the addresses that it knows, so that it was introduced to the others only when it had heard none for 3 s and took itself for the first live one.

In the log of the failed run of TestSmallChangeOfAGrownConfigurationIsNotSentAsAWhole edge-6 makes roster 2 at 54:02.9, though six instances precede it, and hears others from 54:03.7 on.

TestInstanceThatKnowsTheLargestMeshIsToldOfFurtherInstances fails before (3 of 3: "counts 12 instances, want 14", after a roster of its own) and passes (3 of 3).

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -241,7 +241,7 @@
 	switch {
 	case m.WantsAggregate:
 		n.sendAggregate(from)
-	case m.Name != "" && int(m.InstanceCount) < maxMeshSize && n.peers.topology().aggregated:
+	case m.Name != "" && int(m.InstanceCount) <= maxMeshSize && n.peers.topology().aggregated:
 		n.sendIntroduction(from)
 	case m.Name != "" && n.peers.behindFor(from) >= laggardPatience && n.peers.topology().isAggregator:
 		// The aggregator that it hears may lack the newer configuration as well.
