Keep the system's own send buffers for callers

With send buffers of 64 KiB a response of 300 KB no longer fits into the system when the process ends: callers that read it later got 100 to 288 KB of it.

What callers do not read is open again.

--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -20,10 +20,6 @@
 	maxStreamBacklog = 1 << 20
 	// backlogPieceBytes is the size of the pieces in which a backlog is held and written.
 	backlogPieceBytes = 64 << 10
-	// sendBuffer is the size in bytes of a caller's send buffer, of which the kernel may hold the
-	// double. It would grow to some 4 MB for a caller that does not read. Much smaller ones make
-	// writes wait for delayed acknowledgments.
-	sendBuffer = 64 << 10
 	// callerStallTime is the time without a byte that the caller's system has acknowledged
 	// after which its response is given up. A caller that reads slowly acknowledges something
 	// each time that it has read a part of its receive buffer.
--- a/internal/gateway/receivebuffer_linux.go
+++ b/internal/gateway/receivebuffer_linux.go
@@ -3,18 +3,15 @@
 import (
 	"syscall"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
-// limitBuffers makes the connections of a listener begin with receive and send buffers for the
-// given bytes, and bounds those that wait to be accepted.
-func limitBuffers(raw syscall.RawConn, receive, send, backlog int) error {
+// limitUnread makes the connections of a listener begin with a receive buffer for the given bytes,
+// and bounds those that wait to be accepted.
+func limitUnread(raw syscall.RawConn, bytes, backlog int) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
-		err = errors.CombineErrors(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receive),
-			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, send))
-		if err == nil {
+		if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes); err == nil {
 			err = unix.Listen(int(fd), backlog)
 		}
 	})
--- a/internal/gateway/receivebuffer_other.go
+++ b/internal/gateway/receivebuffer_other.go
@@ -4,7 +4,7 @@
 
 import "syscall"
 
-// limitBuffers does nothing: the system's own buffers are kept.
-func limitBuffers(syscall.RawConn, int, int, int) error { return nil }
+// limitUnread does nothing: the system's own receive buffers are kept.
+func limitUnread(syscall.RawConn, int, int) error { return nil }
 
 func setReceiveBuffer(syscall.RawConn, int) {}
--- a/internal/gateway/sendbuffer_linux_test.go
+++ b/internal/gateway/sendbuffer_linux_test.go
@@ -8,14 +8,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// The system held some 4 MB of responses for each caller that did not read, which nothing counted.
+// The system holds some 4 MB of responses for each caller that does not read, which nothing counts.
 func TestSystemHoldsLittleForACallerThatDoesNotRead(t *testing.T) {
 	const piece, settle, atMost = 16 << 10, 50 * time.Millisecond, 256 << 10
 	c := newBacklogCase(t, "")
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	NewServer(c.Gateway).limitBuffers(l)
+	NewServer(c.Gateway).limitUnread(l)
 	caller, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
 	defer caller.Close()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -88,22 +88,23 @@
 func (s *Server) Serve(l net.Listener) error {
 	return s.server.Serve(&listener{
 		Listener: l, timeouts: timeouts{idle: s.idleTimeout, header: s.headerTimeout}, callers: s.callers, maxBody: s.longestBody,
-		counts: &s.conns, gateway: s.gateway, smallBuffers: s.limitBuffers(l),
+		counts: &s.conns, gateway: s.gateway, smallBuffers: s.limitUnread(l),
 	})
 }
 
-// limitBuffers limits what the system holds for callers' connections, and reports whether it has.
-func (s *Server) limitBuffers(l net.Listener) bool {
+// limitUnread limits what the system holds unread of callers' connections, and reports whether it
+// has.
+func (s *Server) limitUnread(l net.Listener) bool {
 	system, ok := l.(syscall.Conn)
 	if !ok {
 		return false
 	}
 	raw, err := system.SyscallConn()
 	if err == nil {
-		err = limitBuffers(raw, receiveBuffer, sendBuffer, acceptBacklog)
+		err = limitUnread(raw, receiveBuffer, acceptBacklog)
 	}
 	if err != nil {
-		s.gateway.Logger.Warn("failed to limit buffers of callers", eventlog.ErrorField(err))
+		s.gateway.Logger.Warn("failed to limit receive buffers of callers", eventlog.ErrorField(err))
 	}
 	return err == nil
 }
