Read datagrams again only after a delay when the socket fails

An instance whose socket for other instances' messages returned an error read it again at once, for as long as the error lasted: a processor was used up by that alone. Nothing told so: the error was dropped without a line or a count.

Failed reads are repeated after 50 ms, with a line at the first of a series and at the next read that succeeds, and counted as datagram_read_failures.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/gateway"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/process"
 	"github.com/hibiscuspost/hibiscuspost/internal/tables"
 )
@@ -51,6 +52,7 @@
 	WatchAgeMs            uint32 `json:"watch_age_ms"`
 	CallerConnections     int    `json:"caller_connections"`
 	AcceptFailures        uint64 `json:"accept_failures"`
+	DatagramReadFailures  uint64 `json:"datagram_read_failures"`
 	ChecksEvicted         uint64 `json:"check_connections_evicted"`
 	TargetConnectionsMade uint64 `json:"target_connections_made"`
 	TargetsSentTooMuch    uint64 `json:"target_responses_too_long"`
@@ -109,7 +111,7 @@
 		UpdatesReferred: n.updateCounters.Referred.Load(), UpdateFailures: n.updateCounters.Failures.Load(),
 		ConfigVersion: n.configuration.Version(), Draining: n.draining.Load(), InstanceCount: view.Instances,
 		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos),
-		CallerConnections: n.callerServer.OpenConnections(), AcceptFailures: n.acceptFailures.Load(), ChecksEvicted: n.checksEvicted.Load(), TargetConnectionsMade: n.pool.OpenedConns(), TargetsSentTooMuch: n.pool.TooLong(),
+		CallerConnections: n.callerServer.OpenConnections(), AcceptFailures: n.acceptFailures.Load(), DatagramReadFailures: peer.DatagramReadFailures(), ChecksEvicted: n.checksEvicted.Load(), TargetConnectionsMade: n.pool.OpenedConns(), TargetsSentTooMuch: n.pool.TooLong(),
 		QuotaGranted: n.quotaGate.Granted.Load(), QuotaRefused: n.quotaGate.Refused.Load(), QuotaFallbacks: n.quotaGate.Fallbacks.Load(),
 		HeldBytes: n.pool.HeldBytes(), SlowCallers: slowCallers,
 		GossipSendErrors: n.counters.SendErrors.Load(), GossipDecodeErrors: n.counters.DecodeErrors.Load(),
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -6,10 +6,13 @@
 	"hash"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/backoff"
 	"github.com/hibiscuspost/hibiscuspost/internal/contain"
+	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
 )
 
@@ -22,6 +25,9 @@
 	maxPacketBytes = 2 + maxAddressBytes + MaxDatagramBytes + macBytes
 )
 
+// datagramRetryDelay is the delay after a failed read.
+const datagramRetryDelay = 50 * time.Millisecond
+
 // sealer adds and verifies the MACs of packets.
 type sealer struct{ macPool sync.Pool }
 
@@ -83,17 +89,31 @@
 }
 
 // receiveDatagrams passes datagrams to their handlers until the bus is closed.
-// Invalid packets and those without a handler are dropped.
+// Invalid packets and those without a handler are dropped. After an error, which may last,
+// the socket is read again after datagramRetryDelay.
 func (b *NetBus) receiveDatagrams() {
 	buffer := make([]byte, maxPacketBytes+1)
+	isFailing := false
 	for {
 		n, _, err := b.udpConn.ReadFromUDPAddrPort(buffer)
 		if b.ctx.Err() != nil {
 			return
 		}
 		if err != nil {
+			datagramReadFailures.Add(1)
+			if !isFailing {
+				b.logger.Warn("datagrams cannot be read; it is tried again", eventlog.ErrorField(err))
+			}
+			isFailing = true
+			if backoff.Sleep(b.ctx, b.clock, datagramRetryDelay) != nil {
+				return
+			}
 			continue
 		}
+		if isFailing {
+			isFailing = false
+			b.logger.Info("datagrams are read again")
+		}
 		kind, from, body, ok := b.sealer.open(buffer[:n])
 		if !ok {
 			continue
--- a/internal/peer/net_test.go
+++ b/internal/peer/net_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
@@ -280,3 +281,40 @@
 	assert.NilError(t, a.Call(ctx, b.Address(), "echo", 1, &echoResult{}))
 	assert.Equal(t, lines.Len(), 2)
 }
+
+// A datagram socket whose reads fail for a time was read again without a pause.
+func TestFailedReadsOfDatagramsAreRepeatedAfterADelay(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	core, lines := observer.New(zap.InfoLevel)
+	a := newBus(t, testSecret)
+	b, err := Listen(Options{Address: "127.0.0.1:0", Secret: testSecret, Clock: clock, Logger: zap.New(core)})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, b.Close()) })
+	got := make(chan string, 1)
+	b.HandleDatagram(KindCredit, func(_ string, body []byte) { got <- string(body) })
+	// Reads fail as long as their deadline has passed.
+	assert.NilError(t, b.udpConn.SetReadDeadline(time.Unix(1, 0)))
+	before := DatagramReadFailures()
+	b.loops.Go(b.receiveDatagrams)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	const failures = 3
+	for n := range uint64(failures) {
+		assert.NilError(t, clock.BlockUntilContext(ctx, 1), "no delay after a failed read")
+		assert.Equal(t, DatagramReadFailures(), before+n+1)
+		if n < failures-1 {
+			clock.Advance(datagramRetryDelay)
+		}
+	}
+	assert.Equal(t, lines.FilterMessage("datagrams cannot be read; it is tried again").Len(), 1)
+	assert.NilError(t, b.udpConn.SetReadDeadline(time.Time{}))
+	clock.Advance(datagramRetryDelay)
+	assert.NilError(t, a.Send(b.Address(), KindCredit, []byte("sound")))
+	select {
+	case body := <-got:
+		assert.Equal(t, body, "sound")
+	case <-ctx.Done():
+		t.Fatal("no datagram is received after failed reads")
+	}
+	assert.Equal(t, lines.FilterMessage("datagrams are read again").Len(), 1)
+}
