Contain panics in the timers of placement

The function of a timer runs in a goroutine of its own, so that a panic in it ended the process with all that it ran: takeovers, probes and checks of a coordinator, and the timers of the scheduler under it.

contain.Clock keeps a panic to the function of the timer, with a line and a count. Requests that a takeover has not answered then are sent again by their instances. TestPanicInATimerDoesNotEndTheCoordinator ended the test program before (1 of 1 run: 'panic: unexpected value' in finishTakeover) and passes (3 of 3, -race).

--- a/internal/contain/contain_test.go
+++ b/internal/contain/contain_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 func TestPanicIsLoggedAndCounted(t *testing.T) {
@@ -69,3 +70,23 @@
 	assert.Assert(t, !mayLog(s, now.Add(lineInterval-1)))
 	assert.Assert(t, mayLog(s, now.Add(lineInterval)))
 }
+
+// A panic in the function of a timer ended the process.
+func TestPanicInATimerIsContained(t *testing.T) {
+	core, lines := observer.New(zap.ErrorLevel)
+	fake := clockwork.NewFakeClock()
+	clock := Clock(fake, zap.New(core), "timer")
+	ended := make(chan struct{})
+	clock.AfterFunc(time.Second, func() {
+		defer close(ended)
+		panic("unexpected value")
+	})
+	fake.Advance(time.Second)
+	<-ended
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if lines.FilterField(zap.String("step", "timer")).Len() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no line")
+	})
+}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
@@ -68,9 +69,10 @@
 }
 
 func newClient(o *Options, counters *Counters) *Client {
+	clock := contain.Clock(o.Clock, o.Logger, "timer of a requester")
 	c := &Client{
-		clock: o.Clock, logger: o.Logger, send: o.Send, counters: counters,
-		local: schedule.New(o.Clock, o.Random()), random: o.Random(), self: o.Self, peerAddresses: o.PeerAddresses,
+		clock: clock, logger: o.Logger, send: o.Send, counters: counters,
+		local: schedule.New(clock, o.Random()), random: o.Random(), self: o.Self, peerAddresses: o.PeerAddresses,
 		pending: make(map[uint32]chan receivedResponse), running: make(map[uint32]*execution),
 		unavailableUntil: make(map[string]time.Time), overrides: make(map[groupKey]coordinatorOverride), capacities: make(map[groupKey]reportedCapacity),
 		prefixes: make(map[string]*prefixHistory),
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -82,9 +82,10 @@
 }
 
 func newServer(o *Options, counters *Counters) *Server {
+	clock := contain.Clock(o.Clock, o.Logger, "timer of a coordinator")
 	s := &Server{
-		clock: o.Clock, logger: o.Logger, send: o.Send, address: o.Self, draining: o.Draining, isResuming: o.IsResuming, peerAddresses: o.PeerAddresses,
-		counters: counters, scheduler: schedule.New(o.Clock, o.Random()), random: o.Random(), roster: func() *Roster { return &Roster{} },
+		clock: clock, logger: o.Logger, send: o.Send, address: o.Self, draining: o.Draining, isResuming: o.IsResuming, peerAddresses: o.PeerAddresses,
+		counters: counters, scheduler: schedule.New(clock, o.Random()), random: o.Random(), roster: func() *Roster { return &Roster{} },
 		lookUpCoordinator: func(groupKey) string { return "" },
 		requests:          make(map[string]map[uint32]*heldRequest), capacities: make(map[int]reportedCapacity), requestedAt: make(map[groupKey]time.Time),
 		takenOverAt: make(map[groupKey]time.Time), deferred: make(map[groupKey][]deferredRequest), moves: make(map[groupKey]groupMove),
--- a/internal/placement/server_test.go
+++ b/internal/placement/server_test.go
@@ -357,6 +357,30 @@
 	assert.Equal(t, ts.requestSlot("d", 1, 0).Decision, decisionQueued, "responds immediately after the takeover")
 }
 
+// A panic in the function of a timer ended the process.
+func TestPanicInATimerDoesNotEndTheCoordinator(t *testing.T) {
+	ts := newTestServer(t, newEngine("one", 2))
+	clear(ts.server.requestedAt)
+	before := contain.Panics()
+	var panicked atomic.Bool
+	record := ts.server.send
+	ts.server.send = func(address string, body []byte) error {
+		if messageKind(body[0]) == kindSlotResponse && !panicked.Swap(true) {
+			panic("unexpected value")
+		}
+		return record(address, body)
+	}
+	assert.Assert(t, ts.requestSlot("a", 1, 0) == nil)
+	ts.clock.Advance(takeoverDelay)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if contain.Panics() > before {
+			return poll.Success()
+		}
+		return poll.Continue("no panic yet")
+	}, poll.WithTimeout(eventTimeout))
+	assert.Equal(t, ts.requestSlot("a", 1, 0).Decision, decisionGranted, "the request is sent again")
+}
+
 func TestRequestForMovedGroupIsRedirected(t *testing.T) {
 	ts := newTestServer(t, newEngine("one", 2))
 	assert.Equal(t, ts.requestSlot("a", 1, 0).Decision, decisionGranted)
