Contain panics in goroutines of relayed connections

A panic while another instance was asked for a connection, while a target's bytes were copied, or in the timer that tests an instance's links, ended the process: each runs in a goroutine of its own, which nothing contained.

Now the instance that was asked counts as one without a response, the exchange ends with both of its connections, and the links are not tested.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 )
 
@@ -118,6 +119,9 @@
 	return nil, s.verdict(nil)
 }
 
+// errPanicked tells nothing about the instance or the target.
+var errPanicked = errors.New("panic while another instance was asked")
+
 // askNext asks the next instance, if there is one.
 func (s *search) askNext() {
 	if len(s.candidates) == 0 {
@@ -126,7 +130,11 @@
 	via := s.candidates[0]
 	s.candidates = s.candidates[1:]
 	s.pending++
-	go func() { s.results <- s.client.dialThrough(s.ctx, via, s.address) }()
+	go func() {
+		r := result{via: via, err: errPanicked}
+		defer func() { s.results <- r }()
+		contain.Run(s.client.Logger, "connection through another instance", func() { r = s.client.dialThrough(s.ctx, via, s.address) })
+	}()
 }
 
 // verdict returns what the responses say of the target.
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 )
 
 const (
@@ -24,9 +26,11 @@
 	reaches := sync.OnceValue(func() bool { return s.reachesOther(ctx, address) })
 	heard := func() bool { return s.Paths.HeardOther(address, since) }
 	timer := time.AfterFunc(testDelay, func() {
-		if ctx.Err() == nil && !heard() {
-			reaches()
-		}
+		contain.Run(s.Logger, "test of the links", func() {
+			if ctx.Err() == nil && !heard() {
+				reaches()
+			}
+		})
 	})
 	return func() bool {
 		timer.Stop()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
 )
 
@@ -221,15 +222,21 @@
 // that follow bytes of the target, begin a request: requests are not pipelined. It may have
 // been held up here, as by a freeze, while the target was evacuated.
 func (s *Server) copyBoth(conn, target net.Conn, address string) {
+	// After a panic; else it is closed before.
+	defer func() { _ = target.Close() }()
 	writer := &targetWriter{Conn: target}
 	var copies sync.WaitGroup
 	var begins atomic.Bool
 	begins.Store(true)
 	copies.Go(func() {
-		// The end of either side closes the other, which is all that is done about it.
-		_ = copyFromTarget(conn, heardConn{target, &begins}, writer.awaitWrites)
-		_ = conn.Close()
-		_ = target.Close()
+		defer func() {
+			_ = conn.Close()
+			_ = target.Close()
+		}()
+		contain.Run(s.Logger, "copy from a target", func() {
+			// The end of either side closes the other, which is all that is done about it.
+			_ = copyFromTarget(conn, heardConn{target, &begins}, writer.awaitWrites)
+		})
 	})
 	buffer := make([]byte, frameBytes)
 	for {
