Contain a panic while the backlog of a response is written

What a caller does not accept at once of a stream is written by a goroutine of its own, in which a panic ended the process.

The response ends now, with its connection and its memory, as for a caller that does not read. TestPanicWhileABacklogIsWrittenEndsTheResponse ended the test program before (1 of 1 run: 'panic: unexpected value'), and passes (5 of 5, -race).

--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 )
 
@@ -192,11 +193,26 @@
 	}
 	if !b.draining {
 		b.draining = true
-		go b.drain()
+		go b.drainContained()
 	}
 	return nil
 }
 
+// errBacklogPanicked ends the response whose backlog could not be written.
+var errBacklogPanicked = errors.New("panic while the backlog of a response was written")
+
+// drainContained runs drain. After a panic, the response ends.
+func (b *backlog) drainContained() {
+	if contain.Run(b.gateway.Logger, "backlog of a response", b.drain) {
+		return
+	}
+	b.fail(errBacklogPanicked)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = false
+	b.notify()
+}
+
 // drain writes the backlog until there is none.
 func (b *backlog) drain() {
 	for {
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -157,3 +159,35 @@
 	assert.Assert(t, time.Since(startedAt) >= longPause)
 	assert.DeepEqual(t, c.placer.results(), []schedule.Result{schedule.Cancelled, schedule.Cancelled})
 }
+
+// panickingWriter panics when what the system does not accept at once is written.
+type panickingWriter struct{ *net.TCPConn }
+
+func (panickingWriter) Write([]byte) (int, error) { panic("unexpected value") }
+
+// A panic while the backlog of a stream was written ended the process.
+func TestPanicWhileABacklogIsWrittenEndsTheResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	conn, err := smallBufferListener{l}.Accept()
+	assert.NilError(t, err)
+	defer conn.Close()
+	c := newBacklogCase(t, "")
+	b := newBacklog(c.Gateway, panickingWriter{conn.(*net.TCPConn)})
+	cancelled := make(chan error, 1)
+	b.beginStream(t.Context(), func(cause error) { cancelled <- cause })
+	for err == nil {
+		_, err = b.write(make([]byte, 16<<10))
+	}
+	assert.ErrorIs(t, err, errBacklogPanicked)
+	assert.ErrorIs(t, b.awaitDrained(), errBacklogPanicked)
+	assert.NilError(t, <-cancelled)
+	assert.Equal(t, c.Pool.HeldBytes(), int64(0))
+	_ = caller.SetReadDeadline(time.Now().Add(backlogTimeout))
+	_, err = io.Copy(io.Discard, caller)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
