Contain a panic while a request is read

The server reads from a caller's connection outside of its handler. A panic there, in what follows headers, bodies and chunks of bytes that anybody may send, ended the process with all its requests.

The connection ends now, with a line, and a 500 if nothing has been written on it: what has been read of the request is not known, and nothing is passed on. TestPanicWhileARequestIsReadEndsItsConnection ended the test program before (1 of 1 run: 'panic: unexpected value'), and passes (3 of 3, -race).

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 )
 
 const (
@@ -163,8 +166,26 @@
 	stopped bool
 }
 
-// Read implements net.Conn.
-func (c *callerConn) Read(buffer []byte) (int, error) {
+// errReadPanicked ends a connection: what has been read of its request is not known.
+var errReadPanicked = errors.New("panic while a request was read")
+
+// Read implements net.Conn. The server calls it outside of its handler, where nothing else
+// contains a panic.
+func (c *callerConn) Read(buffer []byte) (n int, err error) {
+	if !contain.Run(c.logger(), "read from a caller", func() { n, err = c.read(buffer) }) {
+		return 0, errReadPanicked
+	}
+	return n, err
+}
+
+func (c *callerConn) logger() *zap.Logger {
+	if c.callers == nil {
+		return zap.NewNop()
+	}
+	return c.callers.logger
+}
+
+func (c *callerConn) read(buffer []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
 	if c.backlog != nil {
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -191,3 +193,47 @@
 	_, err = io.Copy(io.Discard, caller)
 	assert.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+// A panic while a request was read, outside of the handler, ended the process.
+func TestPanicWhileARequestIsReadEndsItsConnection(t *testing.T) {
+	core, lines := observer.New(zap.ErrorLevel)
+	server := NewServer(New(Options{
+		Protocol: noopProtocol{}, Catalog: &catalog.Holder{}, Logger: zap.New(core), Clock: realClock(),
+		Draining: func() bool { return false }, IsBehind: func() bool { return false }, Counters: &Counters{},
+		ClusterView: func() ClusterView { return ClusterView{} },
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	var panicked atomic.Bool
+	maxBody := func() int {
+		if !panicked.Swap(true) {
+			panic("unexpected value")
+		}
+		return maxBodyBytes
+	}
+	go func() {
+		served <- server.server.Serve(&listener{
+			Listener: l, timeouts: timeouts{idle: server.idleTimeout, header: server.headerTimeout}, callers: server.callers,
+			maxBody: maxBody, counts: &server.conns, gateway: server.gateway,
+		})
+	}()
+	for _, test := range []struct{ request, status string }{
+		{"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi", "500"},
+		{"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi", "503"},
+	} {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, test.request)
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(backlogTimeout)))
+		answer, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Fields(string(answer))[1], test.status)
+		assert.NilError(t, conn.Close())
+	}
+	assert.Equal(t, lines.Len(), 1)
+	assert.NilError(t, server.Shutdown(context.Background()))
+	assert.NilError(t, <-served)
+	awaitConnections(t, server, 0)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -229,6 +229,8 @@
 	switch {
 	case errors.Is(err, errMemoryShort):
 		return http.StatusServiceUnavailable
+	case errors.Is(err, errReadPanicked):
+		return http.StatusInternalServerError
 	case errors.Is(err, errHeaderTooLong), errors.As(err, &tooLong):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
