Close connections of callers that do not read when others lack them

Callers that read nothing of their responses kept all connections for 10 s, until they were given up: a new caller was reset meanwhile. While connections are short, one whose caller has accepted nothing for 3 s gives way now, the one that has stalled for the longest time first. Its response is given up as after 10 s otherwise.

--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,8 +36,10 @@
 var (
 	// errCallerStalled ends the response to a caller that does not read.
 	errCallerStalled = errors.New("the caller does not read the response")
-	// errCallerTooSlow ends the response to one of the slowest callers when the memory is short.
+	// errCallerTooSlow ends the response to one of the slowest callers when the memory is short,
+	// errCallerBlocks when connections are.
 	errCallerTooSlow = errors.New("the caller reads too slowly while memory is short")
+	errCallerBlocks  = errors.New("the caller does not read while connections are short")
 )
 
 // backlog writes responses to one caller. What the caller does not accept at once of a stream is
@@ -64,6 +67,10 @@
 	draining bool
 	err      error
 	changed  chan struct{}
+
+	// acceptedAt is when the caller last accepted anything of the write that waits, in nanoseconds
+	// of the Unix time; 0 if none waits.
+	acceptedAt atomic.Int64
 }
 
 // newBacklog returns nil unless the connection is the system's and the gateway has a pool, whose
@@ -263,7 +270,9 @@
 // writeAll writes data, as long as the caller accepts any of it.
 func (b *backlog) writeAll(data []byte) error {
 	p := newProgress(time.Now(), unacknowledged(b.raw))
+	defer b.acceptedAt.Store(0)
 	for len(data) > 0 {
+		b.acceptedAt.Store(p.at.UnixNano())
 		_ = b.conn.SetWriteDeadline(time.Now().Add(progressCheckInterval))
 		n, err := b.conn.Write(data[:min(len(data), backlogPieceBytes)])
 		data = data[n:]
@@ -307,7 +316,7 @@
 	b.notify()
 	b.mu.Unlock()
 	b.memory.Release()
-	if cancel != nil && errors.IsAny(err, errCallerStalled, errCallerTooSlow) {
+	if cancel != nil && errors.IsAny(err, errCallerStalled, errCallerTooSlow, errCallerBlocks) {
 		cancel(err)
 	} else if cancel != nil {
 		cancel(nil)
--- a/internal/gateway/callerlimit.go
+++ b/internal/gateway/callerlimit.go
@@ -34,23 +34,50 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if len(s.conns) >= s.connectionBound() {
-		victim := s.leastUseful(now)
-		if victim == nil {
+		if !s.closeForAnother(now) {
 			s.counters.ConnectionsRefused.Add(1)
 			s.logRefusal("too many connections", now)
 			return false
 		}
 		s.counters.ConnectionsEvicted.Add(1)
 		s.logRefusal("connection closed for a new one", now)
-		victim.charge.evicted = true
-		s.forget(victim)
-		_ = victim.Conn.Close()
 	}
 	c.charge.progressAt = now
 	s.conns[c] = struct{}{}
 	return true
 }
 
+// closeForAnother closes the connection that is the least useful, or else whose caller has stalled for
+// the longest time, and reports whether there is one. The caller holds mu.
+func (s *callers) closeForAnother(now time.Time) bool {
+	victim, end := s.leastUseful(now), func(c *callerConn) { _ = c.Conn.Close() }
+	if victim == nil {
+		victim, end = s.mostStalled(now), func(c *callerConn) { c.backlog.giveUp(errCallerBlocks) }
+	}
+	if victim == nil {
+		return false
+	}
+	victim.charge.evicted = true
+	s.forget(victim)
+	end(victim)
+	return true
+}
+
+// mostStalled returns the connection whose caller has accepted nothing of its response for the longest
+// time, and at least deliveryStallTime; nil if there is none.
+func (s *callers) mostStalled(now time.Time) (victim *callerConn) {
+	oldest := now.Add(-deliveryStallTime).UnixNano()
+	for c := range s.conns {
+		if c.charge.evicted || c.backlog == nil {
+			continue
+		}
+		if at := c.backlog.acceptedAt.Load(); at != 0 && at <= oldest {
+			victim, oldest = c, at
+		}
+	}
+	return victim
+}
+
 // leastUseful returns the connection that has been without progress for the longest time, and
 // has no request that is served and no response that is written; nil if there is none.
 func (s *callers) leastUseful(now time.Time) *callerConn {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -45,6 +45,9 @@
 	// long enough for an instance whose processor share is used up for some 100 ms.
 	stallTime  = time.Second
 	stallBytes = 4 << 10
+	// deliveryStallTime is how long a caller may accept nothing of its response while others lack
+	// connections.
+	deliveryStallTime = 3 * time.Second
 	// memoryWait bounds the wait for memory; it is longer than stallTime, so that stalled
 	// callers give way meanwhile.
 	memoryWait = 2 * stallTime
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -334,7 +334,7 @@
 // complete, the reason. The caller has received the header before.
 func (s *stream) finalStatus() (status int, reason string) {
 	switch {
-	case errors.IsAny(s.err, errCallerStalled, errCallerTooSlow):
+	case errors.IsAny(s.err, errCallerStalled, errCallerTooSlow, errCallerBlocks):
 		return statusCallerGone, s.err.Error()
 	case s.callerErr != nil:
 		return statusCallerGone, s.callerErr.Error()
