Count what the system holds of a response while a write waits

With 1,000 clients that do not read, some 54 KB of responses for each of 760 connections stay in the system's send queues (38 to 42 MB): the bound on unsent bytes holds for each connection, and nothing counts their sum.

What the system holds when a write begins to wait counts now as held for the caller, and so toward the bound at which the slowest callers are given up. The system's part is 16 KiB and a segment, and the pieces of a backlog no longer grow by doubling, which left as much garbage as they hold.

--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -24,7 +24,7 @@
 	backlogPieceBytes = 64 << 10
 	// unsentBytes bounds what the system takes of a response and cannot send yet, as its caller does
 	// not read. It would take some 4 MB, which nothing counts.
-	unsentBytes = 32 << 10
+	unsentBytes = 16 << 10
 	// callerStallTime is the time without a byte that the caller's system has acknowledged
 	// after which its response is given up. A caller that reads slowly acknowledges something
 	// each time that it has read a part of its receive buffer.
@@ -59,9 +59,11 @@
 	// unwritten is what is left of the body of a complete response. It is held while the first
 	// part, which is written with the header, waits.
 	unwritten int
-	// pending holds size bytes, with the piece being written.
-	pending [][]byte
-	size    int
+	// pending holds size bytes, with the piece being written; inSystem is what the system held when
+	// the first of them did not fit in.
+	pending  [][]byte
+	size     int
+	inSystem int
 	// draining is set while a goroutine writes the backlog, err once the caller is given up or
 	// gone. changed is closed when any of these changes; nil if nothing waits for that.
 	draining bool
@@ -135,7 +137,7 @@
 	if isStream {
 		return len(data), b.hold(rest)
 	}
-	if !b.memory.Add(max(len(rest), unwritten-n), time.Now()) {
+	if !b.memory.Add(max(len(rest), unwritten-n)+unacknowledged(b.raw), time.Now()) {
 		return n, errCallerTooSlow
 	}
 	defer b.memory.Release()
@@ -147,7 +149,7 @@
 
 // awaitRoom waits until size bytes may be written or held. The caller holds mu.
 func (b *backlog) awaitRoom(size int) error {
-	for b.err == nil && b.draining && (b.stream == nil || b.size+size > maxStreamBacklog) {
+	for b.err == nil && b.draining && (b.stream == nil || b.size+b.inSystem+size > maxStreamBacklog) {
 		ctx := b.stream
 		if ctx == nil {
 			ctx = context.Background()
@@ -185,22 +187,23 @@
 
 // hold adds data to the backlog.
 func (b *backlog) hold(data []byte) error {
+	inSystem := 0
+	if !b.isDraining() {
+		inSystem = unacknowledged(b.raw)
+	}
 	// Without mu: another caller may be given up, whose backlog does the same.
-	if !b.memory.Add(len(data), time.Now()) {
+	if !b.memory.Add(len(data)+inSystem, time.Now()) {
 		return errCallerTooSlow
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.inSystem += inSystem
 	if b.err != nil {
 		b.memory.Release()
 		return b.err
 	}
 	b.size += len(data)
-	if last := len(b.pending) - 1; last >= 0 && len(b.pending[last])+len(data) <= backlogPieceBytes {
-		b.pending[last] = append(b.pending[last], data...)
-	} else {
-		b.pending = append(b.pending, append([]byte(nil), data...))
-	}
+	b.append(data)
 	if !b.draining {
 		b.draining = true
 		go b.drainContained()
@@ -208,6 +211,21 @@
 	return nil
 }
 
+// append adds data to the pending pieces. A piece does not grow, which would leave as much garbage as
+// it holds; the next one is twice as large instead, up to backlogPieceBytes. The caller holds mu.
+func (b *backlog) append(data []byte) {
+	capacity := 0
+	if last := len(b.pending) - 1; last >= 0 {
+		capacity = cap(b.pending[last])
+		if len(b.pending[last])+len(data) <= capacity {
+			b.pending[last] = append(b.pending[last], data...)
+			return
+		}
+	}
+	piece := make([]byte, 0, max(len(data), min(2*capacity, backlogPieceBytes)))
+	b.pending = append(b.pending, append(piece, data...))
+}
+
 // errBacklogPanicked ends the response whose backlog could not be written.
 var errBacklogPanicked = errors.New("panic while the backlog of a response was written")
 
@@ -228,7 +246,8 @@
 	for {
 		b.mu.Lock()
 		if b.err != nil || len(b.pending) == 0 {
-			b.draining = false
+			b.memory.Accepted(b.inSystem, time.Now())
+			b.draining, b.inSystem = false, 0
 			b.notify()
 			b.mu.Unlock()
 			return
