Bound what the system holds unread of targets' responses

The system's receive buffers of connections to targets grow with what is read, to several MB. When callers that read a long stream fast stop reading, the target is not read on, and its buffer fills: 204 MB received and not read with 150 callers, 306 MB with the process, on a machine of 136 MB (1 of 1 run, apart from other load). Such bytes count toward the memory of the machine.

The receive buffer is set before a connection to a target is opened: 64 KiB, 128 in the kernel, whose window of 64 KiB suffices for 16 MB/s at a round trip of 4 ms.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -32,6 +32,10 @@
 	poolDialTimeout = 400 * time.Millisecond
 	// readBufferBytes is enough for a response header and a few events.
 	readBufferBytes = 4096
+	// receiveBuffer is the size in bytes of the receive buffer of a connection to a target. The system
+	// may hold that much of a response that is not read on, as its caller does not read; its own
+	// buffers grow to many times that.
+	receiveBuffer = 64 << 10
 )
 
 // Pool keeps idle connections to targets. A connection serves one request at a
@@ -71,7 +75,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock) *Pool {
-	dialer := net.Dialer{KeepAlive: -1}
+	dialer := net.Dialer{KeepAlive: -1, Control: limitReceiveBuffer}
 	p := &Pool{
 		clock: clock, idle: make(map[string][]*pooledConn), paths: make(map[string]*path), inflight: make(map[*pooledConn]struct{}),
 		leftRelays: make(map[string]time.Time),
