--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -15,7 +15,7 @@
 
 const (
 	// callersShare is the part of an instance's memory for what callers have sent, read or not.
-	// Discarded bodies take memory until the next collection, and the runtime's limit is 0.75.
+	// Discarded bodies take memory until the next collection, and the runtime's limit is 0.7.
 	callersShare = 0.35
 	// requestBytes is charged for each request that is received or served: fasthttp's read
 	// buffer, its context and the stacks of two goroutines.
@@ -45,6 +45,9 @@
 	// long enough for an instance whose processor share is used up for some 100 ms.
 	stallTime  = time.Second
 	stallBytes = 4 << 10
+	// deliveryStallTime is how long a caller may accept nothing of its response while others lack
+	// connections.
+	deliveryStallTime = 3 * time.Second
 	// memoryWait bounds the wait for memory; it is longer than stallTime, so that stalled
 	// callers give way meanwhile.
 	memoryWait = 2 * stallTime
@@ -378,6 +381,15 @@
 	s.closeExcess(now)
 }
 
+// handOver lets the system take what it has room for of the responses on all connections.
+func (s *callers) handOver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.handOver()
+	}
+}
+
 // logRefusal logs a refusal, at most once in refusalLogInterval for each reason; the counters
 // have all. The caller holds mu.
 func (s *callers) logRefusal(reason string, now time.Time) {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 )
 
 const (
@@ -62,8 +65,14 @@
 		if system, ok := conn.(syscall.Conn); ok && l.smallBuffers {
 			c.raw, _ = system.SyscallConn()
 		}
+		if c.backlog != nil {
+			limitUnsent(c.backlog.raw, unsentBytes)
+		}
 		if l.callers.add(c) {
 			l.counts.opened()
+			if l.gateway != nil && l.gateway.shutdown.Load() != nil {
+				c.handOver()
+			}
 			return c, nil
 		}
 		_ = conn.Close()
@@ -163,8 +172,26 @@
 	stopped bool
 }
 
-// Read implements net.Conn.
-func (c *callerConn) Read(buffer []byte) (int, error) {
+// errReadPanicked ends a connection: what has been read of its request is not known.
+var errReadPanicked = errors.New("panic while a request was read")
+
+// Read implements net.Conn. The server calls it outside of its handler, where nothing else
+// contains a panic.
+func (c *callerConn) Read(buffer []byte) (n int, err error) {
+	if !contain.Run(c.logger(), "read from a caller", func() { n, err = c.read(buffer) }) {
+		return 0, errReadPanicked
+	}
+	return n, err
+}
+
+func (c *callerConn) logger() *zap.Logger {
+	if c.callers == nil {
+		return zap.NewNop()
+	}
+	return c.callers.logger
+}
+
+func (c *callerConn) read(buffer []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
 	if c.backlog != nil {
@@ -369,6 +396,14 @@
 	return nil
 }
 
+// handOver lets the system take all of a response that it has room for: it goes on to send that
+// once the process has ended.
+func (c *callerConn) handOver() {
+	if c.backlog != nil {
+		limitUnsent(c.backlog.raw, 0)
+	}
+}
+
 // isDelivering reports whether the caller has not received all of the response before: the
 // connection must not be closed for others. What only the system holds counts for callerStallTime.
 // The caller holds callers.mu.
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -4,9 +4,13 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -157,3 +161,79 @@
 	assert.Assert(t, time.Since(startedAt) >= longPause)
 	assert.DeepEqual(t, c.placer.results(), []schedule.Result{schedule.Cancelled, schedule.Cancelled})
 }
+
+// panickingWriter panics when what the system does not accept at once is written.
+type panickingWriter struct{ *net.TCPConn }
+
+func (panickingWriter) Write([]byte) (int, error) { panic("unexpected value") }
+
+// A panic while the backlog of a stream was written ended the process.
+func TestPanicWhileABacklogIsWrittenEndsTheResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	conn, err := smallBufferListener{l}.Accept()
+	assert.NilError(t, err)
+	defer conn.Close()
+	c := newBacklogCase(t, "")
+	b := newBacklog(c.Gateway, panickingWriter{conn.(*net.TCPConn)})
+	cancelled := make(chan error, 1)
+	b.beginStream(t.Context(), func(cause error) { cancelled <- cause })
+	for err == nil {
+		_, err = b.write(make([]byte, 16<<10))
+	}
+	assert.ErrorIs(t, err, errBacklogPanicked)
+	assert.ErrorIs(t, b.awaitDrained(), errBacklogPanicked)
+	assert.NilError(t, <-cancelled)
+	assert.Equal(t, c.Pool.HeldBytes(), int64(0))
+	_ = caller.SetReadDeadline(time.Now().Add(backlogTimeout))
+	_, err = io.Copy(io.Discard, caller)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
+// A panic while a request was read, outside of the handler, ended the process.
+func TestPanicWhileARequestIsReadEndsItsConnection(t *testing.T) {
+	core, lines := observer.New(zap.ErrorLevel)
+	server := NewServer(New(Options{
+		Protocol: noopProtocol{}, Catalog: &catalog.Holder{}, Logger: zap.New(core), Clock: realClock(),
+		Draining: func() bool { return false }, IsBehind: func() bool { return false }, Counters: &Counters{},
+		ClusterView: func() ClusterView { return ClusterView{} },
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	var panicked atomic.Bool
+	maxBody := func() int {
+		if !panicked.Swap(true) {
+			panic("unexpected value")
+		}
+		return maxBodyBytes
+	}
+	go func() {
+		served <- server.server.Serve(&listener{
+			Listener: l, timeouts: timeouts{idle: server.idleTimeout, header: server.headerTimeout}, callers: server.callers,
+			maxBody: maxBody, counts: &server.conns, gateway: server.gateway,
+		})
+	}()
+	for _, test := range []struct{ request, status string }{
+		{"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi", "500"},
+		{"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi", "503"},
+	} {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, test.request)
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(backlogTimeout)))
+		answer, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Fields(string(answer))[1], test.status)
+		assert.NilError(t, conn.Close())
+	}
+	assert.Equal(t, lines.Len(), 1)
+	assert.NilError(t, server.Shutdown(context.Background()))
+	assert.NilError(t, <-served)
+	awaitConnections(t, server, 0)
+}
