Measure how long callers have stalled on the steady clock

The time at which a caller last accepted anything was kept as time of day: a step of the clock would have made every write that waits look stalled for long, and closed connections of callers that read while connections are short. Found by reading the change again; it is counted from the creation of the connection's backlog now.

--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -70,8 +70,10 @@
 	err      error
 	changed  chan struct{}
 
-	// acceptedAt is when the caller last accepted anything of the write that waits, in nanoseconds
-	// of the Unix time; 0 if none waits.
+	// createdAt is the time that acceptedAt counts from, so that steps of the clock do not matter.
+	createdAt time.Time
+	// acceptedAt is when the caller last accepted anything of the write that waits, in nanoseconds;
+	// 0 if none waits.
 	acceptedAt atomic.Int64
 }
 
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil
 	}
-	b := &backlog{conn: conn, raw: raw, gateway: g}
+	b := &backlog{conn: conn, raw: raw, gateway: g, createdAt: time.Now()}
 	b.memory = g.Pool.HoldForCaller(func() { b.giveUp(errCallerTooSlow) })
 	return b
 }
@@ -291,7 +293,7 @@
 	p := newProgress(time.Now(), unacknowledged(b.raw))
 	defer b.acceptedAt.Store(0)
 	for len(data) > 0 {
-		b.acceptedAt.Store(p.at.UnixNano())
+		b.acceptedAt.Store(max(1, int64(p.at.Sub(b.createdAt))))
 		_ = b.conn.SetWriteDeadline(time.Now().Add(progressCheckInterval))
 		n, err := b.conn.Write(data[:min(len(data), backlogPieceBytes)])
 		data = data[n:]
@@ -309,6 +311,16 @@
 	return b.conn.SetWriteDeadline(time.Time{})
 }
 
+// stalledFor returns for how long the caller has accepted nothing of a write that waits; 0 if none
+// waits.
+func (b *backlog) stalledFor(now time.Time) time.Duration {
+	at := b.acceptedAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return now.Sub(b.createdAt) - time.Duration(at)
+}
+
 // giveUp ends the response to the caller and closes its connection.
 func (b *backlog) giveUp(reason error) {
 	held, isFirst := b.fail(reason)
--- a/internal/gateway/callerlimit.go
+++ b/internal/gateway/callerlimit.go
@@ -66,13 +66,13 @@
 // mostStalled returns the connection whose caller has accepted nothing of its response for the longest
 // time, and at least deliveryStallTime; nil if there is none.
 func (s *callers) mostStalled(now time.Time) (victim *callerConn) {
-	oldest := now.Add(-deliveryStallTime).UnixNano()
+	longest := deliveryStallTime
 	for c := range s.conns {
 		if c.charge.evicted || c.backlog == nil {
 			continue
 		}
-		if at := c.backlog.acceptedAt.Load(); at != 0 && at <= oldest {
-			victim, oldest = c, at
+		if stalled := c.backlog.stalledFor(now); stalled >= longest {
+			victim, longest = c, stalled
 		}
 	}
 	return victim
