Do not end a start for a moment without descriptors

A start that found no descriptor or no memory for a socket ended with status 4, however short the shortage was: listening was tried again only while the address was in use or not assigned. A shortage is a passing condition as well; it is now waited for in the same way, with the same line, and a signal ends the wait.

The four errors in TestRetryWhileDescriptorsOrBuffersAreShort: 1 of 1 fails before, 2 of 2 pass.

--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -31,12 +31,15 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// IsPassing reports whether the address may become available: it is in use, or not assigned to
-// an interface.
-func IsPassing(err error) bool {
-	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+// passingErrors are those of an address that is in use or not assigned to an interface, and of a
+// shortage of descriptors or memory.
+var passingErrors = []error{
+	syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
 }
 
+// IsPassing reports whether listening may succeed later without a change of the settings.
+func IsPassing(err error) bool { return errors.IsAny(err, passingErrors...) }
+
 // TCP listens on an address for a server. It returns an *Error.
 func TCP(server, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
@@ -46,8 +49,8 @@
 	return l, nil
 }
 
-// Retry calls open until all addresses are available. It returns the error of open if that is
-// any other than that an address is in use or not assigned, and that of ctx if it ends before.
+// Retry calls open until it succeeds. It returns the error of open if that is not passing, and
+// that of ctx if it ends before.
 // open leaves no socket open when it fails.
 func Retry(ctx context.Context, clock clockwork.Clock, logger *zap.Logger, open func() error) error {
 	type wait struct {
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -67,3 +67,38 @@
 		assert.ErrorIs(t, err, failure)
 	}
 }
+
+// A shortage of descriptors or buffers at the moment of the start ended the process with status 4.
+func TestRetryWhileDescriptorsOrBuffersAreShort(t *testing.T) {
+	for _, cause := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		clock := clockwork.NewFakeClock()
+		result, calls := make(chan error, 1), 0
+		go func() {
+			result <- Retry(t.Context(), clock, zap.NewNop(), func() error {
+				if calls++; calls == 1 {
+					return bindError("callers", cause)
+				}
+				return nil
+			})
+		}()
+		select {
+		case err := <-result:
+			t.Errorf("%v ends the start: %v", cause, err)
+			continue
+		case <-awaitSleeper(t, clock):
+		}
+		clock.Advance(bindRetryInterval)
+		assert.NilError(t, <-result)
+	}
+}
+
+// awaitSleeper returns a channel that is closed once something waits for the clock.
+func awaitSleeper(t *testing.T, clock *clockwork.FakeClock) <-chan struct{} {
+	waits := make(chan struct{})
+	go func() {
+		if clock.BlockUntilContext(t.Context(), 1) == nil {
+			close(waits)
+		}
+	}()
+	return waits
+}
