Tell what an instance that is not ready waits for

An instance that lives and is never ready is taken for one that did not start, and nothing told so: its log has the start line, and no line says that the readiness checks fail or why.

The lines 'ready' and 'not ready', at each change of what a check is told, name what is awaited; the metrics name it too and count the failed checks. No logic is changed.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -43,7 +43,11 @@
 	UpdatesReferred     uint64 `json:"config_updates_referred"`
 	UpdateFailures      uint64 `json:"config_update_failures"`
 	Draining            bool   `json:"draining"`
-	InstanceCount       int    `json:"instances"`
+	// Awaits is what the instance waits for before it is ready; "" if it is. ChecksRefused counts
+	// the readiness checks that failed.
+	Awaits        string `json:"awaits"`
+	ChecksRefused uint64 `json:"readiness_checks_failed"`
+	InstanceCount int    `json:"instances"`
 	// PeerRestarts and PeersEndedAlone count the restarts of other instances that this one has
 	// heard, all and those without a shutdown before.
 	PeerRestarts          int    `json:"instances_restarted"`
@@ -101,6 +105,7 @@
 	evacuated, evacuationsAge := n.evacuationsState()
 	restarts, endedAlone := n.peers.restartCounts()
 	return instanceState{
+		Awaits: n.awaitedForReadiness(), ChecksRefused: n.readiness.refusals(),
 		PeerRestarts: restarts, PeersEndedAlone: endedAlone,
 		EvacuatedDomains: evacuated, EvacuationsAgeMs: evacuationsAge, ColdTargets: n.cold.count(n.clock.Now()),
 		PathsLostNow: n.pool.LostPaths(), PathsLost: paths.Lost.Load(), PathChecks: paths.Checks.Load(), ConnsViaPeers: paths.Relayed.Load(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"expvar"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -157,6 +156,7 @@
 
 	draining     atomic.Bool
 	targetsKnown atomic.Bool
+	readiness    readiness
 	// instanceCount is the number of instances that share the load, including
 	// this one.
 	instanceCount atomic.Int64
@@ -445,14 +445,6 @@
 	}
 }
 
-// handleReadiness answers the load balancer's readiness check.
-func (n *Node) handleReadiness(c *fiber.Ctx) error {
-	if n.draining.Load() || n.configuration.Current() == nil || !n.targetsKnown.Load() || n.evacuationsUnknown() {
-		return c.SendStatus(http.StatusServiceUnavailable)
-	}
-	return c.SendStatus(http.StatusOK)
-}
-
 const (
 	// idleConnectionRatio is the fraction of a target's connection limit that
 	// idle connections of all instances may take together.
