Log watches whose response takes long

A watch left no line before it had ended, so that a version that arrived slowly at the instances that watch for all could not be told from one that the store had not sent.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -87,7 +87,30 @@
 	if position.IsZero() {
 		return n.controlPlane.ReadDeclarations(ctx)
 	}
-	return n.controlPlane.Watch(ctx, position, n.recordWatch)
+	startedAt := n.clock.Now()
+	overdue := n.clock.AfterFunc(maxWatchAge, func() {
+		n.logger.Warn("response to the watch of the declarations takes long", zap.Duration("waiting_for", n.clock.Since(startedAt)),
+			zap.Duration("arriving_for", n.arrivingFor()), zap.Uint64("in_force", n.configuration.Version()))
+	})
+	defer overdue.Stop()
+	defer n.arrivingNanos.Store(0)
+	return n.controlPlane.Watch(ctx, position, n.recordProgress)
+}
+
+// recordProgress records that a part of the response to the watch has arrived.
+func (n *Node) recordProgress() {
+	n.arrivingNanos.CompareAndSwap(0, n.clock.Since(n.startedAt).Nanoseconds())
+	n.recordWatch()
+}
+
+// arrivingFor returns for how long the response to the current watch has been arriving; 0 if
+// none is.
+func (n *Node) arrivingFor() time.Duration {
+	nanos := n.arrivingNanos.Load()
+	if nanos == 0 {
+		return 0
+	}
+	return max(1, n.clock.Since(n.startedAt)-time.Duration(nanos))
 }
 
 // applyDeclarations applies the response to a read or a watch from a position that began at
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -46,10 +46,12 @@
 	InstanceCount       int    `json:"instances"`
 	// PeerRestarts and PeersEndedAlone count the restarts of other instances that this one has
 	// heard, all and those without a shutdown before.
-	PeerRestarts          int    `json:"instances_restarted"`
-	PeersEndedAlone       int    `json:"instances_restarted_without_shutdown"`
-	TargetsAgeMs          int64  `json:"targets_age_ms"`
-	WatchAgeMs            uint32 `json:"watch_age_ms"`
+	PeerRestarts    int    `json:"instances_restarted"`
+	PeersEndedAlone int    `json:"instances_restarted_without_shutdown"`
+	TargetsAgeMs    int64  `json:"targets_age_ms"`
+	WatchAgeMs      uint32 `json:"watch_age_ms"`
+	// WatchArrivingMs is for how long the response to the current watch has been arriving.
+	WatchArrivingMs       int64  `json:"watch_arriving_ms"`
 	CallerConnections     int    `json:"caller_connections"`
 	AcceptFailures        uint64 `json:"accept_failures"`
 	DatagramReadFailures  uint64 `json:"datagram_read_failures"`
@@ -110,7 +112,7 @@
 		ConfigBehindMs: n.behindFor().Milliseconds(), UpdateBytesReceived: n.updateCounters.BytesReceived.Load(), UpdateBytesSent: n.updateCounters.BytesSent.Load(),
 		UpdatesReferred: n.updateCounters.Referred.Load(), UpdateFailures: n.updateCounters.Failures.Load(),
 		ConfigVersion: n.configuration.Version(), Draining: n.draining.Load(), InstanceCount: view.Instances,
-		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos),
+		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos), WatchArrivingMs: n.arrivingFor().Milliseconds(),
 		CallerConnections: n.callerServer.OpenConnections(), AcceptFailures: n.acceptFailures.Load(), DatagramReadFailures: peer.DatagramReadFailures(), ChecksEvicted: n.checksEvicted.Load(), TargetConnectionsMade: n.pool.OpenedConns(), TargetsSentTooMuch: n.pool.TooLong(),
 		QuotaGranted: n.quotaGate.Granted.Load(), QuotaRefused: n.quotaGate.Refused.Load(), QuotaFallbacks: n.quotaGate.Fallbacks.Load(),
 		HeldBytes: n.pool.HeldBytes(), SlowCallers: slowCallers,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,6 +134,9 @@
 	// read or watch of the operator's declarations, in nanoseconds since
 	// startedAt; 0 if there was none or the last one failed.
 	lastWatchNanos atomic.Int64
+	// arrivingNanos is when the response to the current watch began to arrive, as
+	// lastWatchNanos; 0 if it has not.
+	arrivingNanos atomic.Int64
 	// newerConfiguration is signalled when another instance has a newer
 	// configuration.
 	newerConfiguration chan struct{}
