--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -442,11 +442,12 @@
 	additionEvacuations = 4 + iota
 	additionTraits
 	additionCold
+	additionArriving
 )
 
 // appendAdditions appends to the additions of earlier builds the set of evacuated domains,
-// the version of the configuration from which the traits of services are, and the cold
-// targets.
+// the version of the configuration from which the traits of services are, the cold targets,
+// and for how many milliseconds the response to the watch has been arriving.
 func (n *Node) appendAdditions(m *message) error {
 	now, uptime := n.clock.Now(), n.uptime()
 	sent := func() *sentEvacuations {
@@ -456,7 +457,7 @@
 		n.evacuations.beat(uptime, now)
 		return n.evacuations.set.encode(now)
 	}()
-	return m.append(sent, n.traits.current().Version, n.cold.encode(now))
+	return m.append(sent, n.traits.current().Version, n.cold.encode(now), ageMillis(n.arrivingFor()))
 }
 
 // append appends values to the additions.
