Refuse responses with invalid field lines

A target sent a head in which the name of a field held a blank; callers got the response with that line, or with a body that was not the target's: net/http accepts such names, does not see "Content-Length : 2" or the name of another request in them, and joins a line that begins with a blank to the value before.

The bytes of a head are now checked as they are read, before they are parsed: each line has a token as its name, a colon, and does not begin with a blank. The same holds for interim heads, for responses to other requests on the connection and for trailers, whose body is not complete otherwise. A failure is ErrInvalidHeader; the connection is closed.

TestResponseWithARareHeadIsPassedOn guards valid heads.

--- a/internal/dispatch/bounds.go
+++ b/internal/dispatch/bounds.go
@@ -53,6 +53,8 @@
 	receiving  time.Duration
 	// received is set once any bytes have been read since awaitHeader.
 	received bool
+	// scan checks the bytes of the response.
+	scan responseScan
 }
 
 // awaitHeader sets the bounds for a response header.
@@ -74,6 +76,17 @@
 
 // Read implements io.Reader.
 func (r *boundedReader) Read(buffer []byte) (int, error) {
+	if r.scan.err != nil {
+		return 0, r.scan.err
+	}
+	n, err := r.readBounded(buffer)
+	if n > 0 && r.scan.next(buffer[:n]) != nil && !r.scan.inBody {
+		return 0, r.scan.err
+	}
+	return n, err
+}
+
+func (r *boundedReader) readBounded(buffer []byte) (int, error) {
 	if !r.bounded {
 		return r.source.Read(buffer)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -138,6 +138,7 @@
 	}
 	bounds := &boundedReader{source: conn}
 	bounds.awaitHeader()
+	bounds.scan.skipsInterim = true
 	// The codec reads a header of at most the reader's size.
 	reader := bufio.NewReader(bounds)
 	err := checkFirstStatus(reader)
@@ -149,16 +150,18 @@
 	}
 	if err != nil {
 		stopCancel()
-		return nil, err
+		return nil, bounds.scan.explain(err)
 	}
 	bounds.headerComplete()
 	response := &Response{
 		Status: raw.StatusCode(), ContentLength: raw.Header.ContentLength(),
 		conn: conn, raw: raw, stopCancel: stopCancel,
 	}
-	response.Body = raw.BodyStream()
-	if response.Body == nil {
-		response.Body = emptyBody{}
+	response.Body = emptyBody{}
+	if body := raw.BodyStream(); body != nil {
+		const chunked = -1
+		bounds.scan.beginBody(reader, response.ContentLength == chunked)
+		response.Body = scannedBody{body, &bounds.scan}
 	}
 	for name, value := range raw.Header.All() {
 		response.Header = append(response.Header, Field{string(name), string(value)})
@@ -221,6 +224,18 @@
 	return nil
 }
 
+// scannedBody is a body that is complete if nothing invalid was found in it.
+type scannedBody struct {
+	io.Reader
+	scan *responseScan
+}
+
+// Read implements io.Reader.
+func (b scannedBody) Read(buffer []byte) (int, error) {
+	n, err := b.Reader.Read(buffer)
+	return n, b.scan.explain(err)
+}
+
 type emptyBody struct{}
 
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -182,11 +182,15 @@
 // readHeader reads the next response header, skipping 1xx responses.
 func (c *pooledConn) readHeader(method string) (*http.Response, error) {
 	for range maxInformationalResponses + 1 {
+		if err := c.bounds.scan.beginHead(c.reader); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, c.bounds.scan.explain(err)
 		}
 		if isFinalStatus(response.StatusCode) {
+			c.bounds.scan.beginBody(c.reader, response.Body != http.NoBody && len(response.TransferEncoding) > 0)
 			return response, nil
 		}
 		if !isInterimStatus(response.StatusCode) {
@@ -220,6 +224,9 @@
 	if err == nil && n == maxMismatchedBytes {
 		err = errors.Wrapf(ErrResponseTooLong, "mismatched response of at least %d bytes", maxMismatchedBytes)
 	}
+	if err == nil {
+		err = c.bounds.scan.err
+	}
 	c.bounds.left = headerBytesLeft
 	c.bounds.awaitNextHeader(c.reader.Buffered() > 0)
 	return err
@@ -278,6 +285,7 @@
 // failed write has taken the reset from the socket, so that the read finds an orderly end.
 func (r *PooledResponse) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
+	err = r.conn.bounds.scan.explain(err)
 	if err == io.EOF && r.unsent && !r.framed {
 		err = errors.Wrap(io.ErrUnexpectedEOF, "response ended with its connection before the request was written")
 	}
--- /dev/null
+++ b/internal/dispatch/malformedhead_test.go
@@ -0,0 +1,138 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+// malformedLines are lines of a head whose name is no token, or that continue the line before.
+var malformedLines = []string{
+	"X-A : b", "X A: b", " X-A: b", "\tX-A: b", " ", "X-A\t: b", "X\x01A: b", "X\x00: b", "X\x7fA: b", "X-A\x0b: b", "X(A): b", "X\xe9: b",
+	": b", "no colon", "Content-Length : 2", "Content-Length\t: 2", "Transfer-Encoding : chunked", idHeader + " : another", " " + idHeader + ": another",
+	"Content Length: 2", "X-A: b\r\n continued", "X-A: b\r\n\tcontinued",
+}
+
+// malformedHeads returns responses with the line at each place of the head.
+func malformedHeads(line string) map[string]string {
+	const status, id = "HTTP/1.1 200 OK\r\n", idHeader + ": expected\r\n"
+	chunked := "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+	line += "\r\n"
+	return map[string]string{
+		"first":                  status + line + id + "Content-Length: 5\r\n\r\nwhole",
+		"before the length":      status + id + line + "Content-Length: 5\r\n\r\nwhole",
+		"last":                   status + id + "Content-Length: 5\r\n" + line + "\r\nwhole",
+		"without a length":       status + id + line + "\r\nwhole",
+		"chunked":                status + id + line + chunked + "\r\n",
+		"interim":                "HTTP/1.1 103 Hints\r\n" + line + "\r\n" + status + id + "Content-Length: 5\r\n\r\nwhole",
+		"after interim":          "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + status + id + line + "Content-Length: 5\r\n\r\nwhole",
+		"failure":                "HTTP/1.1 500 Failed\r\n" + id + line + "Content-Length: 5\r\n\r\nwhole",
+		"refusal":                "HTTP/1.1 503 Refused\r\n" + id + line + "X-Not-Run: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"response before":        status + line + idHeader + ": other\r\nContent-Length: 2\r\n\r\nxx" + status + id + "Content-Length: 5\r\n\r\nwhole",
+		"after another response": responseWithID("other", "xx") + status + id + line + "Content-Length: 5\r\n\r\nwhole",
+		"first of a trailer":     status + id + chunked + line + "\r\n",
+		"last of a trailer":      status + id + chunked + "X-T: t\r\n" + line + "\r\n",
+		"ends without CR":        "HTTP/1.1 200 OK\n" + idHeader + ": expected\n" + line + "Content-Length: 5\n\nwhole",
+	}
+}
+
+// serveBytes returns the address of a server that answers each request with the response, in parts
+// of size bytes, and closes the connection.
+func serveBytes(t *testing.T, response string, size int) string {
+	return serveOnce(t, func(conn *net.TCPConn) {
+		defer func() { _ = conn.Close() }()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		for sent := 0; sent < len(response); sent += size {
+			if sent > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if _, err := io.WriteString(conn, response[sent:min(sent+size, len(response))]); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// readWith sends a request with one of the two functions and reads the response to its end.
+func readWith(ctx context.Context, address string, pooled bool) (string, error) {
+	if pooled {
+		response, err := NewPool(clockwork.NewRealClock()).Send(ctx, newPooledRequest(address))
+		if err != nil {
+			return "", err
+		}
+		defer response.Close()
+		body, err := io.ReadAll(response)
+		return string(body), err
+	}
+	response, err := Send(ctx, &Request{Address: address, Method: http.MethodPost, URI: "/", Body: []byte("body")})
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+// A target sent a head with a blank in the name of a field, or with a line that begins with a
+// blank; callers got the line, or a body that was not the target's.
+func TestResponseWithAMalformedHeadIsNotPassedOn(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), endsTimeout)
+	defer cancel()
+	for _, pooled := range []bool{true, false} {
+		taken, cases := 0, 0
+		for _, line := range malformedLines {
+			for place, response := range malformedHeads(line) {
+				if !pooled && (place == "response before" || place == "after another response") {
+					// Send reads one response, whose request it does not check.
+					continue
+				}
+				for _, size := range []int{len(response), 20} {
+					cases++
+					body, err := readWith(ctx, serveBytes(t, response, size), pooled)
+					if err == nil {
+						taken++
+						t.Errorf("pooled %t, %q, %s, parts of %d: body %q", pooled, line, place, size, body)
+					} else if !errors.Is(err, ErrInvalidHeader) {
+						t.Errorf("pooled %t, %q, %s, parts of %d: %v", pooled, line, place, size, err)
+					}
+				}
+			}
+		}
+		t.Logf("pooled %t: %d of %d responses taken", pooled, taken, cases)
+	}
+}
+
+// Heads that are well formed, however rare, must not be refused.
+func TestResponseWithARareHeadIsPassedOn(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), endsTimeout)
+	defer cancel()
+	for _, line := range []string{
+		"X-A:b", "X-A: ", "X-A:", "X-A:\t b \t", "x-!#$%&'*+.^_`|~09: b", "X-A: b: c : d", "X-A: \"q, r\"", "X-A: \xe9", "X-A: b\r\nX-A: c", "Date: Mon, 07 Dec 2026 16:00:00 GMT",
+	} {
+		for place, response := range malformedHeads(line) {
+			for _, pooled := range []bool{true, false} {
+				if !pooled && (place == "response before" || place == "after another response" || place == "ends without CR") {
+					// The codec of Send accepts CR LF only.
+					continue
+				}
+				for _, size := range []int{len(response), 20} {
+					body, err := readWith(ctx, serveBytes(t, response, size), pooled)
+					assert.Check(t, err == nil && body == "whole", fmt.Sprintf("pooled %t, %q, %s, parts of %d: %q, %v", pooled, line, place, size, body, err))
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/headscan/headscan_test.go
@@ -0,0 +1,49 @@
+package headscan
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// checkSplit checks data in parts of each size; next gets the parts.
+func checkSplit(t *testing.T, data string, valid bool, begin func() func([]byte) error) {
+	t.Helper()
+	for size := 1; size <= len(data); size++ {
+		next := begin()
+		var err error
+		for at := 0; at < len(data) && err == nil; at += size {
+			err = next([]byte(data[at:min(at+size, len(data))]))
+		}
+		assert.Equal(t, err == nil, valid, "%q in parts of %d: %v", data, size, err)
+	}
+}
+
+func TestInvalidLinesAreFoundAtAnySplit(t *testing.T) {
+	for head, valid := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody x: y\r\n z": true, "HTTP/1.1 200 OK\nA: b\n\n body": true, "\r\n\r\nHTTP/1.1 200\r\n\r\n": true,
+		"HTTP/1.1 200 OK\r\nA:\r\nB:b : c\r\n\r\n": true, "HTTP/1.1 103 H\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n x : y\r\n": true,
+		"HTTP/1.1 200 OK\r\nA : b\r\n": false, "HTTP/1.1 200 OK\r\nA: b\r\n c": false, "HTTP/1.1 200 OK\r\n\tA: b": false, "HTTP/1.1 200 OK\r\nA\r\n": false,
+		"HTTP/1.1 200 OK\r\n: b": false, "HTTP/1.1 200 OK\r\n\rA: b": false, "HTTP/1.1 200 OK\r\n \r\n": false, "HTTP/1.1 200 OK\r\nA\x00: b": false,
+		"HTTP/1.1 103 H\r\nA : b\r\n": false, "HTTP/1.1 103 H\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA : b": false,
+	} {
+		checkSplit(t, head, valid, func() func([]byte) error { return new(Head).NextFinal })
+	}
+	for body, valid := range map[string]bool{
+		"5\r\n x : \r\n0\r\n\r\n x : y": true, "A;x = y\r\n0123456789\r\n00 \r\nA: b\r\n\r\n": true, "1\nx\r\n0\nA: b\n\n": true,
+		"3\r\nabc\r\n0\r\nA : b\r\n": false, "0;x\r\n A: b": false, "0\r\nA: b\r\n c": false,
+	} {
+		checkSplit(t, body, valid, func() func([]byte) error { return new(Chunks).Next })
+	}
+}
+
+func TestScanAllocatesNothing(t *testing.T) {
+	head, body := []byte("HTTP/1.1 200 OK\r\nA: b\r\nContent-Type: text/plain\r\n\r\n"), []byte("5\r\nwhole\r\n0\r\nA: b\r\n\r\n")
+	allocations := testing.AllocsPerRun(100, func() {
+		var h Head
+		var c Chunks
+		assert.NilError(t, h.NextFinal(head))
+		assert.NilError(t, c.Next(body))
+	})
+	assert.Equal(t, allocations, 0.0)
+}
