Test malformed heads through the gateway and a relaying instance

TestRelayedResponseWithAMalformedHeadIsNotPassedOn shows that the bytes that another instance relays are checked by the instance that reads them.

--- a/internal/dispatch/malformedhead_test.go
+++ b/internal/dispatch/malformedhead_test.go
@@ -136,3 +136,15 @@
 		}
 	}
 }
+
+// The bytes of a response that another instance relays are checked like those of a direct one.
+func TestRelayedResponseWithAMalformedHeadIsNotPassedOn(t *testing.T) {
+	p := newRelayedPool(t)
+	for _, line := range []string{"X-A : b", "Content-Length : 2", idHeader + " : another", "X-A: b\r\n continued"} {
+		for place, response := range malformedHeads(line) {
+			body, err := sendAndRead(p, newPooledRequest(serveBytes(t, response, 20)))
+			assert.Assert(t, errors.Is(err, ErrInvalidHeader), "%q, %s: %q, %v", line, place, body, err)
+			assert.Assert(t, !p.IsPathLost("", err), "%q, %s: %v", line, place, err)
+		}
+	}
+}
