Check the heads of the store's and of engines' responses

The clients of the store, of the platform and of engines read names with blanks as if these were not there ("Store-Era : 7" was the store's era), and joined lines that begin with a blank to the value before. Their connections now check the lines of each head; a client gets an error in place of such a response.

An encrypted connection to the platform is left as it is.

--- a/internal/dispatch/headscan.go
+++ b/internal/dispatch/headscan.go
@@ -49,7 +49,8 @@
 	switch {
 	case s.err != nil:
 	case !s.inBody && s.skipsInterim:
-		s.fail(s.head.NextFinal(data))
+		_, err := s.head.NextFinal(data)
+		s.fail(err)
 	case !s.inBody:
 		_, err := s.head.Next(data)
 		s.fail(err)
--- a/internal/headscan/headscan.go
+++ b/internal/headscan/headscan.go
@@ -97,13 +97,15 @@
 }
 
 // NextFinal scans data like Next, and goes on with the next head after that of an interim response.
-func (h *Head) NextFinal(data []byte) error {
+func (h *Head) NextFinal(data []byte) (int, error) {
+	scanned := 0
 	for {
-		n, err := h.Next(data)
+		n, err := h.Next(data[scanned:])
+		scanned += n
 		if err != nil || h.state != done || !h.interim {
-			return err
+			return scanned, err
 		}
-		*h, data = Head{}, data[n:]
+		*h = Head{}
 	}
 }
 
--- a/internal/headscan/headscan_test.go
+++ b/internal/headscan/headscan_test.go
@@ -27,7 +27,13 @@
 		"HTTP/1.1 200 OK\r\n: b": false, "HTTP/1.1 200 OK\r\n\rA: b": false, "HTTP/1.1 200 OK\r\n \r\n": false, "HTTP/1.1 200 OK\r\nA\x00: b": false,
 		"HTTP/1.1 103 H\r\nA : b\r\n": false, "HTTP/1.1 103 H\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA : b": false,
 	} {
-		checkSplit(t, head, valid, func() func([]byte) error { return new(Head).NextFinal })
+		checkSplit(t, head, valid, func() func([]byte) error {
+			h := new(Head)
+			return func(data []byte) error {
+				_, err := h.NextFinal(data)
+				return err
+			}
+		})
 	}
 	for body, valid := range map[string]bool{
 		"5\r\n x : \r\n0\r\n\r\n x : y": true, "A;x = y\r\n0123456789\r\n00 \r\nA: b\r\n\r\n": true, "1\nx\r\n0\nA: b\n\n": true,
@@ -42,7 +48,8 @@
 	allocations := testing.AllocsPerRun(100, func() {
 		var h Head
 		var c Chunks
-		assert.NilError(t, h.NextFinal(head))
+		_, err := h.NextFinal(head)
+		assert.NilError(t, err)
 		assert.NilError(t, c.Next(body))
 	})
 	assert.Equal(t, allocations, 0.0)
--- a/internal/lease/httptarget.go
+++ b/internal/lease/httptarget.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+	"github.com/hibiscuspost/hibiscuspost/internal/headscan"
 )
 
 // HTTPTarget is a Target that is reached over HTTP.
@@ -24,6 +26,13 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxResponseBodySize:       1 << 20,
+		DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
+			conn, err := fasthttp.DialTimeout(address, timeout)
+			if err != nil {
+				return nil, err
+			}
+			return &headscan.Conn{Conn: conn}, nil
+		},
 	}}
 }
 
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -21,6 +21,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/fault"
+	"github.com/hibiscuspost/hibiscuspost/internal/headscan"
 	"github.com/hibiscuspost/hibiscuspost/internal/platform"
 )
 
@@ -100,7 +101,11 @@
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
-	return conn, nil
+	if c.http.IsTLS {
+		// What is read here is encrypted.
+		return conn, nil
+	}
+	return &headscan.Conn{Conn: conn}, nil
 }
 
 // hostPort returns the host and port of a base URL, with the default port of
