--- a/internal/dispatch/malformedhead_test.go
+++ b/internal/dispatch/malformedhead_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,6 +138,26 @@
 	}
 }
 
+// Control bytes in values are refused by the parsers, in heads; trailers are not passed on.
+func TestResponseWithAControlByteInAValueIsNotPassedOn(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), endsTimeout)
+	defer cancel()
+	for _, value := range []string{"b\x00", "\x01b", "b\x7fc", "b\rc", "\x0b"} {
+		for place, response := range malformedHeads("X-A: " + value) {
+			if strings.Contains(place, "trailer") {
+				continue
+			}
+			for _, pooled := range []bool{true, false} {
+				if !pooled && (place == "response before" || place == "after another response") {
+					continue
+				}
+				body, err := readWith(ctx, serveBytes(t, response, len(response)), pooled)
+				assert.Check(t, err != nil, "pooled %t, %q, %s: %q", pooled, value, place, body)
+			}
+		}
+	}
+}
+
 // The bytes of a response that another instance relays are checked like those of a direct one.
 func TestRelayedResponseWithAMalformedHeadIsNotPassedOn(t *testing.T) {
 	p := newRelayedPool(t)
