Refuse requests with invalid field lines

A caller's request with a blank inside the name of a field was passed on to the target with that line, and a line that begins with a blank was joined to the value before: the target may read either differently. fasthttp refuses only a blank before the colon. Such a request is now answered with 400 and its connection is closed, before the head is parsed.

Trailers are not passed on, as before.

The connection of a request with a joined line was closed after the response; it has no response of a target any more, so that the state for it is removed.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/contain"
+	"github.com/hibiscuspost/hibiscuspost/internal/headscan"
 )
 
 const (
@@ -134,9 +135,10 @@
 	// phase began at phaseSince; only the serving goroutine accesses them.
 	phase      connPhase
 	phaseSince time.Time
-	// header is the current or last header, bodyBytes what has been read of the body, and
+	// header is the current or last header, fields checks its lines, bodyBytes is what has been read of the body, and
 	// chunks its chunks.
 	header    headerScan
+	fields    headscan.Head
 	bodyBytes int
 	chunks    chunkScan
 	callers   *callers
@@ -222,7 +224,7 @@
 		c.enter(headerPhase)
 		c.firstByteAt = c.phaseSince
 		c.setState(connReading)
-		c.header = headerScan{}
+		c.header, c.fields = headerScan{}, headscan.Head{}
 	}
 	n, headerErr := c.readHeader(buffer[:n])
 	return n, cmp.Or(headerErr, err)
@@ -235,6 +237,9 @@
 		return 0, errHeaderEnd
 	}
 	n := c.header.next(data)
+	if _, err := c.fields.Next(data[:n]); err != nil {
+		return 0, err
+	}
 	if c.header.hidden {
 		return 0, errBodyLengthHidden
 	}
@@ -306,11 +311,11 @@
 // mayReuse reports whether a further request may be read. It may not if the parser may hold a
 // part of it already, whose lines were not counted.
 func (c *callerConn) mayReuse() bool {
-	return c.header.done && !c.header.folded && (!c.header.chunked || c.chunks.done)
+	return c.header.done && (!c.header.chunked || c.chunks.done)
 }
 
-// reserveBody reserves memory before the read of a body whose length is not known from the
-// header, since a line was folded. The parser has allocated what it reads into, so that a
+// reserveBody reserves memory before the read of a body whose length headerScan has not found in
+// the header. The parser has allocated what it reads into, so that a
 // long read does not wait.
 func (c *callerConn) reserveBody(bytes int) error {
 	if c.callers.isEvicted(c) {
--- a/internal/gateway/headerscan.go
+++ b/internal/gateway/headerscan.go
@@ -21,9 +21,8 @@
 	// bodyLength is the stated length of the body, chunked is set if it is chunked.
 	bodyLength int
 	chunked    bool
-	// folded is set if a line continues the one before, which is not followed here, and
-	// hidden if a line that determines the body is longer than what is kept of it.
-	folded, hidden, done bool
+	// hidden is set if a line that determines the body is longer than what is kept of it.
+	hidden, done bool
 }
 
 // next scans data and returns how much of it belongs to the header.
@@ -56,7 +55,6 @@
 
 // endLine follows a line; isCut is set if only its beginning is kept.
 func (h *headerScan) endLine(line []byte, isCut bool) {
-	h.folded = h.folded || line[0] == ' ' || line[0] == '\t'
 	name, value, _ := strings.Cut(string(line), ":")
 	name, value = strings.TrimSpace(name), strings.TrimSpace(value)
 	switch {
