--- a/internal/headscan/headscan_test.go
+++ b/internal/headscan/headscan_test.go
@@ -1,6 +1,10 @@
 package headscan
 
 import (
+	"bufio"
+	"bytes"
+	"math/rand/v2"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -54,3 +58,29 @@
 	})
 	assert.Equal(t, allocations, 0.0)
 }
+
+// A head that is found valid must end where the parser ends it.
+func TestValidHeadsEndWhereTheParserEndsThem(t *testing.T) {
+	parts := []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\n", "A: b\r\n", "A:\r\n", "B: c\n", "\r\n", "\n", "\r", " ", "\t", ":", "A", "x y", "\x00", "b: c\rd\r\n", "\r\r\n"}
+	random := rand.New(rand.NewPCG(1, 2))
+	valid := 0
+	for range 200_000 {
+		data := []byte(parts[random.IntN(2)])
+		for range random.IntN(8) {
+			data = append(data, parts[random.IntN(len(parts))]...)
+		}
+		data = append(data, "\r\n\r\nbody"...)
+		reader := bufio.NewReader(bytes.NewReader(data))
+		if _, err := http.ReadResponse(reader, nil); err != nil {
+			continue
+		}
+		var h Head
+		n, err := h.Next(data)
+		if err != nil {
+			continue
+		}
+		valid++
+		assert.Equal(t, n, len(data)-reader.Buffered(), "%q", data)
+	}
+	assert.Assert(t, valid > 1000, "%d valid heads", valid)
+}
