Send no position with an update that a newer version has overtaken

The last part of an update states the position of the store up to which the receiver then knows the declarations. If the sender put a newer version in force between the update and that part, the position was that of the newer version, and a receiver that watched from there did not read it: it had it only if it received it from others before these ended.

The position and the version in force are read in one step, and no position is sent if that version is newer than the update's; the receiver keeps its own, earlier one.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -37,6 +37,17 @@
 	return n.declared.position
 }
 
+// declaredPositionOf returns declaredPosition if no newer configuration than a version is in
+// force, and else zero: the newer one may be from before that position.
+func (n *Node) declaredPositionOf(version uint64) Position {
+	n.declared.mu.Lock()
+	defer n.declared.mu.Unlock()
+	if n.configuration.Version() > version {
+		return Position{}
+	}
+	return n.declared.position
+}
+
 // setDeclaredPosition records the result of an own read or watch.
 func (n *Node) setDeclaredPosition(position Position) {
 	n.declared.mu.Lock()
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -71,7 +71,8 @@
 	PartCount int              `json:"parts,omitempty"`
 	Part      []byte           `json:"part,omitempty"`
 	// Position is the state of the store up to which the instance knows the
-	// declarations; Rollouts and EndedRollouts are those that it knows.
+	// declarations, zero if it has a newer configuration in force than that of the update;
+	// Rollouts and EndedRollouts are those that it knows.
 	Position      Position         `json:"position"`
 	Rollouts      []rollout.Report `json:"rollouts,omitempty"`
 	EndedRollouts []rollout.Status `json:"ended_rollouts,omitempty"`
@@ -131,7 +132,7 @@
 // addDeclarations adds the position and the rollouts that are known with it, so that
 // the receiver can watch from there.
 func (n *Node) addDeclarations(response *updateResponse) {
-	position := n.declaredPosition()
+	position := n.declaredPositionOf(response.To.Version)
 	reports, err := n.rollouts.Reports(maxRolloutRecordBytes)
 	if err != nil {
 		n.logger.Error("cannot encode rollout report", eventlog.ErrorField(err))
