--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -442,12 +442,11 @@
 	additionEvacuations = 4 + iota
 	additionTraits
 	additionCold
-	additionArriving
 )
 
 // appendAdditions appends to the additions of earlier builds the set of evacuated domains,
-// the version of the configuration from which the traits of services are, the cold targets,
-// and for how many milliseconds the response to the watch has been arriving.
+// the version of the configuration from which the traits of services are, and the cold
+// targets.
 func (n *Node) appendAdditions(m *message) error {
 	now, uptime := n.clock.Now(), n.uptime()
 	sent := func() *sentEvacuations {
@@ -457,7 +456,7 @@
 		n.evacuations.beat(uptime, now)
 		return n.evacuations.set.encode(now)
 	}()
-	return m.append(sent, n.traits.current().Version, n.cold.encode(now), ageMillis(n.arrivingFor()))
+	return m.append(sent, n.traits.current().Version, n.cold.encode(now))
 }
 
 // append appends values to the additions.
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -30,7 +30,7 @@
 	// determined anew.
 	maxSourceRequests = 24
 	// watcherPatience is how long an instance that watches the declarations waits for
-	// them when others have received a newer configuration before, unless they arrive slowly.
+	// them when others have received a newer configuration before.
 	watcherPatience = 400 * time.Millisecond
 	// storeFallbackDelay is how long an instance tries to receive a newer configuration
 	// from others before it reads it itself.
@@ -169,10 +169,7 @@
 // needsUpdate reports whether a newer configuration should be requested from others.
 func (n *Node) needsUpdate() bool {
 	behind := n.behindFor()
-	if behind == 0 {
-		return false
-	}
-	return behind >= watcherPatience || n.arrivingFor() >= slowArrivalTime || !n.isWatcher()
+	return behind > 0 && (behind >= watcherPatience || !n.isWatcher())
 }
 
 // fetch is the receipt of one update.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -100,9 +100,7 @@
 // recordProgress records that a part of the response to the watch has arrived.
 func (n *Node) recordProgress() {
 	n.arrivingNanos.CompareAndSwap(0, n.clock.Since(n.startedAt).Nanoseconds())
-	if n.arrivingFor() <= maxArrivalTime {
-		n.recordWatch()
-	}
+	n.recordWatch()
 }
 
 // arrivingFor returns for how long the response to the current watch has been arriving; 0 if
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -121,16 +121,6 @@
 // maxUptimeMs bounds the time that a message may state.
 const maxUptimeMs = 1 << 40
 
-// arrivingFor returns for how long the response to the sender's watch has been arriving; 0 if
-// none is, or the sender does not state it.
-func (m *message) arrivingFor() time.Duration {
-	var ms uint32
-	if m.addition(additionArriving, &ms) != nil {
-		return 0
-	}
-	return time.Duration(ms) * time.Millisecond
-}
-
 // setAdditions sets the fields that earlier versions ignore.
 func (m *message) setAdditions(era uint64, watchers []string, renewalAgeMs uint32, uptime time.Duration) error {
 	m.Additions = nil
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -62,8 +62,6 @@
 	// failure. peerWatchedAt is the latest such time among the instances that it
 	// knows.
 	watchedAt, peerWatchedAt time.Time
-	// arrivingSince is since when the response to its watch has been arriving; zero if none is.
-	arrivingSince time.Time
 	// vouchedAt is watchedAt as of the last message that named no newer configuration
 	// than the one in force here.
 	vouchedAt time.Time
@@ -145,10 +143,6 @@
 	state.lastMessageAt = now.Add(-state.transit.time)
 	state.watchedAt = state.timeOfAge(m.WatchAgeMs)
 	state.peerWatchedAt = state.timeOfAge(m.PeerWatchAgeMs)
-	state.arrivingSince = time.Time{}
-	if arrivingFor := m.arrivingFor(); arrivingFor > 0 {
-		state.arrivingSince = state.lastMessageAt.Add(-arrivingFor)
-	}
 	if m.ConfigVersion <= inForce || state.watchedAt.IsZero() {
 		state.vouchedAt = state.watchedAt
 	}
--- a/internal/node/watchers.go
+++ b/internal/node/watchers.go
@@ -4,24 +4,12 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// watcherCount is the number of instances that watch the operator's
 	// declarations for all instances.
 	watcherCount = 2
-	// maxWatchers bounds the instances that watch while responses arrive slowly: where all
-	// links are slow, further ones would help no one.
-	maxWatchers = 6
-	// slowArrivalTime is for how long the response to a watch may arrive before another instance
-	// watches as well.
-	slowArrivalTime = 500 * time.Millisecond
-	// maxArrivalTime is for how long a response that arrives counts as one: with
-	// maxWatchAgeAggregated after it, all instances watch within the time in which a
-	// configuration must be in force.
-	maxArrivalTime = 800 * time.Millisecond
 	// maxWatchAge is the age up to which the last response to another instance's
 	// watch is relied on. It is a little more than a watch without changes takes
 	// and, together with watchCheckInterval, well below the time within which a
@@ -60,9 +48,6 @@
 	if nanos := n.lastWatchNanos.Load(); nanos != 0 {
 		self.watchedAt = n.startedAt.Add(time.Duration(nanos))
 	}
-	if arrivingFor := n.arrivingFor(); arrivingFor > 0 {
-		self.arrivingSince = n.clock.Now().Add(-arrivingFor)
-	}
 	return self
 }
 
@@ -126,8 +111,7 @@
 
 // chooseWatchers returns the addresses of the instances with the largest capacity, the
 // first in address order among equals. One that gets no response to its watch, although
-// others do, is skipped for a while. One whose response arrives slowly goes on, and another
-// one watches as well.
+// others do, is skipped for a while.
 func (p *peerTable) chooseWatchers(self peerState) []string {
 	candidates := append(p.live(), self)
 	slices.SortFunc(candidates, func(a, b peerState) int {
@@ -149,45 +133,6 @@
 		}
 		chosen = append(chosen, c.address)
 	}
-	return p.supplementWatchers(chosen, candidates, now)
-}
-
-// supplementWatchers adds an instance for each chosen one whose response arrives slowly, by
-// capacity and then by the hash of the address: neighbors in address order often share their
-// links and failure domain. The caller holds mu.
-func (p *peerTable) supplementWatchers(chosen []string, candidates []peerState, now time.Time) []string {
-	isSlow := func(c *peerState) bool {
-		return !c.arrivingSince.IsZero() && now.Sub(c.arrivingSince) >= slowArrivalTime
-	}
-	missing := 0
-	others := make([]*peerState, 0, len(candidates))
-	for i := range candidates {
-		c := &candidates[i]
-		switch {
-		case !slices.Contains(chosen, c.address):
-			others = append(others, c)
-		case isSlow(c):
-			missing++
-		}
-	}
-	if missing == 0 {
-		return chosen
-	}
-	slices.SortStableFunc(others, func(a, b *peerState) int {
-		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(xxhash.Sum64String(a.address), xxhash.Sum64String(b.address)))
-	})
-	for _, c := range others {
-		if missing == 0 || len(chosen) == maxWatchers {
-			break
-		}
-		if c.draining || now.Before(p.watcherSkippedUntil[c.address]) {
-			continue
-		}
-		chosen = append(chosen, c.address)
-		if !isSlow(c) {
-			missing--
-		}
-	}
 	return chosen
 }
 
