Don't count malformed responses as crashes of the target

A response with an invalid field line or status fell among the errors that count as crashes. Three of them marked the request and the parts of its prompt, so that it was refused with 502 although a sound target was free. A response that has arrived is no evidence of a crash.

TestMalformedHeadsAreNoCrashes: 3 of 3 cases fail before, 0 of 3 after.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,8 @@
 	switch {
 	case dispatch.IsRefused(err):
 		tracked.End(quarantine.Unreachable)
-	case dispatch.IsNotSent(err), errors.IsAny(err, errUntrusted, dispatch.ErrResponseUnidentified, dispatch.ErrResponseTooLong, errEndless, errTooManyEvents):
+	case dispatch.IsNotSent(err), errors.IsAny(err, errUntrusted, dispatch.ErrResponseUnidentified, dispatch.ErrResponseTooLong,
+		dispatch.ErrInvalidHeader, dispatch.ErrInvalidStatus, errEndless, errTooManyEvents):
 		tracked.End(quarantine.NoEvidence)
 	case ctx.Err() != nil, errors.As(err, &netErr) && netErr.Timeout():
 		tracked.End(quarantine.Unanswered)
--- a/internal/gateway/malformedhead_test.go
+++ b/internal/gateway/malformedhead_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 )
 
@@ -77,3 +79,22 @@
 	}
 	t.Logf("%d of %d cases failed", failed, cases)
 }
+
+// Three malformed responses marked the request as one that crashes targets, and a sound target did
+// not get it.
+func TestMalformedHeadsAreNoCrashes(t *testing.T) {
+	good := plain(http.StatusOK, "answer")
+	for name, bad := range map[string]string{
+		"line":    withLine(good, "Content-Length", "X-A : b"),
+		"trailer": chunkedOK + "6\r\nanswer\r\n0\r\nX-A : b\r\n\r\n",
+		"status":  strings.Replace(good, "200", "000", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTakeoverCase(t, catalog.Idempotent, 4, []scriptStep{bad}, []scriptStep{bad}, []scriptStep{bad}, []scriptStep{plain(http.StatusOK, "good")})
+			status, body, err := c.send()
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK, "%q", body)
+			assert.Equal(t, body, "good")
+		})
+	}
+}
