Refuse Transfer-Encoding in heads of other versions than HTTP/1.1

A response in HTTP/1.0 with "Transfer-Encoding: chunked" was passed on with the sizes of its chunks as a part of the body: net/http and fasthttp ignore the field there and read to the end of the connection. RFC 9112, section 6.1, calls such framing faulty. The scan of heads refuses the field, without allocations; the same holds for HTTP/0.9 and for callers' requests.

--- a/internal/dispatch/malformedhead_test.go
+++ b/internal/dispatch/malformedhead_test.go
@@ -170,3 +170,20 @@
 		}
 	}
 }
+
+// The sizes of the chunks were taken for a part of the body.
+func TestTransferEncodingInHTTP10IsNotPassedOn(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), endsTimeout)
+	defer cancel()
+	for _, version := range []string{"HTTP/1.0", "HTTP/0.9"} {
+		for _, name := range []string{"Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING"} {
+			response := version + " 200 OK\r\n" + idHeader + ": expected\r\n" + name + ": chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+			for _, pooled := range []bool{true, false} {
+				for _, size := range []int{len(response), 20} {
+					body, err := readWith(ctx, serveBytes(t, response, size), pooled)
+					assert.Check(t, errors.Is(err, ErrInvalidHeader), "pooled %t, %s, %s, parts of %d: %q, %v", pooled, version, name, size, body, err)
+				}
+			}
+		}
+	}
+}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -224,7 +224,7 @@
 		c.enter(headerPhase)
 		c.firstByteAt = c.phaseSince
 		c.setState(connReading)
-		c.header, c.fields = headerScan{}, headscan.Head{}
+		c.header, c.fields = headerScan{}, headscan.Request()
 	}
 	n, headerErr := c.readHeader(buffer[:n])
 	return n, cmp.Or(headerErr, err)
--- a/internal/gateway/malformedhead_test.go
+++ b/internal/gateway/malformedhead_test.go
@@ -98,3 +98,13 @@
 		})
 	}
 }
+
+// Callers got the sizes of the chunks as a part of the body.
+func TestTransferEncodingInHTTP10IsNotPassedOn(t *testing.T) {
+	bad := "HTTP/1.0 200 OK\r\nSigned: 1\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n"
+	c := newTakeoverCase(t, catalog.Idempotent, 2, []scriptStep{bad}, []scriptStep{plain(http.StatusOK, "good")})
+	status, body, err := c.send()
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK, "%q", body)
+	assert.Equal(t, body, "good")
+}
--- a/internal/gateway/malformedrequest_test.go
+++ b/internal/gateway/malformedrequest_test.go
@@ -132,3 +132,17 @@
 		}
 	}
 }
+
+// Others may take the body of such a request for one that is not chunked (RFC 9112, section 6.1).
+func TestRequestInHTTP10WithTransferEncodingIsRefused(t *testing.T) {
+	const rest = "Host: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for head, want := range map[string]int{"POST /x HTTP/1.0\r\n": 0, "POST /HTTP/1.1 HTTP/1.0\r\n": 0, "POST /x HTTP/1.1\r\n": 1} {
+		for _, partSize := range []int{len(head + rest), 7} {
+			handled, statuses := receivedRequests(t, head+rest, partSize)
+			assert.Check(t, len(handled) == want && len(statuses) == 1, "%q, parts of %d: %d, %v", head, partSize, len(handled), statuses)
+			if want == 0 {
+				assert.Check(t, len(statuses) == 1 && statuses[0] == http.StatusBadRequest, "%q, parts of %d: %v", head, partSize, statuses)
+			}
+		}
+	}
+}
--- a/internal/headscan/headscan.go
+++ b/internal/headscan/headscan.go
@@ -5,16 +5,30 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"math"
 
 	"github.com/cockroachdb/errors"
 )
 
 // ErrInvalid is returned for a line that is no field: its name is no token (RFC 9110, section
-// 5.6.2), it has no colon, or it continues the line before.
+// 5.6.2), it has no colon, or it continues the line before. It is also returned for a field
+// Transfer-Encoding in a version other than HTTP/1.1, where parsers ignore it (RFC 9112, section
+// 6.1).
 var ErrInvalid = errors.New("invalid field line")
 
-// statusOffset is where the status is in the start line of a response.
-const statusOffset = uint8(len("HTTP/1.1 "))
+const (
+	versionLength = uint8(len("HTTP/1.1"))
+	// statusOffset is where the status is in the start line of a response.
+	statusOffset = versionLength + 1
+	// transferEncoding is in lower case.
+	transferEncoding = "transfer-encoding"
+	// otherName is the count of matching bytes of another name.
+	otherName = math.MaxUint8
+)
+
+// http11 is the version as the last bytes of a start line are kept.
+var http11 = binary.BigEndian.Uint64([]byte("HTTP/1.1"))
 
 type state uint8
 
@@ -31,15 +45,26 @@
 	invalid
 )
 
-// Head follows a head. The zero value begins with a start line.
+// Head follows a head. The zero value begins with the start line of a response.
 type Head struct {
 	state state
+	// isRequest is set if the version is at the end of the start line.
+	isRequest bool
+	// last holds the last bytes of the start line, otherVersion is set if the version is not
+	// HTTP/1.1.
+	last         uint64
+	otherVersion bool
+	// nameMatch counts the bytes of the name, as long as they are those of transferEncoding.
+	nameMatch uint8
 	// startBytes counts the bytes of the start line, up to its status, interim is set if that
 	// is 1xx.
 	startBytes uint8
 	interim    bool
 }
 
+// Request returns a Head that begins with the start line of a request.
+func Request() Head { return Head{isRequest: true} }
+
 // Trailer returns a Head that begins with a field line.
 func Trailer() Head { return Head{state: lineStart} }
 
@@ -56,15 +81,11 @@
 		switch h.state {
 		case beforeStart:
 			if b != '\r' && b != '\n' {
-				h.state, h.startBytes = startLine, 1
+				h.state = startLine
+				h.startByte(b)
 			}
 		case startLine:
-			if b == '\n' {
-				h.state = lineStart
-			} else if h.startBytes <= statusOffset {
-				h.interim = h.startBytes == statusOffset && b == '1'
-				h.startBytes++
-			}
+			h.startByte(b)
 		case fieldValue:
 			end := bytes.IndexByte(data[i:], '\n')
 			if end < 0 {
@@ -73,18 +94,15 @@
 			i += end
 			h.state = lineStart
 		case lineStart:
-			h.state = nextState(b)
+			h.state, h.nameMatch = nextState(b), 0
+			h.matchName(b)
 		case emptyLine:
 			h.state = invalid
 			if b == '\n' {
 				h.state = done
 			}
 		case fieldName:
-			if b == ':' {
-				h.state = fieldValue
-			} else if !isToken[b] {
-				h.state = invalid
-			}
+			h.nameByte(b)
 		}
 		switch h.state {
 		case done:
@@ -96,6 +114,49 @@
 	return len(data), nil
 }
 
+// startByte scans a byte of the start line.
+func (h *Head) startByte(b byte) {
+	if b == '\n' {
+		h.state = lineStart
+		if h.isRequest {
+			h.otherVersion = h.last != http11
+		}
+		return
+	}
+	if b != '\r' {
+		h.last = h.last<<8 | uint64(b)
+	}
+	if h.isRequest || h.startBytes > statusOffset {
+		return
+	}
+	h.interim = h.startBytes == statusOffset && b == '1'
+	if h.startBytes++; h.startBytes == versionLength {
+		h.otherVersion = h.last != http11
+	}
+}
+
+// nameByte scans a byte after the first of a field's name.
+func (h *Head) nameByte(b byte) {
+	switch {
+	case b == ':' && h.otherVersion && h.nameMatch == uint8(len(transferEncoding)):
+		h.state = invalid
+	case b == ':':
+		h.state = fieldValue
+	case !isToken[b]:
+		h.state = invalid
+	default:
+		h.matchName(b)
+	}
+}
+
+func (h *Head) matchName(b byte) {
+	if int(h.nameMatch) < len(transferEncoding) && b|0x20 == transferEncoding[h.nameMatch] {
+		h.nameMatch++
+	} else {
+		h.nameMatch = otherName
+	}
+}
+
 // NextFinal scans data like Next, and goes on with the next head after that of an interim response.
 func (h *Head) NextFinal(data []byte) (int, error) {
 	scanned := 0
--- a/internal/headscan/headscan_test.go
+++ b/internal/headscan/headscan_test.go
@@ -84,3 +84,35 @@
 	}
 	assert.Assert(t, valid > 1000, "%d valid heads", valid)
 }
+
+// Parsers drop Transfer-Encoding in HTTP/1.0 and take the chunks for the body.
+func TestTransferEncodingInAnotherVersion(t *testing.T) {
+	const field = "Transfer-Encoding: chunked\r\n"
+	for head, valid := range map[string]bool{
+		"HTTP/1.1 200 OK\r\n" + field + "\r\n": true, "HTTP/1.0 200 OK\r\nA: Transfer-Encoding: b\r\n\r\n": true,
+		"HTTP/1.0 200 OK\r\nTransfer-Encodin: b\r\nTransfer-Encodings: b\r\nX-Transfer-Encoding: b\r\n\r\n": true,
+		"HTTP/1.0 200 OK\r\n" + field: false, "\r\nHTTP/1.0 200 OK\nA: b\ntRANSFER-eNCODING:\n": false, "HTTP/0.9 200 OK\r\n" + field: false,
+		"HTTP/1.0 200 HTTP/1.1\r\n" + field: false, "HTTP/1.1 103 H\r\n\r\nHTTP/1.0 200 OK\r\n" + field: false, "HTTP/1.0 103 H\r\n\r\nHTTP/1.1 200 OK\r\n" + field + "\r\n": true,
+	} {
+		checkSplit(t, head, valid, func() func([]byte) error {
+			h := new(Head)
+			return func(data []byte) error {
+				_, err := h.NextFinal(data)
+				return err
+			}
+		})
+	}
+	for head, valid := range map[string]bool{
+		"POST /x HTTP/1.1\r\n" + field + "\r\n": true, "\r\nPOST /x HTTP/1.1\n" + field + "\n": true, "POST /x HTTP/1.0\r\nA: b\r\n\r\n": true,
+		"POST /x HTTP/1.0\r\n" + field: false, "POST /HTTP/1.1 HTTP/1.0\n" + field: false, "HTTP/1.1 /x HTTP/1.0\r\n" + field: false,
+	} {
+		checkSplit(t, head, valid, func() func([]byte) error {
+			h := Request()
+			return func(data []byte) error {
+				_, err := h.Next(data)
+				return err
+			}
+		})
+	}
+	checkSplit(t, "0\r\n"+field+"\r\n", true, func() func([]byte) error { return new(Chunks).Next })
+}
