Check the head after an interim one whose status follows two blanks

NextFinal looks for the status at a fixed offset; fasthttp skips further blanks before it. After "HTTP/1.1 103" the scan ended, and the final head was not checked for Send and for the clients of the store and the platform. Such a start line is refused there.

Before: TestInterimStatusAfterTwoBlanks fails, and 2 of 4 cases of TestMalformedHeadAfterAnInterimStatusWithTwoBlanksIsNotPassedOn (those of Send). All pass after.

--- a/internal/dispatch/malformedhead_test.go
+++ b/internal/dispatch/malformedhead_test.go
@@ -187,3 +187,16 @@
 		}
 	}
 }
+
+// The head after such an interim response was not checked by Send.
+func TestMalformedHeadAfterAnInterimStatusWithTwoBlanksIsNotPassedOn(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), endsTimeout)
+	defer cancel()
+	response := "HTTP/1.1  103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + idHeader + ": expected\r\nX-A : b\r\nContent-Length: 5\r\n\r\nwhole"
+	for _, pooled := range []bool{true, false} {
+		for _, size := range []int{len(response), 20} {
+			body, err := readWith(ctx, serveBytes(t, response, size), pooled)
+			assert.Check(t, errors.Is(err, ErrInvalidHeader), "pooled %t, parts of %d: %q, %v", pooled, size, body, err)
+		}
+	}
+}
--- a/internal/headscan/headscan.go
+++ b/internal/headscan/headscan.go
@@ -60,6 +60,8 @@
 	// is 1xx.
 	startBytes uint8
 	interim    bool
+	// untilFinal is set if interim heads are skipped, so that their status must be seen.
+	untilFinal bool
 }
 
 // Request returns a Head that begins with the start line of a request.
@@ -129,7 +131,12 @@
 	if h.isRequest || h.startBytes > statusOffset {
 		return
 	}
-	h.interim = h.startBytes == statusOffset && b == '1'
+	if h.startBytes == statusOffset {
+		h.interim = b == '1'
+		if b == ' ' && h.untilFinal {
+			h.state = invalid
+		}
+	}
 	if h.startBytes++; h.startBytes == versionLength {
 		h.otherVersion = h.last != http11
 	}
@@ -158,9 +165,12 @@
 }
 
 // NextFinal scans data like Next, and goes on with the next head after that of an interim response.
+// It also returns ErrInvalid for a start line with several blanks before its status, which parsers
+// skip: the status is looked for at statusOffset.
 func (h *Head) NextFinal(data []byte) (int, error) {
 	scanned := 0
 	for {
+		h.untilFinal = true
 		n, err := h.Next(data[scanned:])
 		scanned += n
 		if err != nil || h.state != done || !h.interim {
--- a/internal/headscan/headscan_test.go
+++ b/internal/headscan/headscan_test.go
@@ -116,3 +116,22 @@
 	}
 	checkSplit(t, "0\r\n"+field+"\r\n", true, func() func([]byte) error { return new(Chunks).Next })
 }
+
+// Parsers skip further blanks before the status; the scan ended after the interim head.
+func TestInterimStatusAfterTwoBlanks(t *testing.T) {
+	for _, blanks := range []string{"  ", "   "} {
+		head := "HTTP/1.1" + blanks + "103 H\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA : b\r\n\r\n"
+		checkSplit(t, head, false, func() func([]byte) error {
+			h := new(Head)
+			return func(data []byte) error {
+				_, err := h.NextFinal(data)
+				return err
+			}
+		})
+		var h Head
+		n, err := h.NextFinal([]byte(head))
+		assert.ErrorIs(t, err, ErrInvalid)
+		// The parser must not get a whole start line.
+		assert.Equal(t, n, int(statusOffset))
+	}
+}
