--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -224,7 +224,7 @@
 	return nil
 }
 
-// scannedBody is a body that is complete if nothing invalid was found in it.
+// scannedBody is the body of a scanned response. Its end is an error if the scan found one.
 type scannedBody struct {
 	io.Reader
 	scan *responseScan
--- a/internal/dispatch/headscan.go
+++ b/internal/dispatch/headscan.go
@@ -8,8 +8,8 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/headscan"
 )
 
-// ErrInvalidHeader is returned for a response with a line in its header, in that of an interim
-// response or in its trailer that is no field. What such a response states is not relied on.
+// ErrInvalidHeader is returned for a response whose header, interim header or trailer has an
+// invalid field line. A trailer is checked as the body is read: the header has been used before.
 var ErrInvalidHeader = errors.New("response has an invalid header")
 
 // responseScan checks a response as it is read. Once it has found an error, nothing more is read.
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -135,8 +135,8 @@
 	// phase began at phaseSince; only the serving goroutine accesses them.
 	phase      connPhase
 	phaseSince time.Time
-	// header is the current or last header, fields checks its lines, bodyBytes is what has been read of the body, and
-	// chunks its chunks.
+	// header is the current or last header, fields checks its lines, bodyBytes is what has been
+	// read of the body, and chunks its chunks.
 	header    headerScan
 	fields    headscan.Head
 	bodyBytes int
