--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -135,8 +135,8 @@
 	// phase began at phaseSince; only the serving goroutine accesses them.
 	phase      connPhase
 	phaseSince time.Time
-	// header is the current or last header, fields checks its lines, bodyBytes is what has been read of the body, and
-	// chunks its chunks.
+	// header is the current or last header, fields checks its lines, bodyBytes is what has been
+	// read of the body, and chunks its chunks.
 	header    headerScan
 	fields    headscan.Head
 	bodyBytes int
@@ -224,7 +224,7 @@
 		c.enter(headerPhase)
 		c.firstByteAt = c.phaseSince
 		c.setState(connReading)
-		c.header, c.fields = headerScan{}, headscan.Head{}
+		c.header, c.fields = headerScan{}, headscan.Request()
 	}
 	n, headerErr := c.readHeader(buffer[:n])
 	return n, cmp.Or(headerErr, err)
