Show what the limits on mappings leave to the runtime

Examination of FAULT: the start line had the limits of the system and the stated memory, and nothing of what is mapped before the first request, so that it did not tell how much of a limit the heap may still take. The start line and the part process of the metrics have available_bytes now, and the start line what the process takes.

--- /dev/null
+++ b/internal/process/available.go
@@ -0,0 +1,42 @@
+package process
+
+import (
+	"math"
+	"runtime/metrics"
+)
+
+// mappedMetric is the memory that the runtime has mapped, including what it has released since: limits
+// on mappings count that as well.
+const mappedMetric = "/memory/classes/total:bytes"
+
+// unlimited stands for a memory without bound.
+const unlimited = -1
+
+// availableBytes returns how much a runtime that has mapped runtimeBytes may map in total within the
+// limits on mappings, or unlimited.
+func availableBytes(u Usage, l Limits, runtimeBytes int64) int64 {
+	available := int64(unlimited)
+	for _, mapping := range []struct {
+		limit uint64
+		taken int64
+	}{{l.DataBytes, u.DataBytes}, {l.AddressSpaceBytes, u.AddressSpaceBytes}} {
+		if mapping.limit == 0 || mapping.limit > math.MaxInt64 {
+			continue
+		}
+		left := max(0, int64(mapping.limit)-mapping.taken+runtimeBytes)
+		if available == unlimited || left < available {
+			available = left
+		}
+	}
+	return available
+}
+
+// mappedByRuntime returns the memory that the runtime has mapped.
+func mappedByRuntime() int64 {
+	sample := []metrics.Sample{{Name: mappedMetric}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return int64(sample[0].Value.Uint64())
+}
--- /dev/null
+++ b/internal/process/available_test.go
@@ -0,0 +1,32 @@
+package process
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAvailableBytes(t *testing.T) {
+	const mb = 1 << 20
+	for _, test := range []struct {
+		name                                     string
+		data, addresses, runtime, dataLimit, all int64
+		want                                     int64
+	}{
+		{"no limit", 80 * mb, 1200 * mb, 12 * mb, 0, 0, unlimited},
+		{"data segment", 80 * mb, 1200 * mb, 12 * mb, 134 * mb, 0, 66 * mb},
+		{"address space", 80 * mb, 1200 * mb, 12 * mb, 0, 1300 * mb, 112 * mb},
+		{"the lower of both", 80 * mb, 1200 * mb, 12 * mb, 134 * mb, 1300 * mb, 66 * mb},
+		{"beyond the limit", 80 * mb, 1200 * mb, 12 * mb, 60 * mb, 0, 0},
+		{"a limit that no size reaches", 80 * mb, 1200 * mb, 12 * mb, math.MinInt64, 0, unlimited},
+	} {
+		got := availableBytes(Usage{DataBytes: test.data, AddressSpaceBytes: test.addresses},
+			Limits{DataBytes: uint64(test.dataLimit), AddressSpaceBytes: uint64(test.all)}, test.runtime)
+		assert.Check(t, got == test.want, "%s: %d", test.name, got)
+	}
+}
+
+func TestMappedByRuntime(t *testing.T) {
+	assert.Assert(t, mappedByRuntime() > 0)
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -21,6 +21,9 @@
 	AddressSpaceBytes int64 `json:"address_space_bytes"`
 	Threads           int64 `json:"threads"`
 	Descriptors       int64 `json:"descriptors"`
+	// AvailableBytes is what the runtime may map in total within the limits on mappings, -1 without
+	// any.
+	AvailableBytes int64 `json:"available_bytes"`
 	// Processors is GOMAXPROCS.
 	Processors int    `json:"processors"`
 	Limits     Limits `json:"limits"`
@@ -40,6 +43,7 @@
 func ReadUsage() Usage {
 	u := readUsage()
 	u.Processors, u.Limits = runtime.GOMAXPROCS(0), ReadLimits()
+	u.AvailableBytes = availableBytes(u, u.Limits, mappedByRuntime())
 	return u
 }
 
@@ -52,11 +56,14 @@
 
 // StartFields returns the log fields that identify the process and state its limits.
 func StartFields() []zap.Field {
-	l := ReadLimits()
+	u := ReadUsage()
+	l := u.Limits
 	return []zap.Field{
 		zap.Int("pid", os.Getpid()), zap.Int("processors", runtime.GOMAXPROCS(0)),
 		zap.Uint64("limit_descriptors", l.Descriptors), zap.Uint64("limit_data_bytes", l.DataBytes),
 		zap.Uint64("limit_address_space_bytes", l.AddressSpaceBytes),
 		zap.Int64("limit_runtime_memory_bytes", l.RuntimeMemoryBytes),
+		zap.Int64("resident_bytes", u.ResidentBytes), zap.Int64("data_bytes", u.DataBytes),
+		zap.Int64("address_space_bytes", u.AddressSpaceBytes), zap.Int64("available_bytes", u.AvailableBytes),
 	}
 }
