Let the memory bounds follow the limits that the system enforces

What was seen: where private mappings are limited to the memory of the smallest machine (RLIMIT_DATA, 134 MiB), an instance ends under load with status 2, "runtime: out of memory", within seconds; with 284 MiB it goes on.

Cause: the bounds for callers, targets and the runtime are shares of the stated memory. Such a limit also counts what is mapped outside the heap, 68 MB before the first request (32 MB each are the runtime's heap index and static data of the standard library's crypto/internal/fips140/drbg), and what the heap has released. The class: a budget that is not the limit in force.

Now the bounds are shares of what the limits on mappings leave to the runtime, if that is less than the stated memory. The start line tells it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,8 @@
 	// instanceCount is the number of instances that share the load, including
 	// this one.
 	instanceCount atomic.Int64
+	// memoryBudget is the memory in bytes that the bounds are shares of, 0 if there is no bound.
+	memoryBudget atomic.Int64
 	// targetByAddress maps target addresses to targets.
 	targetByAddress atomic.Pointer[map[string]*catalog.Target]
 
@@ -241,7 +243,8 @@
 	n.logger.Info("instance started",
 		zap.String("callers", n.callerAddress), zap.String("peers", n.settings.PeerAddress),
 		zap.Int64("incarnation", n.incarnation), zap.Bool("first_start", options.Settings.FirstStart),
-		zap.Int64("memory_bytes", options.Settings.MemoryLimitBytes), zap.Dict("process", process.StartFields()...))
+		zap.Int64("memory_bytes", options.Settings.MemoryLimitBytes), zap.Int64("memory_budget_bytes", n.memoryBudget.Load()),
+		zap.Dict("process", process.StartFields()...))
 	return n, nil
 }
 
@@ -254,9 +257,12 @@
 // PeerAddress returns the "ip:port" for other instances.
 func (n *Node) PeerAddress() string { return n.settings.PeerAddress }
 
-// SetMemoryLimit sets the memory limits of the runtime and of bodies from the instance's
-// limit in bytes; 0 leaves them as they are. It also sets the GC percentage.
-func (n *Node) SetMemoryLimit(bytes int64) {
+// SetMemoryLimit sets the memory limits of the runtime and of bodies from the memory that the settings
+// state, 0 if none, or from what the system leaves if that is less. Without either they stay as they
+// are. It also sets the GC percentage.
+func (n *Node) SetMemoryLimit(statedBytes int64) {
+	bytes := process.MemoryBudget(statedBytes)
+	n.memoryBudget.Store(bytes)
 	if bytes > 0 {
 		n.pool.SetMemoryLimit(bytes)
 		n.callerServer.SetMemoryLimit(bytes)
@@ -533,6 +539,7 @@
 	n.quota.SetTolerance(settings.QuotaTolerance)
 	n.setRetryLimits(settings.Retries)
 	n.logger.Info("settings reloaded", zap.Int64("memory_bytes", settings.MemoryLimitBytes),
+		zap.Int64("memory_budget_bytes", n.memoryBudget.Load()),
 		zap.Duration("grace", settings.ShutdownGrace), zap.Float64("repeat_ratio", settings.Retries.RetryRatio),
 		zap.Float64("repeat_slack", settings.Retries.RetrySlack),
 		zap.Float64("quota_overrun", settings.QuotaTolerance.Overrun), zap.Int("seeds", len(settings.Seeds)))
--- a/internal/process/available.go
+++ b/internal/process/available.go
@@ -5,10 +5,34 @@
 	"runtime/metrics"
 )
 
+// minMemoryBudget keeps a runtime that has little left from collecting garbage all the time.
+const minMemoryBudget = 16 << 20
+
 // mappedMetric is the memory that the runtime has mapped, including what it has released since: limits
 // on mappings count that as well.
 const mappedMetric = "/memory/classes/total:bytes"
 
+// MemoryBudget returns the memory that the bounds of the instance are shares of: the stated memory, or
+// what the limits on mappings leave to the runtime if that is less. 0 stands for no bound, in both.
+func MemoryBudget(statedBytes int64) int64 {
+	l := readLimits()
+	if l.DataBytes == 0 && l.AddressSpaceBytes == 0 {
+		return statedBytes
+	}
+	return memoryBudget(statedBytes, availableBytes(readUsage(), l, mappedByRuntime()))
+}
+
+func memoryBudget(stated, available int64) int64 {
+	if available == unlimited {
+		return stated
+	}
+	available = max(available, minMemoryBudget)
+	if stated == 0 {
+		return available
+	}
+	return min(stated, available)
+}
+
 // unlimited stands for a memory without bound.
 const unlimited = -1
 
@@ -23,7 +47,8 @@
 		if mapping.limit == 0 || mapping.limit > math.MaxInt64 {
 			continue
 		}
-		left := max(0, int64(mapping.limit)-mapping.taken+runtimeBytes)
+		// What is taken is 0 where the system does not tell.
+		left := min(int64(mapping.limit), max(0, int64(mapping.limit)-mapping.taken+runtimeBytes))
 		if available == unlimited || left < available {
 			available = left
 		}
