Count a whole response until it has been written

Cause: the memory reserved for a body was released as its exchange ended, and counted again for the caller only once a write waited. In a trace of one end 27 requests held a whole body in between: the holder of the pool's lock was parked to assist a collection, and the others waited for the lock, while further bodies were read. The live heap rose from 20 to 45 MB within 50 ms. Memory of callers that are given up was free at once as well, though their bodies are held until the write returns. The class: memory that is accounted for by the state of a request and not by its lifetime.

Now the memory of a body goes with the response until its write has ended or counts for the caller, and that of a caller given up counts until its response has returned. A body that finds no room waits for what is passing, for 250 ms at most, instead of failing at once.

TestSlowestCallersAreGivenUpFirst releases the memory of callers given up now, as backlogs do; what it checks is unchanged.

--- a/internal/dispatch/bounds.go
+++ b/internal/dispatch/bounds.go
@@ -107,7 +107,8 @@
 
 // ReadBody reads the body to its end. It returns ErrResponseTooLong, as early as
 // possible, for one of more than maxBytes, and for one that does not fit into the
-// memory for the bodies of all targets. The memory counts until Close.
+// memory for the bodies of all targets. The memory counts until Close, or until what TakeMemory
+// returns is released.
 func (r *PooledResponse) ReadBody(maxBytes int) ([]byte, error) {
 	body, err := r.readBody(maxBytes)
 	return body, r.pool.countTooLong(err)
@@ -148,14 +149,14 @@
 }
 
 // Reserve reserves memory for parts of the body of size bytes in total until Close,
-// and reports whether there is enough. If there is not, slow callers are given up first.
+// and reports whether there is enough. If there is not, slow callers are given up first, and what is
+// being released is waited for.
 func (r *PooledResponse) Reserve(size int) bool {
 	additional := int64(size-unsharedBufferBytes) - r.reserved
 	if additional <= 0 {
 		return true
 	}
-	if r.pool.bufferedBytes.Add(additional) > r.pool.maxBuffered.Load() && !r.pool.makeRoom() {
-		r.pool.bufferedBytes.Add(-additional)
+	if !r.pool.reserve(additional) {
 		return false
 	}
 	r.reserved += additional
--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -1,19 +1,107 @@
 package dispatch
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
+
+// releaseWait bounds the wait for memory whose release does not depend on a caller or target.
+const releaseWait = 250 * time.Millisecond
+
+// BodyMemory is the memory of a body that is held beyond its exchange, until it has been written to
+// the caller or counts towards a CallerMemory. A nil one is empty.
+type BodyMemory struct {
+	pool  *Pool
+	bytes atomic.Int64
+}
+
+// TakeMemory returns the memory reserved for the body, which Close does not release then.
+func (r *PooledResponse) TakeMemory() *BodyMemory {
+	m := &BodyMemory{pool: r.pool}
+	m.bytes.Store(r.reserved)
+	r.pool.heldMu.Lock()
+	defer r.pool.heldMu.Unlock()
+	r.pool.passing += r.reserved
+	r.reserved = 0
+	return m
+}
+
+// Release records that the body is not held any more; it may be called again.
+func (m *BodyMemory) Release() {
+	if m == nil {
+		return
+	}
+	bytes := m.bytes.Swap(0)
+	m.pool.heldMu.Lock()
+	defer m.pool.heldMu.Unlock()
+	m.pool.pass(bytes)
+}
+
+// pass records that bytes that were passing are held no longer. The caller holds heldMu.
+func (p *Pool) pass(bytes int64) {
+	if bytes == 0 {
+		return
+	}
+	p.passing -= bytes
+	p.bufferedBytes.Add(-bytes)
+	if p.released != nil {
+		close(p.released)
+		p.released = nil
+	}
+}
+
+// reserve reserves bytes for a body, and reports whether there is enough memory. Slow callers are given
+// up for it. What is passing is waited for.
+func (p *Pool) reserve(bytes int64) bool {
+	var timeout <-chan time.Time
+	for !p.tryReserve(bytes) {
+		released, ok := p.makeRoom(bytes)
+		if !ok {
+			return false
+		}
+		if released == nil {
+			continue
+		}
+		if timeout == nil {
+			timer := time.NewTimer(releaseWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-released:
+		case <-timeout:
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) tryReserve(bytes int64) bool {
+	for {
+		buffered := p.bufferedBytes.Load()
+		if buffered+bytes > p.maxBuffered.Load() {
+			return false
+		}
+		if p.bufferedBytes.CompareAndSwap(buffered, buffered+bytes) {
+			return true
+		}
+	}
+}
 
 // CallerMemory is what is held of responses for one caller that has not accepted it yet. It counts
 // towards the same bound as the bodies of targets. When the bound is reached, the callers that have
 // accepted nothing for the longest time are given up.
 type CallerMemory struct {
 	pool *Pool
-	// giveUp is called without a lock, at most once; the memory has been released then.
+	// giveUp is called without a lock, at most once. What is held passes until Release.
 	giveUp func()
 	// The fields below are guarded by Pool.heldMu. bytes is what is held since progressAt, when
 	// the caller last accepted anything.
 	bytes      int64
 	progressAt time.Time
 	givenUp    bool
+	// passing is what was held when the caller was given up.
+	passing int64
 }
 
 // HoldForCaller returns the memory held for a caller, which is empty. giveUp ends its response; it
@@ -42,11 +130,11 @@
 	p.heldForCallers += int64(bytes)
 	p.bufferedBytes.Add(int64(bytes))
 	var victims []*CallerMemory
-	if p.bufferedBytes.Load()-p.heldForCallers+m.bytes > p.maxBuffered.Load() {
+	if p.fixedBytes()+m.bytes > p.maxBuffered.Load() {
 		// The others cannot make enough room.
 		victims = []*CallerMemory{p.take(m)}
 	} else {
-		victims = p.takeSlowest()
+		victims = p.takeSlowest(0)
 	}
 	holds := !m.givenUp
 	p.heldMu.Unlock()
@@ -68,8 +156,14 @@
 	m.pool.heldMu.Lock()
 	defer m.pool.heldMu.Unlock()
 	m.pool.drop(m, m.bytes)
+	m.pool.pass(m.passing)
+	m.passing = 0
 }
 
+// fixedBytes returns the memory that neither giving up callers nor waiting makes free. The caller holds
+// heldMu.
+func (p *Pool) fixedBytes() int64 { return p.bufferedBytes.Load() - p.heldForCallers - p.passing }
+
 // drop subtracts bytes that are held no longer. The caller holds heldMu.
 func (p *Pool) drop(m *CallerMemory, bytes int64) {
 	bytes = min(bytes, m.bytes)
@@ -81,10 +175,10 @@
 	}
 }
 
-// takeSlowest releases the memory of the callers to be given up so that the bound is kept, as far
-// as they hold any, and returns them. The caller holds heldMu.
-func (p *Pool) takeSlowest() (victims []*CallerMemory) {
-	for p.bufferedBytes.Load() > p.maxBuffered.Load() && len(p.held) > 0 {
+// takeSlowest takes the memory of the callers to be given up so that there is room for bytes once it
+// has passed, as far as they hold any, and returns them. The caller holds heldMu.
+func (p *Pool) takeSlowest(bytes int64) (victims []*CallerMemory) {
+	for p.bufferedBytes.Load()-p.passing+bytes > p.maxBuffered.Load() && len(p.held) > 0 {
 		var slowest *CallerMemory
 		for m := range p.held {
 			if slowest == nil || m.isSlowerThan(slowest) {
@@ -96,10 +190,15 @@
 	return victims
 }
 
-// take releases the memory of a caller that is to be given up. The caller holds heldMu.
+// take takes the memory of a caller that is to be given up, which passes until its Release. The caller
+// holds heldMu.
 func (p *Pool) take(m *CallerMemory) *CallerMemory {
 	m.givenUp = true
-	p.drop(m, m.bytes)
+	m.passing = m.bytes
+	p.passing += m.passing
+	p.heldForCallers -= m.bytes
+	m.bytes = 0
+	delete(p.held, m)
 	return m
 }
 
@@ -111,19 +210,25 @@
 	return m.bytes > other.bytes
 }
 
-// makeRoom gives up the slowest callers until the bound is kept, unless all of them together do
-// not hold enough for that, and reports whether it is. Both happen under the lock: what another
-// caller added in between would be held against the body that needs the room.
-func (p *Pool) makeRoom() bool {
+// makeRoom gives up the slowest callers until there is room for bytes, and reports whether there is
+// once what is passing has been released. released is closed at the next release; it is nil if there
+// is room now. No caller is given up if all of them together do not hold enough.
+func (p *Pool) makeRoom(bytes int64) (released <-chan struct{}, ok bool) {
 	p.heldMu.Lock()
 	var victims []*CallerMemory
-	isKept := p.bufferedBytes.Load()-p.heldForCallers <= p.maxBuffered.Load()
-	if isKept {
-		victims = p.takeSlowest()
+	ok = p.fixedBytes()+bytes <= p.maxBuffered.Load()
+	if ok {
+		victims = p.takeSlowest(bytes)
+		if p.bufferedBytes.Load()+bytes > p.maxBuffered.Load() {
+			if p.released == nil {
+				p.released = make(chan struct{})
+			}
+			released = p.released
+		}
 	}
 	p.heldMu.Unlock()
 	giveUpAll(victims)
-	return isKept
+	return released, ok
 }
 
 func giveUpAll(victims []*CallerMemory) {
--- a/internal/dispatch/held_test.go
+++ b/internal/dispatch/held_test.go
@@ -17,7 +17,10 @@
 	start := p.clock.Now()
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 	var gone []string
-	hold := func(name string) *CallerMemory { return p.HoldForCaller(func() { gone = append(gone, name) }) }
+	hold := func(name string) (m *CallerMemory) {
+		m = p.HoldForCaller(func() { gone = append(gone, name); m.Release() })
+		return m
+	}
 	steady, stuck, slow, second := hold("steady"), hold("stuck"), hold("slow"), hold("second")
 	assert.Assert(t, steady.Add(limit/4, at(0)) && stuck.Add(limit/4, at(1)) && slow.Add(limit/4, at(2)) && second.Add(limit/4, at(2)))
 	assert.Equal(t, len(gone), 0)
@@ -25,7 +28,6 @@
 	assert.Assert(t, steady.Add(limit/4, at(4)))
 	assert.DeepEqual(t, gone, []string{"stuck"})
 	assert.Assert(t, !stuck.Add(1, at(4)), "held more for a caller that was given up")
-	stuck.Release()
 
 	// A body of a target takes the memory of the next slowest.
 	second.Accepted(1, at(5))
@@ -46,3 +48,68 @@
 	assert.Equal(t, bytes, int64(0))
 	assert.Equal(t, p.HeldBytes(), int64(limit/4))
 }
+
+// newLimitedPool returns a pool that holds at most limit bytes.
+func newLimitedPool(limit int64) *Pool {
+	p := NewPool(clockwork.NewFakeClock())
+	p.SetMemoryLimit(int64(float64(limit) / bodyMemoryShare))
+	return p
+}
+
+// A body counts after its exchange as well, until it is released; another one waits for that.
+func TestBodyCountsUntilItIsReleased(t *testing.T) {
+	const limit = 1 << 20
+	p := newLimitedPool(limit)
+	first, second := &PooledResponse{pool: p}, &PooledResponse{pool: p}
+	assert.Assert(t, first.Reserve(unsharedBufferBytes+limit))
+	memory := first.TakeMemory()
+	assert.Equal(t, first.reserved, int64(0))
+	assert.Equal(t, p.HeldBytes(), int64(limit))
+	reserved := make(chan bool)
+	go func() { reserved <- second.Reserve(unsharedBufferBytes + limit) }()
+	select {
+	case ok := <-reserved:
+		t.Fatalf("ended before the release: %v", ok)
+	case <-time.After(20 * time.Millisecond):
+	}
+	memory.Release()
+	assert.Assert(t, <-reserved)
+	memory.Release()
+	assert.Equal(t, p.HeldBytes(), int64(limit))
+	assert.Equal(t, p.passing, int64(0))
+}
+
+// The wait for memory that is about to be released ends.
+func TestWaitForARelease(t *testing.T) {
+	const limit = 1 << 20
+	p := newLimitedPool(limit)
+	first, second := &PooledResponse{pool: p}, &PooledResponse{pool: p}
+	assert.Assert(t, first.Reserve(unsharedBufferBytes+limit))
+	defer first.TakeMemory().Release()
+	assert.Assert(t, !second.Reserve(unsharedBufferBytes+limit))
+	assert.Equal(t, p.HeldBytes(), int64(limit))
+}
+
+// What a caller held that was given up counts until its response has ended.
+func TestMemoryOfCallersGivenUpCountsUntilItsRelease(t *testing.T) {
+	const limit = 1 << 20
+	p := newLimitedPool(limit)
+	gone := make(chan struct{})
+	caller := p.HoldForCaller(func() { close(gone) })
+	assert.Assert(t, caller.Add(limit, p.clock.Now()))
+	body := &PooledResponse{pool: p}
+	reserved := make(chan bool)
+	go func() { reserved <- body.Reserve(unsharedBufferBytes + limit) }()
+	<-gone
+	assert.Equal(t, p.HeldBytes(), int64(limit))
+	select {
+	case ok := <-reserved:
+		t.Fatalf("ended before the release: %v", ok)
+	case <-time.After(20 * time.Millisecond):
+	}
+	caller.Release()
+	assert.Assert(t, <-reserved)
+	assert.Equal(t, p.HeldBytes(), int64(limit))
+	callers, bytes := p.HeldForCallers()
+	assert.Assert(t, callers == 0 && bytes == 0 && p.passing == 0, "%d, %d, %d", callers, bytes, p.passing)
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -52,10 +52,13 @@
 	// bufferedBytes is the memory reserved for bodies and held for callers, maxBuffered its
 	// bound, in bytes.
 	bufferedBytes, maxBuffered atomic.Int64
-	// heldMu guards held, the callers that memory is held for, and heldForCallers, how much.
-	heldMu         sync.Mutex
-	held           map[*CallerMemory]struct{}
-	heldForCallers int64
+	// heldMu guards held, the callers that memory is held for, heldForCallers, how much, and passing,
+	// what is released soon: bodies that are being handed over, and memory of callers given up. released
+	// is closed when any of that is; nil if nothing waits for it.
+	heldMu                  sync.Mutex
+	held                    map[*CallerMemory]struct{}
+	heldForCallers, passing int64
+	released                chan struct{}
 
 	// mu guards the fields below.
 	mu          sync.Mutex
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,6 +65,7 @@
 			if result.response.Status < http.StatusInternalServerError {
 				return result.response, true
 			}
+			result.response.discard()
 			break
 		}
 		if ctx.Err() != nil || !result.retry {
@@ -251,16 +252,23 @@
 		x.end(schedule.Failed)
 		return r.failedAttempt("the target's answer was not whole")
 	}
+	notRun := impliesNotRun(x.response.Status)
+	var memory *dispatch.BodyMemory
+	if !notRun {
+		memory = x.response.TakeMemory()
+	}
 	if x.response.Status >= http.StatusInternalServerError {
 		x.end(schedule.Cancelled)
 	} else {
 		x.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: p.took})
 	}
 	r.log.addStep("answered", x.grant.Target.ID, p.took)
-	if impliesNotRun(x.response.Status) {
+	if notRun {
 		return attemptResult{reason: "the target failed"}
 	}
-	return attemptResult{response: &Response{Status: x.response.Status, Header: removeHopByHop(x.response.Header), Body: p.body}}
+	return attemptResult{response: &Response{
+		Status: x.response.Status, Header: removeHopByHop(x.response.Header), Body: p.body, memory: memory,
+	}}
 }
 
 // observeLatency records the latencies of an answered request.
--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -57,8 +57,11 @@
 	stream context.Context
 	cancel context.CancelCauseFunc
 	// unwritten is what is left of the body of a complete response. It is held while the first
-	// part, which is written with the header, waits.
-	unwritten int
+	// part, which is written with the header, waits. body is its memory until then, writesWhole is
+	// set while such a response waits.
+	unwritten   int
+	body        *dispatch.BodyMemory
+	writesWhole bool
 	// pending holds size bytes, with the piece being written; inSystem is what the system held when
 	// the first of them did not fit in.
 	pending  [][]byte
@@ -103,11 +106,12 @@
 	b.stream, b.cancel = ctx, cancel
 }
 
-// beginWhole states that a complete response with a body of a size is written from now on.
-func (b *backlog) beginWhole(size int) {
+// beginWhole states that a complete response with a body of a size is written from now on, whose
+// memory the backlog releases.
+func (b *backlog) beginWhole(size int, memory *dispatch.BodyMemory) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.unwritten = size
+	b.unwritten, b.body = size, memory
 }
 
 // endResponse states that the response has been handed over.
@@ -115,6 +119,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stream, b.cancel, b.unwritten = nil, nil, 0
+	b.releaseBody()
+}
+
+// endWhole states that no part of a complete response is written any more.
+func (b *backlog) endWhole() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.releaseBody()
+}
+
+// releaseBody states that a complete response is held no longer, or counts for the caller. The caller
+// holds mu.
+func (b *backlog) releaseBody() {
+	b.body.Release()
+	b.body = nil
 }
 
 // write writes a part of a response. Only the goroutine that serves the connection calls it.
@@ -139,16 +158,33 @@
 	if isStream {
 		return len(data), b.hold(rest)
 	}
-	if !b.memory.Add(max(len(rest), unwritten-n)+unacknowledged(b.raw), time.Now()) {
+	return b.writeWhole(data, n, max(len(rest), unwritten-n))
+}
+
+// writeWhole writes data of a complete response but for the first n bytes, which have been written.
+// held is what is left of the response.
+func (b *backlog) writeWhole(data []byte, n, held int) (int, error) {
+	b.setWritesWhole(true)
+	defer b.setWritesWhole(false)
+	// The data is held until this returns, also once the caller has been given up.
+	defer b.memory.Release()
+	if !b.memory.Add(held+unacknowledged(b.raw), time.Now()) {
 		return n, errCallerTooSlow
 	}
-	defer b.memory.Release()
-	if err := b.writeAll(rest); err != nil {
+	if err := b.writeAll(data[n:]); err != nil {
 		return n, err
 	}
 	return len(data), nil
 }
 
+// setWritesWhole states whether a complete response waits, whose body counts for the caller then.
+func (b *backlog) setWritesWhole(waits bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.writesWhole = waits
+	b.releaseBody()
+}
+
 // awaitRoom waits until size bytes may be written or held. The caller holds mu.
 func (b *backlog) awaitRoom(size int) error {
 	for b.err == nil && b.draining && (b.stream == nil || b.size+b.inSystem+size > maxStreamBacklog) {
@@ -342,11 +378,13 @@
 		b.mu.Unlock()
 		return 0, false
 	}
-	held, cancel := b.size, b.cancel
+	held, cancel, writesWhole := b.size, b.cancel, b.writesWhole
 	b.err, b.pending, b.size = err, nil, 0
 	b.notify()
 	b.mu.Unlock()
-	b.memory.Release()
+	if !writesWhole {
+		b.memory.Release()
+	}
 	if cancel != nil && errors.IsAny(err, errCallerStalled, errCallerTooSlow, errCallerBlocks) {
 		cancel(err)
 	} else if cancel != nil {
--- a/internal/gateway/backlog_test.go
+++ b/internal/gateway/backlog_test.go
@@ -223,6 +223,30 @@
 	}
 }
 
+// A complete response waits for the end of its exchange before it is written. Meanwhile its body was
+// held without being counted.
+func TestWholeBodyIsCountedUntilItIsWritten(t *testing.T) {
+	const size, limit = 512 << 10, 1 << 20
+	text := strings.Repeat("x", size)
+	c := newBacklogCase(t, plain(http.StatusOK, text))
+	c.Pool.SetMemoryLimit(8 * limit)
+	ending, proceed := make(chan struct{}), make(chan struct{})
+	c.Pool.SetMaxIdle(func(string) int {
+		close(ending)
+		<-proceed
+		return 0
+	})
+	conn := callSlowly(t, serveCase(t, c), "/plain")
+	<-ending
+	held := c.Pool.HeldBytes()
+	close(proceed)
+	assert.Check(t, held > size/2 && held <= size, "%d bytes", held)
+	got, err := readAnswer(conn)
+	assert.NilError(t, err)
+	assert.Assert(t, got == text, "%d of %d bytes", len(got), len(text))
+	await(t, "release of the memory", func() bool { return c.Pool.HeldBytes() == 0 })
+}
+
 // The first part of a complete response is written with the header. While it waited, the rest of the
 // body was held without being counted.
 func TestWholeBodyIsCountedWhileItsFirstPartWaits(t *testing.T) {
@@ -243,7 +267,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		for {
-			b.beginWhole(body)
+			b.beginWhole(body, nil)
 			if _, err := b.write(make([]byte, firstPart)); err != nil {
 				ended <- err
 				return
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -388,6 +388,9 @@
 }
 
 func (c *callerConn) closeAfterResponse() error {
+	if c.backlog != nil {
+		c.backlog.endWhole()
+	}
 	c.callers.finish(c)
 	conn, isTCP := c.Conn.(interface{ CloseWrite() error })
 	if !isTCP || !c.responded.Swap(false) || c.reading.Load() || conn.CloseWrite() != nil {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/dispatch"
 )
 
 // Response is the final response to a request.
@@ -15,6 +17,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// memory is that of the body; nil if it does not count.
+	memory *dispatch.BodyMemory
 	// Reason is why the gateway generated the response; "" for a target's
 	// response.
 	Reason string
@@ -25,6 +29,7 @@
 
 // discard ends a target's response that is not used.
 func (r *Response) discard() {
+	r.memory.Release()
 	if s, ok := r.Stream.(*stream); ok && !s.completed {
 		s.current.discard()
 	}
@@ -43,10 +48,12 @@
 	if r.Stream == nil {
 		onDone()
 		ctx.Response.SetBodyRaw(r.Body)
-		if ctx.IsHead() {
-			ctx.Response.SkipBody = true
-		} else if conn != nil && conn.backlog != nil {
-			conn.backlog.beginWhole(len(r.Body))
+		switch {
+		case !ctx.IsHead() && conn != nil && conn.backlog != nil:
+			conn.backlog.beginWhole(len(r.Body), r.memory)
+		default:
+			ctx.Response.SkipBody = ctx.IsHead()
+			r.memory.Release()
 		}
 		return
 	}
--- a/internal/gateway/stalledreader_linux_test.go
+++ b/internal/gateway/stalledreader_linux_test.go
@@ -31,7 +31,7 @@
 	bound.serve(conn)
 	written := make(chan error, 1)
 	go func() {
-		conn.backlog.beginWhole(responseBytes)
+		conn.backlog.beginWhole(responseBytes, nil)
 		_, err := conn.Write(make([]byte, responseBytes))
 		written <- err
 	}()
