Compute the bound on idle connections without the pool's lock

Seen in the trace of an instance that ran out of memory: the goroutine that held the pool's lock was parked to assist a collection, since looking up the service of a target allocates, and 27 requests with whole bodies waited for the lock. The bound is computed before the lock is taken now.

TestOtherRequestsGoOnWhileTheBoundOnIdleConnectionsIsComputed: 1 of 1 failed before, 1 of 1 passes.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -60,10 +60,12 @@
 	heldForCallers, passing int64
 	released                chan struct{}
 
+	// maxIdle is called without mu: it may have to wait for a collection.
+	maxIdle func(address string) int
+
 	// mu guards the fields below.
 	mu          sync.Mutex
 	idle        map[string][]*pooledConn
-	maxIdle     func(address string) int
 	openedConns uint64
 	// paths are the paths to targets by address, inflight the connections with an
 	// exchange.
@@ -95,12 +97,9 @@
 // SetDial replaces how connections are opened; it must be called before Send.
 func (p *Pool) SetDial(dial DialFunc) { p.dial = dial }
 
-// SetMaxIdle sets the function that bounds the idle connections to an address.
-func (p *Pool) SetMaxIdle(maxIdle func(address string) int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.maxIdle = maxIdle
-}
+// SetMaxIdle sets the function that bounds the idle connections to an address; it must be called before
+// Send.
+func (p *Pool) SetMaxIdle(maxIdle func(address string) int) { p.maxIdle = maxIdle }
 
 // OpenedConns returns the number of connections opened so far.
 func (p *Pool) OpenedConns() uint64 {
@@ -292,9 +291,10 @@
 
 // keepIdle keeps an idle connection, and reports whether there is room for it.
 func (p *Pool) keepIdle(conn *pooledConn) bool {
+	limit := p.maxIdle(conn.address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[conn.address]) >= p.maxIdle(conn.address) || p.hasLeftRelay(conn) {
+	if len(p.idle[conn.address]) >= limit || p.hasLeftRelay(conn) {
 		return false
 	}
 	p.idle[conn.address] = append(p.idle[conn.address], conn)
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -247,3 +247,20 @@
 	assert.Assert(t, !contain.Run(zap.NewNop(), "step", func() { pool.release(&pooledConn{}, 0) }))
 	assert.Assert(t, pool.mu.TryLock())
 }
+
+// The bound on idle connections was computed under the pool's lock. While that waited for a collection,
+// all other requests waited for the lock.
+func TestOtherRequestsGoOnWhileTheBoundOnIdleConnectionsIsComputed(t *testing.T) {
+	pool := NewPool(clockwork.NewFakeClock())
+	locked := true
+	pool.SetMaxIdle(func(string) int {
+		if locked = !pool.mu.TryLock(); !locked {
+			pool.mu.Unlock()
+		}
+		return 1
+	})
+	conn := &pooledConn{address: "a"}
+	pool.release(conn, 0)
+	assert.Assert(t, !locked)
+	assert.Equal(t, pool.popIdle("a", false), conn)
+}
