Leave memory for what the system holds unread of targets' responses

Cause: 10 to 20 MiB of it are unread bytes on connections to targets, up to their receive buffers, which no budget contains. They come together with a heap at the runtime's limit while the process is suspended.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -15,7 +15,7 @@
 
 const (
 	// callersShare is the part of an instance's memory for what callers have sent, read or not.
-	// Discarded bodies take memory until the next collection, and the runtime's limit is 0.7.
+	// Discarded bodies take memory until the next collection, and the runtime's limit is 0.65.
 	callersShare = 0.35
 	// requestBytes is charged for each request that is received or served: fasthttp's read
 	// buffer, its context and the stacks of two goroutines.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,9 +38,10 @@
 const (
 	// memoryLimitRatio is the fraction of the instance's memory limit that is
 	// set as the runtime's memory limit; the rest is for memory that the runtime
-	// does not account for, such as the pages of the program, and for what is
-	// allocated until a collection has ended.
-	memoryLimitRatio = 0.7
+	// does not account for, such as the pages of the program and what the system
+	// holds unread of targets' responses, and for what is allocated until a
+	// collection has ended.
+	memoryLimitRatio = 0.65
 	// gcPercent is GOGC, the heap growth that triggers a collection. With less, the
 	// small heap of an instance is collected so often that a third of its CPU share is
 	// spent on it, and requests queue for the rest.
