Wake bodies that wait whenever memory becomes free

Cause: a body that finds no room waits for the next release of passing memory only. Memory that another exchange or a caller gives back, or that a raised limit adds, woke nothing: the body failed after 250 ms although there was room, and the target was taken to have failed.

Every release wakes the waiters now, and the end of the wait looks once more.

TestWaitEndsWhenThereIsRoom: 3 of 3 cases failed before (1 run), 9 of 9 pass (3 runs, -race).

--- a/internal/dispatch/bounds.go
+++ b/internal/dispatch/bounds.go
@@ -146,6 +146,9 @@
 // together by the instance's memory limit in bytes.
 func (p *Pool) SetMemoryLimit(bytes int64) {
 	p.maxBuffered.Store(min(maxBufferedBytes, int64(bodyMemoryShare*float64(bytes))))
+	p.heldMu.Lock()
+	defer p.heldMu.Unlock()
+	p.recheck()
 }
 
 // Reserve reserves memory for parts of the body of size bytes in total until Close,
@@ -163,6 +166,17 @@
 	return true
 }
 
+// unreserve releases the memory reserved for the body.
+func (r *PooledResponse) unreserve() {
+	if r.reserved == 0 {
+		return
+	}
+	r.pool.heldMu.Lock()
+	defer r.pool.heldMu.Unlock()
+	r.pool.free(r.reserved)
+	r.reserved = 0
+}
+
 // Discard ends the exchange like Close, after reading the rest of a short body so
 // that the connection can be kept.
 func (r *PooledResponse) Discard() {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -302,8 +302,7 @@
 // end and nothing followed it. Otherwise it is closed, which makes the target
 // cancel the request.
 func (r *PooledResponse) Close() {
-	r.pool.bufferedBytes.Add(-r.reserved)
-	r.reserved = 0
+	r.unreserve()
 	r.pool.end(r.conn)
 	if !r.stopCancel() {
 		return
--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -43,7 +43,17 @@
 		return
 	}
 	p.passing -= bytes
+	p.free(bytes)
+}
+
+// free subtracts bytes that are held no longer. The caller holds heldMu.
+func (p *Pool) free(bytes int64) {
 	p.bufferedBytes.Add(-bytes)
+	p.recheck()
+}
+
+// recheck lets the bodies that wait for memory look for it again. The caller holds heldMu.
+func (p *Pool) recheck() {
 	if p.released != nil {
 		close(p.released)
 		p.released = nil
@@ -70,7 +80,7 @@
 		select {
 		case <-released:
 		case <-timeout:
-			return false
+			return p.tryReserve(bytes)
 		}
 	}
 	return true
@@ -167,9 +177,11 @@
 // drop subtracts bytes that are held no longer. The caller holds heldMu.
 func (p *Pool) drop(m *CallerMemory, bytes int64) {
 	bytes = min(bytes, m.bytes)
-	m.bytes -= bytes
-	p.heldForCallers -= bytes
-	p.bufferedBytes.Add(-bytes)
+	if bytes > 0 {
+		m.bytes -= bytes
+		p.heldForCallers -= bytes
+		p.free(bytes)
+	}
 	if m.bytes == 0 {
 		delete(p.held, m)
 	}
--- a/internal/dispatch/held_test.go
+++ b/internal/dispatch/held_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -90,6 +91,62 @@
 	assert.Equal(t, p.HeldBytes(), int64(limit))
 }
 
+// Memory that another body or a caller no longer takes ends a wait as well.
+func TestWaitEndsWhenThereIsRoom(t *testing.T) {
+	const limit = 1 << 20
+	for _, test := range []struct {
+		name string
+		// hold takes a half of the memory, and returns a function that ends that.
+		hold func(*Pool) (free func())
+	}{
+		{"body of a failed exchange", func(p *Pool) func() {
+			body := &PooledResponse{pool: p, conn: &pooledConn{conn: noConn{}}, stopCancel: func() bool { return false }}
+			assert.Assert(t, body.Reserve(unsharedBufferBytes+limit/2))
+			return body.Close
+		}},
+		{"caller", func(p *Pool) func() {
+			caller := p.HoldForCaller(func() {})
+			assert.Assert(t, caller.Add(limit/2, p.clock.Now()))
+			return func() { caller.Accepted(limit/2, p.clock.Now()) }
+		}},
+		{"raised limit", func(p *Pool) func() {
+			p.maxBuffered.Store(limit / 2)
+			return func() { p.SetMemoryLimit(limit / bodyMemoryShare) }
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newLimitedPool(limit)
+			passing := &PooledResponse{pool: p}
+			assert.Assert(t, passing.Reserve(unsharedBufferBytes+limit/2))
+			defer passing.TakeMemory().Release()
+			free := test.hold(p)
+			reserved := make(chan bool)
+			go func() { reserved <- (&PooledResponse{pool: p}).Reserve(unsharedBufferBytes + limit/2) }()
+			await(t, func() bool {
+				p.heldMu.Lock()
+				defer p.heldMu.Unlock()
+				return p.released != nil
+			})
+			freedAt := time.Now()
+			free()
+			assert.Check(t, <-reserved)
+			assert.Check(t, time.Since(freedAt) < releaseWait/2, "%s", time.Since(freedAt))
+		})
+	}
+}
+
+// noConn is a connection that is only closed.
+type noConn struct{ net.Conn }
+
+func (noConn) Close() error { return nil }
+
+func await(t *testing.T, done func() bool) {
+	t.Helper()
+	for giveUp := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(giveUp))
+	}
+}
+
 // What a caller held that was given up counts until its response has ended.
 func TestMemoryOfCallersGivenUpCountsUntilItsRelease(t *testing.T) {
 	const limit = 1 << 20
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -54,7 +54,7 @@
 	bufferedBytes, maxBuffered atomic.Int64
 	// heldMu guards held, the callers that memory is held for, heldForCallers, how much, and passing,
 	// what is released soon: bodies that are being handed over, and memory of callers given up. released
-	// is closed when any of that is; nil if nothing waits for it.
+	// is closed when a body that waits may find room; nil if none waits.
 	heldMu                  sync.Mutex
 	held                    map[*CallerMemory]struct{}
 	heldForCallers, passing int64
