Release the memory of a whole body after a panic

Cause: from the end of the exchange until the server has taken over the response, nothing but the request's own code releases the memory of its body. A panic in between, which ends only its request, left it counted as passing for good: long bodies of others waited 250 ms for it and failed.

Each step that holds the response releases its memory now unless it passes it on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -253,9 +253,10 @@
 		return r.failedAttempt("the target's answer was not whole")
 	}
 	notRun := impliesNotRun(x.response.Status)
-	var memory *dispatch.BodyMemory
+	response, concluded := &Response{Status: x.response.Status, Header: removeHopByHop(x.response.Header), Body: p.body}, false
+	defer response.releaseUnless(&concluded)
 	if !notRun {
-		memory = x.response.TakeMemory()
+		response.memory = x.response.TakeMemory()
 	}
 	if x.response.Status >= http.StatusInternalServerError {
 		x.end(schedule.Cancelled)
@@ -263,12 +264,11 @@
 		x.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: p.took})
 	}
 	r.log.addStep("answered", x.grant.Target.ID, p.took)
+	concluded = true
 	if notRun {
 		return attemptResult{reason: "the target failed"}
 	}
-	return attemptResult{response: &Response{
-		Status: x.response.Status, Header: removeHopByHop(x.response.Header), Body: p.body, memory: memory,
-	}}
+	return attemptResult{response: response}
 }
 
 // observeLatency records the latencies of an answered request.
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
@@ -122,6 +123,36 @@
 	}
 }
 
+// The memory of a body was never released if a panic occurred between the end of its exchange and
+// the write of the response.
+func TestPanicAfterAWholeBodyReleasesItsMemory(t *testing.T) {
+	for name, change := range map[string]func(*takeoverCase){
+		"at the end of the exchange": func(c *takeoverCase) { c.Pool.SetMaxIdle(func(string) int { panic("unexpected value") }) },
+		"as it is counted": func(c *takeoverCase) {
+			c.ObserveLatency = func(int, string, time.Duration, time.Duration) { panic("unexpected value") }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTakeoverCase(t, catalog.Idempotent, 1, []scriptStep{plain(http.StatusOK, strings.Repeat("x", 512<<10))})
+			change(c)
+			assert.Assert(t, !contain.Run(zap.NewNop(), "request", func() { _, _, _ = c.send() }))
+			assert.Equal(t, c.Pool.HeldBytes(), int64(0))
+		})
+	}
+}
+
+// The memory of a body was never released if a panic occurred before the server had taken over its
+// response.
+func TestPanicBeforeAWholeResponseIsWrittenReleasesItsMemory(t *testing.T) {
+	c := newTakeoverCase(t, catalog.Idempotent, 1, []scriptStep{plain(http.StatusOK, strings.Repeat("x", 512<<10))})
+	response := c.request.execute(t.Context())
+	assert.Assert(t, c.Pool.HeldBytes() > 0)
+	assert.Assert(t, !contain.Run(zap.NewNop(), "response", func() {
+		response.write(&fasthttp.RequestCtx{}, nil, nil, func() { panic("unexpected value") })
+	}))
+	assert.Equal(t, c.Pool.HeldBytes(), int64(0))
+}
+
 // panicAfterGrant panics once the target of the first grant has been checked.
 func panicAfterGrant(c *takeoverCase) {
 	if !c.request.firstPlacedAt.IsZero() {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -35,10 +35,20 @@
 	}
 }
 
+// releaseUnless releases the memory of a response that a panic has kept from being passed on. r may be
+// nil.
+func (r *Response) releaseUnless(passedOn *bool) {
+	if r != nil && !*passedOn {
+		r.memory.Release()
+	}
+}
+
 // write writes the response to ctx. onDone is called at once for a buffered body,
 // else when the stream is closed; cancel is called before if the caller does not read. conn may
 // be nil.
 func (r *Response) write(ctx *fasthttp.RequestCtx, conn *callerConn, cancel context.CancelCauseFunc, onDone func()) {
+	written := false
+	defer r.releaseUnless(&written)
 	ctx.SetStatusCode(r.Status)
 	for name, values := range r.Header {
 		for _, value := range values {
@@ -55,6 +65,7 @@
 			ctx.Response.SkipBody = ctx.IsHead()
 			r.memory.Release()
 		}
+		written = true
 		return
 	}
 	const unknownLength = -1
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -122,9 +122,12 @@
 	if response == nil {
 		g.Counters.CallerGone.Add(1)
 	}
+	logged := false
+	defer response.releaseUnless(&logged)
 	if response == nil || response.Stream == nil {
 		r.logResult(response)
 	}
+	logged = true
 	return response
 }
 
@@ -286,8 +289,11 @@
 		r.Counters.Streams.Add(1)
 		return response
 	}
+	counted := false
+	defer response.releaseUnless(&counted)
 	r.Counters.Answered.Add(1)
 	r.observeLatency(0)
+	counted = true
 	return response
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -271,7 +271,8 @@
 		request.Delivery = conn.delivery(request.ReceivedAt)
 		conn.WatchClose(func() { cancel(nil) })
 	}
-	response := s.gateway.Serve(requestCtx, request)
+	response, passedOn := s.gateway.Serve(requestCtx, request), false
+	defer response.releaseUnless(&passedOn)
 	if s.gateway.Draining() || conn != nil && (!conn.mayReuse() || s.callers.leave(conn)) {
 		ctx.SetConnectionClose()
 	}
@@ -283,6 +284,7 @@
 		return
 	}
 	response.write(ctx, conn, cancel, finish)
+	passedOn = true
 }
 
 // statusCallerGone is the status logged for requests whose caller has
