Release the memory of a body as its connection is closed

Cause: Close waits for the rest of a stream that is still written. If that ended with an error, the connection was closed by a path that did not release the memory of the complete response behind the stream, which counted for good.

Close releases it at once: nothing writes the response any more.

--- a/internal/gateway/backlog_test.go
+++ b/internal/gateway/backlog_test.go
@@ -283,6 +283,51 @@
 	assert.Equal(t, c.Pool.HeldBytes(), int64(0))
 }
 
+// behindStream returns the connection of a caller that does not read the rest of a stream, which is
+// being written, and the response with a whole body that follows it. Another body of the size has no
+// room beside it.
+func behindStream(t *testing.T) (c *takeoverCase, conn *callerConn, next *Response) {
+	const size = 512 << 10
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	caller, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	accepted, err := smallBufferListener{l}.Accept()
+	assert.NilError(t, err)
+	c = newTakeoverCase(t, catalog.Idempotent, 3, []scriptStep{plain(http.StatusOK, strings.Repeat("x", size))})
+	conn = &callerConn{Conn: accepted, counts: &connCounts{}, backlog: newBacklog(c.Gateway, accepted)}
+	t.Cleanup(func() {
+		conn.backlog.giveUp(errCallerStalled)
+		_ = conn.backlog.awaitDrained()
+	})
+	next = c.request.execute(t.Context())
+	c.Pool.SetMemoryLimit(8 * 2 * c.Pool.HeldBytes())
+	c.Pool.CloseIdle(c.placer.targets[0].Address)
+	conn.backlog.beginStream(t.Context(), func(error) {})
+	// The system goes on to move what it holds to the caller's end for a while.
+	for fullSince := time.Now(); time.Since(fullSince) < 300*time.Millisecond; time.Sleep(time.Millisecond) {
+		if !conn.backlog.isDraining() {
+			_, err := conn.Write(make([]byte, 1<<10))
+			assert.NilError(t, err)
+			fullSince = time.Now()
+		}
+	}
+	conn.backlog.endResponse()
+	return c, conn, next
+}
+
+// The memory of a whole response was never released if its connection was closed while the rest of
+// a stream before it was still held.
+func TestCloseReleasesAResponseBehindAStream(t *testing.T) {
+	c, conn, next := behindStream(t)
+	conn.backlog.beginWhole(len(next.Body), next.memory)
+	assert.NilError(t, conn.Close())
+	conn.backlog.giveUp(errCallerStalled)
+	await(t, "release of the memory", func() bool { return c.Pool.HeldBytes() == 0 })
+}
+
 // A caller that reads slowly must not be taken for one that does not read: its system accepts
 // nothing for a while, but acknowledges what it has.
 func TestCallerStallsOnlyWithoutAnyProgress(t *testing.T) {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -374,6 +374,9 @@
 // that is closed while bytes of a further request are unread is reset, and the caller loses what
 // it has not received yet. What the caller has not accepted yet is written first.
 func (c *callerConn) Close() error {
+	if c.backlog != nil {
+		c.backlog.endWhole()
+	}
 	if c.backlog != nil && c.backlog.isDraining() {
 		go func() {
 			if c.backlog.awaitDrained() != nil {
@@ -388,9 +391,6 @@
 }
 
 func (c *callerConn) closeAfterResponse() error {
-	if c.backlog != nil {
-		c.backlog.endWhole()
-	}
 	c.callers.finish(c)
 	conn, isTCP := c.Conn.(interface{ CloseWrite() error })
 	if !isTCP || !c.responded.Swap(false) || c.reading.Load() || conn.CloseWrite() != nil {
