Give up callers whose response waits behind the rest of a stream

Cause: a complete response that waits for the rest of a stream before it, on the same connection, counted as passing, though its release depends on the caller: up to 10 s. Other long bodies waited 250 ms for it and failed, and the caller that did not read was not given up.

Its body counts for the caller during that wait, so that the slowest caller is given up as for any other response.

--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -129,15 +129,7 @@
 		p.heldMu.Unlock()
 		return false
 	}
-	if m.bytes == 0 {
-		m.progressAt = now
-		if p.held == nil {
-			p.held = make(map[*CallerMemory]struct{})
-		}
-		p.held[m] = struct{}{}
-	}
-	m.bytes += int64(bytes)
-	p.heldForCallers += int64(bytes)
+	p.hold(m, int64(bytes), now)
 	p.bufferedBytes.Add(int64(bytes))
 	var victims []*CallerMemory
 	if p.fixedBytes()+m.bytes > p.maxBuffered.Load() {
@@ -152,6 +144,60 @@
 	return holds
 }
 
+// hold adds bytes to what is held for a caller. The caller holds heldMu.
+func (p *Pool) hold(m *CallerMemory, bytes int64, now time.Time) {
+	if m.bytes == 0 {
+		m.progressAt = now
+		if p.held == nil {
+			p.held = make(map[*CallerMemory]struct{})
+		}
+		p.held[m] = struct{}{}
+	}
+	m.bytes += bytes
+	p.heldForCallers += bytes
+}
+
+// HoldFor lets the memory count for a caller, which the write of the body waits for, until Resume. It
+// returns how much that is.
+func (m *BodyMemory) HoldFor(caller *CallerMemory, now time.Time) (bytes int64) {
+	if m == nil {
+		return 0
+	}
+	p := m.pool
+	p.heldMu.Lock()
+	defer p.heldMu.Unlock()
+	bytes = m.bytes.Swap(0)
+	switch {
+	case bytes == 0:
+	case caller.givenUp:
+		caller.passing += bytes
+	default:
+		p.passing -= bytes
+		p.hold(caller, bytes, now)
+		p.recheck()
+	}
+	return bytes
+}
+
+// Resume ends HoldFor, which has returned bytes. What a caller held that has been given up counts until
+// the Release of its CallerMemory.
+func (m *BodyMemory) Resume(caller *CallerMemory, bytes int64) {
+	if bytes == 0 {
+		return
+	}
+	p := m.pool
+	p.heldMu.Lock()
+	defer p.heldMu.Unlock()
+	bytes = min(bytes, caller.bytes)
+	caller.bytes -= bytes
+	p.heldForCallers -= bytes
+	p.passing += bytes
+	if caller.bytes == 0 {
+		delete(p.held, caller)
+	}
+	m.bytes.Store(bytes)
+}
+
 // Accepted records that the caller has accepted something at the given time, and that so many bytes
 // are held no longer.
 func (m *CallerMemory) Accepted(bytes int, now time.Time) {
--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -139,7 +139,7 @@
 // write writes a part of a response. Only the goroutine that serves the connection calls it.
 func (b *backlog) write(data []byte) (int, error) {
 	b.mu.Lock()
-	if err := b.awaitRoom(len(data)); err != nil {
+	if err := b.awaitTurn(len(data)); err != nil {
 		b.mu.Unlock()
 		return 0, err
 	}
@@ -185,6 +185,29 @@
 	b.releaseBody()
 }
 
+// awaitTurn waits until size bytes may be written or held. A complete response counts for the caller
+// while it waits for the rest of a stream. The caller holds mu.
+func (b *backlog) awaitTurn(size int) error {
+	if !b.draining || b.stream != nil {
+		return b.awaitRoom(size)
+	}
+	body := b.body
+	bytes := body.HoldFor(b.memory, time.Now())
+	b.writesWhole = true
+	err := b.awaitRoom(size)
+	b.writesWhole = false
+	if err != nil {
+		b.memory.Release()
+		return err
+	}
+	body.Resume(b.memory, bytes)
+	if b.body != body {
+		// The connection has been closed meanwhile.
+		body.Release()
+	}
+	return nil
+}
+
 // awaitRoom waits until size bytes may be written or held. The caller holds mu.
 func (b *backlog) awaitRoom(size int) error {
 	for b.err == nil && b.draining && (b.stream == nil || b.size+b.inSystem+size > maxStreamBacklog) {
--- a/internal/gateway/backlog_test.go
+++ b/internal/gateway/backlog_test.go
@@ -318,6 +318,30 @@
 	return c, conn, next
 }
 
+// A whole response that waited for the rest of a stream before it counted as one that is released
+// soon. Its caller was not given up, and the bodies of others found no room.
+func TestCallerWithAResponseBehindAStreamIsGivenUp(t *testing.T) {
+	c, conn, next := behindStream(t)
+	conn.backlog.beginWhole(len(next.Body), next.memory)
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write(next.Body)
+		written <- err
+	}()
+	await(t, "wait for the stream", func() bool {
+		conn.backlog.mu.Lock()
+		defer conn.backlog.mu.Unlock()
+		return conn.backlog.changed != nil
+	})
+	other := c.request.execute(t.Context())
+	assert.Check(t, other.Status == http.StatusOK, "%d %s", other.Status, other.Reason)
+	other.memory.Release()
+	conn.backlog.giveUp(errCallerStalled)
+	assert.Check(t, <-written != nil)
+	_ = conn.Close()
+	await(t, "release of the memory", func() bool { return c.Pool.HeldBytes() == 0 })
+}
+
 // The memory of a whole response was never released if its connection was closed while the rest of
 // a stream before it was still held.
 func TestCloseReleasesAResponseBehindAStream(t *testing.T) {
