End the wait of a body for memory with its request

Cause: a body that waited for memory did not notice that its request had been cancelled. For up to 250 ms a search that had found another target, or the end of a shutdown (100 ms), waited for its exchange, which kept its slot at the target, and the response counted as too long.

--- a/internal/dispatch/bounds.go
+++ b/internal/dispatch/bounds.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -129,6 +130,9 @@
 			return nil, errors.Wrapf(ErrResponseTooLong, "body of more than %d bytes", maxBytes)
 		}
 		if buffer.Len() == buffer.Cap() && !r.Reserve(buffer.Cap()+segbuf.SegmentBytes) {
+			if r.isCancelled() {
+				return nil, errors.Wrap(net.ErrClosed, "request cancelled while memory was short")
+			}
 			return nil, errors.Wrapf(ErrResponseTooLong, "body of more than %d bytes beside other long ones", buffer.Len())
 		}
 		n, err := r.Read(buffer.Spare())
@@ -153,19 +157,28 @@
 
 // Reserve reserves memory for parts of the body of size bytes in total until Close,
 // and reports whether there is enough. If there is not, slow callers are given up first, and what is
-// being released is waited for.
+// being released is waited for, unless the request is cancelled.
 func (r *PooledResponse) Reserve(size int) bool {
 	additional := int64(size-unsharedBufferBytes) - r.reserved
 	if additional <= 0 {
 		return true
 	}
-	if !r.pool.reserve(additional) {
+	if !r.pool.reserve(additional, r.cancelled) {
 		return false
 	}
 	r.reserved += additional
 	return true
 }
 
+func (r *PooledResponse) isCancelled() bool {
+	select {
+	case <-r.cancelled:
+		return true
+	default:
+		return false
+	}
+}
+
 // unreserve releases the memory reserved for the body.
 func (r *PooledResponse) unreserve() {
 	if r.reserved == 0 {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -88,6 +88,8 @@
 	body       io.ReadCloser
 	keepAlive  time.Duration
 	stopCancel func() bool
+	// cancelled is closed once the request is cancelled; nil if it cannot be.
+	cancelled <-chan struct{}
 	// framed is set if the header determines where the body ends, unsent if the request could
 	// not be written completely.
 	framed, unsent bool
@@ -132,7 +134,7 @@
 		}
 		return nil, fault.At(fault.StepDispatch, r.Address, p.countTooLong(conn.explain(err)))
 	}
-	response.pool, response.stopCancel = p, stopCancel
+	response.pool, response.stopCancel, response.cancelled = p, stopCancel, ctx.Done()
 	return response, nil
 }
 
--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -61,8 +61,8 @@
 }
 
 // reserve reserves bytes for a body, and reports whether there is enough memory. Slow callers are given
-// up for it. What is passing is waited for.
-func (p *Pool) reserve(bytes int64) bool {
+// up for it. What is passing is waited for until the request is cancelled.
+func (p *Pool) reserve(bytes int64, cancelled <-chan struct{}) bool {
 	var timeout <-chan time.Time
 	for !p.tryReserve(bytes) {
 		released, ok := p.makeRoom(bytes)
@@ -79,6 +79,8 @@
 		}
 		select {
 		case <-released:
+		case <-cancelled:
+			return false
 		case <-timeout:
 			return p.tryReserve(bytes)
 		}
--- a/internal/dispatch/held_test.go
+++ b/internal/dispatch/held_test.go
@@ -1,10 +1,15 @@
 package dispatch
 
 import (
+	"context"
+	"fmt"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 )
@@ -135,6 +140,52 @@
 	}
 }
 
+// A body that waits for memory ends with its request: a search for another target, or the end of a
+// shutdown, waits for its exchange.
+func TestWaitForMemoryEndsWithTheRequest(t *testing.T) {
+	const size = 512 << 10
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	}()
+	p := NewPool(clockwork.NewRealClock())
+	p.SetMemoryLimit(size / bodyMemoryShare)
+	passing := &PooledResponse{pool: p}
+	assert.Assert(t, passing.Reserve(unsharedBufferBytes+size))
+	defer passing.TakeMemory().Release()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	response, err := p.Send(ctx, &PooledRequest{Address: l.Addr().String(), Method: http.MethodGet, URI: "/", Match: func(http.Header) Match { return MatchOwn }})
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := response.ReadBody(2 * size)
+		ended <- err
+	}()
+	await(t, func() bool {
+		p.heldMu.Lock()
+		defer p.heldMu.Unlock()
+		return p.released != nil
+	})
+	cancelledAt := time.Now()
+	cancel()
+	err = <-ended
+	assert.Check(t, err != nil && !errors.Is(err, ErrResponseTooLong), "%v", err)
+	assert.Check(t, time.Since(cancelledAt) < releaseWait/2, "%s", time.Since(cancelledAt))
+	assert.Equal(t, p.TooLong(), uint64(0))
+	response.Close()
+	<-served
+}
+
 // noConn is a connection that is only closed.
 type noConn struct{ net.Conn }
 
