--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -43,7 +43,17 @@
 		return
 	}
 	p.passing -= bytes
+	p.free(bytes)
+}
+
+// free subtracts bytes that are held no longer. The caller holds heldMu.
+func (p *Pool) free(bytes int64) {
 	p.bufferedBytes.Add(-bytes)
+	p.recheck()
+}
+
+// recheck lets the bodies that wait for memory look for it again. The caller holds heldMu.
+func (p *Pool) recheck() {
 	if p.released != nil {
 		close(p.released)
 		p.released = nil
@@ -51,8 +61,8 @@
 }
 
 // reserve reserves bytes for a body, and reports whether there is enough memory. Slow callers are given
-// up for it. What is passing is waited for.
-func (p *Pool) reserve(bytes int64) bool {
+// up for it. What is passing is waited for until the request is cancelled.
+func (p *Pool) reserve(bytes int64, cancelled <-chan struct{}) bool {
 	var timeout <-chan time.Time
 	for !p.tryReserve(bytes) {
 		released, ok := p.makeRoom(bytes)
@@ -69,8 +79,10 @@
 		}
 		select {
 		case <-released:
-		case <-timeout:
+		case <-cancelled:
 			return false
+		case <-timeout:
+			return p.tryReserve(bytes)
 		}
 	}
 	return true
@@ -119,15 +131,7 @@
 		p.heldMu.Unlock()
 		return false
 	}
-	if m.bytes == 0 {
-		m.progressAt = now
-		if p.held == nil {
-			p.held = make(map[*CallerMemory]struct{})
-		}
-		p.held[m] = struct{}{}
-	}
-	m.bytes += int64(bytes)
-	p.heldForCallers += int64(bytes)
+	p.hold(m, int64(bytes), now)
 	p.bufferedBytes.Add(int64(bytes))
 	var victims []*CallerMemory
 	if p.fixedBytes()+m.bytes > p.maxBuffered.Load() {
@@ -142,6 +146,60 @@
 	return holds
 }
 
+// hold adds bytes to what is held for a caller. The caller holds heldMu.
+func (p *Pool) hold(m *CallerMemory, bytes int64, now time.Time) {
+	if m.bytes == 0 {
+		m.progressAt = now
+		if p.held == nil {
+			p.held = make(map[*CallerMemory]struct{})
+		}
+		p.held[m] = struct{}{}
+	}
+	m.bytes += bytes
+	p.heldForCallers += bytes
+}
+
+// HoldFor lets the memory count for a caller, which the write of the body waits for, until Resume. It
+// returns how much that is.
+func (m *BodyMemory) HoldFor(caller *CallerMemory, now time.Time) (bytes int64) {
+	if m == nil {
+		return 0
+	}
+	p := m.pool
+	p.heldMu.Lock()
+	defer p.heldMu.Unlock()
+	bytes = m.bytes.Swap(0)
+	switch {
+	case bytes == 0:
+	case caller.givenUp:
+		caller.passing += bytes
+	default:
+		p.passing -= bytes
+		p.hold(caller, bytes, now)
+		p.recheck()
+	}
+	return bytes
+}
+
+// Resume ends HoldFor, which has returned bytes. What a caller held that has been given up counts until
+// the Release of its CallerMemory.
+func (m *BodyMemory) Resume(caller *CallerMemory, bytes int64) {
+	if bytes == 0 {
+		return
+	}
+	p := m.pool
+	p.heldMu.Lock()
+	defer p.heldMu.Unlock()
+	bytes = min(bytes, caller.bytes)
+	caller.bytes -= bytes
+	p.heldForCallers -= bytes
+	p.passing += bytes
+	if caller.bytes == 0 {
+		delete(p.held, caller)
+	}
+	m.bytes.Store(bytes)
+}
+
 // Accepted records that the caller has accepted something at the given time, and that so many bytes
 // are held no longer.
 func (m *CallerMemory) Accepted(bytes int, now time.Time) {
@@ -167,9 +225,11 @@
 // drop subtracts bytes that are held no longer. The caller holds heldMu.
 func (p *Pool) drop(m *CallerMemory, bytes int64) {
 	bytes = min(bytes, m.bytes)
-	m.bytes -= bytes
-	p.heldForCallers -= bytes
-	p.bufferedBytes.Add(-bytes)
+	if bytes > 0 {
+		m.bytes -= bytes
+		p.heldForCallers -= bytes
+		p.free(bytes)
+	}
 	if m.bytes == 0 {
 		delete(p.held, m)
 	}
