--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -31,14 +31,17 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// passingErrors are those of an address that is in use or not assigned to an interface, and of a
-// shortage of descriptors or memory.
-var passingErrors = []error{
-	syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
-}
+// addressErrors are those of an address that is in use or not assigned to an interface.
+var addressErrors = []error{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL}
+
+// shortageErrors are those of a shortage of descriptors or memory.
+var shortageErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
+
+// IsShortage reports whether the system is short of descriptors or memory.
+func IsShortage(err error) bool { return errors.IsAny(err, shortageErrors...) }
 
 // IsPassing reports whether listening may succeed later without a change of the settings.
-func IsPassing(err error) bool { return errors.IsAny(err, passingErrors...) }
+func IsPassing(err error) bool { return IsShortage(err) || errors.IsAny(err, addressErrors...) }
 
 // TCP listens on an address for a server. It returns an *Error.
 func TCP(server, address string) (net.Listener, error) {
