Wait for ports in use at the start of serve

Seen: `hibiscuspost serve` ended at once with status 4, "address already in use", if a port was still held for a moment, for instance by the process before.

Cause: instance.Start listened once. Only `hibiscuspost node` tried again.

Change: Start opens all listeners or none, and tries again with listen.Retry, as node does, until its context ends. In Serve.Run the first signal ends that context, so that a process that waits can be stopped. Settings that name one address for two servers would now wait for themselves; they are reported as a fault of the file (status 2 in place of 4).

--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -196,7 +196,7 @@
 	var fleet []*instance.Instance
 	var seedPeers []string
 	for n := range count {
-		i, err := instance.Start(instance.Options{
+		i, err := instance.Start(b.Context(), instance.Options{
 			Settings: settings.Settings{
 				Name: "entry-" + strconv.Itoa(n), FailureDomain: "fd-" + strconv.Itoa(n%6),
 				Listen:   settings.Listen{Callers: "127.0.0.1:0", Admin: "127.0.0.1:0", Peers: "127.0.0.1:0"},
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -47,14 +47,25 @@
 	if err != nil {
 		return err
 	}
-	inst, err := instance.Start(instance.Options{Settings: *config, Secrets: secrets, Logger: logger})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// Takes the first signal only; shutdown takes the second.
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	inst, err := instance.Start(ctx, instance.Options{Settings: *config, Secrets: secrets, Logger: logger})
+	if err != nil && ctx.Err() != nil {
+		logger.Info("stopped before the start was complete", zap.Error(err))
+		return nil
+	}
 	if err != nil {
 		return exit.WithCode(exit.Unavailable, err)
 	}
-	select {
-	case <-signals:
-	case <-ctx.Done():
-	}
+	<-ctx.Done()
 	return shutdown(inst, time.Duration(config.Limits.ShutdownGracePeriod), signals)
 }
 
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -59,7 +59,7 @@
 	const anyLoopbackPort = "127.0.0.1:0"
 	var peers []string
 	for i, name := range []string{"entry-1", "entry-2", "entry-3"} {
-		launched, err := instance.Start(instance.Options{
+		launched, err := instance.Start(context.Background(), instance.Options{
 			Settings: settings.Settings{
 				Name: name, FailureDomain: fmt.Sprintf("domain-%d", i+1),
 				Listen:   settings.Listen{Callers: anyLoopbackPort, Admin: anyLoopbackPort, Peers: anyLoopbackPort},
--- a/internal/endtoend/process_test.go
+++ b/internal/endtoend/process_test.go
@@ -64,6 +64,14 @@
 
 // startProcess starts an instance of the program and waits until it serves.
 func startProcess(t *testing.T, program string, config *settings.Settings) *process {
+	t.Helper()
+	p := launchProcess(t, program, config)
+	p.awaitServing(t)
+	return p
+}
+
+// launchProcess starts an instance of the program.
+func launchProcess(t *testing.T, program string, config *settings.Settings) *process {
 	t.Helper()
 	settingsFile := writeJSON(t, config.Name+".json", config)
 	p := &process{name: config.Name, command: exec.Command(program, "serve", "--settings", settingsFile), exited: make(chan struct{})}
@@ -73,12 +81,26 @@
 	assert.NilError(t, p.command.Start())
 	p.logReader.Go(func() { p.readLog(stderr) })
 	t.Cleanup(func() { p.stop(t) })
-	waitFor(t, config.Name+" serves", func() bool {
-		entry, found := p.findLogEntry("serving")
-		p.addresses = entry
+	return p
+}
+
+// awaitServing waits until the process serves.
+func (p *process) awaitServing(t *testing.T) {
+	t.Helper()
+	p.addresses = p.awaitLine(t, "serving")
+}
+
+// awaitLine waits for a log entry with the message. It fails the test if the process ends.
+func (p *process) awaitLine(t *testing.T, message string) (entry logEntry) {
+	t.Helper()
+	waitFor(t, p.name+": "+message, func() (found bool) {
+		hasExited := p.hasExited()
+		if entry, found = p.findLogEntry(message); !found && hasExited {
+			t.Fatalf("%s has ended: %v", p.name, p.command.ProcessState)
+		}
 		return found
 	})
-	return p
+	return entry
 }
 
 // readLog stores the lines of the log until its end and then waits for the
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -92,11 +92,11 @@
 	background       conc.WaitGroup
 }
 
-// Start opens the listeners of the settings and starts the instance.
-func Start(options Options) (*Instance, error) {
+// Start opens the listeners of the settings and starts the instance. It waits for addresses that
+// are not available yet until ctx ends, which has no effect on an instance that has started.
+func Start(ctx context.Context, options Options) (*Instance, error) {
 	i := &Instance{options: options, logger: options.Logger, clock: clockwork.NewRealClock()}
-	if err := i.listen(); err != nil {
-		i.closeListeners()
+	if err := listen.Retry(ctx, i.clock, i.logger, i.listen); err != nil {
 		return nil, err
 	}
 	i.buildComponents()
@@ -111,21 +111,30 @@
 	return i, nil
 }
 
-func (i *Instance) listen() error {
+// listen opens all listeners or none.
+func (i *Instance) listen() (err error) {
+	defer func() {
+		if err != nil {
+			i.closeListeners()
+		}
+	}()
 	addresses := &i.options.Settings.Listen
-	listener, err := net.Listen("tcp", addresses.Callers)
+	listener, err := listen.TCP("callers", addresses.Callers)
 	if err != nil {
-		return errors.Wrap(err, "listen for callers")
+		return err
 	}
 	i.callerListener = newTrackedListener(i.retrying("callers", listener))
-	if listener, err = net.Listen("tcp", addresses.Admin); err != nil {
-		return errors.Wrap(err, "listen for operators")
+	if listener, err = listen.TCP("operators", addresses.Admin); err != nil {
+		return err
 	}
 	i.adminListener = i.retrying("operators", listener)
 	i.bus, err = peer.Listen(peer.Options{
 		Address: addresses.Peers, Secret: i.options.Secrets.PeerSecret, Logger: i.logger,
 	})
-	return errors.Wrap(err, "listen for instances")
+	if err != nil {
+		return &listen.Error{Server: "instances", Address: addresses.Peers, Err: err}
+	}
+	return nil
 }
 
 // retrying returns a listener for a server that accepts from l as long as it is open.
@@ -143,6 +152,7 @@
 	if i.bus != nil {
 		_ = i.bus.Close()
 	}
+	i.callerListener, i.adminListener, i.bus = nil, nil, nil
 }
 
 // buildComponents builds the components without starting them.
--- a/internal/measure/system_fleet.go
+++ b/internal/measure/system_fleet.go
@@ -145,7 +145,7 @@
 		}
 	}
 	f.mu.Unlock()
-	launched, err := instance.Start(instance.Options{
+	launched, err := instance.Start(context.Background(), instance.Options{
 		Settings: settings.Settings{
 			Name: name, FailureDomain: failureDomains[index%len(failureDomains)],
 			Listen:   settings.Listen{Callers: anyLoopbackPort, Admin: anyLoopbackPort, Peers: anyLoopbackPort},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -145,6 +145,7 @@
 	checkAddress(doc, "listen.callers", s.Listen.Callers)
 	checkAddress(doc, "listen.admin", s.Listen.Admin)
 	checkAddress(doc, "listen.peers", s.Listen.Peers)
+	s.Listen.checkAddressesDiffer(doc)
 	for _, peer := range s.Peers {
 		checkAddress(doc, "peers", peer)
 	}
@@ -195,6 +196,23 @@
 	}
 }
 
+// checkAddressesDiffer reports addresses of two servers: a start would wait for them in vain.
+func (l *Listen) checkAddressesDiffer(doc *strictjson.Document) {
+	fieldOf := make(map[netip.AddrPort]string)
+	for _, server := range []struct{ field, address string }{
+		{"listen.callers", l.Callers}, {"listen.admin", l.Admin}, {"listen.peers", l.Peers},
+	} {
+		address, err := netip.ParseAddrPort(server.address)
+		if err != nil || address.Port() == 0 {
+			continue
+		}
+		if other, taken := fieldOf[address]; taken {
+			doc.AddError(server.field, "is the same address as %s", other)
+		}
+		fieldOf[address] = server.field
+	}
+}
+
 // DefaultLimits returns the limits that apply without a limits section in the
 // file.
 func DefaultLimits() Limits {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,6 +25,7 @@
 	cases := map[string]struct{ old, new, want string }{
 		"unknown field":           {`"name": "a"`, `"name": "a", "nmae": 1`, `settings.json:2: nmae: unknown field`},
 		"host name as address":    {`"admin": "127.0.0.1:0"`, `"admin": "host:1"`, `settings.json:3: listen.admin: "host:1" is not an IP number and port`},
+		"same address":            {`"admin": "127.0.0.1:0", "peers": "127.0.0.1:0"`, `"admin": "127.0.0.1:7", "peers": "127.0.0.1:7"`, `listen.peers: is the same address as listen.admin`},
 		"missing name":            {`"name": "a",`, ``, `name: is missing`},
 		"platform without scheme": {`http://127.0.0.1:1`, `127.0.0.1:1`, `settings.json:4: platform: `},
 		"unknown log level":       {`"peer_secret_file": "s",`, `"peer_secret_file": "s", "log": {"level": "loud"},`, `log.level: must be`},
