Queue the log lines of serve

Seen: with a standard error that is open and never read, `hibiscuspost serve` stopped at the line "serving" and did not obey SIGTERM any more.

Cause: its logger wrote to standard error directly, within whatever logs.

Change: lines go through eventlog.Log, which never blocks, in the same format and with the same sampling as before.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -43,7 +44,10 @@
 	if err != nil {
 		return exit.WithCode(exit.BadInput, err)
 	}
-	logger, err := newLogger(config.Log.Level)
+	// Standard error may block: lines are queued.
+	eventLog := eventlog.New(clockwork.NewRealClock(), os.Stderr)
+	defer eventLog.Close()
+	logger, err := newLogger(config.Log.Level, eventLog)
 	if err != nil {
 		return err
 	}
@@ -96,13 +100,16 @@
 	return err
 }
 
-func newLogger(level string) (*zap.Logger, error) {
+// newLogger returns a logger that writes to the log, in the format of zap's production
+// configuration.
+func newLogger(level string, log *eventlog.Log) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, exit.WithCode(exit.BadInput, err)
 	}
 	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(parsed)
 	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	return config.Build()
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config.EncoderConfig), log, parsed)
+	core = zapcore.NewSamplerWithOptions(core, time.Second, config.Sampling.Initial, config.Sampling.Thereafter)
+	return zap.New(core, zap.AddCaller(), zap.AddStacktrace(zapcore.ErrorLevel)), nil
 }
--- a/internal/endtoend/ports_test.go
+++ b/internal/endtoend/ports_test.go
@@ -35,13 +35,17 @@
 	return heldAddress{conn.LocalAddr().String(), func() { _ = conn.Close() }}
 }
 
-// launchAlone starts an instance whose platform is away, with addresses for callers, operators and
-// other instances.
+// launchAlone starts an instance whose platform is away.
 func launchAlone(t *testing.T, listen settings.Listen) *process {
-	return launchProcess(t, programPath, &settings.Settings{
+	return launchProcess(t, programPath, aloneSettings(t, listen))
+}
+
+// aloneSettings returns the settings of an instance whose platform is away.
+func aloneSettings(t *testing.T, listen settings.Listen) *settings.Settings {
+	return &settings.Settings{
 		Name: "entry-0", FailureDomain: failureDomainOf(0), Listen: listen, Platform: "http://127.0.0.1:1",
 		AdminTokenFile: writeFile(t, "token", adminToken), PeerSecretFile: writeFile(t, "secret", peerSecret),
-	})
+	}
 }
 
 // TestPortsInUseDoNotEndTheStart guards against a start that fails since a port is still in use,
--- a/internal/endtoend/shutdown_test.go
+++ b/internal/endtoend/shutdown_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/exit"
 	"github.com/hibiscuspost/hibiscuspost/internal/measure/load"
+	"github.com/hibiscuspost/hibiscuspost/internal/settings"
 	"github.com/hibiscuspost/hibiscuspost/internal/standin/target"
 )
 
@@ -81,3 +86,44 @@
 	terminated.signal(t, syscall.SIGTERM)
 	assert.Equal(t, terminated.waitForExit(t), exit.Success)
 }
+
+// TestUnreadStandardErrorDoesNotBlockAnInstance guards against log lines that wait for a reader of
+// standard error, and with them what writes them.
+func TestUnreadStandardErrorDoesNotBlockAnInstance(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	defer reader.Close()
+	fillPipe(t, writer)
+	held := holdTCP(t)
+	held.release()
+	settingsFile := writeJSON(t, "unread.json", aloneSettings(t, settings.Listen{Callers: anyPortAddress, Admin: held.address, Peers: anyPortAddress}))
+	command := exec.Command(programPath, "serve", "--settings", settingsFile)
+	command.Stderr = writer
+	assert.NilError(t, command.Start())
+	assert.NilError(t, writer.Close())
+	p := &process{name: "entry-0", command: command, addresses: logEntry{Admin: held.address}, exited: make(chan struct{})}
+	p.logReader.Go(func() { _ = command.Wait(); close(p.exited) })
+	t.Cleanup(func() { p.stop(t) })
+	waitFor(t, "an administrative request is answered", func() bool {
+		client := http.Client{Timeout: time.Second}
+		response, err := client.Get(p.adminURL() + "/admin/v1/config")
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil
+	})
+	p.signal(t, syscall.SIGTERM)
+	assert.Equal(t, p.waitForExit(t), exit.Success)
+}
+
+// fillPipe writes to a pipe until it is full.
+func fillPipe(t *testing.T, writer *os.File) {
+	t.Helper()
+	assert.NilError(t, writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	for {
+		if _, err := writer.Write(make([]byte, 4096)); err != nil {
+			assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+			return
+		}
+	}
+}
