Bound request bodies by half of the memory, as their buffers count

Cause: the limit on a request body was the memory itself, and 16 MiB whatever the memory if the configuration sets none. The buffer is allocated at once by the stated length, rounded up to a power of two up to 100 MiB, and the only request is received whatever its size. By reading fasthttp, a header that states 100 MiB has 128 MiB allocated, on an instance of 134; no process was ended with it.

The buffer of the longest body takes at most half of the memory now. With less than 32 MiB of memory that is below the default of 16 MiB; such bodies get 413.

TestLongestBodyLeavesMemoryForOthers: 3 of 7 cases failed before, 7 of 7 pass; with -race dispatch, gateway, process and node pass (1 run).

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -414,6 +414,9 @@
 	return buffer
 }
 
+// largestBody returns the longest body whose bodyMemory is at most the given bytes, and at least 1.
+func largestBody(bytes int64) int { return 1 << (bits.Len64(uint64(max(1, bytes))) - 1) }
+
 // unreadMemory returns the memory for unread bytes of a body beyond receiveMemory. Shorter bodies
 // need few windows of the size at first.
 func unreadMemory(length int) int64 {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -22,9 +22,11 @@
 	maxHeaderBytes = 17 << 10
 	// maxBodyBytes bounds a request body until a configuration is known.
 	maxBodyBytes = 16 << 20
-	// maxConfiguredBodyBytes bounds the operator's limit on request bodies, as does the
-	// instance's memory: a body is allocated at once by the length that a caller states.
+	// maxConfiguredBodyBytes bounds the operator's limit on request bodies, and longestBodyShare is the
+	// part of the instance's memory that the buffer of one may take: it is allocated at once by the
+	// length that a caller states, and the only request is received whatever its size.
 	maxConfiguredBodyBytes = 1 << 30
+	longestBodyShare       = 0.5
 	// maxConnections bounds callers' connections; connectionLimit may be lower.
 	maxConnections = 3000
 	// maxPooledBody is the size up to which buffers of bodies are reused.
@@ -118,13 +120,12 @@
 
 // longestBody returns the limit on a request body.
 func (s *Server) longestBody() int {
-	c := s.gateway.Catalog.Current()
-	if c == nil || c.Limits().MaxBodyBytes <= 0 {
-		return maxBodyBytes
+	limit := maxBodyBytes
+	if c := s.gateway.Catalog.Current(); c != nil && c.Limits().MaxBodyBytes > 0 {
+		limit = min(c.Limits().MaxBodyBytes, maxConfiguredBodyBytes)
 	}
-	limit := min(c.Limits().MaxBodyBytes, maxConfiguredBodyBytes)
 	if memory := s.memoryLimit.Load(); memory > 0 {
-		limit = min(limit, int(memory))
+		limit = min(limit, largestBody(int64(longestBodyShare*float64(memory))))
 	}
 	return limit
 }
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -56,3 +56,28 @@
 func (noopProtocol) IsForwarded(string) bool                          { return true }
 func (noopProtocol) DispatchFields(DispatchMetadata) []dispatch.Field { return nil }
 func (noopProtocol) ParseResponse(http.Header) ResponseMetadata       { return ResponseMetadata{} }
+
+// A body that was within the limit took as much as the instance's memory, or more: its buffer is
+// rounded up, and the only request is always received.
+func TestLongestBodyLeavesMemoryForOthers(t *testing.T) {
+	const mib = 1 << 20
+	for _, test := range []struct{ memory, configured, want int }{
+		{16 * mib, 0, 8 * mib},
+		{66 * mib, 0, 16 * mib},
+		{134 * mib, 100 * mib, 64 * mib},
+		{134 * mib, 1 << 40, 64 * mib},
+		{134 * mib, 10_000_000, 10_000_000},
+		{0, 100 * mib, 100 * mib},
+		{1, 100, 1},
+	} {
+		holder := &catalog.Holder{}
+		if test.configured > 0 {
+			config, err := catalog.New(1, catalog.Contents{Limits: &catalog.Limits{MaxBodyBytes: test.configured}})
+			assert.NilError(t, err)
+			holder.Adopt(config)
+		}
+		server := NewServer(New(Options{Catalog: holder, Counters: &Counters{}, Logger: zap.NewNop(), Clock: realClock()}))
+		server.SetMemoryLimit(int64(test.memory))
+		assert.Check(t, server.longestBody() == test.want, "%d: %+v", server.longestBody(), test)
+	}
+}
