Read what the runtime has mapped before what the process takes

By reading (review): a heap that grew between the two counted as available. In the other order it leaves less.

--- a/internal/process/available.go
+++ b/internal/process/available.go
@@ -19,7 +19,9 @@
 	if l.DataBytes == 0 && l.AddressSpaceBytes == 0 {
 		return statedBytes
 	}
-	return memoryBudget(statedBytes, availableBytes(readUsage(), l, mappedByRuntime()))
+	// The heap may grow in between: read in this order, that leaves less and not more.
+	mapped := mappedByRuntime()
+	return memoryBudget(statedBytes, availableBytes(readUsage(), l, mapped))
 }
 
 func memoryBudget(stated, available int64) int64 {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -41,9 +41,10 @@
 
 // ReadUsage returns what the process takes now.
 func ReadUsage() Usage {
+	mapped := mappedByRuntime()
 	u := readUsage()
 	u.Processors, u.Limits = runtime.GOMAXPROCS(0), ReadLimits()
-	u.AvailableBytes = availableBytes(u, u.Limits, mappedByRuntime())
+	u.AvailableBytes = availableBytes(u, u.Limits, mapped)
 	return u
 }
 
