Learn no response times that span a pause of the instance

Right after an instance had been frozen, callers were refused with 503 "the expected wait is too long" although the targets answered in milliseconds: the times of the requests in flight included the freeze, and were learned as those of the targets.

The gateway reports such times as unknown now: the time to the first part, the time of the whole response and that of the tokens. The instance knows of pauses of more than 0.5 s from its gossip timer; a pause that the timer has not recorded yet counts as well, since responses that arrived in the meantime are read at once.

TestTimesThatSpanAPauseAreNotReported: 6 of 8 cases failed before (1 run; the two others are those without a pause), all pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -260,7 +260,7 @@
 	if x.response.Status >= http.StatusInternalServerError {
 		x.end(schedule.Cancelled)
 	} else {
-		x.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: p.took})
+		x.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: r.unlessPaused(p.took, x.startedAt)})
 	}
 	r.log.addStep("answered", x.grant.Target.ID, p.took)
 	if notRun {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -85,7 +85,7 @@
 		// The body is not read: it may come without end.
 		p.err = errUntrusted
 	default:
-		x.grant.ResponseStarted(r.Clock.Since(x.startedAt))
+		x.grant.ResponseStarted(r.unlessPaused(r.Clock.Since(x.startedAt), x.startedAt))
 		p.body, p.err = x.response.ReadBody(maxBufferedBytes)
 	}
 	return p
@@ -173,8 +173,16 @@
 	if x.events.count == 0 {
 		return schedule.Outcome{Result: result}
 	}
-	tokens, span := x.events.progress(x.inflight.service)
-	return schedule.Outcome{Result: result, TotalTime: x.events.lastAt.Sub(x.startedAt), Tokens: tokens, TokenSpan: span}
+	tokens, span := x.progress()
+	total := x.inflight.unlessPaused(x.events.lastAt.Sub(x.startedAt), x.startedAt)
+	return schedule.Outcome{Result: result, TotalTime: total, Tokens: tokens, TokenSpan: span}
+}
+
+// progress returns the number of tokens since the first event and the time they took; 0 if that
+// is unknown.
+func (x *exchange) progress() (tokens int, span time.Duration) {
+	tokens, span = x.events.progress(x.inflight.service)
+	return tokens, x.inflight.unlessPaused(span, x.events.firstAt)
 }
 
 // finish closes the response and ends the grant.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,6 +175,9 @@
 	// is known.
 	IsEvacuated    func(*catalog.Target) bool
 	EvacuationsLag func() bool
+	// WasPausedSince, if set, reports whether this instance was paused after a time. What it
+	// has measured since then says nothing about a target.
+	WasPausedSince func(time.Time) bool
 	Counters       *Counters
 	// ObserveLatency records the latencies of an answered request; firstEvent is
 	// zero if the response has no events.
@@ -219,3 +222,17 @@
 	g.likelyStarts, g.endLikelyStarts = context.WithCancel(context.Background())
 	return g
 }
+
+// spansPause reports whether this instance was paused between a time and now.
+func (g *Gateway) spansPause(since time.Time) bool {
+	return g.WasPausedSince != nil && g.WasPausedSince(since)
+}
+
+// unlessPaused returns a duration that began at a time and has been measured already; 0, for an
+// unknown one, if this instance was paused since.
+func (g *Gateway) unlessPaused(took time.Duration, since time.Time) time.Duration {
+	if g.spansPause(since) {
+		return 0
+	}
+	return took
+}
--- /dev/null
+++ b/internal/gateway/pause_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
+)
+
+// instanceClock is the clock of an instance that can be paused.
+type instanceClock struct {
+	*clockwork.FakeClock
+	// mu guards the field below.
+	mu        sync.Mutex
+	resumedAt time.Time
+}
+
+const pauseTime = 2 * time.Second
+
+// pause lets the instance be paused for pauseTime.
+func (c *instanceClock) pause() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Advance(pauseTime)
+	c.resumedAt = c.Now()
+}
+
+func (c *instanceClock) wasPausedSince(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return at.Before(c.resumedAt)
+}
+
+// usePausedClock lets the gateway of the case measure by a clock that its targets can pause.
+func (c *takeoverCase) usePausedClock() *instanceClock {
+	clock := &instanceClock{FakeClock: clockwork.NewFakeClockAt(time.Now())}
+	c.Clock = clock
+	c.WasPausedSince = clock.wasPausedSince
+	c.request.service.TokensPerEvent = 1
+	return clock
+}
+
+// Times that spanned a pause of the instance were reported as those of the target.
+func TestTimesThatSpanAPauseAreNotReported(t *testing.T) {
+	var clock *instanceClock
+	pause := func() { clock.pause() }
+	work := func() { clock.Advance(time.Second) }
+	// The time between events lets each be read by itself.
+	const between = 50 * time.Millisecond
+	for name, tc := range map[string]struct {
+		kind        catalog.Kind
+		script      []scriptStep
+		took        time.Duration
+		timeToFirst time.Duration
+		tokenSpans  []time.Duration
+	}{
+		"plain, no pause":        {catalog.Idempotent, []scriptStep{work, plain(http.StatusOK, "x")}, time.Second, time.Second, nil},
+		"plain":                  {catalog.Idempotent, []scriptStep{pause, plain(http.StatusOK, "x")}, 0, 0, nil},
+		"plain, after the pause": {catalog.Idempotent, []scriptStep{pause, work, plain(http.StatusOK, "x")}, 0, 0, nil},
+		"body": {catalog.Idempotent, []scriptStep{
+			work, "HTTP/1.1 200 x\r\nSigned: 1\r\nId: 1\r\nContent-Length: 2\r\n\r\nx", between, pause, "y",
+		}, 0, time.Second, nil},
+		"stream, no pause": {catalog.Streaming, []scriptStep{
+			work, chunkedOK + events(1), between, work, events(2, 3, 4, 5, 6, 7, 8), between, work, events(9) + lastChunk,
+		}, 3 * time.Second, time.Second, []time.Duration{time.Second, 2 * time.Second}},
+		"before the first event": {catalog.Streaming, []scriptStep{
+			pause, chunkedOK + events(1), between, work, events(2, 3, 4, 5, 6, 7, 8), between, work, events(9) + lastChunk,
+		}, 0, 0, []time.Duration{time.Second, 2 * time.Second}},
+		"between events": {catalog.Streaming, []scriptStep{
+			work, chunkedOK + events(1), between, pause, events(2, 3, 4, 5, 6, 7, 8), between, work, events(9) + lastChunk,
+		}, 0, time.Second, []time.Duration{0, 0}},
+		"in the rest of the stream": {catalog.Streaming, []scriptStep{
+			work, chunkedOK + events(1), between, work, events(2, 3, 4, 5, 6, 7, 8), between, pause, events(9) + lastChunk,
+		}, 0, time.Second, []time.Duration{time.Second, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTakeoverCase(t, tc.kind, 1, tc.script)
+			clock = c.usePausedClock()
+			status, _, err := c.send()
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			grant := c.placer.grants[0]
+			assert.Equal(t, grant.result, schedule.Complete)
+			assert.Assert(t, grant.responseStarted)
+			assert.Equal(t, grant.timeToFirst, tc.timeToFirst)
+			assert.Equal(t, grant.took, tc.took)
+			assert.DeepEqual(t, grant.tokenSpans, tc.tokenSpans)
+		})
+	}
+}
--- a/internal/gateway/received_events.go
+++ b/internal/gateway/received_events.go
@@ -72,11 +72,11 @@
 		x.tracked.Heard(x.response.ConnOpenedAt())
 		now := x.inflight.Clock.Now()
 		if events.count == 0 {
-			x.grant.ResponseStarted(now.Sub(x.startedAt))
+			x.grant.ResponseStarted(x.inflight.unlessPaused(now.Sub(x.startedAt), x.startedAt))
 		}
 		events.add(e, now)
 		if events.count == tokenReportEvents {
-			x.grant.TokensReceived(events.progress(x.inflight.service))
+			x.grant.TokensReceived(x.progress())
 		}
 		if !events.reader.hasBufferedEvent() {
 			return nil
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -56,8 +56,8 @@
 	return b.String()
 }
 
-// scriptStep is a part of a target's script: a text to send, a time.Duration to wait, or
-// hang to wait until the caller closes the connection.
+// scriptStep is a part of a target's script: a text to send, a time.Duration to wait, a function
+// to call, or hang to wait until the caller closes the connection.
 type scriptStep any
 
 type hang struct{}
@@ -114,6 +114,8 @@
 				return
 			case <-time.After(step):
 			}
+		case func():
+			step()
 		case hang:
 			<-closed
 			return
@@ -155,6 +157,10 @@
 	target *catalog.Target
 	result schedule.Result
 	took   time.Duration
+	// The fields below are what was reported besides.
+	responseStarted, silent bool
+	timeToFirst             time.Duration
+	tokenSpans              []time.Duration
 }
 
 func (p *sequentialPlacer) Acquire(ctx context.Context, r *schedule.Request) (*schedule.Grant, error) {
@@ -174,17 +180,34 @@
 	return nil, &schedule.RefusedError{Reason: "no target"}
 }
 
-func (g *placedGrant) ResponseStarted(time.Duration)     {}
-func (g *placedGrant) TokensReceived(int, time.Duration) {}
+func (g *placedGrant) ResponseStarted(after time.Duration) {
+	g.placer.mu.Lock()
+	defer g.placer.mu.Unlock()
+	g.responseStarted, g.timeToFirst = true, after
+}
+
+func (g *placedGrant) TokensReceived(_ int, took time.Duration) {
+	g.placer.mu.Lock()
+	defer g.placer.mu.Unlock()
+	g.tokenSpans = append(g.tokenSpans, took)
+}
 
 func (g *placedGrant) TermsStated(schedule.Terms) {}
-func (g *placedGrant) Silent()                    {}
+
+func (g *placedGrant) Silent() {
+	g.placer.mu.Lock()
+	defer g.placer.mu.Unlock()
+	g.silent = true
+}
 
 func (g *placedGrant) Done(o schedule.Outcome) {
 	g.placer.mu.Lock()
 	defer g.placer.mu.Unlock()
 	if g.result == outcomeUnknown {
 		g.result, g.took = o.Result, o.TotalTime
+		if o.Tokens > 0 {
+			g.tokenSpans = append(g.tokenSpans, o.TokenSpan)
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,7 +229,7 @@
 	n.divideBudgets()
 	n.callerServer = gateway.NewServer(gateway.New(gateway.Options{
 		Protocol: options.Protocol, Catalog: n.configuration, Placer: n.placement, Pool: n.pool, Quota: n.quotaGate, Rollouts: n.rollouts, Quarantine: n.quarantine,
-		RetryBudget: n.retryBudget, OnMisdirected: n.handleMisdirected, Draining: n.draining.Load, IsBehind: n.peerHasNewerConfiguration, IsEvacuated: n.isEvacuated, EvacuationsLag: n.evacuationsLag, Counters: &n.requestCounters,
+		RetryBudget: n.retryBudget, OnMisdirected: n.handleMisdirected, Draining: n.draining.Load, IsBehind: n.peerHasNewerConfiguration, IsEvacuated: n.isEvacuated, EvacuationsLag: n.evacuationsLag, WasPausedSince: n.wasPausedSince, Counters: &n.requestCounters,
 		ObserveLatency: n.observeLatency, ClusterView: n.clusterView, FailureDomain: options.Settings.FailureDomain, Clock: options.Clock, Logger: options.Logger,
 	}))
 	n.SetMemoryLimit(options.Settings.MemoryLimitBytes)
--- a/internal/node/resumption.go
+++ b/internal/node/resumption.go
@@ -10,9 +10,10 @@
 )
 
 // maxCoordinatorGap is the pause of the instance's own timer from which it waits before it acts
-// on the silence of others. It is several gossip intervals; with the age of the last messages
-// before the pause, at most two intervals with aggregators, it is less than coordinatorTimeout
-// and the lease of a queued request, 800 ms each.
+// on the silence of others, and learns no times of targets that span the pause. It is several
+// gossip intervals; with the age of the last messages before the pause, at most two intervals
+// with aggregators, it is less than coordinatorTimeout and the lease of a queued request, 800 ms
+// each.
 const maxCoordinatorGap = 500 * time.Millisecond
 
 // resumption tells whether an instance that was paused may not have heard from the others since.
@@ -37,6 +38,15 @@
 	return wasPaused, r.freeze.frozen && now.Sub(r.freeze.until) < placement.ResumeHold
 }
 
+// wasPausedSince reports whether this instance was paused after a time. A pause counts until its
+// end has been recorded, also for times after it.
+func (n *Node) wasPausedSince(at time.Time) bool {
+	r, uptime := &n.resumption, n.uptime()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasBeat && uptime-r.freeze.lastBeat > maxCoordinatorGap || !r.freeze.isSince(at)
+}
+
 // isResuming reports whether this instance was paused and may not have heard from the others
 // since, so that their silence means nothing.
 func (n *Node) isResuming() bool {
--- a/internal/node/resumption_test.go
+++ b/internal/node/resumption_test.go
@@ -64,6 +64,44 @@
 	}
 }
 
+// Response times that span a pause are not those of the target. The pause is known before the timer
+// of the instance has recorded it: what has arrived in the meantime is read at once.
+func TestPauseIsKnownOfTimesThatSpanIt(t *testing.T) {
+	const pause = 5 * time.Second
+	clock := clockwork.NewFakeClock()
+	n := newRosterNode(t, clock)
+	run := func() {
+		clock.Advance(gossipInterval)
+		n.beat()
+	}
+	run()
+	before := clock.Now()
+	run()
+	assert.Assert(t, !n.wasPausedSince(before))
+	clock.Advance(pause)
+	assert.Assert(t, n.wasPausedSince(before))
+	n.beat()
+	resumed := clock.Now()
+	for range int(pause / gossipInterval) {
+		assert.Assert(t, n.wasPausedSince(before))
+		assert.Assert(t, n.wasPausedSince(resumed.Add(-1)))
+		assert.Assert(t, !n.wasPausedSince(resumed))
+		run()
+	}
+}
+
+// A slow start, before the instance serves, is no pause.
+func TestSlowStartIsNoPause(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	list, _ := newMemberList(clock, address(0), 2)
+	startedAt := clock.Now()
+	list.Node.bootTime = func() time.Duration { return clock.Since(startedAt) }
+	clock.Advance(5 * time.Second)
+	assert.Assert(t, !list.Node.wasPausedSince(startedAt))
+	list.Node.beat()
+	assert.Assert(t, !list.Node.wasPausedSince(startedAt))
+}
+
 // The wait after a pause is bounded: an instance that is alone goes on.
 func TestInstanceThatIsAloneAfterAPauseCoordinates(t *testing.T) {
 	clock := clockwork.NewFakeClock()
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -33,9 +33,10 @@
 
 // ExecutionObserver receives the events of a granted request.
 type ExecutionObserver interface {
-	// ResponseStarted records the arrival of the first part of the response.
+	// ResponseStarted records the arrival of the first part of the response; 0 is an unknown
+	// time.
 	ResponseStarted(after time.Duration)
-	// TokensReceived records output tokens received within the given time.
+	// TokensReceived records output tokens received within the given time; 0 is an unknown one.
 	TokensReceived(tokens int, took time.Duration)
 	// Silent records that the target has sent nothing for too long.
 	Silent()
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -196,10 +196,10 @@
 // Outcome describes a request that has ended at its target.
 type Outcome struct {
 	Result Result
-	// TotalTime is the time from dispatch to the end.
+	// TotalTime is the time from dispatch to the end; 0 if unknown.
 	TotalTime time.Duration
 	// Tokens is the number of output tokens received in TokenSpan since the first
-	// event; 0 if the target has no output tokens or sent too few.
+	// event; 0 if the target has no output tokens or sent too few. TokenSpan is 0 if unknown.
 	Tokens    int
 	TokenSpan time.Duration
 }
