Take no pause of the instance for the silence of a target

After a pause of the instance, the deadlines of reads had passed, and requests went on at other targets though the response of the first one was about to be read. Its target counted as silent, which counts towards its ejection, and an attempt of the route was used.

When the time of a watch has passed and the instance was paused in it, the target now gets the same time again. A target that stays silent is replaced after that.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,9 @@
 		}
 	}()
 	x.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
+		if !x.confirmSilence() {
+			return
+		}
 		if t == nil {
 			t = &takeover[*Response]{
 				ctx: ctx, logger: r.Logger, cancelCurrent: x.cancel, onStart: x.recordSilence, search: r.searchResponse, discard: (*Response).discard,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -24,6 +24,9 @@
 	silence  dispatch.SilenceWatch
 
 	startedAt time.Time
+	// silenceFrom is when the watch for silence began or last found the target silent. It
+	// belongs to the goroutine that reads the response.
+	silenceFrom time.Time
 	// counted is set once the attempt counts as sent, silent once its silence has
 	// been recorded.
 	counted, silent bool
@@ -44,8 +47,9 @@
 		}
 	}()
 	ctx, cancel := context.WithCancel(ctx)
+	now := r.Clock.Now()
 	return &exchange{
-		inflight: r, ctx: ctx, cancel: cancel, grant: grant, tracked: r.observe(grant), startedAt: r.Clock.Now(),
+		inflight: r, ctx: ctx, cancel: cancel, grant: grant, tracked: r.observe(grant), startedAt: now, silenceFrom: now,
 		events: &receivedEvents{lastID: lastEventID},
 	}
 }
@@ -141,6 +145,15 @@
 	r.Counters.SentToTargets.Add(1)
 }
 
+// confirmSilence reports whether the target is silent once the time of the watch has passed. After a
+// pause of this instance, what the target has sent may not have been read: the target gets the
+// same time again.
+func (x *exchange) confirmSilence() bool {
+	from := x.silenceFrom
+	x.silenceFrom = x.inflight.Clock.Now()
+	return !x.inflight.spansPause(from)
+}
+
 // recordSilence records that the target is silent.
 func (x *exchange) recordSilence() {
 	if x.silent {
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -94,3 +94,43 @@
 		})
 	}
 }
+
+// A pause of the instance was taken for the silence of its target.
+func TestSilenceThatSpansAPauseIsNotRecorded(t *testing.T) {
+	for name, tc := range map[string]struct {
+		kind          catalog.Kind
+		first, second []scriptStep
+		want          string
+		silent        bool
+	}{
+		"plain": {
+			kind: catalog.Idempotent, first: []scriptStep{longPause, plain(http.StatusOK, "first")},
+			second: []scriptStep{plain(http.StatusOK, "second")}, want: "first",
+		},
+		"first event": {
+			kind: catalog.Streaming, first: []scriptStep{longPause, chunkedOK + events(1, 2) + lastChunk},
+			second: []scriptStep{chunkedOK + events(1) + lastChunk}, want: rawEvents(1, 2),
+		},
+		"in the stream": {
+			kind: catalog.Streaming, first: []scriptStep{chunkedOK + events(1), 1200 * time.Millisecond, events(2) + lastChunk},
+			second: []scriptStep{chunkedOK + events(2, 3) + lastChunk}, want: rawEvents(1, 2),
+		},
+		"plain, goes on": {
+			kind: catalog.Idempotent, first: []scriptStep{hang{}}, second: []scriptStep{plain(http.StatusOK, "second")},
+			want: "second", silent: true,
+		},
+		"stream, goes on": {
+			kind: catalog.Streaming, first: []scriptStep{chunkedOK + events(1), hang{}},
+			second: []scriptStep{chunkedOK + events(2) + lastChunk}, want: rawEvents(1, 2), silent: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTakeoverCase(t, tc.kind, 2, tc.first, tc.second)
+			resumedAt := time.Now().Add(500 * time.Millisecond)
+			c.WasPausedSince = func(at time.Time) bool { return at.Before(resumedAt) }
+			c.checkSend(t, tc.want)
+			assert.Equal(t, c.placer.grants[0].silent, tc.silent)
+			assert.Equal(t, c.Counters.TargetsSilent.Load() > 0, tc.silent)
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -88,6 +88,7 @@
 
 // advance reads the next events and handles the end of the stream.
 func (s *stream) advance() error {
+	s.current.silenceFrom = s.inflight.Clock.Now()
 	s.current.response.WatchSilence(dispatch.SilenceWatch{After: s.inflight.gapTimeout(), OnSilence: s.onSilence})
 	err := s.current.readEvents()
 	t := s.takeover
@@ -124,6 +125,9 @@
 
 // searchTakeover looks for another target while the current one is silent.
 func (s *stream) searchTakeover() {
+	if !s.current.confirmSilence() {
+		return
+	}
 	if s.takeover == nil {
 		position := s.position()
 		s.takeover = &takeover[*exchange]{
@@ -213,6 +217,9 @@
 		}
 	}()
 	x.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
+		if !x.confirmSilence() {
+			return
+		}
 		if t == nil {
 			t = &takeover[*exchange]{
 				ctx: ctx, logger: r.Logger, cancelCurrent: x.cancel, onStart: x.recordSilence, discard: (*exchange).discard,
