Count no pause of the instance into the usual durations of routes

The time of a request during which the instance was paused became a usual one of its route. For up to a minute, a stopping instance could refuse requests on that route that would have ended in time.

Durations that span a pause are not recorded.

TestDurationsThatSpanAPauseAreNotUsual failed before (1 of 1) and passes with the race detector (1 of 1).

--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -134,3 +134,27 @@
 		})
 	}
 }
+
+// A request during which the instance was paused was taken for one of a slow route: a stopping
+// instance refused requests that would have ended in time.
+func TestDurationsThatSpanAPauseAreNotUsual(t *testing.T) {
+	var clock *instanceClock
+	for _, paused := range []bool{false, true} {
+		c := newTakeoverCase(t, catalog.Idempotent, 1, []scriptStep{func() {
+			if paused {
+				clock.pause()
+			} else {
+				clock.Advance(pauseTime)
+			}
+		}, plain(http.StatusOK, "x")})
+		clock = c.usePausedClock()
+		c.request.route.Name = "route"
+		c.checkSend(t, "x")
+		c.request.observeDuration()
+		want := pauseTime
+		if paused {
+			want = 0
+		}
+		assert.Equal(t, c.durations.usual("route", clock.Now()), want)
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -473,11 +473,14 @@
 }
 
 // observeDuration records how long the request has taken at targets, also if it did not end
-// there: it takes at least that long.
+// there: it takes at least that long, unless this instance was paused meanwhile.
 func (r *inflightRequest) observeDuration() {
-	if r.attempts > 0 {
-		now := r.Clock.Now()
-		r.durations.observe(r.route.Name, now.Sub(r.firstPlacedAt), now)
+	if r.attempts == 0 {
+		return
+	}
+	now := r.Clock.Now()
+	if took := r.unlessPaused(now.Sub(r.firstPlacedAt), r.firstPlacedAt); took > 0 {
+		r.durations.observe(r.route.Name, took, now)
 	}
 }
 
