--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,9 @@
 		}
 	}()
 	x.silence = dispatch.SilenceWatch{After: r.responseTimeout(grant.ExpectedTimeToFirst), OnSilence: func() {
+		if !x.confirmSilence() {
+			return
+		}
 		if t == nil {
 			t = &takeover[*Response]{
 				ctx: ctx, logger: r.Logger, cancelCurrent: x.cancel, onStart: x.recordSilence, search: r.searchResponse, discard: (*Response).discard,
@@ -261,7 +264,7 @@
 	if x.response.Status >= http.StatusInternalServerError {
 		x.end(schedule.Cancelled)
 	} else {
-		x.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: p.took})
+		x.finish(schedule.Outcome{Result: schedule.Complete, TotalTime: r.unlessPaused(p.took, x.startedAt)})
 	}
 	r.log.addStep("answered", x.grant.Target.ID, p.took)
 	concluded = true
