Wait for host names that do not resolve at the start

Seen: a host name in listen.frontend or listen.readiness that did not resolve ended the start at once with status 4.

Lookups end with the context, so that they do not hold up a stop (by reading; no test).

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -96,7 +96,7 @@
 // are not available yet until ctx ends, which has no effect on an instance that has started.
 func Start(ctx context.Context, options Options) (*Instance, error) {
 	i := &Instance{options: options, logger: options.Logger, clock: clockwork.NewRealClock()}
-	if err := listen.Retry(ctx, i.clock, i.logger, i.listen); err != nil {
+	if err := listen.Retry(ctx, i.clock, i.logger, func() error { return i.listen(ctx) }); err != nil {
 		return nil, err
 	}
 	i.buildComponents()
@@ -112,19 +112,19 @@
 }
 
 // listen opens all listeners or none.
-func (i *Instance) listen() (err error) {
+func (i *Instance) listen(ctx context.Context) (err error) {
 	defer func() {
 		if err != nil {
 			i.closeListeners()
 		}
 	}()
 	addresses := &i.options.Settings.Listen
-	listener, err := listen.TCP("callers", addresses.Callers)
+	listener, err := listen.TCP(ctx, "callers", addresses.Callers)
 	if err != nil {
 		return err
 	}
 	i.callerListener = newTrackedListener(i.retrying("callers", listener))
-	if listener, err = listen.TCP("operators", addresses.Admin); err != nil {
+	if listener, err = listen.TCP(ctx, "operators", addresses.Admin); err != nil {
 		return err
 	}
 	i.adminListener = i.retrying("operators", listener)
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -40,12 +40,17 @@
 // IsShortage reports whether the system is short of descriptors or memory.
 func IsShortage(err error) bool { return errors.IsAny(err, shortageErrors...) }
 
-// IsPassing reports whether listening may succeed later without a change of the settings.
-func IsPassing(err error) bool { return IsShortage(err) || errors.IsAny(err, addressErrors...) }
+// IsPassing reports whether listening may succeed later without a change of the settings. A host
+// name that does not resolve may do so later, whatever the resolver's answer.
+func IsPassing(err error) bool {
+	var lookupError *net.DNSError
+	return IsShortage(err) || errors.IsAny(err, addressErrors...) || errors.As(err, &lookupError)
+}
 
-// TCP listens on an address for a server. It returns an *Error.
-func TCP(server, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+// TCP listens on an address for a server. The context bounds the lookup of a host name. It returns
+// an *Error.
+func TCP(ctx context.Context, server, address string) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, &Error{Server: server, Address: address, Err: err}
 	}
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -102,3 +102,12 @@
 	}()
 	return waits
 }
+
+// A host name that did not resolve at the moment of the start ended the process with status 4.
+func TestHostNamesMayResolveLater(t *testing.T) {
+	for _, cause := range []net.DNSError{{Err: "no such host", IsNotFound: true}, {Err: "server misbehaving", IsTemporary: true}, {Err: "i/o timeout", IsTimeout: true}} {
+		assert.Check(t, IsPassing(&Error{Server: "callers", Err: &net.OpError{Op: "listen", Net: "tcp", Err: &cause}}), cause.Err)
+	}
+	_, err := TCP(t.Context(), "callers", "127.0.0.1:70000")
+	assert.Check(t, err != nil && !IsPassing(err), "%v", err)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -306,7 +306,7 @@
 	var opened *sockets
 	err := listen.Retry(ctx, options.Clock, options.Logger, func() error {
 		s := &sockets{}
-		if err := s.open(options); err != nil {
+		if err := s.open(ctx, options); err != nil {
 			s.close()
 			return err
 		}
@@ -316,7 +316,7 @@
 	if err != nil || options.Settings.MetricsAddress == "" {
 		return opened, err
 	}
-	opened.metrics, err = listen.TCP(serverMetrics, options.Settings.MetricsAddress)
+	opened.metrics, err = listen.TCP(ctx, serverMetrics, options.Settings.MetricsAddress)
 	if err != nil && !listen.IsPassing(err) {
 		opened.close()
 		return nil, err
@@ -324,12 +324,12 @@
 	return opened, nil
 }
 
-func (s *sockets) open(options Options) (err error) {
+func (s *sockets) open(ctx context.Context, options Options) (err error) {
 	settings := &options.Settings
-	if s.callers, err = listen.TCP(serverCallers, settings.CallerAddress); err != nil {
+	if s.callers, err = listen.TCP(ctx, serverCallers, settings.CallerAddress); err != nil {
 		return err
 	}
-	if s.readiness, err = listen.TCP(serverReadiness, settings.ReadinessAddress); err != nil {
+	if s.readiness, err = listen.TCP(ctx, serverReadiness, settings.ReadinessAddress); err != nil {
 		return err
 	}
 	s.bus, err = peer.Listen(peer.Options{
@@ -394,7 +394,7 @@
 func (n *Node) serveMetrics(ctx context.Context, l net.Listener) {
 	err := listen.Retry(ctx, n.clock, n.logger, func() (err error) {
 		if l == nil {
-			l, err = listen.TCP(serverMetrics, n.settings.MetricsAddress)
+			l, err = listen.TCP(ctx, serverMetrics, n.settings.MetricsAddress)
 		}
 		return err
 	})
