Serve without metrics if their address cannot be bound

Cause: openSockets returned errors of the metrics' address that do not pass.

Change: the instance serves without metrics, with one line that tells why.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -316,10 +316,9 @@
 	if err != nil || options.Settings.MetricsAddress == "" {
 		return opened, err
 	}
-	opened.metrics, err = listen.TCP(ctx, serverMetrics, options.Settings.MetricsAddress)
-	if err != nil && !listen.IsPassing(err) {
-		opened.close()
-		return nil, err
+	// serveMetrics tries again, and reports the failure.
+	if l, err := listen.TCP(ctx, serverMetrics, options.Settings.MetricsAddress); err == nil {
+		opened.metrics = l
 	}
 	return opened, nil
 }
@@ -399,7 +398,9 @@
 		return err
 	})
 	if err != nil {
-		n.logServerEnd(serverMetrics, err)
+		if ctx.Err() == nil {
+			n.logger.Error("metrics are not served", eventlog.ErrorField(err))
+		}
 		return
 	}
 	l = n.limited(serverMetrics, l)
