Take no pause of the instance for an unreachable target

A connection that was being set up while the instance was paused had run into its timeout when the instance went on. The target counted as unreachable and got no requests for a while, and the request was refused with 503 if there was no other target.

After such a timeout the target is neither excluded nor reported, and the request is placed again. The number of such attempts of a request is bounded as before. A refused connection still counts: only the target's host can refuse it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -160,6 +160,9 @@
 		// The target is not excluded: it may be reached through another instance.
 		x.end(schedule.Cancelled)
 		return r.pathLostAttempt(notSent)
+	case x.dialSpansPause(p.err):
+		x.end(schedule.Cancelled)
+		return attemptResult{retry: true}
 	case notSent:
 		r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 		x.end(schedule.Unreachable)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
@@ -154,6 +156,13 @@
 	return !x.inflight.spansPause(from)
 }
 
+// dialSpansPause reports whether an exchange has failed since this instance was paused while the
+// connection was being set up. The target may be reached all the same.
+func (x *exchange) dialSpansPause(err error) bool {
+	var netErr net.Error
+	return dispatch.IsNotSent(err) && errors.As(err, &netErr) && netErr.Timeout() && x.inflight.spansPause(x.startedAt)
+}
+
 // recordSilence records that the target is silent.
 func (x *exchange) recordSilence() {
 	if x.silent {
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -158,3 +162,69 @@
 		assert.Equal(t, c.durations.usual("route", clock.Now()), want)
 	}
 }
+
+// A connection that a pause of the instance kept from being set up in time counted as the failure of
+// its target, which got no requests then.
+func TestConnectionThatSpansAPauseDoesNotMakeATargetUnreachable(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	for name, tc := range map[string]struct {
+		err     error
+		paused  bool
+		results []schedule.Result
+		status  int
+	}{
+		"paused":              {context.DeadlineExceeded, true, []schedule.Result{schedule.Cancelled, schedule.Complete}, http.StatusOK},
+		"not paused":          {context.DeadlineExceeded, false, []schedule.Result{schedule.Unreachable}, http.StatusServiceUnavailable},
+		"refused after pause": {refused, true, []schedule.Result{schedule.Unreachable}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTakeoverCase(t, catalog.NonIdempotent, 1, []scriptStep{plain(http.StatusOK, "x")})
+			clock := c.usePausedClock()
+			dials := 0
+			c.Pool.SetDial(func(ctx context.Context, address string) (net.Conn, error) {
+				if dials++; dials > 1 {
+					return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				}
+				if tc.paused {
+					clock.pause()
+				}
+				return nil, tc.err
+			})
+			status, _, err := c.send()
+			assert.NilError(t, err)
+			assert.Equal(t, status, tc.status)
+			assert.DeepEqual(t, c.placer.results(), tc.results)
+		})
+	}
+}
+
+// The same for the target that is to go on with a stream.
+func TestConnectionThatSpansAPauseResumesTheStream(t *testing.T) {
+	c := newTakeoverCase(t, catalog.Streaming, 2,
+		[]scriptStep{chunkedOK + events(1)}, []scriptStep{chunkedOK + events(2) + lastChunk})
+	clock := c.usePausedClock()
+	dials := 0
+	c.Pool.SetDial(func(ctx context.Context, address string) (net.Conn, error) {
+		if dials++; dials != 2 {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+		clock.pause()
+		return nil, context.DeadlineExceeded
+	})
+	c.checkSend(t, rawEvents(1, 2))
+	assert.DeepEqual(t, c.placer.results(), []schedule.Result{schedule.Failed, schedule.Cancelled, schedule.Complete})
+}
+
+// Targets that cannot be reached stay bounded while the instance is paused over and over.
+func TestConnectionsThatSpanPausesAreBounded(t *testing.T) {
+	c := newTakeoverCase(t, catalog.Idempotent, 1, []scriptStep{plain(http.StatusOK, "x")})
+	clock := c.usePausedClock()
+	c.Pool.SetDial(func(context.Context, string) (net.Conn, error) {
+		clock.pause()
+		return nil, context.DeadlineExceeded
+	})
+	status, _, err := c.send()
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, len(c.placer.results()) <= maxUnreachableTargets+1, "%v", c.placer.results())
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -283,6 +283,10 @@
 		x.end(schedule.Cancelled)
 		return
 	}
+	if x.dialSpansPause(p.err) {
+		x.end(schedule.Cancelled)
+		return
+	}
 	r.excludedTargets = append(r.excludedTargets, x.grant.Target.Key())
 	x.end(schedule.Failed)
 }
