--- a/internal/process/available_test.go
+++ b/internal/process/available_test.go
@@ -35,9 +35,13 @@
 func TestMemoryBudget(t *testing.T) {
 	const mb = 1 << 20
 	for _, test := range []struct{ stated, available, want int64 }{
-		{0, unlimited, 0}, {134 * mb, unlimited, 134 * mb},
-		{134 * mb, 66 * mb, 66 * mb}, {134 * mb, 200 * mb, 134 * mb}, {0, 66 * mb, 66 * mb},
-		{134 * mb, 0, minMemoryBudget}, {8 * mb, 0, 8 * mb},
+		{0, unlimited, 0},
+		{134 * mb, unlimited, 134 * mb},
+		{134 * mb, 66 * mb, 66 * mb},
+		{134 * mb, 200 * mb, 134 * mb},
+		{0, 66 * mb, 66 * mb},
+		{134 * mb, 0, minMemoryBudget},
+		{8 * mb, 0, 8 * mb},
 	} {
 		got := memoryBudget(test.stated, test.available)
 		assert.Check(t, got == test.want, "%+v: %d", test, got)
