Renew a watch for silence after a pause only once

Found by the review: the watch was renewed after each pause of the instance, so that a target that hangs was neither replaced nor counted as silent while the instance paused once in each window. Callers got 504 at their deadline.

TestSilentTargetIsReplacedWhileTheInstanceIsPausedOverAndOver: 2 of 2 cases failed before, pass with -race (1 run), beside the other tests of pauses.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,9 +26,11 @@
 	silence  dispatch.SilenceWatch
 
 	startedAt time.Time
-	// silenceFrom is when the watch for silence began or last found the target silent. It
-	// belongs to the goroutine that reads the response.
+	// silenceFrom is when the watch for silence began. It belongs to the goroutine that reads the
+	// response.
 	silenceFrom time.Time
+	// silenceRenewed is set once the watch has been renewed after a pause of this instance.
+	silenceRenewed bool
 	// counted is set once the attempt counts as sent, silent once its silence has
 	// been recorded.
 	counted, silent bool
@@ -147,13 +149,20 @@
 	r.Counters.SentToTargets.Add(1)
 }
 
+// beginSilenceWatch states that the target is waited for from now on.
+func (x *exchange) beginSilenceWatch() {
+	x.silenceFrom, x.silenceRenewed = x.inflight.Clock.Now(), false
+}
+
 // confirmSilence reports whether the target is silent once the time of the watch has passed. After a
 // pause of this instance, what the target has sent may not have been read: the target gets the
-// same time again.
+// same time again, once.
 func (x *exchange) confirmSilence() bool {
-	from := x.silenceFrom
-	x.silenceFrom = x.inflight.Clock.Now()
-	return !x.inflight.spansPause(from)
+	if x.silenceRenewed || !x.inflight.spansPause(x.silenceFrom) {
+		return true
+	}
+	x.silenceRenewed = true
+	return false
 }
 
 // dialSpansPause reports whether an exchange has failed since this instance was paused while the
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -163,6 +163,27 @@
 	}
 }
 
+// The watch for silence was renewed after each pause, so that a target that hangs was never replaced.
+func TestSilentTargetIsReplacedWhileTheInstanceIsPausedOverAndOver(t *testing.T) {
+	for name, tc := range map[string]struct {
+		kind          catalog.Kind
+		first, second []scriptStep
+		want          string
+	}{
+		"plain": {catalog.Idempotent, []scriptStep{hang{}}, []scriptStep{plain(http.StatusOK, "second")}, "second"},
+		"stream": {
+			catalog.Streaming, []scriptStep{chunkedOK + events(1), hang{}}, []scriptStep{chunkedOK + events(2) + lastChunk}, rawEvents(1, 2),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTakeoverCase(t, tc.kind, 2, tc.first, tc.second)
+			c.WasPausedSince = func(time.Time) bool { return true }
+			c.checkSend(t, tc.want)
+			assert.Assert(t, c.placer.grants[0].silent)
+		})
+	}
+}
+
 // A connection that a pause of the instance kept from being set up in time counted as the failure of
 // its target, which got no requests then.
 func TestConnectionThatSpansAPauseDoesNotMakeATargetUnreachable(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -88,7 +88,7 @@
 
 // advance reads the next events and handles the end of the stream.
 func (s *stream) advance() error {
-	s.current.silenceFrom = s.inflight.Clock.Now()
+	s.current.beginSilenceWatch()
 	s.current.response.WatchSilence(dispatch.SilenceWatch{After: s.inflight.gapTimeout(), OnSilence: s.onSilence})
 	err := s.current.readEvents()
 	t := s.takeover
