Compare with responses that have been arriving for some time only

Found by the review: the rate of a response whose first part has just arrived is that of the part, some 30 MB/s. Named as the rate to compare with, it made the chosen instance give up at its first part, for good at that position.

--- a/internal/node/comparison.go
+++ b/internal/node/comparison.go
@@ -114,8 +114,11 @@
 		if s.arrivingSince.IsZero() || s.configVersion < newest {
 			continue
 		}
-		c.BytesPerSecond = max(c.BytesPerSecond, s.bytesPerSecond)
-		isSlow = isSlow || s.arrivesSlowly(now)
+		// The rate of a response that has just begun to arrive is that of its first part.
+		if s.arrivesSlowly(now) {
+			isSlow = true
+			c.BytesPerSecond = max(c.BytesPerSecond, s.bytesPerSecond)
+		}
 	}
 	candidates = slices.DeleteFunc(candidates, func(s peerState) bool {
 		return s.draining || !s.mayCompare || slices.Contains(watchers, s.address)
--- a/internal/node/comparison_test.go
+++ b/internal/node/comparison_test.go
@@ -58,7 +58,9 @@
 	assert.Assert(t, choose(0) == nil)
 	arriving[0], arriving[1] = &arrival{AgeMs: slow - 1, BytesPerSecond: 1000}, &arrival{AgeMs: slow - 1, BytesPerSecond: 3000}
 	assert.Assert(t, choose(0) == nil)
-	arriving[0].AgeMs = slow
+	arriving[0].AgeMs, arriving[1] = slow, &arrival{AgeMs: 2, BytesPerSecond: 32_000_000}
+	assert.Equal(t, choose(0).BytesPerSecond, uint64(1000), "the rate of a first part counts")
+	arriving[1] = &arrival{AgeMs: slow, BytesPerSecond: 3000}
 	first := choose(0)
 	assert.Equal(t, first.BytesPerSecond, uint64(3000))
 	assert.Assert(t, first.Address == address(2) || first.Address == address(3), "%s has a small capacity", first.Address)
