--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -21,7 +21,7 @@
 	m.bytes.Store(r.reserved)
 	r.pool.heldMu.Lock()
 	defer r.pool.heldMu.Unlock()
-	r.pool.passing += r.reserved
+	r.pool.releasing += r.reserved
 	r.reserved = 0
 	return m
 }
@@ -34,15 +34,15 @@
 	bytes := m.bytes.Swap(0)
 	m.pool.heldMu.Lock()
 	defer m.pool.heldMu.Unlock()
-	m.pool.pass(bytes)
+	m.pool.endRelease(bytes)
 }
 
-// pass records that bytes that were passing are held no longer. The caller holds heldMu.
-func (p *Pool) pass(bytes int64) {
+// endRelease records that bytes that were being released are held no longer. The caller holds heldMu.
+func (p *Pool) endRelease(bytes int64) {
 	if bytes == 0 {
 		return
 	}
-	p.passing -= bytes
+	p.releasing -= bytes
 	p.free(bytes)
 }
 
@@ -61,7 +61,7 @@
 }
 
 // reserve reserves bytes for a body, and reports whether there is enough memory. Slow callers are given
-// up for it. What is passing is waited for until the request is cancelled.
+// up for it. What is being released is waited for until the request is cancelled.
 func (p *Pool) reserve(bytes int64, cancelled <-chan struct{}) bool {
 	var timeout <-chan time.Time
 	for !p.tryReserve(bytes) {
@@ -105,15 +105,15 @@
 // accepted nothing for the longest time are given up.
 type CallerMemory struct {
 	pool *Pool
-	// giveUp is called without a lock, at most once. What is held passes until Release.
+	// giveUp is called without a lock, at most once. What is held is being released until Release.
 	giveUp func()
 	// The fields below are guarded by Pool.heldMu. bytes is what is held since progressAt, when
 	// the caller last accepted anything.
 	bytes      int64
 	progressAt time.Time
 	givenUp    bool
-	// passing is what was held when the caller was given up.
-	passing int64
+	// releasing is what was held when the caller was given up.
+	releasing int64
 }
 
 // HoldForCaller returns the memory held for a caller, which is empty. giveUp ends its response; it
@@ -172,9 +172,9 @@
 	switch {
 	case bytes == 0:
 	case caller.givenUp:
-		caller.passing += bytes
+		caller.releasing += bytes
 	default:
-		p.passing -= bytes
+		p.releasing -= bytes
 		p.hold(caller, bytes, now)
 		p.recheck()
 	}
@@ -193,7 +193,7 @@
 	bytes = min(bytes, caller.bytes)
 	caller.bytes -= bytes
 	p.heldForCallers -= bytes
-	p.passing += bytes
+	p.releasing += bytes
 	if caller.bytes == 0 {
 		delete(p.held, caller)
 	}
@@ -214,13 +214,13 @@
 	m.pool.heldMu.Lock()
 	defer m.pool.heldMu.Unlock()
 	m.pool.drop(m, m.bytes)
-	m.pool.pass(m.passing)
-	m.passing = 0
+	m.pool.endRelease(m.releasing)
+	m.releasing = 0
 }
 
 // fixedBytes returns the memory that neither giving up callers nor waiting makes free. The caller holds
 // heldMu.
-func (p *Pool) fixedBytes() int64 { return p.bufferedBytes.Load() - p.heldForCallers - p.passing }
+func (p *Pool) fixedBytes() int64 { return p.bufferedBytes.Load() - p.heldForCallers - p.releasing }
 
 // drop subtracts bytes that are held no longer. The caller holds heldMu.
 func (p *Pool) drop(m *CallerMemory, bytes int64) {
@@ -236,9 +236,9 @@
 }
 
 // takeSlowest takes the memory of the callers to be given up so that there is room for bytes once it
-// has passed, as far as they hold any, and returns them. The caller holds heldMu.
+// has been released, as far as they hold any, and returns them. The caller holds heldMu.
 func (p *Pool) takeSlowest(bytes int64) (victims []*CallerMemory) {
-	for p.bufferedBytes.Load()-p.passing+bytes > p.maxBuffered.Load() && len(p.held) > 0 {
+	for p.bufferedBytes.Load()-p.releasing+bytes > p.maxBuffered.Load() && len(p.held) > 0 {
 		var slowest *CallerMemory
 		for m := range p.held {
 			if slowest == nil || m.isSlowerThan(slowest) {
@@ -250,12 +250,12 @@
 	return victims
 }
 
-// take takes the memory of a caller that is to be given up, which passes until its Release. The caller
+// take takes the memory of a caller that is to be given up; it is being released until its Release. The caller
 // holds heldMu.
 func (p *Pool) take(m *CallerMemory) *CallerMemory {
 	m.givenUp = true
-	m.passing = m.bytes
-	p.passing += m.passing
+	m.releasing = m.bytes
+	p.releasing += m.releasing
 	p.heldForCallers -= m.bytes
 	m.bytes = 0
 	delete(p.held, m)
@@ -271,7 +271,7 @@
 }
 
 // makeRoom gives up the slowest callers until there is room for bytes, and reports whether there is
-// once what is passing has been released. released is closed at the next release; it is nil if there
+// once what is being released is free. released is closed at the next release; it is nil if there
 // is room now. No caller is given up if all of them together do not hold enough.
 func (p *Pool) makeRoom(bytes int64) (released <-chan struct{}, ok bool) {
 	p.heldMu.Lock()
--- a/internal/dispatch/held_test.go
+++ b/internal/dispatch/held_test.go
@@ -82,7 +82,7 @@
 	assert.Assert(t, <-reserved)
 	memory.Release()
 	assert.Equal(t, p.HeldBytes(), int64(limit))
-	assert.Equal(t, p.passing, int64(0))
+	assert.Equal(t, p.releasing, int64(0))
 }
 
 // The wait for memory that is about to be released ends.
@@ -121,9 +121,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			p := newLimitedPool(limit)
-			passing := &PooledResponse{pool: p}
-			assert.Assert(t, passing.Reserve(unsharedBufferBytes+limit/2))
-			defer passing.TakeMemory().Release()
+			releasing := &PooledResponse{pool: p}
+			assert.Assert(t, releasing.Reserve(unsharedBufferBytes+limit/2))
+			defer releasing.TakeMemory().Release()
 			free := test.hold(p)
 			reserved := make(chan bool)
 			go func() { reserved <- (&PooledResponse{pool: p}).Reserve(unsharedBufferBytes + limit/2) }()
@@ -159,9 +159,9 @@
 	}()
 	p := NewPool(clockwork.NewRealClock())
 	p.SetMemoryLimit(size / bodyMemoryShare)
-	passing := &PooledResponse{pool: p}
-	assert.Assert(t, passing.Reserve(unsharedBufferBytes+size))
-	defer passing.TakeMemory().Release()
+	releasing := &PooledResponse{pool: p}
+	assert.Assert(t, releasing.Reserve(unsharedBufferBytes+size))
+	defer releasing.TakeMemory().Release()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	response, err := p.Send(ctx, &PooledRequest{Address: l.Addr().String(), Method: http.MethodGet, URI: "/", Match: func(http.Header) Match { return MatchOwn }})
@@ -219,5 +219,5 @@
 	assert.Assert(t, <-reserved)
 	assert.Equal(t, p.HeldBytes(), int64(limit))
 	callers, bytes := p.HeldForCallers()
-	assert.Assert(t, callers == 0 && bytes == 0 && p.passing == 0, "%d, %d, %d", callers, bytes, p.passing)
+	assert.Assert(t, callers == 0 && bytes == 0 && p.releasing == 0, "%d, %d, %d", callers, bytes, p.releasing)
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -52,13 +52,13 @@
 	// bufferedBytes is the memory reserved for bodies and held for callers, maxBuffered its
 	// bound, in bytes.
 	bufferedBytes, maxBuffered atomic.Int64
-	// heldMu guards held, the callers that memory is held for, heldForCallers, how much, and passing,
+	// heldMu guards held, the callers that memory is held for, heldForCallers, how much, and releasing,
 	// what is released soon: bodies that are being handed over, and memory of callers given up. released
 	// is closed when a body that waits may find room; nil if none waits.
-	heldMu                  sync.Mutex
-	held                    map[*CallerMemory]struct{}
-	heldForCallers, passing int64
-	released                chan struct{}
+	heldMu                    sync.Mutex
+	held                      map[*CallerMemory]struct{}
+	heldForCallers, releasing int64
+	released                  chan struct{}
 
 	// maxIdle is called without mu: it may have to wait for a collection.
 	maxIdle func(address string) int
--- a/internal/node/comparison.go
+++ b/internal/node/comparison.go
@@ -14,7 +14,7 @@
 	// instance reads as well, to compare.
 	slowArrivalTime = 500 * time.Millisecond
 	// fasterRatio is how many times as fast a response has to arrive at that instance. Over a
-	// way that all share it is slower there than it was at the watchers.
+	// link that all share it is slower there than it was at the watchers.
 	fasterRatio = 2
 )
 
@@ -31,7 +31,7 @@
 }
 
 // comparison names an instance that watches the declarations as well while the responses to the
-// watchers arrive slowly: their links may be slow, or the way that all instances share, over
+// watchers arrive slowly: their links may be slow, or the link that all instances share, over
 // which each further transfer delays the others. It reads on only while its response arrives
 // clearly faster.
 type comparison struct {
--- a/internal/node/comparison_test.go
+++ b/internal/node/comparison_test.go
@@ -99,7 +99,7 @@
 	assert.Assert(t, !known && m.comparison() == nil)
 }
 
-// A way that all share is slower for each that reads.
+// A link that all share is slower for each that reads.
 func TestComparedResponseHasToArriveClearlyFaster(t *testing.T) {
 	c := comparison{BytesPerSecond: 100_000}
 	assert.Assert(t, c.isFaster(20_000, 100*time.Millisecond))
