--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -442,13 +442,11 @@
 	additionEvacuations = 4 + iota
 	additionTraits
 	additionCold
-	additionArrival
-	additionComparison
 )
 
 // appendAdditions appends to the additions of earlier builds the set of evacuated domains,
-// the version of the configuration from which the traits of services are, the cold targets
-// and the state of the response to the watch.
+// the version of the configuration from which the traits of services are, and the cold
+// targets.
 func (n *Node) appendAdditions(m *message) error {
 	now, uptime := n.clock.Now(), n.uptime()
 	sent := func() *sentEvacuations {
@@ -458,7 +456,7 @@
 		n.evacuations.beat(uptime, now)
 		return n.evacuations.set.encode(now)
 	}()
-	return m.append(sent, n.traits.current().Version, n.cold.encode(now), n.arrival())
+	return m.append(sent, n.traits.current().Version, n.cold.encode(now))
 }
 
 // append appends values to the additions.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -63,16 +63,10 @@
 			continue
 		}
 		startedAt := n.clock.Now()
-		declarations, err := n.readDeclarations(ctx, position, reason)
+		declarations, err := n.readDeclarations(ctx, position)
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, errNotFaster) {
-			n.comparedAt = position
-			n.logger.Info("watch given up; the response arrives no faster than to others",
-				zap.Duration("took", n.clock.Since(startedAt)), zap.Uint64("in_force", n.configuration.Version()))
-			continue
-		}
 		dependency.record(err)
 		n.logDeclarationsRead(&declarations, position, startedAt, err)
 		if err != nil {
@@ -88,9 +82,8 @@
 	}
 }
 
-// readDeclarations reads the declarations, or waits for changes after a position for one of the
-// reasons of watchReason.
-func (n *Node) readDeclarations(ctx context.Context, position Position, reason string) (Declarations, error) {
+// readDeclarations reads the declarations, or waits for changes after a position.
+func (n *Node) readDeclarations(ctx context.Context, position Position) (Declarations, error) {
 	if position.IsZero() {
 		return n.controlPlane.ReadDeclarations(ctx)
 	}
@@ -100,36 +93,14 @@
 			zap.Duration("arriving_for", n.arrivingFor()), zap.Uint64("in_force", n.configuration.Version()))
 	})
 	defer overdue.Stop()
-	n.watchedVersion.Store(n.configuration.Version())
 	defer n.arrivingNanos.Store(0)
-	onProgress := n.recordProgress
-	if c := n.comparison(); reason == watchesToCompare && c != nil {
-		onProgress = func(receivedBytes int) error {
-			if !c.isFaster(receivedBytes, n.clock.Since(startedAt)) {
-				return errNotFaster
-			}
-			return n.recordProgress(receivedBytes)
-		}
-	}
-	return n.controlPlane.Watch(ctx, position, onProgress)
+	return n.controlPlane.Watch(ctx, position, n.recordProgress)
 }
 
 // recordProgress records that a part of the response to the watch has arrived.
-func (n *Node) recordProgress(receivedBytes int) error {
-	n.arrivedBytes.Store(int64(receivedBytes))
+func (n *Node) recordProgress() {
 	n.arrivingNanos.CompareAndSwap(0, n.clock.Since(n.startedAt).Nanoseconds())
 	n.recordWatch()
-	return nil
-}
-
-// arrival returns the state of the response to the current watch; nil if none is arriving, or
-// others have sent a newer configuration meanwhile.
-func (n *Node) arrival() *arrival {
-	arrivingFor := n.arrivingFor()
-	if arrivingFor == 0 || n.configuration.Version() != n.watchedVersion.Load() {
-		return nil
-	}
-	return &arrival{AgeMs: ageMillis(arrivingFor), BytesPerSecond: uint64(float64(n.arrivedBytes.Load()) / arrivingFor.Seconds())}
 }
 
 // arrivingFor returns for how long the response to the current watch has been arriving; 0 if
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -207,7 +207,7 @@
 		n.peers.addAddresses(m.KnownAddresses)
 		watchers, err := m.watchers()
 		if err == nil {
-			n.peers.assignWatchers(watchers, m.comparison())
+			n.peers.assignWatchers(watchers)
 		} else {
 			n.counters.DecodeErrors.Add(1)
 		}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -118,28 +118,6 @@
 	return time.Duration(min(ms, maxUptimeMs)) * time.Millisecond
 }
 
-// arrival returns the state of the response to the sender's watch, nil if none is arriving;
-// known is false if the sender does not state it.
-func (m *message) arrival() (a *arrival, known bool) {
-	if len(m.Additions) <= additionArrival {
-		return nil, false
-	}
-	// An encoded nil is received as an empty value, which is no valid encoding.
-	if m.addition(additionArrival, &a) != nil {
-		return nil, true
-	}
-	return a, true
-}
-
-// comparison returns the comparison that the sender names; nil if it names none.
-func (m *message) comparison() *comparison {
-	var c *comparison
-	if m.addition(additionComparison, &c) != nil {
-		return nil
-	}
-	return c
-}
-
 // maxUptimeMs bounds the time that a message may state.
 const maxUptimeMs = 1 << 40
 
@@ -211,9 +189,6 @@
 	if err == nil {
 		err = n.appendAdditions(m)
 	}
-	if err == nil && watchers != nil {
-		err = m.append(n.comparison())
-	}
 	if err != nil {
 		n.logger.Error("cannot encode additions to a message", eventlog.ErrorField(err))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,13 +137,6 @@
 	// arrivingNanos is when the response to the current watch began to arrive, as
 	// lastWatchNanos; 0 if it has not.
 	arrivingNanos atomic.Int64
-	// arrivedBytes is the number of bytes of that response that have arrived.
-	arrivedBytes atomic.Int64
-	// watchedVersion is the version that was in force when the current watch began.
-	watchedVersion atomic.Uint64
-	// comparedAt is the position from which this instance has last read for a comparison
-	// that it gave up. Only followDeclarations uses it.
-	comparedAt Position
 	// newerConfiguration is signalled when another instance has a newer
 	// configuration.
 	newerConfiguration chan struct{}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -35,8 +35,6 @@
 	// assigned are the instances that an aggregator named as watchers at assignedAt.
 	assigned   []string
 	assignedAt time.Time
-	// assignedComparison is the comparison that it named with them; nil if none.
-	assignedComparison *comparison
 	// watchersSince is since when instances that should watch have had no response to
 	// it, watcherSkippedUntil until when those are skipped that had none for too long.
 	watchersSince, watcherSkippedUntil map[string]time.Time
@@ -64,11 +62,6 @@
 	// failure. peerWatchedAt is the latest such time among the instances that it
 	// knows.
 	watchedAt, peerWatchedAt time.Time
-	// arrivingSince is since when the response to its watch has been arriving, zero if none is,
-	// and bytesPerSecond how fast. mayCompare is set if it states that.
-	arrivingSince  time.Time
-	bytesPerSecond uint64
-	mayCompare     bool
 	// vouchedAt is watchedAt as of the last message that named no newer configuration
 	// than the one in force here.
 	vouchedAt time.Time
@@ -150,8 +143,6 @@
 	state.lastMessageAt = now.Add(-state.transit.time)
 	state.watchedAt = state.timeOfAge(m.WatchAgeMs)
 	state.peerWatchedAt = state.timeOfAge(m.PeerWatchAgeMs)
-	arriving, known := m.arrival()
-	state.recordArrival(arriving, known, state.lastMessageAt)
 	if m.ConfigVersion <= inForce || state.watchedAt.IsZero() {
 		state.vouchedAt = state.watchedAt
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -115,10 +115,9 @@
 	// ReadDeclarations reads the operator's current declarations.
 	ReadDeclarations(ctx context.Context) (Declarations, error)
 	// Watch waits for changes of the declarations after a position. It calls onProgress
-	// with the number of bytes received so far while they arrive, which may take long, and
-	// returns its error, if any, without receiving the rest. The error is
-	// ErrHistoryExpired if the changes are no longer known.
-	Watch(ctx context.Context, after Position, onProgress func(receivedBytes int) error) (Declarations, error)
+	// while they arrive, which may take long. The error is ErrHistoryExpired if the
+	// changes are no longer known.
+	Watch(ctx context.Context, after Position, onProgress func()) (Declarations, error)
 	// Evacuations reads the evacuated failure domains, and the position at which they
 	// were read.
 	Evacuations(ctx context.Context) ([]string, Position, error)
--- a/internal/node/watchers.go
+++ b/internal/node/watchers.go
@@ -44,10 +44,7 @@
 
 // selfState is this instance's own state in the form in which that of others is kept.
 func (n *Node) selfState() peerState {
-	self := peerState{
-		address: n.peers.self, capacity: n.settings.Capacity, draining: n.draining.Load(), configVersion: n.configuration.Version(),
-	}
-	self.recordArrival(n.arrival(), true, n.clock.Now())
+	self := peerState{address: n.peers.self, capacity: n.settings.Capacity, draining: n.draining.Load()}
 	if nanos := n.lastWatchNanos.Load(); nanos != 0 {
 		self.watchedAt = n.startedAt.Add(time.Duration(nanos))
 	}
@@ -62,7 +59,6 @@
 	watchesAsChosen    = "chosen"
 	watchesUnlessOther = "no other instance's watch is answered"
 	watchesSinceBehind = "a newer configuration is not received from others"
-	watchesToCompare   = "the responses to other instances' watches arrive slowly"
 )
 
 // watchReason returns why this instance watches the declarations; "" if it relies on
@@ -79,9 +75,6 @@
 	case n.behindFor() >= storeFallbackDelay:
 		return watchesSinceBehind
 	}
-	if c := n.comparison(); c != nil && c.Address == n.peers.self && n.comparedAt != n.declaredPosition() {
-		return watchesToCompare
-	}
 	return ""
 }
 
@@ -95,15 +88,14 @@
 	return n.peers.rank()
 }
 
-// assignWatchers records the instances that an aggregator names as watchers, and the comparison
-// that it names.
-func (p *peerTable) assignWatchers(addresses []string, c *comparison) {
+// assignWatchers records the instances that an aggregator names as watchers.
+func (p *peerTable) assignWatchers(addresses []string) {
 	if len(addresses) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.assigned, p.assignedAt, p.assignedComparison = addresses, p.clock.Now(), c
+	p.assigned, p.assignedAt = addresses, p.clock.Now()
 }
 
 // assignedWatchers returns the instances last named as watchers; nil if that was too
