--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -387,7 +387,7 @@
 func (n *Node) followEvacuations(ctx context.Context) {
 	// The reads are few and small, and a late one delays an evacuation.
 	delays := backoff.New(controlPlaneBackoff, n.newRandom())
-	dependency := dependencyState{name: "evacuations", logger: n.logger}
+	dependency := n.newDependency("evacuations")
 	for ctx.Err() == nil {
 		if delay := n.untilEvacuationsRead(); delay > 0 {
 			_ = backoff.Sleep(ctx, n.clock, min(delay, evacuationsCheckInterval))
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -25,30 +25,12 @@
 	maxRank = 4
 )
 
-// dependencyState logs when a dependency becomes unavailable and when it is
-// available again.
-type dependencyState struct {
-	name   string
-	logger *zap.Logger
-	lost   bool
-}
-
-func (d *dependencyState) record(err error) {
-	switch {
-	case err != nil && !d.lost:
-		d.logger.Warn("dependency lost", zap.String("dependency", d.name), eventlog.ErrorField(err))
-	case err == nil && d.lost:
-		d.logger.Info("dependency regained", zap.String("dependency", d.name))
-	}
-	d.lost = err != nil
-}
-
 // followDeclarations keeps what is known of the operator's declarations up to date until
 // the context ends. A few instances watch them (watchers.go); the others receive newer
 // configurations from these, and watch only while that fails.
 func (n *Node) followDeclarations(ctx context.Context) {
 	delays := n.newRetryDelays()
-	dependency := dependencyState{name: "operator's declarations", logger: n.logger}
+	dependency := n.newDependency("operator's declarations")
 	lastReason := ""
 	for ctx.Err() == nil {
 		position := n.declaredPosition()
@@ -167,7 +149,7 @@
 // first.
 func (n *Node) followTargets(ctx context.Context) {
 	delays := n.newRetryDelays()
-	dependency := dependencyState{name: "list of targets", logger: n.logger}
+	dependency := n.newDependency("list of targets")
 	for ctx.Err() == nil {
 		if delay := n.untilNextTargetRead(); delay > 0 {
 			_ = backoff.Sleep(ctx, n.clock, delay)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -62,7 +62,7 @@
 // not hear of renewals, or gets no addresses, calls the control plane itself.
 func (n *Node) followMembers(ctx context.Context) {
 	delays := n.newRetryDelays()
-	dependency := dependencyState{name: "list of instances", logger: n.logger}
+	dependency := n.newDependency("list of instances")
 	list := memberList{Node: n}
 	requested := false
 	for ctx.Err() == nil {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -48,6 +48,10 @@
 	Awaits        string `json:"awaits"`
 	ChecksRefused uint64 `json:"readiness_checks_failed"`
 	InstanceCount int    `json:"instances"`
+	// DependenciesLost are those whose last call failed, DependencyFailures counts the failed calls
+	// to all.
+	DependenciesLost   []string `json:"dependencies_lost"`
+	DependencyFailures uint64   `json:"dependency_failures"`
 	// PeerRestarts and PeersEndedAlone count the restarts of other instances that this one has
 	// heard, all and those without a shutdown before.
 	PeerRestarts    int    `json:"instances_restarted"`
@@ -109,6 +113,7 @@
 	return instanceState{
 		Awaits: n.awaitedForReadiness(), ChecksRefused: n.readiness.refusals(),
 		PeerRestarts: restarts, PeersEndedAlone: endedAlone,
+		DependenciesLost: n.lostDependencies.list(), DependencyFailures: n.lostDependencies.failures.Load(),
 		EvacuatedDomains: evacuated, EvacuationsAgeMs: evacuationsAge, ColdTargets: n.cold.count(n.clock.Now()),
 		PathsLostNow: n.pool.LostPaths(), PathsLost: paths.Lost.Load(), PathChecks: paths.Checks.Load(), ConnsViaPeers: paths.Relayed.Load(),
 		RequestsNotPassedOn: n.relay.NotBegun.Load(), ConnsForPeers: n.relay.Relayed.Load(), ConnsForPeersNow: n.relay.Active(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,6 +161,8 @@
 	draining     atomic.Bool
 	targetsKnown atomic.Bool
 	readiness    readiness
+	// lostDependencies is updated by the tasks that call the control plane.
+	lostDependencies lostDependencies
 	// instanceCount is the number of instances that share the load, including
 	// this one.
 	instanceCount atomic.Int64
--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -25,28 +25,32 @@
 	// checked is set from the first check on, awaited is what the last one was told.
 	checked bool
 	awaited string
-	// since is the time of the first check that was told awaited.
-	since time.Time
+	// since is the time of the first check that was told awaited, loggedAt that of the last log line.
+	since, loggedAt time.Time
 	// refused counts the checks that failed.
 	refused uint64
 }
 
-// record records the outcome of a check. It reports whether that differs from the one before, what
-// that was, and how long it has been the same.
-func (r *readiness) record(awaited string, now time.Time) (changed bool, before string, lasted time.Duration) {
+// record records the outcome of a check. It reports whether that is to be logged, since it differs from
+// the one before or an instance stays unready, what was awaited before, and for how long.
+func (r *readiness) record(awaited string, now time.Time) (isDue bool, before string, lasted time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if awaited != awaitsNothing {
 		r.refused++
 	}
-	if r.checked && r.awaited == awaited {
-		return false, awaited, now.Sub(r.since)
-	}
 	if r.checked {
 		before, lasted = r.awaited, now.Sub(r.since)
 	}
-	r.checked, r.awaited, r.since = true, awaited, now
-	return true, before, lasted
+	if !r.checked || r.awaited != awaited {
+		r.checked, r.awaited, r.since, r.loggedAt = true, awaited, now, now
+		return true, before, lasted
+	}
+	if awaited != awaitsNothing && now.Sub(r.loggedAt) >= reminderInterval {
+		r.loggedAt = now
+		return true, before, lasted
+	}
+	return false, before, lasted
 }
 
 // refusals returns the number of checks that failed.
@@ -75,7 +79,7 @@
 func (n *Node) handleReadiness(c *fiber.Ctx) error {
 	awaited := n.awaitedForReadiness()
 	now := n.clock.Now()
-	if changed, before, lasted := n.readiness.record(awaited, now); changed {
+	if isDue, before, lasted := n.readiness.record(awaited, now); isDue {
 		n.logReadiness(awaited, zap.String("before", before), zap.Duration("lasted", lasted), zap.Duration("since_start", now.Sub(n.startedAt)))
 	}
 	if awaited != awaitsNothing {
