Send messages between instances whose entries are long

Each message with the state of an instance held the ends of all rollouts, and up to 16 uses of quotas. Names of services, versions and accounts are chosen by others, as long as they like, and rollouts are never forgotten. A message that exceeded the 1,200 bytes of a datagram was not sent, neither in part: 12 rollouts with names as usual beside 16 accounts suffice, 30 without accounts, or one whose version has 1,200 characters.

Callers saw instances that take each other for gone: no instance heard another one, so that quotas, retries and rollouts were counted by each for itself. The log said "state not sent", ten times a second at first.

A message that is too long is now sent as several: the state, the ends of rollouts and the uses, each list divided until its parts fit, and reports of rollouts by their records. Only an entry that exceeds a datagram by itself is left out, and keeps nothing else back. A message that fits is sent as before.

TestMessageWithLongNamesIsSent: before, 0 of 16 uses, 0 of 16 ends and 0 of 10 records arrived; all arrive.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -145,22 +145,22 @@
 	for rest := usages[len(m.Usages):]; len(rest) > 0; {
 		part := rest[:min(maxUsagesPerMessage, len(rest))]
 		rest = rest[len(part):]
-		n.send(recipients, &message{
-			Incarnation: n.incarnation, RecentlyStarted: m.RecentlyStarted, IsAggregate: m.IsAggregate, InstanceCount: m.InstanceCount, Usages: part,
-		})
+		n.send(recipients, m.withUsagesOnly(part))
 	}
 }
 
 // send sends a message to the addresses.
 func (n *Node) send(addresses []string, m *message) {
-	body, err := encodeMessage(m)
+	bodies, err := encodeMessages(m)
 	if err != nil {
 		n.logger.Error("cannot encode gossip message", eventlog.ErrorField(err))
 		return
 	}
 	for _, address := range addresses {
-		if err := n.bus.Send(address, peer.KindCredit, body); err != nil {
-			n.countSendError(address, len(body), err)
+		for _, body := range bodies {
+			if err := n.bus.Send(address, peer.KindCredit, body); err != nil {
+				n.countSendError(address, len(body), err)
+			}
 		}
 	}
 }
--- a/internal/node/gossip_test.go
+++ b/internal/node/gossip_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
@@ -118,3 +121,62 @@
 	assert.Equal(t, marks, quarantine.MaxDigestMarks)
 	assert.Equal(t, completions, quarantine.MaxDigestCompletions)
 }
+
+// A message whose entries have long names was not sent at all: not even the state of the
+// instance, which the others took for gone.
+func TestMessageWithLongNamesIsSent(t *testing.T) {
+	var buses []*peer.NetBus
+	for range 2 {
+		bus, err := peer.Listen(peer.Options{Address: "127.0.0.1:0", Secret: []byte("a secret of the deployment")})
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = bus.Close() })
+		buses = append(buses, bus)
+	}
+	received := make(chan message, 100)
+	buses[1].HandleDatagram(peer.KindCredit, func(_ string, body []byte) {
+		var m message
+		assert.Check(t, msgpack.Unmarshal(body, &m))
+		received <- m
+	})
+	assert.NilError(t, buses[1].Start())
+	n := &Node{logger: zap.NewNop(), bus: buses[0]}
+	var usages []quota.Usage
+	var ended []rollout.Status
+	for i := range maxUsagesPerMessage {
+		name := fmt.Sprint(strings.Repeat("n", 190), i)
+		usages = append(usages, quota.Usage{Account: name, Total: float64(i)})
+		ended = append(ended, rollout.Status{Service: name, To: name, State: rollout.Completed})
+	}
+	report := largestRolloutReport(t)
+	report.Service, report.Records = strings.Repeat("n", 190), nil
+	for i := range 10 {
+		report.Records = append(report.Records, evidence.Record{Key: evidence.Key{Route: fmt.Sprint(strings.Repeat("r", 190), i)}})
+	}
+	n.send([]string{buses[1].Address()}, &message{Name: "edge-1", IsIntroduction: true, RolloutReports: []rollout.Report{report}})
+	n.sendUsages([]string{buses[1].Address()}, &message{Name: "edge-1", WantsAggregate: true, EndedRollouts: ended}, usages)
+
+	var gotUsages []quota.Usage
+	var gotEnded []rollout.Status
+	records, requests := 0, 0
+	for len(gotUsages) < len(usages) || len(gotEnded) < len(ended) || records < len(report.Records) || requests == 0 {
+		select {
+		case m := <-received:
+			if m.WantsAggregate {
+				requests++
+			}
+			if len(m.EndedRollouts) > 0 {
+				assert.Assert(t, m.Name != "" && m.IsIntroduction)
+			}
+			for _, r := range m.RolloutReports {
+				assert.Equal(t, r.Service, report.Service)
+				records += len(r.Records)
+			}
+			gotUsages, gotEnded = append(gotUsages, m.Usages...), append(gotEnded, m.EndedRollouts...)
+		case <-time.After(5 * time.Second):
+			t.Fatalf("received %d of %d usages, %d of %d ended rollouts, %d of %d records, %d of 1 requests for the aggregate",
+				len(gotUsages), len(usages), len(gotEnded), len(ended), records, len(report.Records), requests)
+		}
+	}
+	assert.Equal(t, requests, 1)
+	assert.DeepEqual(t, gotEnded, ended)
+}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -9,6 +9,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
+	"github.com/hibiscuspost/hibiscuspost/internal/evidence"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/placement"
 	"github.com/hibiscuspost/hibiscuspost/internal/quarantine"
 	"github.com/hibiscuspost/hibiscuspost/internal/quota"
@@ -203,6 +205,71 @@
 	return body.Bytes(), err
 }
 
+// encodeMessages encodes a message, as several if it does not fit in a datagram: names that
+// others have chosen are as long as they like. An entry that is too long alone keeps back no
+// other one.
+func encodeMessages(m *message) ([][]byte, error) {
+	body, err := encodeMessage(m)
+	if err != nil || len(body) <= peer.MaxDatagramBytes {
+		return [][]byte{body}, err
+	}
+	if len(m.RolloutReports) == 1 && len(m.RolloutReports[0].Records) > 1 {
+		return encodeParts(m.RolloutReports[0].Records, func(records []evidence.Record) *message {
+			part, report := *m, m.RolloutReports[0]
+			report.Records = records
+			part.RolloutReports = []rollout.Report{report}
+			return &part
+		})
+	}
+	if len(m.EndedRollouts)+len(m.Usages) == 0 {
+		return [][]byte{body}, nil
+	}
+	var bodies [][]byte
+	state := *m
+	state.EndedRollouts, state.Usages = nil, nil
+	if m.Name != "" {
+		if body, err = encodeMessage(&state); err != nil {
+			return nil, err
+		}
+		bodies = append(bodies, body)
+	}
+	ended, err := encodeParts(m.EndedRollouts, func(statuses []rollout.Status) *message {
+		part := state
+		part.IsIntroduction, part.WantsAggregate, part.IsAggregate = true, false, false
+		part.KnownAddresses, part.EndedRollouts = nil, statuses
+		return &part
+	})
+	if err != nil {
+		return nil, err
+	}
+	usages, err := encodeParts(m.Usages, m.withUsagesOnly)
+	return append(append(bodies, ended...), usages...), err
+}
+
+// encodeParts encodes messages with entries that do not fit in one.
+func encodeParts[E any](entries []E, newMessage func([]E) *message) ([][]byte, error) {
+	if len(entries) == 0 {
+		return nil, nil
+	}
+	body, err := encodeMessage(newMessage(entries))
+	if err != nil || len(body) <= peer.MaxDatagramBytes || len(entries) == 1 {
+		return [][]byte{body}, err
+	}
+	first, err := encodeParts(entries[:len(entries)/2], newMessage)
+	if err != nil {
+		return nil, err
+	}
+	second, err := encodeParts(entries[len(entries)/2:], newMessage)
+	return append(first, second...), err
+}
+
+// withUsagesOnly returns a message that continues the usages of another one.
+func (m *message) withUsagesOnly(usages []quota.Usage) *message {
+	return &message{
+		Incarnation: m.Incarnation, RecentlyStarted: m.RecentlyStarted, IsAggregate: m.IsAggregate, InstanceCount: m.InstanceCount, Usages: usages,
+	}
+}
+
 // targetsState returns the digest, the position and the age of the list of
 // targets.
 func (n *Node) targetsState() (digest uint32, position Position, ageMs uint32) {
