Place requests whose names exceed a datagram without a coordinator

A slot request holds the names of the service, the account, the failure domain and of versions, as the operator and the targets chose them. One of more than 1,200 bytes was never sent. The instance waited for a response, took the coordinator for unavailable, for requests of all services and accounts, and went on to the next one.

Callers of such an account, or of a service whose rollout names a long version, waited half a second for each request; those of all others were placed by other coordinators than before, or by none, for two seconds after each.

Such a request is now placed at once by the counts of the instance, as without any coordinator, and says nothing about coordinators.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/contain"
 	"github.com/hibiscuspost/hibiscuspost/internal/eventlog"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -26,6 +27,8 @@
 	// errNotKnown means that a target or group is unknown to one side; the target
 	// lists of two instances differ briefly after a change.
 	errNotKnown = errors.New("target or group not known")
+	// errRequestTooLong means that no coordinator can be sent the request.
+	errRequestTooLong = errors.New("slot request does not fit in a datagram")
 	// errBlocked means that the granted target has told this instance that it takes no
 	// requests from it.
 	errBlocked = errors.New("target takes no requests from this instance")
@@ -92,6 +95,9 @@
 			break
 		}
 		grant, lastCoordinator, err := c.requestSlot(ctx, coordinator, group, r)
+		if errors.Is(err, errRequestTooLong) {
+			break
+		}
 		switch {
 		case errors.Is(err, errNotKnown):
 		case errors.Is(err, errBlocked):
@@ -228,6 +234,8 @@
 	queued bool
 	// redirects counts how often the request has been redirected.
 	redirects int
+	// isTooLong is set if the request could not be sent, for the length of its names.
+	isTooLong bool
 	// lastResponseAt is when the last response arrived or, before any, when the
 	// exchange began; delays of the instance's own timer are added.
 	lastResponseAt time.Time
@@ -242,6 +250,10 @@
 	defer timer.Stop()
 	timerDue := a.lastResponseAt.Add(delay)
 	for {
+		if a.isTooLong {
+			a.cancel()
+			return nil, errRequestTooLong
+		}
 		select {
 		case <-ctx.Done():
 			a.cancel()
@@ -380,6 +392,7 @@
 		message.ExcludedTargets = append(message.ExcludedTargets, idOf(key))
 	}
 	body, err := encodeSlotRequest(message)
+	a.isTooLong = len(body) > peer.MaxDatagramBytes
 	a.client.sendEncoded(a.coordinator, body, err)
 }
 
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -34,6 +34,8 @@
 	partitioned map[string]bool
 	// lossRate and duplicateRate are shares of the datagrams.
 	lossRate, duplicateRate float64
+	// maxBytes is the largest size of a datagram; 0 means that there is none.
+	maxBytes int
 	// undelivered counts the datagrams that have not been handled yet.
 	undelivered atomic.Int64
 }
@@ -99,6 +101,10 @@
 
 func (n *network) deliver(from, to string, body []byte) error {
 	n.mu.Lock()
+	if n.maxBytes > 0 && len(body) > n.maxBytes {
+		n.mu.Unlock()
+		return errors.New("datagram is too long")
+	}
 	copies := 1
 	if u := n.random.Float64(); u < n.lossRate || n.partitioned[from] || n.partitioned[to] {
 		copies = 0
