Leave out a set of evacuated domains that exceeds a message

A message between instances held the first 16 evacuated domains, and the recipients took them for all: of 17, one was no longer evacuated at the instances that do not watch the store, until their own read. Names are keys of the store, up to 191 bytes: a few long ones made each message too long to be sent, so that no instance heard another one.

A set of more than 16 domains, or of more than 400 bytes of names, is not sent.

TestSetThatExceedsAMessageIsNotSent: 3 of 3 cases failed before (16 of 17 and 16 of 40 domains at the other instance; 1,598 and 3,136 bytes), all pass.

--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,9 +15,10 @@
 )
 
 const (
-	// maxEvacuated bounds the evacuated domains in a message, so that it fits in one
-	// datagram; no deployment has as many.
-	maxEvacuated = 16
+	// maxEvacuated bounds the evacuated domains in a message, and maxEvacuatedBytes their
+	// names, so that it fits in one datagram. Each instance reads a larger set itself.
+	maxEvacuated      = 16
+	maxEvacuatedBytes = 400
 	// evacuationsMaxAge is the age of the last confirmation of the set from which an
 	// instance reads it itself, evacuationsReadStagger the additional wait per rank. With
 	// the read, both are well below the 5 s within which an evacuation must be in force.
@@ -130,9 +132,9 @@
 	}
 }
 
-// encode returns the set for a message; nil if it is not known.
+// encode returns the set for a message; nil if it is not known or too large.
 func (s *evacuationSet) encode(now time.Time) *sentEvacuations {
-	if !s.known {
+	if !s.known || len(s.domains) > maxEvacuated || len(strings.Join(s.domains, "")) > maxEvacuatedBytes {
 		return nil
 	}
 	age := func(at time.Time) uint32 {
@@ -143,7 +145,7 @@
 	}
 	return &sentEvacuations{
 		Era: s.position.Era, Version: s.position.Version, AgeMs: age(s.confirmedAt), OwnAgeMs: age(s.ownConfirmedAt),
-		Domains: s.domains[:min(len(s.domains), maxEvacuated)],
+		Domains: s.domains,
 	}
 }
 
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/contain"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 )
 
 var evacuationStart = time.Unix(1000, 0)
@@ -79,6 +83,34 @@
 	assert.Equal(t, b.confirmedAt, now)
 }
 
+// A set of more domains than a message holds was sent as if it were complete: the others ended
+// the evacuation of the rest. One with long names kept the whole message from being sent.
+func TestSetThatExceedsAMessageIsNotSent(t *testing.T) {
+	for name, tc := range map[string]struct{ count, length int }{
+		"many": {17, 8}, "long": {8, 190}, "many and long": {40, 190},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var domains []string
+			for i := range tc.count {
+				domains = append(domains, fmt.Sprintf("%s%03d", strings.Repeat("z", tc.length-3), i))
+			}
+			var a, b evacuationSet
+			b.replace(domains, inEra(1, 9), evacuationStart)
+			a.replace(domains, inEra(1, 10), evacuationStart)
+			sent := a.encode(evacuationStart)
+			if sent != nil {
+				b.merge(sent, evacuationStart)
+			}
+			assert.Check(t, slices.Equal(b.domains, domains), "%d of %d domains evacuated at another instance", len(b.domains), len(domains))
+			m := &message{Name: "edge-1"}
+			assert.NilError(t, m.append(sent))
+			body, err := encodeMessage(m)
+			assert.NilError(t, err)
+			assert.Check(t, len(body) <= peer.MaxDatagramBytes/2, "the message has %d bytes", len(body))
+		})
+	}
+}
+
 // What an instance knew before it was frozen may be older than evacuations that are in force.
 func TestRequestsWaitForTheSetAfterAStartAndAFreeze(t *testing.T) {
 	var e evacuations
