Report the free slots of many groups in several messages

A coordinator reported all groups that it coordinates in one message. With 160 groups, or 42 with requests in all their queues, it exceeded a datagram and was not sent: the other coordinators redirected no request to their free slots. Each service that an entry in the list of targets names is a group at least.

A report now holds 16 groups, as few as fit with any numbers in them.

TestCapacityOfManyGroupsIsReported: before, 0 of 254 groups were reported; all are.

--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -7,6 +7,9 @@
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
+// groupsPerReport limits the groups of one report, so that it fits in one packet.
+const groupsPerReport = 16
+
 // reportedCapacity is the availability that a coordinator reported for a group,
 // and how long the report is valid.
 type reportedCapacity struct {
@@ -127,8 +130,11 @@
 	}
 	s.handleCapacityReport(&report)
 	for _, address := range roster.Addresses {
-		if address != s.address {
-			s.sendMessage(address, kindCapacity, &report)
+		if address == s.address {
+			continue
+		}
+		for part := range slices.Chunk(report.Groups, groupsPerReport) {
+			s.sendMessage(address, kindCapacity, &capacityReport{IntervalMs: report.IntervalMs, Groups: part})
 		}
 	}
 }
--- a/internal/placement/capacity_groups_test.go
+++ b/internal/placement/capacity_groups_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
+	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
 // Targets that left while a coordinator redirected a request ended it by a panic: the position of
@@ -47,3 +50,39 @@
 	assert.Assert(t, !found)
 	assert.Equal(t, len(ts.server.capacities), 0)
 }
+
+// The report of a coordinator of many groups did not fit in a datagram and was not sent: no request
+// was redirected to its free slots.
+func TestCapacityOfManyGroupsIsReported(t *testing.T) {
+	const services = 250
+	targets := newEngineGroups()
+	for i := range services {
+		target := newEngine(fmt.Sprint("t-", i), 4)
+		target.Service = fmt.Sprint("service-", i)
+		targets = append(targets, target)
+	}
+	ts := newTestServer(t, targets...)
+	ts.server.sendCapacityReports(&Roster{Addresses: []string{"coordinator", "other"}})
+	reported := make(map[int]bool)
+	for _, report := range ts.capacityReports["other"] {
+		for _, group := range report.Groups {
+			reported[group.Position] = true
+		}
+	}
+	assert.Equal(t, len(reported), len(ts.server.groups.Load().ordered))
+}
+
+func TestLargestCapacityReportFitsInDatagram(t *testing.T) {
+	var availability schedule.Availability
+	availability.FreeSlots, availability.SlotInterval = catalog.MaxSlots, time.Hour
+	for priority := range availability.QueuedByPriority {
+		availability.QueuedByPriority[priority] = 1000
+	}
+	report := capacityReport{IntervalMs: time.Hour.Milliseconds()}
+	for range groupsPerReport {
+		report.Groups = append(report.Groups, newGroupCapacity(1<<16, &availability))
+	}
+	body, err := encode(kindCapacity, &report)
+	assert.NilError(t, err)
+	assert.Assert(t, len(body) <= peer.MaxDatagramBytes, "%d bytes", len(body))
+}
--- a/internal/placement/server_test.go
+++ b/internal/placement/server_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
@@ -17,6 +18,7 @@
 
 	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 	"github.com/hibiscuspost/hibiscuspost/internal/contain"
+	"github.com/hibiscuspost/hibiscuspost/internal/peer"
 	"github.com/hibiscuspost/hibiscuspost/internal/schedule"
 )
 
@@ -62,6 +64,9 @@
 func (ts *testServer) recordMessage(address string, body []byte) error {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
+	if len(body) > peer.MaxDatagramBytes {
+		return errors.New("datagram is too long")
+	}
 	switch messageKind(body[0]) {
 	case kindSlotResponse:
 		response := &slotResponse{}
