Send on no event ID that cannot stand in a header

A stream that breaks off is resumed at another target with the ID of its last event. IDs end at a line feed only, and were written into the head of the next request as they are: a target that writes bytes of its own into an ID, such as a CR and a field, had them in requests to other targets. Those that take a CR for the end of a line read another request than the caller's; the others refuse it, so that the stream isn't resumed at all.

An event whose ID has control characters is now no event of its stream, like other bytes of that kind, and the stream is resumed after the one before it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -210,12 +210,18 @@
 	if t.Slots <= 0 || t.Slots > MaxSlots {
 		return errors.Newf("slots must be from 1 to %d, got %d", MaxSlots, t.Slots)
 	}
-	if t.ID == "" || strings.TrimSpace(t.ID) != t.ID || strings.ContainsFunc(t.ID, unicode.IsControl) {
+	if t.ID == "" || !IsHeaderValue(t.ID) {
 		return errors.Newf("ID %q cannot stand in a header", t.ID)
 	}
 	return ValidateAddress(t.Address)
 }
 
+// IsHeaderValue reports whether a text is received as it is if it is sent as the value of a
+// header field.
+func IsHeaderValue(text string) bool {
+	return strings.TrimSpace(text) == text && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
 // ValidateAddress returns an error if nothing can listen at an address.
 func ValidateAddress(text string) error {
 	address, err := netip.ParseAddrPort(text)
--- a/internal/gateway/received_events.go
+++ b/internal/gateway/received_events.go
@@ -98,6 +98,10 @@
 		}
 		return nil
 	}
+	if !catalog.IsHeaderValue(next.id) {
+		// It is sent in a header when the stream is resumed.
+		return errors.Wrapf(errNoEvent, "ID %.40q", next.id)
+	}
 	e.unidentifiedBytes = 0
 	e.identified++
 	if maxTokens > 0 && e.identified > maxTokens+maxUncountedEvents {
