Refuse requests of an account whose name cannot stand in a header

The name of an account was written into the head of each of its requests as the operator's configuration has it. A line break in it added fields, or a further request of its own, to those of the account's callers; blanks around it are cut by targets, which then see another account.

Instances now refuse the requests of such an account with 503, as not run, and serve all others: a configuration isn't refused for one name. The check command reports the name.

--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/hibiscuspost/hibiscuspost/internal/catalog"
 )
 
 // Kind is the kind of a finding.
@@ -114,6 +116,9 @@
 	}
 	for _, tenant := range c.Tenants {
 		r.checkQuota(tenant)
+		if name := tenant.Name; !catalog.IsHeaderValue(name.Value) {
+			r.add(Error, tenant.String(), name.Name, "cannot be sent in a header, so that all requests are refused")
+		}
 	}
 	r.checkNotAbove(&c.Limits.Header, c.Limits.HeaderTimeout, c.Limits.IdleTimeout)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -146,6 +146,9 @@
 		if r.account = r.config.AccountForKey(r.request.APIKey); r.account == nil {
 			return r.deny(http.StatusUnauthorized, "the API key is not known")
 		}
+		if !catalog.IsHeaderValue(r.account.Name) {
+			return r.refuse("the name of the account cannot be sent in a header", defaultRetryAfter)
+		}
 	}
 	r.deadline = r.request.ReceivedAt.Add(r.timeout())
 	if err := r.checkStart(nil); err != nil {
