Explain requests from logs with a long line

The explain command read logs line by line with a bound of 1 MiB, beyond which it failed: one longer line, as another program or a collector may write it, kept all requests of all files from being explained.

Lines beyond the bound are skipped now, as lines that are no entries are.

TestLongLineKeepsNoOtherFromBeingRead: before, 5 of 5 cases failed ("token too long"); all pass.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -121,25 +121,48 @@
 
 // ReadLines reads log lines. It skips what precedes the first brace of a line,
 // such as the prefix of a log collector, and lines that are not JSON log
-// entries.
+// entries or longer than maxLineBytes.
 func ReadLines(input io.Reader) ([]logLine, error) {
-	scanner := bufio.NewScanner(input)
-	scanner.Buffer(nil, maxLineBytes)
+	reader := bufio.NewReader(input)
 	var lines []logLine
-	for scanner.Scan() {
-		entry := scanner.Bytes()
-		start := bytes.IndexByte(entry, '{')
-		if start < 0 {
-			continue
+	for {
+		entry, err := readLine(reader)
+		if l, ok := parseLine(entry); ok {
+			lines = append(lines, l)
 		}
-		var l logLine
-		if json.Unmarshal(entry[start:], &l) != nil || l.Message == "" {
-			continue
+		if err == io.EOF {
+			return lines, nil
+		}
+		if err != nil {
+			return lines, errors.Wrap(err, "log")
+		}
+	}
+}
+
+// readLine returns the next line, without those bytes of it that exceed maxLineBytes.
+func readLine(reader *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := reader.ReadSlice('\n')
+		line = append(line, part[:min(len(part), maxLineBytes+1-len(line))]...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
 		}
-		l.raw = string(entry[start:])
-		lines = append(lines, l)
 	}
-	return lines, errors.Wrap(scanner.Err(), "log")
+}
+
+// parseLine returns the log entry of a line; ok is false if it has none.
+func parseLine(line []byte) (l logLine, ok bool) {
+	start := bytes.IndexByte(line, '{')
+	if start < 0 || len(line) > maxLineBytes {
+		return logLine{}, false
+	}
+	entry := bytes.TrimSpace(line[start:])
+	if json.Unmarshal(entry, &l) != nil || l.Message == "" {
+		return logLine{}, false
+	}
+	l.raw = string(entry)
+	return l, true
 }
 
 // PrintRequest prints the lines of a request, and reports whether there are any.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -67,3 +67,20 @@
 	assert.NilError(t, err)
 	assert.NilError(t, (&Command{ID: []string{"r9"}}).printShare(&out, unfinished))
 }
+
+// One line of more than the bound, as of another program in the same log, kept all others from
+// being read.
+func TestLongLineKeepsNoOtherFromBeingRead(t *testing.T) {
+	long := strings.Repeat("x", maxLineBytes+1)
+	for name, log := range map[string]string{
+		"before": long + "\n" + sampleLog, "after": sampleLog + long + "\n", "at the end": sampleLog + long,
+		"an entry": sampleLog + `{"msg":"` + long + `"}` + "\n", "of several bounds": strings.Repeat(long, 3) + "\n" + sampleLog,
+	} {
+		lines, err := ReadLines(strings.NewReader(log))
+		assert.Check(t, err, name)
+		assert.Check(t, len(lines) == 6, "%s: %d lines", name, len(lines))
+	}
+	lines, err := ReadLines(strings.NewReader(strings.TrimSpace(sampleLog)))
+	assert.NilError(t, err)
+	assert.Equal(t, len(lines), 6)
+}
