Keep no target whose names exceed those of the store's keys

An entry in the list of targets may come from another writer, with texts of up to 64 KiB each where targets state a service, a failure domain and a version. Such an entry named a target like any other. 600 of 30 kB made a list of 18 MB, which is kept for each of the last 17 different reads, and exceeds the 16 MiB of a message: an instance that asked another one for the list got none and read the store.

Entries with such a name of more than 200 bytes are left out, as those with other values that no target has. The operator names services and failure domains in keys of the store, which have 200 bytes at most.

TestEntriesWithLongNamesAreNotKept: before, 601 targets in 18,090,031 bytes; now the one whose names have 200 bytes. TestOddEntryAmongTargetsIsNoHarm passes as before (long version, long zone).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -201,6 +201,10 @@
 	Evacuated bool
 }
 
+// maxNameBytes bounds the names that a target states. The operator names services and failure
+// domains in keys of the store, which are no longer.
+const maxNameBytes = 200
+
 // MaxSlots bounds the slots of a target: a TCP address has no more connections to another.
 const MaxSlots = 1<<16 - 1
 
@@ -213,6 +217,9 @@
 	if t.ID == "" || !IsHeaderValue(t.ID) {
 		return errors.Newf("ID %q cannot stand in a header", t.ID)
 	}
+	if length := max(len(t.Service), len(t.FailureDomain), len(t.Version)); length > maxNameBytes {
+		return errors.Newf("service, failure domain and version must have at most %d bytes, got %d", maxNameBytes, length)
+	}
 	return ValidateAddress(t.Address)
 }
 
