--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -201,6 +201,10 @@
 	Evacuated bool
 }
 
+// maxNameBytes bounds the names that a target states. The operator names services and failure
+// domains in keys of the store, which are no longer.
+const maxNameBytes = 200
+
 // MaxSlots bounds the slots of a target: a TCP address has no more connections to another.
 const MaxSlots = 1<<16 - 1
 
@@ -210,12 +214,21 @@
 	if t.Slots <= 0 || t.Slots > MaxSlots {
 		return errors.Newf("slots must be from 1 to %d, got %d", MaxSlots, t.Slots)
 	}
-	if t.ID == "" || strings.TrimSpace(t.ID) != t.ID || strings.ContainsFunc(t.ID, unicode.IsControl) {
+	if t.ID == "" || !IsHeaderValue(t.ID) {
 		return errors.Newf("ID %q cannot stand in a header", t.ID)
 	}
+	if length := max(len(t.Service), len(t.FailureDomain), len(t.Version)); length > maxNameBytes {
+		return errors.Newf("service, failure domain and version must have at most %d bytes, got %d", maxNameBytes, length)
+	}
 	return ValidateAddress(t.Address)
 }
 
+// IsHeaderValue reports whether a text is received as it is if it is sent as the value of a
+// header field.
+func IsHeaderValue(text string) bool {
+	return strings.TrimSpace(text) == text && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
 // ValidateAddress returns an error if nothing can listen at an address.
 func ValidateAddress(text string) error {
 	address, err := netip.ParseAddrPort(text)
