Start with the pages of the list of targets that can be read

Callers saw instances that were never ready after all had ended, while the store returned the first page of the list of targets and refused a further one: the read failed as a whole, and with it the targets that had been read.

Cause: ControlPlane.Targets dropped them with its error. An instance without a list uses them from 1 s after its start on, so that another instance's list or a repeated read comes first.

A part is no read: it sets no position, age or digest, so that gossip and the responses to other instances tell of none, it is no evidence of targets that live or have ended, and targets that follow in the first whole read are not taken for started. Targets stay whose IDs come after the last one read, since their page may have failed. The list is read on, and asked of other instances, at the same rate as without any; a whole one replaces the part. An instance that has a list keeps it. A warning and targets_partial tell that a part is in use.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -74,10 +74,10 @@
 }
 
 // syncWithPeers fetches from other instances, until the context ends, a newer list of
-// targets, and any if this instance has none, and newer traits of services.
+// targets, and any if this instance has none or only a part, and newer traits of services.
 func (n *Node) syncWithPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		if live := n.peers.live(); len(live) > 0 && !n.targetsKnown.Load() {
+		if live := n.peers.live(); len(live) > 0 && n.lacksTargets() {
 			n.fetchTargets(ctx, live[0].address)
 		}
 		select {
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -41,7 +41,7 @@
 	targets map[catalog.TargetKey]*coldState
 	// byID holds the same states by the IDs in messages.
 	byID map[uint32]*coldState
-	// isFilled is set after the first read of the list, next is the index of the target
+	// isFilled is set after the first read of the whole list, next is the index of the target
 	// that the next message names first.
 	isFilled bool
 	next     int
@@ -87,6 +87,21 @@
 func (c *coldTargets) observe(present map[catalog.TargetKey]*catalog.Target, traits *serviceTraits, now time.Time) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	changed = c.record(present, traits, now)
+	c.isFilled = true
+	return changed
+}
+
+// observePart is observe for a part of the list: targets that are new in the list later may have
+// been there.
+func (c *coldTargets) observePart(present map[catalog.TargetKey]*catalog.Target, traits *serviceTraits, now time.Time) (changed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.record(present, traits, now)
+}
+
+// record is the part of observe that holds for any targets in use. The caller holds mu.
+func (c *coldTargets) record(present map[catalog.TargetKey]*catalog.Target, traits *serviceTraits, now time.Time) (changed bool) {
 	for key, target := range present {
 		s := c.state(key)
 		if c.isFilled && !s.isListed && c.assume(s, target, traits, now) {
@@ -107,7 +122,6 @@
 			delete(c.byID, coldID(key))
 		}
 	}
-	c.isFilled = true
 	return changed
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -20,6 +20,9 @@
 	// reads the targets itself, in which gossip about another instance's read
 	// arrives.
 	targetReadStagger = 120 * time.Millisecond
+	// partialTargetsDelay is how long after its start an instance waits for a whole list
+	// of targets, its own or another instance's, before it uses a part.
+	partialTargetsDelay = time.Second
 	// maxRank bounds the additional wait, so that an instance that receives no
 	// gossip about reads still learns of draining targets in time.
 	maxRank = 4
@@ -161,6 +164,7 @@
 		}
 		dependency.record(err)
 		if err != nil {
+			n.applyPartOfTargets(targets)
 			_ = backoff.Sleep(ctx, n.clock, delays.next())
 			continue
 		}
@@ -208,6 +212,35 @@
 	n.logHeldEntries()
 }
 
+// applyPartOfTargets uses the targets that a failed read returned while no list is known.
+func (n *Node) applyPartOfTargets(targets []*catalog.Target) {
+	if n.clock.Since(n.startedAt) < partialTargetsDelay {
+		return
+	}
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	if len(targets) == 0 || !n.targets.readAt.IsZero() {
+		return
+	}
+	now, isFirst := n.clock.Now(), !n.targets.isPartial()
+	if n.targets.applyPart(targets, now) {
+		n.targetsDue = true
+	}
+	if n.cold.observePart(n.targets.present, n.traits.current(), now) || n.targetsDue {
+		n.useTargets()
+	}
+	if isFirst {
+		n.logger.Warn("part of the list of targets in use, since no read of the whole has succeeded", zap.Int("targets", len(n.targets.present)))
+	}
+}
+
+// lacksTargets reports whether this instance has no list of targets, or only a part.
+func (n *Node) lacksTargets() bool {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	return !n.targetsKnown.Load() || n.targets.isPartial()
+}
+
 // logHeldEntries logs the entries that are held since the last call. The caller
 // holds targetsMu.
 func (n *Node) logHeldEntries() {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -54,10 +54,12 @@
 	DependencyFailures uint64   `json:"dependency_failures"`
 	// PeerRestarts and PeersEndedAlone count the restarts of other instances that this one has
 	// heard, all and those without a shutdown before.
-	PeerRestarts    int    `json:"instances_restarted"`
-	PeersEndedAlone int    `json:"instances_restarted_without_shutdown"`
-	TargetsAgeMs    int64  `json:"targets_age_ms"`
-	WatchAgeMs      uint32 `json:"watch_age_ms"`
+	PeerRestarts    int   `json:"instances_restarted"`
+	PeersEndedAlone int   `json:"instances_restarted_without_shutdown"`
+	TargetsAgeMs    int64 `json:"targets_age_ms"`
+	// TargetsPartial is set while only a part of the list of targets is in use.
+	TargetsPartial bool   `json:"targets_partial"`
+	WatchAgeMs     uint32 `json:"watch_age_ms"`
 	// WatchArrivingMs is for how long the response to the current watch has been arriving.
 	WatchArrivingMs       int64  `json:"watch_arriving_ms"`
 	CallerConnections     int    `json:"caller_connections"`
@@ -104,7 +106,7 @@
 func (n *Node) instanceState() instanceState {
 	view := n.clusterView()
 	n.targetsMu.Lock()
-	heldEntries := n.targets.heldCount
+	heldEntries, isPartial := n.targets.heldCount, n.targets.isPartial()
 	n.targetsMu.Unlock()
 	paths := n.pool.PathCounters()
 	slowCallers, _ := n.pool.HeldForCallers()
@@ -122,7 +124,7 @@
 		ConfigBehindMs: n.behindFor().Milliseconds(), UpdateBytesReceived: n.updateCounters.BytesReceived.Load(), UpdateBytesSent: n.updateCounters.BytesSent.Load(),
 		UpdatesReferred: n.updateCounters.Referred.Load(), UpdateFailures: n.updateCounters.Failures.Load(),
 		ConfigVersion: n.configuration.Version(), Draining: n.draining.Load(), InstanceCount: view.Instances,
-		TargetsAgeMs: view.TargetsAge.Milliseconds(), WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos), WatchArrivingMs: n.arrivingFor().Milliseconds(),
+		TargetsAgeMs: view.TargetsAge.Milliseconds(), TargetsPartial: isPartial, WatchAgeMs: n.watchAgeMillis(&n.lastWatchNanos), WatchArrivingMs: n.arrivingFor().Milliseconds(),
 		CallerConnections: n.callerServer.OpenConnections(), AcceptFailures: n.acceptFailures.Load(), DatagramReadFailures: peer.DatagramReadFailures(), ChecksEvicted: n.checksEvicted.Load(), TargetConnectionsMade: n.pool.OpenedConns(), TargetsSentTooMuch: n.pool.TooLong(),
 		QuotaGranted: n.quotaGate.Granted.Load(), QuotaRefused: n.quotaGate.Refused.Load(), QuotaFallbacks: n.quotaGate.Fallbacks.Load(),
 		HeldBytes: n.pool.HeldBytes(), SlowCallers: slowCallers,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,7 +158,8 @@
 	// newerTraitsAt receives the addresses of instances that have newer traits of services.
 	newerTraitsAt chan string
 
-	draining     atomic.Bool
+	draining atomic.Bool
+	// targetsKnown is set once targets are in use, those of a list or of a part of one.
 	targetsKnown atomic.Bool
 	readiness    readiness
 	// lostDependencies is updated by the tasks that call the control plane.
--- a/internal/node/retry_delays.go
+++ b/internal/node/retry_delays.go
@@ -31,7 +31,7 @@
 // next returns the delay after one more failure.
 func (d *retryDelays) next() time.Duration {
 	n := d.node
-	if !n.isWatcher() && n.targetsKnown.Load() && n.configuration.Current() != nil {
+	if !n.isWatcher() && !n.lacksTargets() && n.configuration.Current() != nil {
 		return d.relying.Next()
 	}
 	return d.regular.Next()
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -110,7 +110,7 @@
 }
 
 // ControlPlane is the platform's persistent state. An error means that the call
-// returned no new information; calls may be retried.
+// returned no new information, unless stated otherwise; calls may be retried.
 type ControlPlane interface {
 	// ReadDeclarations reads the operator's current declarations.
 	ReadDeclarations(ctx context.Context) (Declarations, error)
@@ -121,7 +121,8 @@
 	// Evacuations reads the evacuated failure domains, and the position at which they
 	// were read.
 	Evacuations(ctx context.Context) ([]string, Position, error)
-	// Targets reads all targets and the position at which they were read.
+	// Targets reads all targets and the position at which they were read. With an error,
+	// it returns the targets that it could read, which are those before some ID.
 	Targets(ctx context.Context) ([]*catalog.Target, Position, error)
 	// Members reads the instances that have announced themselves recently, and the
 	// verdicts of all that ever have.
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -26,7 +26,7 @@
 // live targets that cannot reach the store.
 type targetList struct {
 	// present holds the targets in use, read those of the last read. They differ
-	// while missing entries are kept.
+	// while missing entries are kept, and before the first read; see applyPart.
 	present, read map[catalog.TargetKey]*catalog.Target
 	// readDigest identifies read; see digest. earlier are the reads before it, the newest
 	// last, whose targets differ.
@@ -73,6 +73,30 @@
 	return l.settle(now)
 }
 
+// applyPart applies targets that a failed read returned, and reports whether the targets
+// have changed. It is no read: others must not take the part for the list, and a target that
+// is missing from it may be listed. So targets stay whose IDs come after all that were read.
+// Once there has been a read, it is not called.
+func (l *targetList) applyPart(listed []*catalog.Target, now time.Time) (changed bool) {
+	next, last := make(map[catalog.TargetKey]*catalog.Target, len(listed)), ""
+	for _, target := range listed {
+		next[target.Key()], last = target, max(last, target.ID)
+	}
+	for key, target := range l.present {
+		if key.ID > last {
+			next[key] = target
+		}
+	}
+	changed = !equalTargets(l.present, next)
+	l.present = next
+	l.indexByName(now)
+	return changed
+}
+
+// isPartial reports whether the targets in use are a part of a list that has not been read
+// as a whole.
+func (l *targetList) isPartial() bool { return l.readAt.IsZero() && len(l.present) > 0 }
+
 // earlierRead is a read of the list with its digest.
 type earlierRead struct {
 	digest uint32
