Take no long read of the targets for the end of an outage

The time between the ends of two reads above 1.5 s counts as an outage, after which entries that are missing are kept for 2.2 s. A read of many pages takes as long by itself, so that each one renewed that time, and a target that had gone was never dropped. Of the time that a read takes, 0.5 s count now; a read of one page in calm takes less.

TestLongReadsAreNoOutage: failed before, passes.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -111,7 +111,7 @@
 		targets, ok = n.targetsWithChanges(&response)
 	}
 	if ok && len(targets) > 0 {
-		n.applyTargets(targets, Position{Era: response.Era, Version: response.Position})
+		n.applyTargets(targets, Position{Era: response.Era, Version: response.Position}, 0)
 	}
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -158,6 +158,7 @@
 			_ = backoff.Sleep(ctx, n.clock, delay)
 			continue
 		}
+		startedAt := n.clock.Now()
 		targets, position, err := n.controlPlane.Targets(ctx)
 		if ctx.Err() != nil {
 			return
@@ -169,7 +170,7 @@
 			continue
 		}
 		delays.reset()
-		n.applyTargets(targets, position)
+		n.applyTargets(targets, position, n.clock.Since(startedAt))
 	}
 }
 
@@ -197,13 +198,13 @@
 	return n.targets.readAt, graceEndsIn, keeps
 }
 
-// applyTargets applies a read of the targets at the store's position.
-func (n *Node) applyTargets(targets []*catalog.Target, position Position) {
+// applyTargets applies a read of the targets at the store's position, which took some time.
+func (n *Node) applyTargets(targets []*catalog.Target, position Position, took time.Duration) {
 	n.observeEra(position.Era)
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
 	now := n.clock.Now()
-	if n.targets.apply(targets, position, now) {
+	if n.targets.apply(targets, position, now, took) {
 		n.targetsDue = true
 	}
 	if n.cold.observe(n.targets.present, n.traits.current(), now) || n.targetsDue {
--- a/internal/node/follow_test.go
+++ b/internal/node/follow_test.go
@@ -18,7 +18,7 @@
 	clock := clockwork.NewFakeClock()
 	n := &Node{clock: clock, peers: newPeerTable(clock, address(9), nil)}
 	read := func(ids ...string) {
-		n.targets.apply(newTargets(ids...), at(n.targets.position.Version+1), clock.Now())
+		n.targets.apply(newTargets(ids...), at(n.targets.position.Version+1), clock.Now(), 0)
 	}
 	read("a", "b")
 	assert.Equal(t, n.untilNextTargetRead(), targetReadInterval)
@@ -44,7 +44,7 @@
 	targets := newTargets("a")
 	targets[0].Address = "127.0.0.1:1"
 	read := func() bool {
-		return contain.Run(zap.NewNop(), "step", func() { n.applyTargets(targets, at(1)) })
+		return contain.Run(zap.NewNop(), "step", func() { n.applyTargets(targets, at(1), 0) })
 	}
 	// There is no placement that takes the targets.
 	assert.Assert(t, !read())
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -114,17 +114,17 @@
 			l := targetList{returnHold: returnHold{holdTime: testHoldTime}}
 			for i, entries := range tc.before {
 				now = now.Add(targetReadInterval)
-				l.apply(toTargets(entries), Position{1, uint64(50 + i)}, now)
+				l.apply(toTargets(entries), Position{1, uint64(50 + i)}, now, 0)
 			}
-			l.apply(toTargets(tc.copied), Position{2, 10}, now.Add(targetReadInterval))
+			l.apply(toTargets(tc.copied), Position{2, 10}, now.Add(targetReadInterval), 0)
 			assert.DeepEqual(t, l.inUse(), tc.want)
-			l.apply(toTargets(tc.later), Position{2, 11}, now.Add(2*targetReadInterval))
+			l.apply(toTargets(tc.later), Position{2, 11}, now.Add(2*targetReadInterval), 0)
 			assert.DeepEqual(t, l.inUse(), tc.wantLater)
 			for end := now.Add(testHoldTime + time.Second); now.Before(end); now = now.Add(targetReadInterval) {
 				l.confirm(now, Position{2, 11})
 			}
 			assert.DeepEqual(t, l.inUse(), tc.wantEnd)
-			assert.Assert(t, !l.apply(nil, Position{1, 99}, now.Add(time.Second)), "a read of before the return")
+			assert.Assert(t, !l.apply(nil, Position{1, 99}, now.Add(time.Second), 0), "a read of before the return")
 		})
 	}
 }
@@ -134,12 +134,12 @@
 func TestTargetListedAgainWithinAnEraIsUsed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := targetList{returnHold: returnHold{holdTime: testHoldTime}}
-	l.apply(toTargets([]entry{{"a", 1, 4, false}, {"b", 1, 1, false}}), Position{1, 1}, now)
-	l.apply(toTargets([]entry{{"a", 1, 4, false}}), Position{2, 1}, now)
+	l.apply(toTargets([]entry{{"a", 1, 4, false}, {"b", 1, 1, false}}), Position{1, 1}, now, 0)
+	l.apply(toTargets([]entry{{"a", 1, 4, false}}), Position{2, 1}, now, 0)
 	now = now.Add(outageGrace + time.Millisecond)
 	l.confirm(now, Position{2, 1})
 	assert.DeepEqual(t, l.inUse(), map[string]bool{"a@1": true})
-	l.apply(toTargets([]entry{{"a", 1, 4, false}, {"b", 1, 1, false}}), Position{2, 2}, now)
+	l.apply(toTargets([]entry{{"a", 1, 4, false}, {"b", 1, 1, false}}), Position{2, 2}, now, 0)
 	assert.DeepEqual(t, l.inUse(), map[string]bool{"a@1": true, "b@1": true})
 	assert.Equal(t, l.heldCount, uint64(0))
 }
@@ -153,7 +153,7 @@
 	listed := toTargets([]entry{{"a", 1, 4, false}})
 	read := func(from, until time.Time, era uint64) {
 		for now := from; now.Before(until); now = now.Add(targetReadInterval) {
-			l.apply(listed, Position{era, 1}, now)
+			l.apply(listed, Position{era, 1}, now, 0)
 		}
 	}
 	returnedAt := start.Add(expiry)
@@ -170,10 +170,10 @@
 	now := time.Unix(1000, 0)
 	l := targetList{returnHold: returnHold{holdTime: testHoldTime}}
 	listed := toTargets([]entry{{"a", 1, 4, false}})
-	l.apply(listed, Position{1, 50}, now)
+	l.apply(listed, Position{1, 50}, now, 0)
 	l.confirm(now.Add(targetReadInterval), Position{2, 10})
 	assert.Equal(t, l.position, Position{2, 10})
-	assert.Assert(t, !l.apply(nil, Position{2, 11}, now.Add(2*targetReadInterval)), "missing entries are kept")
+	assert.Assert(t, !l.apply(nil, Position{2, 11}, now.Add(2*targetReadInterval), 0), "missing entries are kept")
 }
 
 // formerMessage has the fields of the messages of versions without an era.
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -19,6 +19,9 @@
 	// outageGrace is how long after an outage missing entries may take to
 	// reappear.
 	outageGrace = 2200 * time.Millisecond
+	// maxResponseWait bounds the part of a read that counts as silence of the store. A read of
+	// many pages takes longer.
+	maxResponseWait = 500 * time.Millisecond
 )
 
 // targetList determines the current targets from reads of the store's list. The
@@ -51,17 +54,18 @@
 	since time.Time
 }
 
-// apply applies a read at a position and reports whether the targets have
-// changed. A read at a lower position than the last one is ignored.
-func (l *targetList) apply(listed []*catalog.Target, position Position, now time.Time) bool {
+// apply applies a read at a position that took some time, and reports whether the targets
+// have changed. A read at a lower position than the last one is ignored.
+func (l *targetList) apply(listed []*catalog.Target, position Position, now time.Time, took time.Duration) bool {
 	if position.Before(l.position) {
 		return false
 	}
 	l.advance(position, now)
-	if !l.readAt.IsZero() && now.Sub(l.readAt) > outageThreshold {
+	silence := now.Sub(l.readAt) - max(0, took-maxResponseWait)
+	if !l.readAt.IsZero() && silence > outageThreshold {
 		l.graceUntil = now.Add(outageGrace)
 	}
-	if now.Sub(l.readAt) > outageThreshold {
+	if silence > outageThreshold {
 		l.readSince = now
 	}
 	l.readAt = now
--- a/internal/node/targets_part_test.go
+++ b/internal/node/targets_part_test.go
@@ -69,7 +69,7 @@
 	assert.Equal(t, len(warnings), 1)
 	assert.Equal(t, warnings[0].ContextMap()["targets"], int64(2))
 
-	n.applyTargets(newAddressedTargets("b", "c"), at(1))
+	n.applyTargets(newAddressedTargets("b", "c"), at(1), 0)
 	assert.Assert(t, !n.lacksTargets())
 	assert.DeepEqual(t, n.idsInUse(), []string{"b", "c"})
 }
@@ -131,7 +131,7 @@
 	assert.DeepEqual(t, n.idsInUse(), []string{"b", "c"})
 	assert.Assert(t, n.isLeaving(part[0].Key().String()))
 
-	n.applyTargets(newAddressedTargets("b", "c", "d"), at(1))
+	n.applyTargets(newAddressedTargets("b", "c", "d"), at(1), 0)
 	present, digest, gone := n.targets.present, n.targets.digest(), logs.FilterMessage("target gone").Len()
 	clock.Advance(2 * outageThreshold)
 	n.applyPartOfTargets(newAddressedTargets("d", "e"))
@@ -155,7 +155,7 @@
 		assert.Equal(t, l.liveness(target, start, expiry), quarantine.Undecided)
 	}
 	now := start.Add(4 * expiry)
-	l.apply(born, at(1), now)
+	l.apply(born, at(1), now, 0)
 	for _, target := range []string{"a@77", "b@77"} {
 		assert.Equal(t, l.liveness(target, start, expiry), quarantine.Undecided)
 	}
@@ -173,9 +173,9 @@
 	targets[0].ColdLeft = time.Second
 	n.applyPartOfTargets(targets[:1])
 	assert.Equal(t, n.cold.count(clock.Now()), 1)
-	n.applyTargets(targets[:2], at(1))
+	n.applyTargets(targets[:2], at(1), 0)
 	assert.Equal(t, n.cold.count(clock.Now()), 1)
-	n.applyTargets(targets, at(2))
+	n.applyTargets(targets, at(2), 0)
 	assert.Equal(t, n.cold.count(clock.Now()), 2)
 }
 
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -28,17 +28,17 @@
 func TestTargetListDropsMissingEntriesButAfterAnOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
-	assert.Assert(t, l.apply(newTargets("a", "b"), at(1), now))
-	assert.Assert(t, l.apply(newTargets("a"), at(2), now.Add(400*time.Millisecond)))
+	assert.Assert(t, l.apply(newTargets("a", "b"), at(1), now, 0))
+	assert.Assert(t, l.apply(newTargets("a"), at(2), now.Add(400*time.Millisecond), 0))
 	assert.Equal(t, len(l.list()), 1)
 
 	// After an outage, an entry may reappear within outageGrace.
 	afterOutage := now.Add(10 * time.Second)
-	assert.Assert(t, !l.apply(nil, at(3), afterOutage))
+	assert.Assert(t, !l.apply(nil, at(3), afterOutage, 0))
 	assert.Equal(t, len(l.list()), 1)
-	assert.Assert(t, l.apply(newTargets("b"), at(4), afterOutage.Add(time.Second)))
+	assert.Assert(t, l.apply(newTargets("b"), at(4), afterOutage.Add(time.Second), 0))
 	assert.Equal(t, len(l.list()), 2)
-	assert.Assert(t, l.apply(newTargets("b"), at(5), afterOutage.Add(outageGrace+time.Millisecond)))
+	assert.Assert(t, l.apply(newTargets("b"), at(5), afterOutage.Add(outageGrace+time.Millisecond), 0))
 	assert.Equal(t, len(l.list()), 1)
 }
 
@@ -47,10 +47,10 @@
 func TestKeptEntryIsNotPassedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var stalled, other targetList
-	stalled.apply(newTargets("a", "b"), at(1), now)
-	other.apply(newTargets("a", "b"), at(1), now)
-	other.apply(newTargets("a"), at(2), now.Add(time.Second))
-	stalled.apply(newTargets("a"), at(2), now.Add(outageThreshold+time.Second))
+	stalled.apply(newTargets("a", "b"), at(1), now, 0)
+	other.apply(newTargets("a", "b"), at(1), now, 0)
+	other.apply(newTargets("a"), at(2), now.Add(time.Second), 0)
+	stalled.apply(newTargets("a"), at(2), now.Add(outageThreshold+time.Second), 0)
 	assert.Equal(t, len(stalled.list()), 2)
 	assert.Equal(t, len(stalled.lastRead()), 1)
 	assert.Equal(t, stalled.digest(), other.digest())
@@ -59,12 +59,12 @@
 func TestTargetListIgnoresOlderReadsAndTracksIncarnations(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
-	l.apply(newTargets("a"), at(5), now)
-	assert.Assert(t, !l.apply(nil, at(4), now))
+	l.apply(newTargets("a"), at(5), now, 0)
+	assert.Assert(t, !l.apply(nil, at(4), now, 0))
 	restarted := newTargets("a")
 	restarted[0].Born = 77
 	digest := l.digest()
-	assert.Assert(t, l.apply(restarted, at(6), now))
+	assert.Assert(t, l.apply(restarted, at(6), now, 0))
 	assert.Assert(t, l.digest() != digest)
 	assert.Equal(t, len(l.list()), 1)
 }
@@ -72,9 +72,9 @@
 func TestReadByPeerIsNoOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
-	l.apply(newTargets("a"), at(1), now)
+	l.apply(newTargets("a"), at(1), now, 0)
 	l.confirm(now.Add(5*time.Second), at(1))
-	assert.Assert(t, l.apply(nil, at(2), now.Add(6*time.Second)))
+	assert.Assert(t, l.apply(nil, at(2), now.Add(6*time.Second), 0))
 }
 
 // An instance that only hears of others' reads must drop kept entries as well. It
@@ -82,9 +82,9 @@
 func TestKeptEntriesAreDroppedWithoutAnOwnRead(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l targetList
-	l.apply(newTargets("a", "b"), at(1), now)
+	l.apply(newTargets("a", "b"), at(1), now, 0)
 	now = now.Add(outageThreshold + time.Second)
-	l.apply(newTargets("a"), at(2), now)
+	l.apply(newTargets("a"), at(2), now, 0)
 	assert.Equal(t, len(l.list()), 2)
 	assert.Assert(t, !l.confirm(now.Add(outageGrace/2), at(2)))
 	assert.Equal(t, len(l.list()), 2)
@@ -209,7 +209,7 @@
 		list := &targetList{}
 		for _, index := range order {
 			now = now.Add(outageThreshold / 20)
-			list.apply(reads[index], at(uint64(index+1)), now)
+			list.apply(reads[index], at(uint64(index+1)), now, 0)
 			newest = max(newest, index)
 			assert.Equal(t, list.position, at(uint64(newest+1)))
 			assert.Equal(t, len(list.present), len(reads[newest]))
@@ -231,7 +231,7 @@
 // readRegularly applies the same list until a time.
 func readRegularly(l *targetList, listed []*catalog.Target, from, until time.Time) {
 	for readAt := from; !readAt.After(until); readAt = readAt.Add(targetReadInterval) {
-		l.apply(listed, at(l.position.Version+1), readAt)
+		l.apply(listed, at(l.position.Version+1), readAt, 0)
 	}
 }
 
@@ -314,9 +314,9 @@
 					Address: fmt.Sprint("10.0.0.", rapid.IntRange(1, 2).Draw(t, "address")), SequenceNumber: int64(version),
 				})
 			}
-			source.apply(targets, at(uint64(version+1)), now)
+			source.apply(targets, at(uint64(version+1)), now, 0)
 			holder := &targetList{}
-			holder.apply(targets, at(uint64(version+1)), now)
+			holder.apply(targets, at(uint64(version+1)), now, 0)
 			holders = append(holders, holder)
 		}
 		for _, holder := range holders {
@@ -328,7 +328,7 @@
 			assert.Assert(t, !other)
 			targets, ok := holder.withChanges(holder.digest(), changed, removed)
 			assert.Assert(t, ok)
-			holder.apply(targets, source.position, now)
+			holder.apply(targets, source.position, now, 0)
 			assert.Equal(t, holder.digest(), source.digest())
 			assert.Assert(t, equalTargets(holder.read, source.read))
 		}
@@ -346,17 +346,35 @@
 			ids[i] = fmt.Sprint("i-", i)
 		}
 		var l targetList
-		l.apply(newTargets(ids...), at(1), now)
+		l.apply(newTargets(ids...), at(1), now, 0)
 		before := l.digest()
 		drained := newTargets(ids...)
 		drained[0].Draining = true
 		for _, target := range drained {
 			target.SequenceNumber++
 		}
-		l.apply(drained, at(2), now)
+		l.apply(drained, at(2), now, 0)
 		changed, removed, ok := l.changesSince(before)
 		assert.Assert(t, ok)
 		assert.Equal(t, len(changed), 1)
 		assert.Equal(t, len(removed), 0)
 	}
 }
+
+// Each read of a list of many pages, which took longer than outageThreshold, was taken for the end of an
+// outage: entries that had gone were kept for as long as reads took long.
+func TestLongReadsAreNoOutage(t *testing.T) {
+	const took = 3 * time.Second
+	now := time.Unix(100, 0)
+	var l targetList
+	l.apply(newTargets("a", "b"), at(1), now, took)
+	now = now.Add(targetReadInterval + took)
+	assert.Assert(t, l.apply(newTargets("a"), at(2), now, took), "a missing entry is kept")
+	assert.Equal(t, len(l.present), 1)
+	assert.Assert(t, !now.Before(l.graceUntil))
+
+	// A read that waits for the store as long as any may is one after an outage.
+	now = now.Add(outageThreshold + time.Millisecond)
+	assert.Assert(t, !l.apply(nil, at(3), now, maxResponseWait))
+	assert.Equal(t, len(l.present), 1)
+}
